--- a/crates/agent/src/agent.rs
+++ b/crates/agent/src/agent.rs
@@ -9,7 +9,7 @@
 use rhubarb_node::{client, clock, instances, metrics, objects, table};
 use rhubarb_wire::message;
 
-use crate::{jobs, output, settings};
+use crate::{converge, jobs, output, settings};
 
 /// One agent.
 #[derive(Debug)]
@@ -22,6 +22,7 @@
     pub(crate) objects: objects::Objects,
     pub(crate) metrics: Counters,
     pub(crate) list_wanted: lock::Notify,
+    pub(crate) list_taken: lock::Notify,
     state: sync::Mutex<State>,
 }
 
@@ -34,8 +35,12 @@
     pub(crate) gone: collections::BTreeSet<ids::ServerName>,
     pub(crate) instances: Vec<instances::Instance>,
     pub(crate) known: bool,
-    /// Whether the engine runs what the list asks for.
+    /// Whether the backend server can serve; it may run an older model until the new one is in.
     pub(crate) loaded: bool,
+    /// What the engine runs.
+    pub(crate) running: Option<converge::Loaded>,
+    /// Whether the services that this one depends on serve, as an entry says.
+    pub(crate) depends_ready: bool,
     /// Whether what an earlier agent left at the engine was cancelled.
     pub(crate) swept: bool,
     /// Fencing number; zero until the table has given one.
@@ -99,6 +104,8 @@
             instances: Vec::new(),
             known: false,
             loaded: false,
+            running: None,
+            depends_ready: false,
             swept: false,
             fence: 0,
             registered: false,
@@ -115,6 +122,7 @@
             client,
             metrics: Counters::new(),
             list_wanted: lock::Notify::new(),
+            list_taken: lock::Notify::new(),
             state: sync::Mutex::new(state),
             settings,
         }
--- a/crates/agent/src/beats.rs
+++ b/crates/agent/src/beats.rs
@@ -22,6 +22,7 @@
         let report = datagram::Beat::Report(report(&agent, &follow));
         let bytes = datagram::seal(&agent.settings.keys, &report);
         let _ = socket.send_to(&bytes, peer).await;
+        agent.lock().depends_ready |= follow.depends_ready;
         if follow.leaving {
             lists::note_leaving(&agent);
         }
--- /dev/null
+++ b/crates/agent/src/converge.rs
@@ -0,0 +1,118 @@
+//! Brings the engine to the model that the service list asks for.
+
+use std::{sync, time};
+
+use hyper::StatusCode;
+use serde_json::json;
+
+use rhubarb_core::list;
+use rhubarb_node::clock;
+
+use crate::{agent, engine};
+
+const LOAD_LIMIT: time::Duration = time::Duration::from_secs(300);
+const ENGINE_LIMIT: time::Duration = time::Duration::from_secs(2);
+const RETRY: time::Duration = time::Duration::from_millis(200);
+/// Time for which services that this one depends on may come first.
+const DEPENDS_LIMIT: time::Duration = time::Duration::from_secs(10);
+
+/// A model that an engine runs, or is to run.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) struct Loaded {
+    weights: String,
+    version: u64,
+    adapters: Vec<String>,
+}
+
+#[derive(Debug)]
+struct Task {
+    wanted: Loaded,
+    role: list::Role,
+    fence: Option<u64>,
+    depends: bool,
+}
+
+/// Converges until the task is dropped.
+pub(crate) async fn run(agent: sync::Arc<agent::Agent>) {
+    loop {
+        let Some(task) = next_task(&agent) else {
+            agent.list_taken.notified().await;
+            continue;
+        };
+        if task.depends {
+            wait_depends(&agent).await;
+        }
+        if !load(&agent, &task).await {
+            tokio::time::sleep(clock::jitter(RETRY)).await;
+        }
+    }
+}
+
+fn next_task(agent: &agent::Agent) -> Option<Task> {
+    let state = agent.lock();
+    let (service, role) = state.duty(&agent.settings.server)?;
+    let list::Kind::Model(model) = &service.kind else { return None };
+    let wanted = Loaded {
+        weights: model.weights.clone(),
+        version: model.version,
+        adapters: model.adapters.clone(),
+    };
+    if state.running.as_ref() == Some(&wanted) {
+        return None;
+    }
+    let fence = (service.fenced && state.registered).then_some(state.fence);
+    Some(Task { wanted, role, fence, depends: !service.depends.is_empty() })
+}
+
+// Entries tell whether the services that this one depends on serve.
+async fn wait_depends(agent: &agent::Agent) {
+    let deadline = clock::now() + DEPENDS_LIMIT;
+    while !agent.lock().depends_ready && clock::now() < deadline {
+        tokio::time::sleep(RETRY).await;
+    }
+}
+
+// Orders the engine to load; false if that has to be tried again.
+async fn load(agent: &agent::Agent, task: &Task) -> bool {
+    if !agent.lock().swept {
+        engine::cancel_all(agent).await;
+        agent.lock().swept = true;
+    }
+    let wanted = &task.wanted;
+    let url = format!("{}/model", agent.settings.engine);
+    let content = json!({
+        "weights": wanted.weights,
+        "version": wanted.version,
+        "adapters": wanted.adapters,
+        "fence": task.fence,
+    });
+    match agent.client.post_json(&url, &content, LOAD_LIMIT).await {
+        Ok(reply) if reply.status == StatusCode::OK => {}
+        Ok(reply) => {
+            tracing::warn!("agent: engine refused its model: status {}", reply.status);
+            return false;
+        }
+        Err(err) => {
+            tracing::warn!("agent: engine has no model yet: {err}");
+            return false;
+        }
+    }
+    let rooms = match task.role {
+        list::Role::Decode => read_rooms(agent).await,
+        _ => Some(agent.settings.prefills),
+    };
+    let Some(rooms) = rooms else { return false };
+    let mut state = agent.lock();
+    state.rooms.set_capacity(rooms);
+    state.running = Some(wanted.clone());
+    state.loaded = true;
+    tracing::info!("agent: engine runs {} version {}", wanted.weights, wanted.version);
+    true
+}
+
+async fn read_rooms(agent: &agent::Agent) -> Option<u32> {
+    let url = format!("{}/load", agent.settings.engine);
+    let reply = agent.client.get(&url, ENGINE_LIMIT).await.ok()?;
+    let load: serde_json::Value = serde_json::from_slice(&reply.body).ok()?;
+    Some(load.get("rooms")?.as_u64()? as u32)
+}
--- a/crates/agent/src/lib.rs
+++ b/crates/agent/src/lib.rs
@@ -12,6 +12,7 @@
 
 mod agent;
 mod beats;
+mod converge;
 mod decode;
 mod engine;
 mod http;
--- a/crates/agent/src/lists.rs
+++ b/crates/agent/src/lists.rs
@@ -1,24 +1,18 @@
-//! Follows the service list and brings the engine to what it says.
+//! Follows the service list and the instance list.
 
 use std::{collections, sync, time};
 
-use hyper::StatusCode;
-use serde_json::json;
-
 use rhubarb_core::{edition, ids, list};
 use rhubarb_node::{clock, instances};
 use rhubarb_wire::message;
 
-use crate::{agent, engine};
+use crate::agent;
 
 /// Key of the list's row in the table.
 const LIST_KEY: &str = "list";
 const POLL: time::Duration = time::Duration::from_secs(10);
 const FIRST_POLL: time::Duration = time::Duration::from_secs(1);
 const HURRY: time::Duration = time::Duration::from_millis(300);
-const LOAD_LIMIT: time::Duration = time::Duration::from_secs(300);
-const ENGINE_LIMIT: time::Duration = time::Duration::from_secs(2);
-const RETRY: time::Duration = time::Duration::from_millis(200);
 
 type Shared = sync::Arc<agent::Agent>;
 
@@ -69,11 +63,10 @@
     }
     state.edition = edition;
     state.known = true;
-    state.loaded = false;
     enforce(agent, &mut state);
     drop(state);
     tracing::info!("agent: list {version} is in force");
-    agent.list_wanted.notify_one();
+    agent.list_taken.notify_one();
 }
 
 // Brings gate and rooms to what the list says.
@@ -82,10 +75,10 @@
     let unix = clock::unix_ms();
     let server = &agent.settings.server;
     let edition = state.edition.clone();
-    let Some((service, role)) = edition.list.find_server(server) else {
+    let Some((service, _)) = edition.list.find_server(server) else {
         return;
     };
-    state.gate.set_window(service.window, now);
+    state.gate.set_window(service.window);
     if let Some(ago) = edition.joined_ago(&service.name, server, unix) {
         state.gate.join(ago, now);
     }
@@ -95,20 +88,13 @@
     }
     let gone = state.gone.clone();
     state.gate.observe(service.servers(), |name| gone.contains(name), now);
-    match (&service.kind, role) {
-        (list::Kind::Plain(plain), _) => {
-            state.rooms.set_capacity(plain.rooms);
-            state.loaded = true;
-        }
-        (list::Kind::Model(_), list::Role::Prefill) => {
-            state.rooms.set_capacity(agent.settings.prefills);
-        }
-        // The engine tells its rooms once it is loaded.
-        (list::Kind::Model(_), _) => {}
+    if let list::Kind::Plain(plain) = &service.kind {
+        state.rooms.set_capacity(plain.rooms);
+        state.loaded = true;
     }
 }
 
-/// Polls the table and the instance list, and the engine after a change.
+/// Polls the table and the instance list, until the task is dropped.
 pub(crate) async fn follow(agent: Shared) {
     let instances =
         instances::Instances::new(agent.client.clone(), &agent.settings.platform.instances);
@@ -117,13 +103,9 @@
         if let Ok(seen) = instances.read().await {
             note_instances(&agent, &seen);
         }
-        let period = match (load_engine(&agent).await, agent.lock().known) {
-            (false, _) => RETRY,
-            (true, false) => clock::jitter(FIRST_POLL),
-            (true, true) => clock::jitter(POLL),
-        };
+        let period = if agent.lock().known { POLL } else { FIRST_POLL };
         tokio::select! {
-            () = tokio::time::sleep(period) => {}
+            () = tokio::time::sleep(clock::jitter(period)) => {}
             () = agent.list_wanted.notified() => tokio::time::sleep(clock::jitter(HURRY)).await,
         }
     }
@@ -155,59 +137,3 @@
         note_leaving(agent);
     }
 }
-
-// Brings the engine to the list's model; false if that has to be tried again.
-async fn load_engine(agent: &agent::Agent) -> bool {
-    let order = {
-        let state = agent.lock();
-        if state.loaded {
-            return true;
-        }
-        let Some((service, role)) = state.duty(&agent.settings.server) else { return true };
-        let list::Kind::Model(model) = &service.kind else { return true };
-        let fence = service.fenced.then_some(state.fence);
-        (role, model.clone(), fence, state.edition.version)
-    };
-    let (role, model, fence, version) = order;
-    if !agent.lock().swept {
-        engine::cancel_all(agent).await;
-        agent.lock().swept = true;
-    }
-    let url = format!("{}/model", agent.settings.engine);
-    let content = json!({
-        "weights": model.weights,
-        "version": model.version,
-        "adapters": model.adapters,
-        "fence": fence,
-    });
-    match agent.client.post_json(&url, &content, LOAD_LIMIT).await {
-        Ok(reply) if reply.status == StatusCode::OK => {}
-        Ok(reply) => {
-            tracing::warn!("agent: engine refused its model: status {}", reply.status);
-            return false;
-        }
-        Err(err) => {
-            tracing::warn!("agent: engine has no model yet: {err}");
-            return false;
-        }
-    }
-    let rooms = match role {
-        list::Role::Decode => read_rooms(agent).await,
-        _ => Some(agent.settings.prefills),
-    };
-    let Some(rooms) = rooms else { return false };
-    let mut state = agent.lock();
-    if state.edition.version == version {
-        state.rooms.set_capacity(rooms);
-        state.loaded = true;
-        tracing::info!("agent: engine runs {} version {}", model.weights, model.version);
-    }
-    state.loaded
-}
-
-async fn read_rooms(agent: &agent::Agent) -> Option<u32> {
-    let url = format!("{}/load", agent.settings.engine);
-    let reply = agent.client.get(&url, ENGINE_LIMIT).await.ok()?;
-    let load: serde_json::Value = serde_json::from_slice(&reply.body).ok()?;
-    Some(load.get("rooms")?.as_u64()? as u32)
-}
--- a/crates/agent/src/run.rs
+++ b/crates/agent/src/run.rs
@@ -6,7 +6,7 @@
 
 use rhubarb_node::{clock, server, stop};
 
-use crate::{agent, beats, http, link, lists, settings, slot, sweep};
+use crate::{agent, beats, converge, http, link, lists, settings, slot, sweep};
 
 const BIND_TRIES: u32 = 20;
 const DRAIN_STEP: time::Duration = time::Duration::from_millis(20);
@@ -23,6 +23,7 @@
     tracing::info!("agent: started beside {}", agent.settings.server);
     tokio::spawn(slot::register(agent.clone()));
     tokio::spawn(lists::follow(agent.clone()));
+    tokio::spawn(converge::run(agent.clone()));
     tokio::spawn(beats::serve(agent.clone(), udp));
     tokio::spawn(sweep::run(agent.clone()));
     tokio::spawn(link::serve(agent.clone(), listener));
--- a/crates/agent/src/slot.rs
+++ b/crates/agent/src/slot.rs
@@ -19,8 +19,8 @@
 
 /// Key records of a process that stopped in order.
 #[derive(Debug, Serialize, Deserialize)]
-struct Handover {
-    records: Vec<gate::KeyRecord>,
+struct Parcel {
+    handover: gate::Handover,
     answers: Vec<Answer>,
     at_ms: u64,
 }
@@ -55,8 +55,8 @@
     let key = row_key(agent);
     let row = agent.table.read(&key).await?;
     let version = row.as_ref().map_or(0, |row| row.version);
-    let handover = match &row {
-        Some(row) => read_handover(agent, row).await?,
+    let parcel = match &row {
+        Some(row) => read_parcel(agent, row).await?,
         None => None,
     };
     let write_id = format!("{:016x}", agent.incarnation);
@@ -69,11 +69,11 @@
     state.fence = fence;
     state.registered = true;
     let is_first = row.is_none();
-    if is_first || handover.is_some() {
+    if is_first {
         state.gate.trust_memory();
     }
-    if let Some(handover) = handover {
-        take_over(&mut state, handover);
+    if let Some(parcel) = parcel {
+        take_over(&mut state, parcel);
     }
     // The trust is in this server's own past; having joined lately still holds keys back.
     let edition = state.edition.clone();
@@ -88,23 +88,20 @@
     Ok(true)
 }
 
-async fn read_handover(
+async fn read_parcel(
     agent: &agent::Agent,
     row: &table::Row,
-) -> Result<Option<Handover>, platform::PlatformError> {
+) -> Result<Option<Parcel>, platform::PlatformError> {
     let slot: Option<Slot> = serde_json::from_str(&row.value).ok();
     let Some(name) = slot.and_then(|slot| slot.handed_over) else { return Ok(None) };
     let object = agent.objects.get(&name).await?;
     Ok(object.and_then(|object| serde_json::from_str(&object).ok()))
 }
 
-fn take_over(state: &mut agent::State, mut handover: Handover) {
-    let away = clock::unix_ms().saturating_sub(handover.at_ms);
-    for record in &mut handover.records {
-        record.age_ms += away;
-    }
-    state.gate.import(&handover.records, clock::now());
-    for answer in handover.answers {
+fn take_over(state: &mut agent::State, parcel: Parcel) {
+    let away = clock::unix_ms().saturating_sub(parcel.at_ms);
+    state.gate.import(&parcel.handover, time::Duration::from_millis(away), clock::now());
+    for answer in parcel.answers {
         let output = output::Output::restored(answer.status, answer.headers, answer.bytes);
         state.outputs.insert(answer.run, sync::Arc::new(output));
     }
@@ -112,28 +109,25 @@
 
 /// Leaves the key records for the next process; called when nothing runs any more.
 pub(crate) async fn hand_over(agent: &agent::Agent) -> Result<(), platform::PlatformError> {
-    let (handover, fence) = {
+    let (parcel, fence) = {
         let state = agent.lock();
-        if !state.registered || !state.gate.held_back(clock::now()).is_zero() {
-            // What this process was not sure of, the next must not be sure of either.
-            return Ok(());
-        }
-        (collect(&state), state.fence)
+        let Some(parcel) = collect(&state).filter(|_| state.registered) else { return Ok(()) };
+        (parcel, state.fence)
     };
     let name = format!("handover/{}/{fence}", agent.settings.server);
-    agent.objects.put(&name, serde_json::json!(handover).to_string()).await?;
+    agent.objects.put(&name, serde_json::json!(parcel).to_string()).await?;
     let write_id = format!("{:016x}-end", agent.incarnation);
     let value = serde_json::json!(Slot { handed_over: Some(name) }).to_string();
     agent.table.write(&row_key(agent), fence, &write_id, &value).await?;
     Ok(())
 }
 
-fn collect(state: &agent::State) -> Handover {
-    let records = state.gate.export(clock::now());
-    let answers = records.iter().filter_map(|record| {
+fn collect(state: &agent::State) -> Option<Parcel> {
+    let handover = state.gate.export(clock::now())?;
+    let answers = handover.records.iter().filter_map(|record| {
         let (status, headers, bytes) = state.outputs.get(&record.run)?.whole()?;
         Some(Answer { run: record.run, status, headers, bytes })
     });
     let answers = answers.collect();
-    Handover { records, answers, at_ms: clock::unix_ms() }
+    Some(Parcel { handover, answers, at_ms: clock::unix_ms() })
 }
--- a/crates/core/src/gate.rs
+++ b/crates/core/src/gate.rs
@@ -82,6 +82,15 @@
     pub age_ms: u64,
 }
 
+/// What a process that stops in order leaves to the next one of the same server.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Handover {
+    /// Key records of ended runs.
+    pub records: Vec<KeyRecord>,
+    /// Window of the gate that left them, in milliseconds.
+    pub window_ms: u64,
+}
+
 #[derive(Clone, Debug)]
 struct Run {
     key: Option<ids::KeyHash>,
@@ -112,7 +121,8 @@
     ended: collections::BTreeSet<Due>,
     ended_keys: collections::BTreeSet<Due>,
     members: home::Members,
-    clean_from: Option<time::Instant>,
+    // Keys may have run out of this gate's sight until then.
+    unsure_until: Option<time::Instant>,
     ticked: time::Instant,
     // The platform's list lags, so absence counts only after presence.
     seen_live: bool,
@@ -135,7 +145,7 @@
             ended: collections::BTreeSet::new(),
             ended_keys: collections::BTreeSet::new(),
             members: home::Members::default(),
-            clean_from: Some(now + limits.window),
+            unsure_until: Some(now),
             ticked: now,
             seen_live: false,
             leaving: false,
@@ -144,42 +154,54 @@
 
     /// Declares that no earlier process of this server can have run a key.
     pub fn trust_memory(&mut self) {
-        self.clean_from = None;
+        self.unsure_until = None;
     }
 
     /// Declares that keys may have run elsewhere until now.
     pub fn distrust_memory(&mut self, now: time::Instant) {
-        self.clean_from = Some(now + self.limits.window);
+        self.unsure_until = self.unsure_until.max(Some(now));
     }
 
     /// Notes that the server joined its service `ago`, when others had run keys for it before.
     pub fn join(&mut self, ago: time::Duration, now: time::Instant) {
-        let rest = self.limits.window.saturating_sub(ago);
-        if !rest.is_zero() {
-            self.clean_from = self.clean_from.max(Some(now + rest));
-        }
+        self.unsure_until = self.unsure_until.max(now.checked_sub(ago));
+    }
+
+    /// Changes the time for which records are kept and unknown keys held back.
+    pub fn set_window(&mut self, window: time::Duration) {
+        self.limits.window = window;
     }
 
     /// Time until unknown keys are accepted; zero if they are now.
     pub fn held_back(&self, now: time::Instant) -> time::Duration {
-        self.clean_from.map_or(time::Duration::ZERO, |from| from.saturating_duration_since(now))
+        let until = self.unsure_until.map(|until| until + self.limits.window);
+        until.map_or(time::Duration::ZERO, |until| until.saturating_duration_since(now))
     }
 
-    /// Key records of ended runs, for the next process of this server.
-    pub fn export(&self, now: time::Instant) -> Vec<KeyRecord> {
+    /// What the next process of this server needs; `None` while this gate is unsure itself.
+    pub fn export(&self, now: time::Instant) -> Option<Handover> {
         let ended = self.keys.iter().filter_map(|(key, run)| {
             let record = &self.runs[run];
             let age = now.saturating_duration_since(record.ended_at?);
             let whole = record.progress == Progress::Whole;
             Some(KeyRecord { key: *key, run: *run, whole, age_ms: age.as_millis() as u64 })
         });
-        ended.collect()
+        let window_ms = self.limits.window.as_millis() as u64;
+        let is_sure = self.held_back(now).is_zero();
+        is_sure.then(|| Handover { records: ended.collect(), window_ms })
     }
 
-    /// Takes over the key records of the process before, which stopped in order.
-    pub fn import(&mut self, records: &[KeyRecord], now: time::Instant) {
-        for record in records {
-            let age = time::Duration::from_millis(record.age_ms);
+    /// Takes over from the process before, which stopped in order `away` ago.
+    ///
+    /// After half the window the memory is not trusted: other servers may have been told that
+    /// this one is gone, and run its keys.
+    pub fn import(&mut self, handover: &Handover, away: time::Duration, now: time::Instant) {
+        let window = self.limits.window.min(time::Duration::from_millis(handover.window_ms));
+        if away < window / 2 {
+            self.trust_memory();
+        }
+        for record in &handover.records {
+            let age = time::Duration::from_millis(record.age_ms) + away;
             let progress = if record.whole { Progress::Whole } else { Progress::Broken };
             let run = Run {
                 key: Some(record.key),
@@ -195,14 +217,6 @@
         }
     }
 
-    /// Changes the time for which records are kept; a longer window holds unknown keys back.
-    pub fn set_window(&mut self, window: time::Duration, now: time::Instant) {
-        if window > self.limits.window && self.clean_from.is_some_and(|from| now < from) {
-            self.clean_from = Some(now + window);
-        }
-        self.limits.window = window;
-    }
-
     /// Takes a new view of the servers of the service.
     pub fn observe(
         &mut self,
@@ -289,8 +303,9 @@
 
     // A key without a record here may still have run elsewhere, so these are never "not run".
     fn refuse_key(&self, key: ids::KeyHash, now: time::Instant) -> Option<Refusal> {
-        if let Some(from) = self.clean_from.filter(|from| now < *from) {
-            return Some(Refusal::unknown(Reason::KeyUncertain, from - now));
+        let held_back = self.held_back(now);
+        if !held_back.is_zero() {
+            return Some(Refusal::unknown(Reason::KeyUncertain, held_back));
         }
         match self.members.standing(key, &self.server, self.limits.window, now) {
             home::Standing::Home => {}
--- a/crates/entry/src/follow.rs
+++ b/crates/entry/src/follow.rs
@@ -33,9 +33,9 @@
     asked: &mut collections::BTreeMap<ids::ServerName, time::Instant>,
 ) {
     let now = clock::now();
-    let (followed, leaving, version) = {
+    let (followed, leaving, ready, version) = {
         let view = entry.view();
-        (view.followed(), view.leaving(), view.edition.version)
+        (view.followed(), view.leaving(), view.depends_ready(), view.edition.version)
     };
     let period = subset::period(followed.len());
     asked.retain(|name, _| followed.iter().any(|(other, _)| other == name));
@@ -43,9 +43,14 @@
         if asked.get(&name).is_some_and(|last| now < *last + period) {
             continue;
         }
-        let leaving = leaving.contains(&name);
+        let follow = datagram::Follow {
+            incarnation: entry.incarnation,
+            seq,
+            version,
+            leaving: leaving.contains(&name),
+            depends_ready: ready.contains(&name),
+        };
         asked.insert(name, now);
-        let follow = datagram::Follow { incarnation: entry.incarnation, seq, version, leaving };
         let bytes = datagram::seal(&entry.settings.keys, &datagram::Beat::Follow(follow));
         let _ = socket.send_to(&bytes, address).await;
     }
--- a/crates/entry/src/view.rs
+++ b/crates/entry/src/view.rs
@@ -158,6 +158,21 @@
         leaving.map(|instance| instance.name.clone()).collect()
     }
 
+    /// Servers of the services all of whose dependencies serve.
+    pub(crate) fn depends_ready(&self) -> collections::BTreeSet<ids::ServerName> {
+        let services = self.edition.list.services.values();
+        let ready = services.filter(|service| service.depends.iter().all(|name| self.serves(name)));
+        ready.flat_map(list::Service::all_servers).cloned().collect()
+    }
+
+    fn serves(&self, service: &str) -> bool {
+        let pools = self.pools.iter().filter(|((name, _), _)| name == service);
+        let mut pools = pools.filter(|(_, pool)| pool.names().next().is_some());
+        pools.all(|(_, pool)| {
+            pool.names().filter_map(|name| pool.get(name)).any(|server| server.load.rooms > 0)
+        })
+    }
+
     /// Number of live entries, this one included.
     pub(crate) fn entries(&self) -> u32 {
         let is_entry = |instance: &&instances::Instance| {
--- a/crates/slopes/src/control.rs
+++ b/crates/slopes/src/control.rs
@@ -25,6 +25,7 @@
         seq: 1_000_000,
         version: 100_000,
         leaving: false,
+        depends_ready: true,
     });
     let report = datagram::Beat::Report(datagram::Report {
         server: "clip-decode-0123".into(),
--- a/crates/wire/src/datagram.rs
+++ b/crates/wire/src/datagram.rs
@@ -31,6 +31,8 @@
     pub version: ids::ListVersion,
     /// Whether the platform says that the server's instance is leaving.
     pub leaving: bool,
+    /// Whether the services that the server's service depends on serve.
+    pub depends_ready: bool,
 }
 
 /// Load of a server.
