Prove the promises through real processes, and mend what failed

- A stop in order panicked while it wrote its key records: a run id exceeds what a JSON value holds.
The next process ran a key a second time.
- An agent that started while the table was down never learned the list.
- A rolling restart of a pool used up the retry budget on attempts that cost no server anything, and an entry kept what it knew of a server's old process.
- A link that was idle and had gone silent for good cost the request that met it its retries: «no server» although all servers worked.
A wish for a connection that came between two connects was lost.

Ruled out: more retries, since each silent link would still cost 1.5 s; pings on idle links each second, since they exceed the limit on control.

Change: key records are written without a JSON value. Entries send the list to agents that report an old one. Retries after «leaving», «no server» or «not loaded» are free; such servers are left out at once. A link on which the agent was not heard for 2 s is probed before use and opened again after 300 ms. Servers that failed a request are tried again if no other is left.

--- a/crates/agent/src/slot.rs
+++ b/crates/agent/src/slot.rs
@@ -115,7 +115,10 @@
         (parcel, state.fence)
     };
     let name = format!("handover/{}/{fence}", agent.settings.server);
-    agent.objects.put(&name, serde_json::json!(parcel).to_string()).await?;
+    // Run ids exceed what a `serde_json::Value` holds, so the parcel is written directly.
+    let content = serde_json::to_string(&parcel)
+        .map_err(|err| platform::PlatformError::Protocol(err.to_string()))?;
+    agent.objects.put(&name, content).await?;
     let write_id = format!("{:016x}-end", agent.incarnation);
     let value = serde_json::json!(Slot { handed_over: Some(name) }).to_string();
     agent.table.write(&row_key(agent), fence, &write_id, &value).await?;
--- a/crates/core/src/pool.rs
+++ b/crates/core/src/pool.rs
@@ -2,7 +2,9 @@
 
 use std::{collections, time};
 
-use crate::{ids, load};
+use crate::{ids, load, outcome};
+
+use outcome::Reason;
 
 /// One server as seen by an entry.
 #[derive(Clone, Debug)]
@@ -44,6 +46,7 @@
 }
 
 const EJECT_AFTER: u32 = 3;
+const UNREACHABLE_FOR: time::Duration = time::Duration::from_secs(1);
 const EJECT_FOR: time::Duration = time::Duration::from_secs(5);
 const STALE_AFTER: time::Duration = time::Duration::from_secs(5);
 // Scores are in thousandths of the server's rooms.
@@ -78,6 +81,21 @@
         self.servers.retain(|name, _| keep(name));
     }
 
+    /// Removes a server.
+    pub fn remove(&mut self, name: &str) {
+        self.servers.remove(name);
+    }
+
+    /// Servers that were heard lately, have room to offer, and neither leave nor are ejected.
+    pub fn usable_count(&self, now: time::Instant) -> usize {
+        let usable = self.servers.values().filter(|server| {
+            let is_fresh = server.heard_at.is_some_and(|heard| now <= heard + STALE_AFTER);
+            let is_ejected = server.ejected.is_some_and(|until| now < until);
+            is_fresh && server.load.rooms > 0 && !server.leaving && !is_ejected
+        });
+        usable.count()
+    }
+
     /// Looks a server up.
     pub fn get(&self, name: &str) -> Option<&Server> {
         self.servers.get(name)
@@ -113,11 +131,21 @@
         }
     }
 
-    /// Notes the end of a request; repeated failures eject the server for a while.
-    pub fn ended(&mut self, name: &str, failed: bool, now: time::Instant) {
+    /// Notes the end of a request and what its refusal, if any, tells of the server.
+    ///
+    /// A server that says that it leaves is not chosen until it reports otherwise; one that
+    /// cannot be reached, or fails repeatedly, is ejected for a while.
+    pub fn ended(&mut self, name: &str, reason: Option<Reason>, now: time::Instant) {
         let Some(server) = self.servers.get_mut(name) else { return };
         server.open = server.open.saturating_sub(1);
-        server.failures = if failed { server.failures + 1 } else { 0 };
+        match reason {
+            Some(Reason::Leaving) => server.leaving = true,
+            Some(Reason::NoServer) => server.ejected = Some(now + UNREACHABLE_FOR),
+            Some(Reason::EngineFailed | Reason::EngineSilent | Reason::LostContact) => {
+                server.failures += 1;
+            }
+            _ => server.failures = 0,
+        }
         if server.failures >= EJECT_AFTER {
             server.failures = 0;
             server.ejected = Some(now + EJECT_FOR);
@@ -126,7 +154,8 @@
 
     /// Chooses a server: the better of two random ones, or the prefix's preferred server.
     ///
-    /// Ejected servers are used only when no other is left; leaving ones never.
+    /// Ejected servers are used only when no other is left, and tried ones only after those;
+    /// leaving ones never.
     pub fn pick(&self, wish: Wish<'_>, now: time::Instant) -> Option<ids::ServerName> {
         let usable: Vec<_> = self.usable(wish.tried, now);
         let first = usable.get(wish.random as u32 as usize % usable.len().max(1))?;
@@ -139,14 +168,19 @@
     }
 
     fn usable(&self, tried: &[ids::ServerName], now: time::Instant) -> Vec<&ids::ServerName> {
-        let open = self
-            .servers
-            .iter()
-            .filter(|(name, server)| !server.leaving && !tried.iter().any(|other| other == *name));
-        let (sound, ejected): (Vec<_>, Vec<_>) =
-            open.partition(|(_, server)| server.ejected.is_none_or(|until| until <= now));
-        let chosen = if sound.is_empty() { ejected } else { sound };
-        chosen.into_iter().map(|(name, _)| name).collect()
+        let staying = || self.servers.iter().filter(|(_, server)| !server.leaving);
+        let is_sound = |server: &Server| server.ejected.is_none_or(|until| until <= now);
+        let is_tried = |name: &ids::ServerName| tried.iter().any(|other| other == name);
+        let by_rank = |rank: usize| {
+            let chosen =
+                staying().filter(|(name, server)| match (is_tried(name), is_sound(server)) {
+                    (false, true) => rank == 0,
+                    (false, false) => rank == 1,
+                    (true, _) => rank == 2,
+                });
+            chosen.map(|(name, _)| name).collect::<Vec<_>>()
+        };
+        (0..3).map(by_rank).find(|names| !names.is_empty()).unwrap_or_default()
     }
 
     fn score(&self, name: &ids::ServerName, now: time::Instant) -> u64 {
--- a/crates/ctl/src/commands.rs
+++ b/crates/ctl/src/commands.rs
@@ -211,8 +211,12 @@
     let number = |key: &str| status.get(key).and_then(serde_json::Value::as_u64).unwrap_or(0);
     let is_leaving = status.get("leaving").and_then(serde_json::Value::as_bool);
     let state = if is_leaving == Some(true) { "leaving" } else { "live" };
+    let usable = match instance.kind {
+        instances::Kind::Entry => format!(" usable {}/{}", number("usable"), number("followed")),
+        instances::Kind::Server => String::new(),
+    };
     format!(
-        "{:<20} {:<14} {state:<8} version {} open {}\n",
+        "{:<20} {:<14} {state:<8} version {} open {}{usable}\n",
         instance.name,
         instance.zone,
         number("version"),
--- a/crates/e2e/src/relay.rs
+++ b/crates/e2e/src/relay.rs
@@ -1,6 +1,9 @@
 //! A relay between an entry and an agent that can cut, hold or silence what passes.
 
-use std::{net, sync};
+use std::{
+    collections::{self, btree_map},
+    net, sync,
+};
 
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
@@ -56,6 +59,8 @@
                 spawn_pair(entry, agent, &shared);
             }
         });
+        let udp = tcp::UdpSocket::bind(address).await?;
+        tokio::spawn(pass_datagrams(udp, target));
         Ok(Relay { address, modes })
     }
 
@@ -78,6 +83,37 @@
     }
 }
 
+// Datagrams pass whatever the modes are.
+async fn pass_datagrams(socket: tcp::UdpSocket, target: net::SocketAddr) {
+    let socket = sync::Arc::new(socket);
+    let mut entries = collections::BTreeMap::new();
+    let mut buffer = vec![0; BUFFER_BYTES];
+    while let Ok((length, entry)) = socket.recv_from(&mut buffer).await {
+        let back = match entries.entry(entry) {
+            btree_map::Entry::Occupied(known) => known.into_mut(),
+            btree_map::Entry::Vacant(slot) => {
+                let local = (net::Ipv4Addr::LOCALHOST, 0);
+                let Ok(back) = tcp::UdpSocket::bind(local).await else { return };
+                let back = sync::Arc::new(back);
+                tokio::spawn(pass_back(socket.clone(), back.clone(), entry));
+                slot.insert(back)
+            }
+        };
+        let _ = back.send_to(&buffer[..length], target).await;
+    }
+}
+
+async fn pass_back(
+    socket: sync::Arc<tcp::UdpSocket>,
+    back: sync::Arc<tcp::UdpSocket>,
+    entry: net::SocketAddr,
+) {
+    let mut buffer = vec![0; BUFFER_BYTES];
+    while let Ok((length, _)) = back.recv_from(&mut buffer).await {
+        let _ = socket.send_to(&buffer[..length], entry).await;
+    }
+}
+
 fn spawn_pair(
     entry: tcp::TcpStream,
     agent: tcp::TcpStream,
--- a/crates/e2e/src/stack.rs
+++ b/crates/e2e/src/stack.rs
@@ -25,13 +25,13 @@
 
 impl Default for Plan {
     fn default() -> Plan {
-        Plan { entries: 2, list: list("10m"), relays: false, flush: "1s".to_string() }
+        Plan { entries: 2, list: list("10m", "60s"), relays: false, flush: "1s".to_string() }
     }
 }
 
-/// The demo's list with another retry window.
-pub fn list(window: &str) -> String {
-    include_str!("../../../examples/list.ini").replace("10m", window)
+/// The demo's list with another retry window and longest deadline.
+pub fn list(window: &str, deadline: &str) -> String {
+    include_str!("../../../examples/list.ini").replace("10m", window).replace("60s", deadline)
 }
 
 /// A running deployment; its processes are killed when this is dropped.
@@ -106,6 +106,38 @@
         }
     }
 
+    /// Waits until every agent is ready.
+    pub async fn wait_agents(&self) {
+        for address in self.agents.values().map(|process| process.http) {
+            self.until("all agents are ready", async || self.is_ready(address).await).await;
+        }
+    }
+
+    /// Waits until every entry can use all servers.
+    pub async fn wait_usable(&self) {
+        let count = ENGINES.len() + PLAINS.len();
+        for address in self.entries.iter().map(|entry| entry.http) {
+            let usable = async || self.status(address).await["usable"] == count;
+            self.until("all servers are usable", usable).await;
+        }
+    }
+
+    /// Stops the agent of `server` in order and waits for its end.
+    pub async fn stop_agent(&mut self, server: &str) {
+        self.agents[server].terminate();
+        self.wait_exit_agent(server).await;
+    }
+
+    /// Exit code of the agent of `server`, once it has ended.
+    pub async fn wait_exit_agent(&mut self, server: &str) -> i32 {
+        wait_exit(self.agents.get_mut(server).expect("the agent was started")).await
+    }
+
+    /// Exit code of an entry, once it has ended.
+    pub async fn wait_exit_entry(&mut self, entry: usize) -> i32 {
+        wait_exit(&mut self.entries[entry]).await
+    }
+
     async fn is_ready(&self, address: net::SocketAddr) -> bool {
         let url = format!("http://{address}/readyz");
         self.client.get(&url, LIMIT).await.is_ok_and(|reply| reply.status == 200)
@@ -383,6 +415,17 @@
     }
 }
 
+async fn wait_exit(process: &mut process::Process) -> i32 {
+    let start = time::Instant::now();
+    loop {
+        if let Some(code) = process.exit_code() {
+            return code;
+        }
+        assert!(start.elapsed() < PATIENCE, "the process does not end");
+        tokio::time::sleep(STEP).await;
+    }
+}
+
 fn finish(output: &os::Output) -> anyhow::Result<String> {
     let code = output.status.code().unwrap_or(-1);
     anyhow::ensure!(code == 0, "exit {code}: {}", String::from_utf8_lossy(&output.stderr));
--- /dev/null
+++ b/crates/e2e/tests/once.rs
@@ -0,0 +1,174 @@
+//! Idempotency keys run at most once through real processes.
+
+use std::time;
+
+use rhubarb_e2e::{relay, stack};
+
+const WINDOW: &str = "12s";
+const WINDOW_TIME: time::Duration = time::Duration::from_secs(12);
+
+fn short_window() -> stack::Plan {
+    let list = stack::list(WINDOW, "10s");
+    stack::Plan { list, relays: true, ..stack::Plan::default() }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn agent_killed() {
+    let mut stack = stack::Stack::start(short_window()).await.unwrap();
+    let lost = stack.key_at("yard-1", "lost");
+    let caller = stack.caller(0);
+    assert_eq!(caller.confirm(&lost).await.unwrap().status, 200);
+    stack.agents.get_mut("yard-1").unwrap().kill();
+    stack.start_agent("yard-1").await.unwrap();
+    stack.wait_agents().await;
+    let killed = time::Instant::now();
+
+    // The dead agent's keys are refused at once, truthfully, with when to come back.
+    let uncertain = async || {
+        let reply = stack.caller(1).confirm(&lost).await.unwrap();
+        reply.reason() == "key-uncertain"
+    };
+    stack.until("the restarted agent refuses its keys", uncertain).await;
+    let reply = stack.caller(1).confirm(&lost).await.unwrap();
+    assert_eq!((reply.status, reply.outcome()), (503, Some("unknown")), "{}", reply.body);
+    assert!(reply.header("retry-after").is_some());
+    assert!(reply.taken < time::Duration::from_secs(1), "held for {:?}", reply.taken);
+
+    // All others go on.
+    for server in ["yard-2", "yard-3"] {
+        let key = stack.key_at(server, "other");
+        let reply = stack.caller(0).confirm(&key).await.unwrap();
+        assert_eq!(reply.status, 200, "{}", reply.body);
+    }
+    assert_eq!(stack.runs(&lost).await, 1);
+
+    // New keys run again once the window is over.
+    let fresh = stack.key_at("yard-1", "fresh");
+    let runs_again = async || stack.caller(0).confirm(&fresh).await.unwrap().status == 200;
+    stack.within(WINDOW_TIME * 2, "new keys run again", runs_again).await;
+    assert!(killed.elapsed() > WINDOW_TIME / 2);
+    assert_eq!(stack.runs(&fresh).await, 1);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn killed_running() {
+    let mut stack = stack::Stack::start(short_window()).await.unwrap();
+    let key = stack.key_at("yard-2", "running");
+    let caller = stack.caller(0);
+    let sent = key.clone();
+    let call = tokio::spawn(async move { caller.confirm_slowly(&sent, 2000).await.unwrap() });
+    stack.until("the key runs", async || stack.runs(&key).await == 1).await;
+    stack.agents.get_mut("yard-2").unwrap().kill();
+    let reply = call.await.unwrap();
+    assert_eq!((reply.status, reply.outcome()), (502, Some("unknown")), "{}", reply.body);
+    stack.start_agent("yard-2").await.unwrap();
+    stack.wait_agents().await;
+    for entry in [0, 1] {
+        let reply = stack.caller(entry).confirm(&key).await.unwrap();
+        assert_ne!(reply.status, 200, "{}", reply.body);
+        assert_eq!(reply.outcome(), Some("unknown"), "{}", reply.body);
+    }
+    assert_eq!(stack.runs(&key).await, 1);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn link_cut() {
+    let stack = stack::Stack::start(short_window()).await.unwrap();
+    let key = stack.key_at("yard-3", "cut");
+    let caller = stack.caller(0);
+    let sent = key.clone();
+    let call = tokio::spawn(async move { caller.confirm_slowly(&sent, 1500).await.unwrap() });
+    stack.until("the key runs", async || stack.runs(&key).await == 1).await;
+    stack.relays["yard-3"].cut();
+    let reply = call.await.unwrap();
+    assert_eq!(reply.status, 200, "the run is resumed: {}", reply.body);
+    assert_eq!(stack.runs(&key).await, 1);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn agent_frozen() {
+    let stack = stack::Stack::start(short_window()).await.unwrap();
+    let key = stack.key_at("yard-1", "frozen");
+    stack.caller(0).confirm(&stack.key_at("yard-1", "warm")).await.unwrap();
+    stack.agents["yard-1"].freeze();
+    let reply = stack.caller(0).confirm(&key).await.unwrap();
+    assert_eq!(reply.outcome(), Some("unknown"), "{}", reply.body);
+    let again = stack.caller(1).confirm(&key).await.unwrap();
+    assert_eq!(again.outcome(), Some("unknown"), "{}", again.body);
+    stack.agents["yard-1"].thaw();
+    let answered = async || stack.caller(1).confirm(&key).await.unwrap().status == 200;
+    stack.until("the key is answered", answered).await;
+    assert_eq!(stack.runs(&key).await, 1);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn order_delayed() {
+    let stack = stack::Stack::start(short_window()).await.unwrap();
+    stack.caller(0).confirm(&stack.key_at("yard-1", "warm")).await.unwrap();
+    // The order stays in the socket; the entry gives up, and it arrives afterwards.
+    let key = stack.key_at("yard-1", "delayed");
+    stack.relays["yard-1"].set(relay::Mode::Hold, relay::Mode::Pass);
+    let reply = stack.caller(0).confirm(&key).await.unwrap();
+    assert_ne!(reply.status, 200);
+    let said_not_run = reply.outcome() == Some("not-run");
+    stack.relays["yard-1"].set(relay::Mode::Pass, relay::Mode::Pass);
+    tokio::time::sleep(time::Duration::from_millis(500)).await;
+    let runs = stack.runs(&key).await;
+    assert!(runs <= 1);
+    assert!(!(said_not_run && runs > 0), "ran after «not run»");
+    let answered = async || stack.caller(1).confirm(&key).await.unwrap().status == 200;
+    stack.until("the key is answered", answered).await;
+    assert_eq!(stack.runs(&key).await, 1);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn table_down() {
+    let stack = stack::Stack::start(short_window()).await.unwrap();
+    stack.switch("table", "down").await.unwrap();
+    for number in 0..20 {
+        let key = format!("outage-{number}");
+        let first = stack.caller(0).confirm(&key).await.unwrap();
+        let second = stack.caller(1).confirm(&key).await.unwrap();
+        assert_eq!((first.status, second.status), (200, 200), "{} {}", first.body, second.body);
+        assert_eq!(stack.runs(&key).await, 1);
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn agent_replaced_outage() {
+    let mut stack = stack::Stack::start(short_window()).await.unwrap();
+    let lost = stack.key_at("yard-1", "lost");
+    stack.caller(0).confirm(&lost).await.unwrap();
+    stack.switch("table", "down").await.unwrap();
+    stack.agents.get_mut("yard-1").unwrap().kill();
+    stack.start_agent("yard-1").await.unwrap();
+    let back = async || stack.status(stack.agents["yard-1"].http).await["loaded"] == true;
+    stack.until("the agent learns the list from its peers", back).await;
+    let refused =
+        async || stack.caller(1).confirm(&lost).await.unwrap().reason() == "key-uncertain";
+    stack.until("its keys are refused", refused).await;
+    for server in ["yard-2", "yard-3"] {
+        let key = stack.key_at(server, "other");
+        assert_eq!(stack.caller(0).confirm(&key).await.unwrap().status, 200);
+    }
+    assert_eq!(stack.runs(&lost).await, 1);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn stopped_in_order() {
+    let mut stack = stack::Stack::start(short_window()).await.unwrap();
+    let key = stack.key_at("yard-1", "kept");
+    let first = stack.caller(0).confirm(&key).await.unwrap();
+    stack.stop_agent("yard-1").await;
+    stack.start_agent("yard-1").await.unwrap();
+    stack.wait_agents().await;
+    let same = async || {
+        let reply = stack.caller(1).confirm(&key).await.unwrap();
+        reply.status == 200 && reply.body == first.body
+    };
+    stack.until("the next process gives the same answer", same).await;
+    let fresh = stack.key_at("yard-1", "fresh");
+    let runs = async || stack.caller(0).confirm(&fresh).await.unwrap().status == 200;
+    stack.within(WINDOW_TIME / 2, "new keys run without a wait", runs).await;
+    assert_eq!(stack.runs(&key).await, 1);
+}
--- /dev/null
+++ b/crates/e2e/tests/streams.rs
@@ -0,0 +1,138 @@
+//! Whole answers although connections, agents and engines fail on the way.
+
+use std::time;
+
+use rhubarb_e2e::stack;
+use rhubarb_fakes::tokens;
+
+const TOKENS: u32 = 150;
+const FREE_AGAIN: time::Duration = time::Duration::from_secs(8);
+
+fn with_relays() -> stack::Plan {
+    stack::Plan { relays: true, ..stack::Plan::default() }
+}
+
+/// Server whose decode room is held.
+async fn decoding(stack: &stack::Stack) -> String {
+    for _ in 0..200 {
+        for name in ["decode-1", "decode-2"] {
+            if stack.status(stack.agents[name].http).await["held"] == 1 {
+                return name.to_string();
+            }
+        }
+    }
+    panic!("nothing is decoded");
+}
+
+async fn freed(stack: &stack::Stack) {
+    stack.within(FREE_AGAIN, "engine memory is free", async || stack.held().await == 0).await;
+    let reply = stack.caller(0).complete("after the fault", 8).await.unwrap();
+    assert_eq!(reply.text(), tokens::answer("after the fault", 8), "{}", reply.body);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn link_cut() {
+    let stack = stack::Stack::start(with_relays()).await.unwrap();
+    let mut stream = stack.caller(0).stream("long summary", TOKENS).await.unwrap();
+    let first = stream.next().await.unwrap().unwrap();
+    for relay in stack.relays.values() {
+        relay.cut();
+    }
+    let rest = stream.rest().await.unwrap();
+    assert!(first.contains(&tokens::token("long summary", 0)));
+    assert_eq!(tokens::token("long summary", 0) + &rest, tokens::answer("long summary", TOKENS));
+    freed(&stack).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn link_silent() {
+    let stack = stack::Stack::start(with_relays()).await.unwrap();
+    let mut stream = stack.caller(0).stream("long summary", TOKENS).await.unwrap();
+    stream.next().await.unwrap();
+    for relay in stack.relays.values() {
+        relay.silence();
+    }
+    let rest = stream.rest().await.unwrap();
+    assert_eq!(tokens::token("long summary", 0) + &rest, tokens::answer("long summary", TOKENS));
+    freed(&stack).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn idle_link_silent() {
+    let stack = stack::Stack::start(with_relays()).await.unwrap();
+    stack.caller(0).complete("first", 8).await.unwrap();
+    for relay in stack.relays.values() {
+        relay.silence();
+    }
+    let reply = stack.caller(0).complete("second", 8).await.unwrap();
+    assert_eq!(reply.text(), tokens::answer("second", 8), "{}", reply.body);
+    freed(&stack).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn decode_agent_killed() {
+    let mut stack = stack::Stack::start(stack::Plan::default()).await.unwrap();
+    let mut stream = stack.caller(0).stream("long summary", TOKENS).await.unwrap();
+    stream.next().await.unwrap();
+    let server = decoding(&stack).await;
+    stack.agents.get_mut(&server).unwrap().kill();
+    let rest = stream.rest().await.unwrap();
+    assert_eq!(tokens::token("long summary", 0) + &rest, tokens::answer("long summary", TOKENS));
+    freed(&stack).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn decode_agent_frozen() {
+    let stack = stack::Stack::start(stack::Plan::default()).await.unwrap();
+    let mut stream = stack.caller(0).stream("long summary", TOKENS).await.unwrap();
+    stream.next().await.unwrap();
+    let server = decoding(&stack).await;
+    stack.agents[&server].freeze();
+    let rest = stream.rest().await.unwrap();
+    assert_eq!(tokens::token("long summary", 0) + &rest, tokens::answer("long summary", TOKENS));
+    stack.agents[&server].thaw();
+    freed(&stack).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn engine_frozen() {
+    let stack = stack::Stack::start(stack::Plan::default()).await.unwrap();
+    let mut stream = stack.caller(0).stream("long summary", TOKENS).await.unwrap();
+    stream.next().await.unwrap();
+    let server = decoding(&stack).await;
+    stack.switch(&server, "frozen").await.unwrap();
+    let rest = stream.rest().await.unwrap();
+    assert_eq!(tokens::token("long summary", 0) + &rest, tokens::answer("long summary", TOKENS));
+    stack.switch(&server, "up").await.unwrap();
+    freed(&stack).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn prefill_failing() {
+    let stack = stack::Stack::start(stack::Plan::default()).await.unwrap();
+    stack.switch("prefill-1", "failing").await.unwrap();
+    for number in 0..6 {
+        let prompt = format!("lot {number}");
+        let reply = stack.caller(0).complete(&prompt, 8).await.unwrap();
+        assert_eq!(reply.text(), tokens::answer(&prompt, 8), "{}", reply.body);
+    }
+    freed(&stack).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn twice_together() {
+    let mut stack = stack::Stack::start(with_relays()).await.unwrap();
+    let mut stream = stack.caller(0).stream("long summary", TOKENS).await.unwrap();
+    stream.next().await.unwrap();
+    for relay in stack.relays.values() {
+        relay.cut();
+    }
+    for relay in stack.relays.values() {
+        relay.silence();
+    }
+    let server = decoding(&stack).await;
+    stack.agents.get_mut(&server).unwrap().kill();
+    let rest = stream.rest().await.unwrap();
+    assert_eq!(tokens::token("long summary", 0) + &rest, tokens::answer("long summary", TOKENS));
+    freed(&stack).await;
+}
--- a/crates/entry/src/api.rs
+++ b/crates/entry/src/api.rs
@@ -5,7 +5,7 @@
 use hyper::{Method, Request, Response, StatusCode, body, http};
 
 use rhubarb_core::{list, outcome};
-use rhubarb_node::{answer, control};
+use rhubarb_node::{answer, clock, control};
 
 use crate::{admit, completion, driver, entry, openai, plain, refuse};
 
@@ -168,6 +168,7 @@
         "open": entry.open.load(sync::atomic::Ordering::Relaxed),
         "instances": view.instances.len(),
         "followed": view.followed().len(),
+        "usable": view.usable(clock::now()),
     });
     answer::json(StatusCode::OK, &status)
 }
--- a/crates/entry/src/completion.rs
+++ b/crates/entry/src/completion.rs
@@ -35,6 +35,7 @@
     first_at: Option<time::Instant>,
     last_at: Option<time::Instant>,
     begun: bool,
+    failure: Option<Reason>,
 }
 
 /// A run at a server.
@@ -74,6 +75,7 @@
             first_at: None,
             last_at: None,
             begun: false,
+            failure: None,
         }
     }
 
@@ -86,7 +88,7 @@
                 flow::Step::Prefill => self.prefill().await,
                 flow::Step::Decode => self.decode().await,
                 flow::Step::Release => {
-                    self.release(None);
+                    self.release(self.failure);
                     continue;
                 }
                 flow::Step::Finish => {
@@ -98,9 +100,11 @@
                     continue;
                 }
             };
+            self.failure = reason_of(&event);
             self.flow.handle(&event);
             if matches!(event, flow::Event::Replayed) {
                 let event = self.stream().await;
+                self.failure = reason_of(&event);
                 self.flow.handle(&event);
             }
         }
@@ -121,10 +125,10 @@
         Some(server)
     }
 
-    fn note_end(&self, server: &str, role: list::Role, failed: bool) {
+    fn note_end(&self, server: &str, role: list::Role, reason: Option<Reason>) {
         let mut view = self.ticket.entry.view();
         if let Some(pool) = view.pool(&self.ticket.service.name, role) {
-            pool.ended(server, failed, clock::now());
+            pool.ended(server, reason, clock::now());
         }
     }
 
@@ -147,13 +151,14 @@
     async fn reserve(&mut self) -> flow::Event {
         let keyed = self.ticket.key.is_some();
         let Some(server) = self.pick(list::Role::Decode) else {
+            self.ticket.entry.list_wanted.notify_one();
             return self.unreachable(None, keyed);
         };
         let Some(peer) = self.ticket.entry.peer(&server) else {
             return self.unreachable(Some(server), keyed);
         };
         let Some(contact) = peer.contact().await else {
-            self.note_end(&server, list::Role::Decode, true);
+            self.note_end(&server, list::Role::Decode, Some(Reason::NoServer));
             return self.unreachable(Some(server), keyed);
         };
         let wait_by = self.ticket.deadline.min(clock::now() + self.model.max_wait);
@@ -193,8 +198,7 @@
             return self.unreachable(None, false);
         };
         let event = self.prefill_at(&server).await;
-        let failed = matches!(&event, flow::Event::Failed { refusal, .. } if is_fault(refusal));
-        self.note_end(&server, list::Role::Prefill, failed);
+        self.note_end(&server, list::Role::Prefill, reason_of(&event));
         event
     }
 
@@ -329,7 +333,7 @@
     // Dropping the run cancels it at the agent.
     fn release(&mut self, reason: Option<Reason>) {
         if let Some(placed) = self.decode.take() {
-            self.note_end(&placed.server, list::Role::Decode, false);
+            self.note_end(&placed.server, list::Role::Decode, reason);
         }
         if let Some(prefilled) = self.prefilled.take() {
             let ticket = &self.ticket;
@@ -410,10 +414,9 @@
     )
 }
 
-/// Whether a refusal speaks against the server.
-pub(crate) fn is_fault(refusal: &Refusal) -> bool {
-    matches!(
-        refusal.reason,
-        Reason::NoServer | Reason::EngineFailed | Reason::EngineSilent | Reason::LostContact
-    )
+fn reason_of(event: &flow::Event) -> Option<Reason> {
+    match event {
+        flow::Event::Failed { refusal, .. } => Some(refusal.reason),
+        _ => None,
+    }
 }
--- a/crates/entry/src/entry.rs
+++ b/crates/entry/src/entry.rs
@@ -132,9 +132,10 @@
         self.metrics.refused.get_or_create(&metrics::labels(reason)).inc();
     }
 
-    /// Takes a retry from the budget of a service, and counts it.
+    /// Takes a retry from the budget of a service, and counts it; one after an attempt that cost
+    /// no server any work is free.
     pub(crate) fn take_retry(&self, service: &str, caller: &str, reason: outcome::Reason) -> bool {
-        let taken = self.view().budget(service).take();
+        let taken = is_free(reason) || self.view().budget(service).take();
         if taken {
             self.metrics.retried.get_or_create(&metrics::labels(reason)).inc();
             self.ledger().totals(service, caller).retry(reason);
@@ -169,3 +170,8 @@
         self.stopped_at.get().is_some_and(|at| clock::now() >= *at + self.settings.notice)
     }
 }
+
+fn is_free(reason: outcome::Reason) -> bool {
+    use outcome::Reason;
+    matches!(reason, Reason::Leaving | Reason::NoServer | Reason::NotLoaded | Reason::NoList)
+}
--- a/crates/entry/src/follow.rs
+++ b/crates/entry/src/follow.rs
@@ -73,5 +73,8 @@
         *last = report.seq;
         entry.view().hear(&report.server, report.load, clock::now());
         lists::note_version(&entry, report.version);
+        if lists::is_to_push(&entry, report.version) {
+            tokio::spawn(lists::push(entry.clone(), report.server));
+        }
     }
 }
--- a/crates/entry/src/lists.rs
+++ b/crates/entry/src/lists.rs
@@ -12,6 +12,7 @@
 const LIST_KEY: &str = "list";
 const POLL: time::Duration = time::Duration::from_secs(2);
 const HURRY: time::Duration = time::Duration::from_millis(200);
+const PUSH_CHANCE: f64 = 0.3;
 
 type Shared = sync::Arc<entry::Entry>;
 
@@ -111,6 +112,22 @@
     })
 }
 
+/// Whether an agent that is behind is to be sent the list by this entry; of all that follow it
+/// a few are enough.
+pub(crate) fn is_to_push(entry: &entry::Entry, version: ids::ListVersion) -> bool {
+    version < entry.view().edition.version && rand::random::<f64>() < PUSH_CHANCE
+}
+
+/// Sends the list to the agent of `server`, which cannot read the table itself.
+pub(crate) async fn push(entry: Shared, server: ids::ServerName) {
+    let Some(peer) = entry.peer(&server) else { return };
+    if peer.contact().await.is_some()
+        && let Some(copy) = copy(&entry)
+    {
+        peer.send(message::Order::List(copy));
+    }
+}
+
 /// Notes the version that an agent has; a newer one is fetched at once.
 pub(crate) fn note_version(entry: &entry::Entry, version: ids::ListVersion) {
     if version > entry.view().edition.version {
--- a/crates/entry/src/peer.rs
+++ b/crates/entry/src/peer.rs
@@ -80,6 +80,10 @@
 const PING_QUIET: time::Duration = time::Duration::from_millis(500);
 /// A link without open runs is pinged this often.
 const PING_IDLE: time::Duration = time::Duration::from_secs(20);
+/// A link on which the agent was heard in this time is used without a probe.
+const FRESH: time::Duration = time::Duration::from_secs(2);
+/// A probe that is not answered in this time breaks the link.
+const PROBE: time::Duration = time::Duration::from_millis(300);
 /// A link whose ping is not answered in this time is broken.
 const SILENCE: time::Duration = time::Duration::from_millis(1500);
 const BACKOFF: time::Duration = time::Duration::from_millis(100);
@@ -105,19 +109,26 @@
             commands: receiver,
             contact: sender,
             runs: collections::BTreeMap::new(),
+            wanted: false,
         };
         tokio::spawn(task.run());
         Peer { address, commands, contact }
     }
 
-    /// Waits for the connection, at most the time of one connect.
+    /// Waits for a connection on which the agent was heard lately, at most the time of one connect.
+    ///
+    /// A connection that was idle may have gone silent for good, so it is probed before use.
     pub(crate) async fn contact(&self) -> Option<Contact> {
         let mut contact = self.contact.clone();
-        if let Some(contact) = *contact.borrow() {
+        let oldest = clock::now().checked_sub(FRESH);
+        let is_fresh = |contact: &Option<Contact>| {
+            contact.is_some_and(|contact| oldest.is_none_or(|oldest| contact.heard_at > oldest))
+        };
+        if let Some(contact) = contact.borrow().filter(|contact| is_fresh(&Some(*contact))) {
             return Some(contact);
         }
         self.commands.send(Command::Connect).ok()?;
-        let wait = contact.wait_for(Option::is_some);
+        let wait = contact.wait_for(is_fresh);
         let found = tokio::time::timeout(CONNECT_LIMIT, wait).await.ok()?.ok()?;
         *found
     }
@@ -174,6 +185,8 @@
     commands: mpsc::UnboundedReceiver<Command>,
     contact: watch::Sender<Option<Contact>>,
     runs: collections::BTreeMap<ids::RunId, Open>,
+    // A request waits for the connection.
+    wanted: bool,
 }
 
 /// A live connection.
@@ -182,8 +195,8 @@
     notices: mpsc::Receiver<message::Notice>,
     heard_at: time::Instant,
     sent_at: time::Instant,
-    // When a ping was sent that nothing has followed yet.
-    asked_at: Option<time::Instant>,
+    // When an answer to a ping is overdue, if nothing has been heard since.
+    due_at: Option<time::Instant>,
     seq: u64,
 }
 
@@ -198,18 +211,18 @@
     fn is_ping_due(&self, has_runs: bool, now: time::Instant) -> bool {
         let quiet = if has_runs { PING_QUIET } else { PING_IDLE };
         let oldest = self.heard_at.min(self.sent_at);
-        self.asked_at.is_none() && now >= oldest + quiet
+        self.due_at.is_none() && now >= oldest + quiet
     }
 
     fn is_silent(&self, now: time::Instant) -> bool {
-        self.asked_at.is_some_and(|asked_at| now >= asked_at + SILENCE)
+        self.due_at.is_some_and(|due_at| now >= due_at)
     }
 }
 
 impl Task {
     async fn run(mut self) {
         loop {
-            if self.runs.is_empty() && !self.wait_wanted().await {
+            if self.runs.is_empty() && !self.wanted && !self.wait_wanted().await {
                 return;
             }
             match tokio::time::timeout(CONNECT_LIMIT, self.connect()).await {
@@ -229,6 +242,7 @@
     }
 
     fn note_refused(&mut self) {
+        self.wanted = false;
         if let Some(link::Step::GiveUp) = self.link.handle(link::Event::Refused) {
             self.fail_all(Refusal::unknown(Reason::LostContact, RETRY_SOON));
         }
@@ -259,8 +273,7 @@
         tokio::spawn(read_loop(reader, sender));
         self.note_pong(incarnation, &pong);
         let now = clock::now();
-        let mut wire =
-            Wire { writer, notices, heard_at: now, sent_at: now, asked_at: None, seq: 0 };
+        let mut wire = Wire { writer, notices, heard_at: now, sent_at: now, due_at: None, seq: 0 };
         match self.link.handle(link::Event::Welcomed(incarnation)) {
             Some(link::Step::Resume) => self.resume_all(&mut wire).await,
             Some(link::Step::GiveUp) => {
@@ -271,9 +284,10 @@
         Ok(wire)
     }
 
-    fn note_pong(&self, incarnation: ids::Incarnation, pong: &message::Pong) {
+    fn note_pong(&mut self, incarnation: ids::Incarnation, pong: &message::Pong) {
         let heard_at = clock::now();
         let contact = Contact { incarnation, clock_ms: pong.clock_ms, heard_at };
+        self.wanted = false;
         self.contact.send_replace(Some(contact));
         self.entry.view().hear(&self.server, pong.load, heard_at);
         lists::note_version(&self.entry, pong.version);
@@ -298,7 +312,7 @@
                 notice = wire.notices.recv() => match notice {
                     Some(notice) => {
                         wire.heard_at = clock::now();
-                        wire.asked_at = None;
+                        wire.due_at = None;
                         self.take(notice, &mut wire).await
                     }
                     None => break,
@@ -322,8 +336,13 @@
         if !wire.is_ping_due(!self.runs.is_empty(), now) {
             return true;
         }
+        self.ping(wire, SILENCE).await
+    }
+
+    async fn ping(&mut self, wire: &mut Wire, limit: time::Duration) -> bool {
         wire.seq += 1;
-        wire.asked_at = Some(now);
+        let due_at = clock::now() + limit;
+        wire.due_at = Some(wire.due_at.map_or(due_at, |earlier| earlier.min(due_at)));
         let version = self.entry.view().edition.version;
         wire.send(&message::Order::Ping(message::Ping { seq: wire.seq, version })).await
     }
@@ -342,7 +361,8 @@
                 Command::Close(run) => {
                     self.runs.remove(&run);
                 }
-                Command::Connect | Command::Send(_) => {}
+                Command::Connect => self.wanted = true,
+                Command::Send(_) => {}
             }
         }
     }
@@ -355,7 +375,10 @@
 
     async fn obey(&mut self, command: Command, wire: &mut Wire) -> bool {
         match command {
-            Command::Connect => true,
+            Command::Connect => {
+                self.wanted = true;
+                self.ping(wire, PROBE).await
+            }
             Command::Open { run, incarnation, order, sink } => {
                 // The order's times are on the clock of one incarnation of the agent.
                 if self.link.incarnation() != Some(incarnation) {
--- a/crates/entry/src/plain.rs
+++ b/crates/entry/src/plain.rs
@@ -72,6 +72,7 @@
     pub(crate) async fn drive(mut self) {
         loop {
             let Step::Failed(server, refusal) = self.attempt().await else { return };
+            tracing::debug!("entry: attempt at {server:?} failed: {refusal}");
             self.unsure |= refusal.outcome != Outcome::NotRun;
             if !self.may_retry(&refusal) {
                 return self.refuse(refusal).await;
@@ -107,20 +108,26 @@
         Some(server)
     }
 
-    fn note_end(&self, server: &str, failed: bool) {
+    fn note_end(&self, server: &str, reason: Option<Reason>) {
         let mut view = self.ticket.entry.view();
         if let Some(pool) = view.pool(&self.ticket.service.name, list::Role::Plain) {
-            pool.ended(server, failed, clock::now());
+            pool.ended(server, reason, clock::now());
         }
     }
 
     async fn attempt(&mut self) -> Step {
         let keyed = self.ticket.key.is_some();
         let unreachable = refuse::own(Refusal::not_run(Reason::NoServer, RETRY_SOON), keyed);
-        let Some(server) = self.pick() else { return Step::Failed(None, unreachable) };
+        let Some(server) = self.pick() else {
+            self.ticket.entry.list_wanted.notify_one();
+            return Step::Failed(None, unreachable);
+        };
         let step = self.attempt_at(&server, unreachable).await;
-        let failed = matches!(&step, Step::Failed(_, refusal) if completion::is_fault(refusal));
-        self.note_end(&server, failed);
+        let reason = match &step {
+            Step::Failed(_, refusal) => Some(refusal.reason),
+            Step::Done => None,
+        };
+        self.note_end(&server, reason);
         step
     }
 
--- a/crates/entry/src/refuse.rs
+++ b/crates/entry/src/refuse.rs
@@ -33,7 +33,7 @@
             "type": refusal.reason.name(),
             "message": message,
             "outcome": refusal.outcome.name(),
-            "retry_after_ms": refusal.retry.map(|retry| retry.as_millis() as u64),
+            "retry_after_ms": refusal.retry.map(|retry| retry.as_micros().div_ceil(1000) as u64),
         }
     })
 }
--- a/crates/entry/src/view.rs
+++ b/crates/entry/src/view.rs
@@ -65,12 +65,25 @@
 
     /// Takes a new instance list.
     pub(crate) fn take_instances(&mut self, seen: Vec<instances::Instance>, now: time::Instant) {
+        for instance in &seen {
+            let old = self.instances.get(&instance.name);
+            if old.is_some_and(|old| old.address != instance.address) {
+                self.forget_process(&instance.name);
+            }
+        }
         self.instances =
             seen.into_iter().map(|instance| (instance.name.clone(), instance)).collect();
         self.read_instances = true;
         self.rebuild(now);
     }
 
+    // A new address means a new process, of which nothing is known yet.
+    fn forget_process(&mut self, server: &str) {
+        for pool in self.pools.values_mut() {
+            pool.remove(server);
+        }
+    }
+
     fn rebuild(&mut self, now: time::Instant) {
         let services: Vec<_> = self.edition.list.services.values().cloned().collect();
         self.pools.retain(|(service, _), _| services.iter().any(|other| other.name == *service));
@@ -144,6 +157,11 @@
         self.instances.get(server).map(|instance| instance.address)
     }
 
+    /// Number of followed servers that take work.
+    pub(crate) fn usable(&self, now: time::Instant) -> usize {
+        self.pools.values().map(|pool| pool.usable_count(now)).sum()
+    }
+
     /// Followed servers and the addresses of their agents.
     pub(crate) fn followed(&self) -> Vec<(ids::ServerName, net::SocketAddr)> {
         let names = self.pools.values().flat_map(|pool| pool.names());
--- a/crates/fakes/src/routes.rs
+++ b/crates/fakes/src/routes.rs
@@ -3,7 +3,7 @@
 use std::{collections, net, sync, time};
 
 use bytes::Bytes;
-use hyper::{Request, Response, StatusCode, body};
+use hyper::{Method, Request, Response, StatusCode, body};
 
 use rhubarb_node::{answer, client};
 
@@ -67,22 +67,30 @@
             "held" => answer::text(StatusCode::OK, self.held().to_string()),
             "runs" => answer::text(StatusCode::OK, self.deps.runs.get(name).to_string()),
             "switch" => self.switch(&content),
-            "engine" | "plain" => self.guarded(name, self.serve(&head, name, &rest, content)).await,
+            "engine" | "plain" => {
+                self.guarded(name, false, self.serve(&head, name, &rest, content)).await
+            }
             _ => {
                 let key = path[1..].strip_prefix(area).unwrap_or_default();
                 let key = key.trim_start_matches('/');
-                self.guarded(area, self.platform(&head, area, key, content)).await
+                let writes = head.method != Method::GET;
+                self.guarded(area, writes, self.platform(&head, area, key, content)).await
             }
         }
     }
 
-    async fn guarded(&self, target: &str, call: impl Future<Output = Reply>) -> Reply {
+    async fn guarded(
+        &self,
+        target: &str,
+        writes: bool,
+        call: impl Future<Output = Reply>,
+    ) -> Reply {
         let switches = &self.deps.switches;
         switches.delay(target).await;
         match switches.mode(target) {
             switch::Mode::Down => answer::text(StatusCode::SERVICE_UNAVAILABLE, "down"),
             switch::Mode::Failing => answer::text(StatusCode::INTERNAL_SERVER_ERROR, "failing"),
-            switch::Mode::Lost => {
+            mode if mode == switch::Mode::Lost || (writes && mode == switch::Mode::LostWrites) => {
                 call.await;
                 answer::text(StatusCode::GATEWAY_TIMEOUT, "the answer was lost")
             }
--- a/crates/fakes/src/switch.rs
+++ b/crates/fakes/src/switch.rs
@@ -16,6 +16,8 @@
     Slow,
     /// Does as asked, then closes the connection without an answer.
     Lost,
+    /// Loses the answers to writes only.
+    LostWrites,
     /// Does nothing until the mode changes.
     Frozen,
     /// Answers every call with an error.
@@ -40,6 +42,7 @@
         "down" => Mode::Down,
         "slow" => Mode::Slow,
         "lost" => Mode::Lost,
+        "lost-writes" => Mode::LostWrites,
         "frozen" => Mode::Frozen,
         "failing" => Mode::Failing,
         "silent" => Mode::Silent,
