Measure the path's latency and check each mistake in a list

Cause: the path's cost beside a direct call was not known, and a line without `=` in a list was joined to the next one by the INI library.

--- a/crates/core/src/section.rs
+++ b/crates/core/src/section.rs
@@ -42,6 +42,9 @@
 /// # Errors
 /// Returns a mistake for text that is not INI and for fields outside a section.
 pub fn read_sections(text: &str) -> Result<Vec<Section>, Mistake> {
+    if let Some(mistake) = scan_stray(text) {
+        return Err(mistake);
+    }
     let option = ParseOption { enabled_escape: false, ..ParseOption::default() };
     let ini = Ini::load_from_str_opt(text, option).map_err(|err| Mistake {
         line: err.line + 1,
@@ -65,6 +68,18 @@
     Ok(sections)
 }
 
+// The INI library would join a line without `=` to the next one.
+fn scan_stray(text: &str) -> Option<Mistake> {
+    let is_known =
+        |line: &str| line.is_empty() || line.starts_with(['#', ';', '[']) || line.contains('=');
+    let (at, line) = text.lines().enumerate().find(|(_, line)| !is_known(line.trim()))?;
+    Some(Mistake {
+        line: at + 1,
+        what: format!("`{}` is neither a section nor a field", line.trim()),
+        remedy: "write `[section]` or `key = value`".to_string(),
+    })
+}
+
 #[derive(Default)]
 struct Mark {
     line: usize,
--- /dev/null
+++ b/crates/e2e/benches/overhead.rs
@@ -0,0 +1,74 @@
+//! Latency that the path adds to a direct call to the engines, both in one run.
+//!
+//! `cargo build --release --bins && cargo bench -p rhubarb-e2e` prints the table.
+
+use std::time;
+
+use serde_json::json;
+
+use rhubarb_e2e::stack;
+use rhubarb_node::client;
+
+const CALLS: usize = 200;
+const TOKENS: u32 = 16;
+const LIMIT: time::Duration = time::Duration::from_secs(10);
+
+#[tokio::main]
+async fn main() -> anyhow::Result<()> {
+    let stack = stack::Stack::start(stack::Plan::default()).await?;
+    stack.wait_usable().await;
+    let direct = client::Client::new();
+    let caller = stack.caller(0);
+    let mut samples = [const { Vec::new() }; 4];
+    for number in 0..CALLS {
+        let prompt = format!("long lot {number}");
+        samples[0].push(complete_direct(&stack, &direct, &prompt).await?);
+        let reply = caller.complete(&prompt, TOKENS).await?;
+        anyhow::ensure!(reply.status == 200, "the path refused: {}", reply.body);
+        samples[1].push(reply.taken);
+        samples[2].push(call_direct(&stack, &direct).await?);
+        samples[3].push(caller.call(hyper::Method::GET, "/yard-app/x", &[], "").await?.taken);
+    }
+    println!("| call | median | 95th percentile |\n|---|---:|---:|");
+    let names = ["completion, direct", "completion, path", "plain, direct", "plain, path"];
+    for (name, samples) in names.iter().zip(&mut samples) {
+        samples.sort();
+        let millis = |rank: usize| samples[rank].as_secs_f64() * 1000.0;
+        println!("| {name} | {:.2} ms | {:.2} ms |", millis(CALLS / 2), millis(CALLS * 95 / 100));
+    }
+    Ok(())
+}
+
+async fn complete_direct(
+    stack: &stack::Stack,
+    direct: &client::Client,
+    prompt: &str,
+) -> anyhow::Result<time::Duration> {
+    let base = format!("http://{}/engine", stack.fakes.http);
+    let start = time::Instant::now();
+    let id = prompt.replace(' ', "-");
+    let content = json!({ "id": id, "prompt": prompt });
+    let reply = direct.post_json(&format!("{base}/prefill-1/prefill"), &content, LIMIT).await?;
+    let prefilled: serde_json::Value = serde_json::from_slice(&reply.body)?;
+    let content = json!({
+        "id": id,
+        "prompt": prompt,
+        "max_tokens": TOKENS,
+        "skip": 0,
+        "source": prefilled["source"],
+        "handle": prefilled["handle"],
+        "key": null,
+    });
+    let reply = direct.post_json(&format!("{base}/decode-1/decode"), &content, LIMIT).await?;
+    anyhow::ensure!(reply.status == 200, "the engine refused: {}", reply.status);
+    Ok(start.elapsed())
+}
+
+async fn call_direct(
+    stack: &stack::Stack,
+    direct: &client::Client,
+) -> anyhow::Result<time::Duration> {
+    let start = time::Instant::now();
+    direct.get(&format!("http://{}/plain/yard-1/x", stack.fakes.http), LIMIT).await?;
+    Ok(start.elapsed())
+}
