--- a/crates/agent/src/agent.rs
+++ b/crates/agent/src/agent.rs
@@ -5,8 +5,8 @@
 use prometheus_client::metrics::{counter, gauge};
 use tokio::{sync as lock, task};
 
-use rhubarb_core::{edition, gate, ids, list, load, outcome, rooms};
-use rhubarb_node::{client, clock, instances, metrics, objects, table};
+use rhubarb_core::{edition, gate, ids, list, load, outcome, pace, rooms};
+use rhubarb_node::{client, clock, instances, locks, metrics, objects, table};
 use rhubarb_wire::message;
 
 use crate::{converge, jobs, output, settings};
@@ -31,6 +31,7 @@
 pub(crate) struct State {
     pub(crate) gate: gate::Gate,
     pub(crate) rooms: rooms::Rooms,
+    pub(crate) pace: pace::Pace,
     pub(crate) edition: edition::Edition,
     pub(crate) gone: collections::BTreeSet<ids::ServerName>,
     pub(crate) instances: Vec<instances::Instance>,
@@ -99,6 +100,7 @@
         let state = State {
             gate: gate::Gate::new(settings.server.clone(), limits, now),
             rooms: rooms::Rooms::new(0, settings.queue, RESERVATION),
+            pace: pace::Pace::default(),
             edition: edition::Edition::default(),
             gone: collections::BTreeSet::new(),
             instances: Vec::new(),
@@ -129,7 +131,7 @@
     }
 
     pub(crate) fn lock(&self) -> sync::MutexGuard<'_, State> {
-        self.state.lock().unwrap_or_else(sync::PoisonError::into_inner)
+        locks::lock(&self.state)
     }
 
     /// Moment at which this agent's clock shows `clock_ms`.
@@ -157,7 +159,7 @@
 impl State {
     /// Load to report.
     pub(crate) fn load(&self) -> load::Load {
-        load::Load { leaving: self.gate.is_leaving(), ..self.rooms.load() }
+        load::Load { leaving: self.gate.is_leaving(), ..self.rooms.load(clock::now()) }
     }
 
     /// Service and role of `server`.
--- a/crates/agent/src/jobs.rs
+++ b/crates/agent/src/jobs.rs
@@ -1,10 +1,10 @@
 //! Takes orders through the gate and the queue for rooms to their runs.
 
-use std::sync;
+use std::{sync, time};
 
 use tokio::sync::mpsc;
 
-use rhubarb_core::{gate, ids, list, outcome, rooms};
+use rhubarb_core::{gate, ids, list, outcome, pace, rooms};
 use rhubarb_node::clock;
 use rhubarb_wire::{message, offer};
 
@@ -76,7 +76,7 @@
     Ignore,
 }
 
-const RETRY_SOON: std::time::Duration = std::time::Duration::from_secs(1);
+const RETRY_SOON: time::Duration = time::Duration::from_secs(1);
 
 fn admit(agent: &Shared, job: &Job) -> Admission {
     let now = clock::now();
@@ -109,11 +109,7 @@
         gate::Verdict::Answered(old) => return Admission::Replay(old),
         gate::Verdict::Refuse(refusal) => return Admission::Refuse(refusal),
     }
-    let wait_by = match job {
-        Job::Reserve(reserve) => agent.at(reserve.wait_by_ms),
-        _ => offer.start_by,
-    };
-    match state.rooms.ask(offer.run, wait_by, now) {
+    match ask_room(agent, &mut state, job, offer.start_by) {
         rooms::Answer::Granted => Admission::Go,
         rooms::Answer::Queued => Admission::Wait,
         rooms::Answer::Refused(refusal) => {
@@ -123,6 +119,34 @@
     }
 }
 
+fn ask_room(
+    agent: &Shared,
+    state: &mut agent::State,
+    job: &Job,
+    start_by: time::Instant,
+) -> rooms::Answer {
+    let now = clock::now();
+    let (excess, work, wait_by) = match job {
+        Job::Plain(offer) => (offer.excess, time::Duration::ZERO, start_by),
+        Job::Reserve(reserve) => {
+            (reserve.excess, time::Duration::ZERO, agent.at(reserve.wait_by_ms))
+        }
+        Job::Prefill(prefill) => {
+            let work = state.pace.estimate(prefill.prompt.len() as u32);
+            let due = pace::Due {
+                first_token: agent.at(prefill.due_ms),
+                max_wait: time::Duration::from_millis(prefill.max_wait_ms),
+            };
+            (prefill.excess, work, due.start_by(work, now).min(start_by))
+        }
+    };
+    if excess {
+        state.rooms.ask_spare(job.run(), work, now)
+    } else {
+        state.rooms.ask_for(job.run(), work, wait_by, now)
+    }
+}
+
 // Keys need a fencing number and a note in the table that a next process will find.
 fn check_duty(agent: &Shared, state: &agent::State, job: &Job, keyed: bool) -> Option<Refusal> {
     let duty = state.duty(&agent.settings.server);
--- a/crates/agent/src/output.rs
+++ b/crates/agent/src/output.rs
@@ -5,6 +5,7 @@
 use tokio::sync::watch;
 
 use rhubarb_core::{ids, outcome};
+use rhubarb_node::locks;
 use rhubarb_wire::{chunk, message, offer};
 
 /// Answer being produced.
@@ -122,7 +123,7 @@
     }
 
     fn lock(&self) -> sync::MutexGuard<'_, Buffer> {
-        self.buffer.lock().unwrap_or_else(sync::PoisonError::into_inner)
+        locks::lock(&self.buffer)
     }
 }
 
--- a/crates/agent/src/prefill.rs
+++ b/crates/agent/src/prefill.rs
@@ -51,7 +51,9 @@
     let url = format!("{}/prefill", agent.settings.engine);
     let content = json!({ "id": engine::run_name(order.run), "prompt": order.prompt });
     let limit = time::Duration::from_millis(order.limit_ms);
+    let begun = clock::now();
     let reply = agent.client.post_json(&url, &content, limit).await;
+    let took = clock::now() - begun;
     let reply = reply.map_err(|err| engine::describe(&err))?;
     // A prefill has no effect that a caller sees, so a failed one counts as not run.
     let failed = Refusal::not_run(Reason::EngineFailed, RETRY_SOON);
@@ -60,5 +62,16 @@
     }
     let reply: Reply = serde_json::from_slice(&reply.body).map_err(|_| failed)?;
     let Reply { source, handle, tokens } = reply;
-    Ok(message::Prefilled { run: order.run, source, handle, tokens })
+    let work = learn(agent, order.prompt.len() as u32, took);
+    let work_us = work.as_micros() as u64;
+    Ok(message::Prefilled { run: order.run, source, handle, tokens, work_us })
+}
+
+// Prompts that an engine works on at the same time share its speed.
+fn learn(agent: &agent::Agent, size: u32, took: time::Duration) -> time::Duration {
+    let mut state = agent.lock();
+    let sharing = state.rooms.load(clock::now()).held.max(1);
+    let work = took / sharing;
+    state.pace.learn(size, work);
+    work
 }
--- a/crates/agent/src/sweep.rs
+++ b/crates/agent/src/sweep.rs
@@ -39,6 +39,6 @@
     }
     jobs::grant(agent);
     let state = agent.lock();
-    agent.metrics.held.set(i64::from(state.rooms.load().held));
+    agent.metrics.held.set(i64::from(state.rooms.load(now).held));
     agent.metrics.keys.set(state.gate.key_count() as i64);
 }
--- /dev/null
+++ b/crates/bench/src/score.rs
@@ -0,0 +1,124 @@
+//! Results of a run.
+
+use std::{collections, fmt::Write, time};
+
+use crate::{frame, request};
+
+/// Results of one run.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Score {
+    /// Requests a second that met both targets.
+    pub goodput: f64,
+    /// Requests a second that were answered whole.
+    pub answered: f64,
+    /// Share of the prefilled prompt tokens whose result was never used.
+    pub wasted: f64,
+    /// Tokens prefilled in vain, by reason.
+    pub wasted_by: collections::BTreeMap<&'static str, u64>,
+    /// Refusals by reason.
+    pub refused: collections::BTreeMap<&'static str, u64>,
+    /// Worst caller's goodput, as a part of the mean.
+    pub worst: f64,
+    /// Jain's fairness index of the callers' goodput.
+    pub fairness: f64,
+    /// Goodput of all callers but the first.
+    pub others: f64,
+    /// Share of the requests of all callers but the first that met both targets.
+    pub others_part: f64,
+    /// Reservations and streams still held when all requests were closed.
+    pub held: u32,
+}
+
+/// Adds results up.
+#[derive(Debug, Default)]
+pub(crate) struct Tally {
+    prefilled: u64,
+    wasted: u64,
+    score: Score,
+    good: [u64; frame::CALLERS],
+    arrived: [u64; frame::CALLERS],
+    answered: u64,
+}
+
+impl Tally {
+    pub(crate) fn arrive(&mut self, caller: usize) {
+        self.arrived[caller] += 1;
+    }
+
+    pub(crate) fn prefilled(&mut self, tokens: u32) {
+        self.prefilled += u64::from(tokens);
+    }
+
+    pub(crate) fn waste(&mut self, reason: &'static str, tokens: u32) {
+        self.wasted += u64::from(tokens);
+        *self.score.wasted_by.entry(reason).or_default() += u64::from(tokens);
+    }
+
+    pub(crate) fn refuse(&mut self, reason: &'static str) {
+        *self.score.refused.entry(reason).or_default() += 1;
+    }
+
+    pub(crate) fn answer(&mut self, request: &request::Request, fleet: &frame::Fleet) {
+        self.answered += 1;
+        let (Some(first), Some(last)) = (request.first_at, request.last_at) else { return };
+        let first_time = first - request.arrived;
+        let between = (last - first) / request.sent.saturating_sub(1).max(1);
+        if first_time <= fleet.first_token && between <= fleet.between_tokens {
+            self.good[request.caller] += 1;
+        }
+    }
+
+    pub(crate) fn finish(mut self, length: time::Duration, held: u32) -> Score {
+        let seconds = length.as_secs_f64();
+        let good: Vec<f64> = self.good.iter().map(|count| *count as f64).collect();
+        let sum: f64 = good.iter().sum();
+        let squares: f64 = good.iter().map(|count| count * count).sum();
+        let worst = good.iter().copied().fold(f64::INFINITY, f64::min);
+        let count = frame::CALLERS as f64;
+        self.score.goodput = sum / seconds;
+        self.score.answered = self.answered as f64 / seconds;
+        self.score.wasted = self.wasted as f64 / (self.prefilled as f64).max(1.0);
+        self.score.worst = if sum > 0.0 { worst * count / sum } else { 0.0 };
+        self.score.fairness = if squares > 0.0 { sum * sum / (count * squares) } else { 0.0 };
+        self.score.others = (sum - good[0]) / seconds;
+        let others: u64 = self.arrived[1..].iter().sum();
+        self.score.others_part = (sum - good[0]) / (others as f64).max(1.0);
+        self.score.held = held;
+        self.score
+    }
+}
+
+/// Head of the table.
+pub fn head() -> String {
+    "| fleet | load | shape | fault | policy | goodput /s | others /s | answered /s | wasted % | worst | Jain \
+     | refused | wasted by |\n|---|---:|---|---|---|---:|---:|---:|---:|---:|---:|---|---|\n"
+        .to_string()
+}
+
+/// Line of the table.
+pub fn line(run: &frame::Run, policy: &str, score: &Score) -> String {
+    let mut text = format!(
+        "| {} | {} | {:?} | {:?} | {policy} | {:.1} | {:.1} | {:.1} | {:.2} | {:.2} | {:.3} | ",
+        run.fleet.name,
+        run.load,
+        run.shape,
+        run.fault,
+        score.goodput,
+        score.others,
+        score.answered,
+        score.wasted * 100.0,
+        score.worst,
+        score.fairness,
+    );
+    write_counts(&mut text, &score.refused);
+    text.push_str("| ");
+    write_counts(&mut text, &score.wasted_by);
+    text.push_str("|\n");
+    text
+}
+
+fn write_counts(text: &mut String, counts: &collections::BTreeMap<&'static str, u64>) {
+    for (name, count) in counts {
+        let _ = write!(text, "{name} {count} ");
+    }
+}
--- /dev/null
+++ b/crates/bench/src/world.rs
@@ -0,0 +1,765 @@
+//! The event loop: entries, agents and engines on a virtual clock.
+
+use std::{cmp, collections, time};
+
+use rhubarb_core::{budget, fair, flow, ids, load, outcome, pace, pool, rooms};
+
+use crate::{engine, frame, policy, random, request, score};
+
+use outcome::{Reason, Refusal};
+
+const REPORT_PERIOD: time::Duration = time::Duration::from_secs(1);
+const LATE_BY: time::Duration = time::Duration::from_secs(3);
+const SWEEP: time::Duration = time::Duration::from_millis(20);
+const RESERVATION: time::Duration = time::Duration::from_secs(5);
+const QUEUE: usize = 64;
+/// Time until an entry gives up on a connection: the unanswered ping, then the grace.
+const LOST_AFTER: time::Duration = time::Duration::from_millis(3300);
+/// Time until an attempt to reach a silent server fails.
+const CONNECT_LIMIT: time::Duration = time::Duration::from_secs(1);
+/// Three reports missed.
+const SUSPECT_AFTER: time::Duration = time::Duration::from_millis(3200);
+const FAULT_TIME: time::Duration = time::Duration::from_secs(10);
+/// Time after the last arrival in which requests may end.
+const TAIL: time::Duration = time::Duration::from_secs(40);
+const RETRY_SOON: time::Duration = time::Duration::from_secs(1);
+
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Event {
+    Arrive(usize),
+    Leave(usize),
+    AskRoom { tag: Tag, server: usize },
+    Granted { tag: Tag },
+    AskPrefill { tag: Tag, server: usize },
+    PrefillEnds { tag: Tag, server: usize },
+    Prefilled { tag: Tag },
+    AskDecode { tag: Tag, server: usize, done_ms: u64 },
+    TransferEnds { tag: Tag, server: usize },
+    EngineStep { server: usize },
+    Ended { tag: Tag },
+    Refused { tag: Tag, at_prefill: bool, reason: Reason, ran: bool },
+    Cancel { tag: Tag, server: usize },
+    Report { entry: usize, server: usize },
+    Heard { entry: usize, server: usize, load: LoadKey },
+    Sweep { server: usize },
+    FaultStarts,
+    FaultEnds,
+}
+
+// Load in an ordered form, since events are ordered.
+type LoadKey = (u32, u32, u32, u32);
+
+/// A request and its attempt.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+struct Tag {
+    request: usize,
+    attempt: u64,
+}
+
+impl Tag {
+    fn run(self) -> ids::RunId {
+        ids::run_id(self.request as u64, self.attempt)
+    }
+}
+
+#[derive(Debug)]
+struct Server {
+    name: ids::ServerName,
+    zone: usize,
+    rooms: rooms::Rooms,
+    engine: engine::Engine,
+    pace: pace::Pace,
+    waiting: collections::BTreeMap<ids::RunId, Tag>,
+    // Prefill results or reservations by run.
+    done_at: collections::BTreeMap<ids::RunId, time::Instant>,
+    dead: bool,
+    silent: bool,
+}
+
+struct Entry {
+    prefills: pool::Pool,
+    decodes: pool::Pool,
+    budget: budget::Budget,
+    fair: fair::Fair,
+    turn: usize,
+}
+
+struct World<'a> {
+    run: &'a frame::Run,
+    policy: &'a policy::Policy,
+    start: time::Instant,
+    now: time::Instant,
+    queue: collections::BinaryHeap<cmp::Reverse<(time::Instant, u64, Event)>>,
+    seq: u64,
+    random: random::Random,
+    servers: Vec<Server>,
+    entries: Vec<Entry>,
+    requests: Vec<request::Request>,
+    tally: score::Tally,
+}
+
+/// Runs one cell of the table.
+pub fn simulate(run: &frame::Run, policy: &policy::Policy) -> score::Score {
+    let mut world = World::new(run, policy);
+    world.prepare();
+    let end = world.start + time::Duration::from_secs(run.seconds) + TAIL;
+    while let Some(cmp::Reverse((at, _, event))) = world.queue.pop() {
+        if at > end {
+            break;
+        }
+        world.now = at;
+        world.handle(event);
+    }
+    let held: u32 =
+        world.servers.iter().filter(|server| !server.dead).map(|server| server.held(end)).sum();
+    world.tally.finish(time::Duration::from_secs(run.seconds), held)
+}
+
+impl Server {
+    fn held(&self, now: time::Instant) -> u32 {
+        self.rooms.load(now).held
+    }
+
+    fn is_there(&self) -> bool {
+        !self.dead && !self.silent
+    }
+}
+
+impl<'a> World<'a> {
+    fn new(run: &'a frame::Run, policy: &'a policy::Policy) -> World<'a> {
+        let start = time::Instant::now();
+        let fleet = &run.fleet;
+        let servers = (0..fleet.prefills + fleet.decodes).map(|number| {
+            let is_prefill = number < fleet.prefills;
+            let rooms = if is_prefill { engine::PREFILLS } else { engine::ROOMS };
+            Server {
+                name: format!("server-{number:02}"),
+                zone: number % frame::ZONES,
+                rooms: rooms::Rooms::new(rooms, QUEUE, RESERVATION),
+                engine: engine::Engine::default(),
+                pace: pace::Pace::default(),
+                waiting: collections::BTreeMap::new(),
+                done_at: collections::BTreeMap::new(),
+                dead: false,
+                silent: false,
+            }
+        });
+        let servers: Vec<_> = servers.collect();
+        let entries = (0..frame::ZONES).map(|zone| Entry {
+            prefills: make_pool(zone, &servers[..fleet.prefills], policy),
+            decodes: make_pool(zone, &servers[fleet.prefills..], policy),
+            budget: budget::Budget::default(),
+            fair: fair::Fair::default(),
+            turn: zone,
+        });
+        World {
+            run,
+            policy,
+            start,
+            now: start,
+            queue: collections::BinaryHeap::new(),
+            seq: 0,
+            random: random::Random::new(run.seed),
+            entries: entries.collect(),
+            servers,
+            requests: Vec::new(),
+            tally: score::Tally::default(),
+        }
+    }
+
+    fn prepare(&mut self) {
+        let rate = engine::capacity(&self.run.fleet) * self.run.load;
+        for (at, caller) in request::arrivals(&mut self.random, self.run, rate) {
+            let arrived = self.start + at;
+            let request = request::draw(&mut self.random, caller, arrived, self.run.fault);
+            let number = self.requests.len();
+            if let Some(leaves) = request.leaves {
+                self.push_at(leaves, Event::Leave(number));
+            }
+            self.requests.push(request);
+            self.push_at(arrived + self.run.fleet.caller_delay, Event::Arrive(number));
+        }
+        for server in 0..self.servers.len() {
+            for entry in 0..frame::ZONES {
+                let offset = REPORT_PERIOD.mul_f64(self.random.unit());
+                self.push_at(self.start + offset, Event::Report { entry, server });
+            }
+            self.push_at(self.start, Event::Sweep { server });
+        }
+        let third = time::Duration::from_secs(self.run.seconds) / 3;
+        self.push_at(self.start + third, Event::FaultStarts);
+        self.push_at(self.start + third + FAULT_TIME, Event::FaultEnds);
+    }
+
+    fn push_at(&mut self, at: time::Instant, event: Event) {
+        self.seq += 1;
+        self.queue.push(cmp::Reverse((at, self.seq, event)));
+    }
+
+    fn push(&mut self, after: time::Duration, event: Event) {
+        self.push_at(self.now + after, event);
+    }
+
+    fn handle(&mut self, event: Event) {
+        match event {
+            Event::Arrive(request) => self.arrive(request),
+            Event::Leave(request) => self.tell(request, &flow::Event::CallerGone),
+            Event::AskRoom { tag, server } => self.ask_room(tag, server),
+            Event::Granted { tag } => self.tell_attempt(tag, &flow::Event::Reserved),
+            Event::AskPrefill { tag, server } => self.ask_prefill(tag, server),
+            Event::PrefillEnds { tag, server } => self.prefill_ends(tag, server),
+            Event::Prefilled { tag } => self.prefilled(tag),
+            Event::AskDecode { tag, server, done_ms } => self.ask_decode(tag, server, done_ms),
+            Event::TransferEnds { tag, server } => self.transfer_ends(tag, server),
+            Event::EngineStep { server } => self.engine_step(server),
+            Event::Ended { tag } => self.tell_attempt(tag, &flow::Event::Ended),
+            Event::Refused { tag, at_prefill, reason, ran } => {
+                self.refused(tag, at_prefill, reason, ran);
+            }
+            Event::Cancel { tag, server } => self.cancel(tag, server),
+            Event::Report { entry, server } => self.report(entry, server),
+            Event::Heard { entry, server, load } => self.heard(entry, server, load),
+            Event::Sweep { server } => self.sweep(server),
+            Event::FaultStarts => self.switch_fault(true),
+            Event::FaultEnds => self.switch_fault(false),
+        }
+    }
+
+    // --- entries ---
+
+    fn arrive(&mut self, number: usize) {
+        let request = &mut self.requests[number];
+        self.tally.arrive(request.caller);
+        if self.policy.fair {
+            let caller = format!("caller-{}", request.caller);
+            request.share = self.entries[request.entry].fair.admit(&caller, self.now);
+        }
+        self.tell(number, &flow::Event::Begin);
+    }
+
+    fn tell_attempt(&mut self, tag: Tag, event: &flow::Event) {
+        if self.requests[tag.request].attempt == tag.attempt {
+            self.tell(tag.request, event);
+        }
+    }
+
+    fn tell(&mut self, number: usize, event: &flow::Event) {
+        if self.requests[number].closed {
+            return;
+        }
+        self.requests[number].flow.handle(event);
+        while let Some(step) = self.requests[number].flow.next_step() {
+            self.take_step(number, step);
+        }
+    }
+
+    fn take_step(&mut self, number: usize, step: flow::Step) {
+        match step {
+            flow::Step::Reserve => self.reserve(number),
+            flow::Step::Prefill => self.start_prefill(number),
+            flow::Step::Decode => self.start_decode(number),
+            flow::Step::Release => self.release(number),
+            flow::Step::Finish => self.finish(number),
+            flow::Step::Refuse(refusal) => self.close_refused(number, refusal),
+        }
+    }
+
+    fn tag(&self, request: usize) -> Tag {
+        Tag { request, attempt: self.requests[request].attempt }
+    }
+
+    fn reserve(&mut self, number: usize) {
+        self.requests[number].attempt += 1;
+        let tag = self.tag(number);
+        if !self.policy.reserve {
+            return self.push(time::Duration::ZERO, Event::Granted { tag });
+        }
+        match self.choose(number, false) {
+            Some(server) => {
+                self.requests[number].decode = Some(server);
+                self.push(frame::HOP, Event::AskRoom { tag, server });
+            }
+            None => self.refuse_later(tag, false, Reason::NoServer, false, time::Duration::ZERO),
+        }
+    }
+
+    fn start_prefill(&mut self, number: usize) {
+        let tag = self.tag(number);
+        match self.choose(number, true) {
+            Some(server) => {
+                self.requests[number].prefill = Some(server);
+                self.push(frame::HOP, Event::AskPrefill { tag, server });
+            }
+            None => self.refuse_later(tag, true, Reason::NoServer, false, time::Duration::ZERO),
+        }
+    }
+
+    fn start_decode(&mut self, number: usize) {
+        let tag = self.tag(number);
+        if self.requests[number].decode.is_none() {
+            self.requests[number].decode = self.choose(number, false);
+        }
+        let Some(server) = self.requests[number].decode else {
+            return self.refuse_later(tag, false, Reason::NoServer, false, time::Duration::ZERO);
+        };
+        let done_ms = (self.now - self.start).as_millis() as u64;
+        self.push(frame::HOP, Event::AskDecode { tag, server, done_ms });
+    }
+
+    fn choose(&mut self, number: usize, is_prefill: bool) -> Option<usize> {
+        let random = self.random.next();
+        let request = &self.requests[number];
+        let fleet = &self.run.fleet;
+        let (first, count) =
+            if is_prefill { (0, fleet.prefills) } else { (fleet.prefills, fleet.decodes) };
+        let entry = &mut self.entries[request.entry];
+        let pool = if is_prefill { &mut entry.prefills } else { &mut entry.decodes };
+        let name = match self.policy.choice {
+            policy::Choice::RoundRobin => {
+                entry.turn += 1;
+                return Some(first + entry.turn % count);
+            }
+            policy::Choice::LeastReported => least_reported(pool, random)?,
+            policy::Choice::Pool => {
+                let affinity = (is_prefill && self.policy.affinity)
+                    .then(|| ids::digest(&[&request.prefix.to_be_bytes()]));
+                let by_work = is_prefill && self.policy.work;
+                let tried = request.flow.tried();
+                let wish = pool::Wish { tried, affinity, random, by_work };
+                pool.pick(wish, self.now)?
+            }
+        };
+        let work = if is_prefill {
+            pace::Pace::default().estimate(request.prompt)
+        } else {
+            time::Duration::ZERO
+        };
+        pool.sent(&name, work);
+        self.servers.iter().position(|server| server.name == name)
+    }
+
+    fn prefilled(&mut self, tag: Tag) {
+        if self.requests[tag.request].attempt != tag.attempt || self.requests[tag.request].closed {
+            return;
+        }
+        let end = if self.policy.judge { pool::End::Open } else { pool::End::Good };
+        self.note_end(tag.request, true, end);
+        self.tell(tag.request, &flow::Event::Prefilled);
+    }
+
+    fn note_end(&mut self, number: usize, is_prefill: bool, end: pool::End) {
+        let request = &mut self.requests[number];
+        let server = if is_prefill { request.prefill.take() } else { request.decode.take() };
+        let Some(server) = server else { return };
+        let entry = &mut self.entries[request.entry];
+        let pool = if is_prefill { &mut entry.prefills } else { &mut entry.decodes };
+        pool.ended(&self.servers[server].name, end, self.now);
+    }
+
+    fn judge_source(&mut self, number: usize, end: pool::End) {
+        if !self.policy.judge {
+            return;
+        }
+        let request = &self.requests[number];
+        let entry = &mut self.entries[request.entry];
+        entry.prefills.judge(&self.servers[request.source].name, end, self.now);
+    }
+
+    fn refused(&mut self, tag: Tag, at_prefill: bool, reason: Reason, ran: bool) {
+        let request = &self.requests[tag.request];
+        if request.attempt != tag.attempt || request.closed {
+            return;
+        }
+        let server = if at_prefill { request.prefill } else { request.decode };
+        let server = server.map(|server| self.servers[server].name.clone());
+        let refusal = if ran {
+            Refusal::unknown(reason, RETRY_SOON)
+        } else {
+            Refusal::not_run(reason, RETRY_SOON)
+        };
+        let is_left = request.flow.retries() < flow::MAX_RETRIES;
+        let entry = request.entry;
+        let retry = is_left && self.entries[entry].budget.take(reason);
+        self.requests[tag.request].refusal = Some(refusal);
+        self.note_end(tag.request, at_prefill, pool::End::Bad(reason));
+        if reason == Reason::Evicted {
+            self.judge_source(tag.request, pool::End::Bad(reason));
+        }
+        self.tell(tag.request, &flow::Event::Failed { server, refusal, retry });
+    }
+
+    fn release(&mut self, number: usize) {
+        let tag = self.tag(number);
+        let request = &self.requests[number];
+        for server in [request.decode, request.prefill].into_iter().flatten() {
+            self.push(frame::HOP, Event::Cancel { tag, server });
+        }
+        self.note_end(number, false, pool::End::Open);
+        self.note_end(number, true, pool::End::Open);
+        let request = &mut self.requests[number];
+        let unused = std::mem::take(&mut request.unused);
+        let reason = request.refusal.map_or(Reason::CallerGone, |refusal| refusal.reason);
+        request.attempt += 1;
+        if unused > 0 {
+            self.tally.waste(reason.name(), unused);
+        }
+    }
+
+    fn finish(&mut self, number: usize) {
+        self.note_end(number, false, pool::End::Good);
+        let request = &mut self.requests[number];
+        request.closed = true;
+        self.entries[request.entry].budget.deposit();
+        self.tally.answer(request, &self.run.fleet);
+    }
+
+    fn close_refused(&mut self, number: usize, refusal: Refusal) {
+        self.requests[number].closed = true;
+        self.tally.refuse(refusal.reason.name());
+    }
+
+    fn report(&mut self, entry: usize, server: usize) {
+        let is_late = self.run.fault == frame::Fault::LateReports;
+        let delay = if is_late { frame::HOP + LATE_BY } else { frame::HOP };
+        if self.servers[server].is_there() {
+            let load = self.servers[server].rooms.load(self.now);
+            let load = (load.rooms, load.held, load.waiting, load.queue_ms);
+            self.push(delay, Event::Heard { entry, server, load });
+        }
+        self.push(REPORT_PERIOD, Event::Report { entry, server });
+    }
+
+    fn heard(&mut self, entry: usize, server: usize, load: LoadKey) {
+        let (rooms, held, waiting, queue_ms) = load;
+        let load = load::Load { rooms, held, waiting, queue_ms, leaving: false };
+        let is_prefill = server < self.run.fleet.prefills;
+        let entry = &mut self.entries[entry];
+        let pool = if is_prefill { &mut entry.prefills } else { &mut entry.decodes };
+        pool.hear(&self.servers[server].name, load, self.now);
+    }
+
+    // --- agents ---
+
+    fn refuse_later(
+        &mut self,
+        tag: Tag,
+        at_prefill: bool,
+        reason: Reason,
+        ran: bool,
+        after: time::Duration,
+    ) {
+        self.push(after, Event::Refused { tag, at_prefill, reason, ran });
+    }
+
+    // Whether an order reaches the server; else its entry finds out in time.
+    fn reaches(&mut self, tag: Tag, server: usize, at_prefill: bool) -> bool {
+        let (dead, silent) = (self.servers[server].dead, self.servers[server].silent);
+        if dead {
+            self.refuse_later(tag, at_prefill, Reason::NoServer, false, frame::HOP);
+        } else if silent {
+            self.refuse_later(tag, at_prefill, Reason::NoServer, false, CONNECT_LIMIT);
+        }
+        !dead && !silent
+    }
+
+    fn ask_room(&mut self, tag: Tag, server: usize) {
+        if !self.reaches(tag, server, false) {
+            return;
+        }
+        let request = &self.requests[tag.request];
+        let wait_by =
+            (request.arrived + self.run.fleet.deadline).min(self.now + self.run.fleet.max_wait);
+        let is_excess = request.share == fair::Share::Excess;
+        let rooms = &mut self.servers[server].rooms;
+        let answer = if is_excess {
+            rooms.ask_spare(tag.run(), time::Duration::ZERO, self.now)
+        } else {
+            rooms.ask(tag.run(), wait_by, self.now)
+        };
+        match answer {
+            rooms::Answer::Granted => self.push(frame::HOP, Event::Granted { tag }),
+            rooms::Answer::Queued => {
+                self.servers[server].waiting.insert(tag.run(), tag);
+            }
+            rooms::Answer::Refused(refusal) => {
+                self.refuse_later(tag, false, refusal.reason, false, frame::HOP);
+            }
+        }
+    }
+
+    fn ask_prefill(&mut self, tag: Tag, server: usize) {
+        if !self.reaches(tag, server, true) {
+            return;
+        }
+        let request = &self.requests[tag.request];
+        let state = &mut self.servers[server];
+        let work = state.pace.estimate(request.prompt);
+        let start_by = if self.policy.due {
+            let fleet = &self.run.fleet;
+            let first_token = request.arrived + fleet.first_token;
+            let due = pace::Due { first_token, max_wait: fleet.max_wait };
+            due.start_by(work, self.now)
+        } else {
+            request.arrived + self.run.fleet.deadline
+        };
+        let work = if self.policy.work { work } else { time::Duration::ZERO };
+        let answer = if request.share == fair::Share::Excess {
+            state.rooms.ask_spare(tag.run(), work, self.now)
+        } else {
+            state.rooms.ask_for(tag.run(), work, start_by, self.now)
+        };
+        match answer {
+            rooms::Answer::Granted => self.run_prefill(tag, server),
+            rooms::Answer::Queued => {
+                self.servers[server].waiting.insert(tag.run(), tag);
+            }
+            rooms::Answer::Refused(refusal) => {
+                self.refuse_later(tag, true, refusal.reason, false, frame::HOP);
+            }
+        }
+    }
+
+    fn run_prefill(&mut self, tag: Tag, server: usize) {
+        let request = &mut self.requests[tag.request];
+        let server_ref = &mut self.servers[server];
+        server_ref.rooms.take_up(tag.run());
+        self.tally.prefilled(request.prompt);
+        request.unused = request.prompt;
+        request.source = server;
+        let (work, done) = server_ref.engine.prefill(request, self.now);
+        server_ref.pace.learn(request.prompt, work);
+        self.push_at(done, Event::PrefillEnds { tag, server });
+    }
+
+    fn prefill_ends(&mut self, tag: Tag, server: usize) {
+        if self.servers[server].silent {
+            return self.push(SWEEP, Event::PrefillEnds { tag, server });
+        }
+        let now = self.now;
+        self.servers[server].rooms.release(tag.run(), now);
+        self.grant(server);
+        self.push(frame::HOP, Event::Prefilled { tag });
+    }
+
+    fn ask_decode(&mut self, tag: Tag, server: usize, done_ms: u64) {
+        if !self.reaches(tag, server, false) {
+            return;
+        }
+        let done = self.start + time::Duration::from_millis(done_ms);
+        let now = self.now;
+        if self.policy.reserve {
+            if !self.servers[server].rooms.take_up(tag.run()) {
+                return self.refuse_later(tag, false, Reason::TooLate, false, frame::HOP);
+            }
+            return self.transfer(tag, server, done);
+        }
+        self.servers[server].done_at.insert(tag.run(), done);
+        match self.servers[server].rooms.ask(tag.run(), done + engine::KEEP_RESULT, now) {
+            rooms::Answer::Granted => {
+                self.servers[server].rooms.take_up(tag.run());
+                self.transfer(tag, server, done);
+            }
+            rooms::Answer::Queued => {
+                self.servers[server].waiting.insert(tag.run(), tag);
+            }
+            rooms::Answer::Refused(refusal) => {
+                self.refuse_later(tag, false, refusal.reason, false, frame::HOP);
+            }
+        }
+    }
+
+    fn transfer(&mut self, tag: Tag, server: usize, done: time::Instant) {
+        let source = self.requests[tag.request].source;
+        let prompt = self.requests[tag.request].prompt;
+        let ends = self.servers[source].engine.transfer(prompt, self.now);
+        let evicted = done + engine::KEEP_RESULT;
+        if ends > evicted {
+            let wait = evicted.saturating_duration_since(self.now) + frame::HOP;
+            self.servers[server].rooms.release(tag.run(), self.now);
+            self.grant(server);
+            return self.refuse_later(tag, false, Reason::Evicted, false, wait);
+        }
+        self.push_at(ends, Event::TransferEnds { tag, server });
+    }
+
+    fn transfer_ends(&mut self, tag: Tag, server: usize) {
+        let request = &self.requests[tag.request];
+        if request.attempt != tag.attempt || request.closed || self.servers[server].dead {
+            return;
+        }
+        let left = request.output - request.sent;
+        let stream = engine::Stream { request: tag.request, attempt: tag.attempt, left };
+        let engine = &mut self.servers[server].engine;
+        engine.streams.push(stream);
+        if !engine.stepping {
+            engine.stepping = true;
+            let step = engine.step_time();
+            self.push(step, Event::EngineStep { server });
+        }
+    }
+
+    fn engine_step(&mut self, server: usize) {
+        let state = &mut self.servers[server];
+        if state.dead || state.engine.streams.is_empty() {
+            state.engine.stepping = false;
+            return;
+        }
+        if state.silent {
+            return self.push(SWEEP, Event::EngineStep { server });
+        }
+        let mut streams = std::mem::take(&mut state.engine.streams);
+        for stream in &mut streams {
+            stream.left -= 1;
+            self.send_token(stream);
+        }
+        let ended: Vec<_> = streams.iter().filter(|stream| stream.left == 0).copied().collect();
+        streams.retain(|stream| stream.left > 0);
+        self.servers[server].engine.streams = streams;
+        for stream in ended {
+            let tag = Tag { request: stream.request, attempt: stream.attempt };
+            self.servers[server].rooms.release(tag.run(), self.now);
+            self.push(frame::HOP, Event::Ended { tag });
+        }
+        self.grant(server);
+        let step = self.servers[server].engine.step_time();
+        self.push(step, Event::EngineStep { server });
+    }
+
+    fn send_token(&mut self, stream: &engine::Stream) {
+        let at = self.now + frame::HOP + self.run.fleet.caller_delay;
+        let request = &mut self.requests[stream.request];
+        if request.attempt != stream.attempt || request.closed {
+            return;
+        }
+        request.flow.handle(&flow::Event::Streamed);
+        let is_first = std::mem::take(&mut request.unused) > 0;
+        request.sent += 1;
+        request.first_at.get_or_insert(at);
+        request.last_at = Some(at);
+        if is_first {
+            self.judge_source(stream.request, pool::End::Good);
+        }
+    }
+
+    fn cancel(&mut self, tag: Tag, server: usize) {
+        let now = self.now;
+        let state = &mut self.servers[server];
+        if state.dead {
+            return;
+        }
+        if state.silent {
+            return self.push(SWEEP, Event::Cancel { tag, server });
+        }
+        let is_meant = |stream: &engine::Stream| {
+            stream.request == tag.request && stream.attempt == tag.attempt
+        };
+        state.engine.streams.retain(|stream| !is_meant(stream));
+        state.waiting.remove(&tag.run());
+        state.done_at.remove(&tag.run());
+        // A prefill that has begun runs to its end.
+        if server >= self.run.fleet.prefills {
+            state.rooms.release(tag.run(), now);
+        }
+        self.grant(server);
+    }
+
+    fn grant(&mut self, server: usize) {
+        while let Some(run) = self.servers[server].rooms.next_grant(self.now) {
+            let Some(tag) = self.servers[server].waiting.remove(&run) else {
+                self.servers[server].rooms.release(run, self.now);
+                continue;
+            };
+            if server < self.run.fleet.prefills {
+                self.run_prefill(tag, server);
+            } else if self.policy.reserve {
+                self.push(frame::HOP, Event::Granted { tag });
+            } else {
+                let done = self.servers[server].done_at[&run];
+                self.servers[server].rooms.take_up(run);
+                self.transfer(tag, server, done);
+            }
+        }
+    }
+
+    fn sweep(&mut self, server: usize) {
+        if self.servers[server].is_there() {
+            while let Some((run, refusal)) = self.servers[server].rooms.next_expired(self.now) {
+                if let Some(tag) = self.servers[server].waiting.remove(&run) {
+                    let at_prefill = server < self.run.fleet.prefills;
+                    self.refuse_later(tag, at_prefill, refusal.reason, false, frame::HOP);
+                }
+            }
+            self.grant(server);
+        }
+        self.push(SWEEP, Event::Sweep { server });
+    }
+
+    // --- faults ---
+
+    fn switch_fault(&mut self, starts: bool) {
+        let first_decode = self.run.fleet.prefills;
+        match (self.run.fault, starts) {
+            (frame::Fault::DecodeDies, true) => {
+                self.servers[first_decode].dead = true;
+                self.lose_contact(first_decode);
+            }
+            (frame::Fault::Freeze, _) => self.set_silent(first_decode, starts),
+            (frame::Fault::ZoneSilent, _) => {
+                for server in 0..self.servers.len() {
+                    if self.servers[server].zone == 0 {
+                        self.set_silent(server, starts);
+                    }
+                }
+            }
+            (frame::Fault::LinkStalls, true) => {
+                let until = self.now + FAULT_TIME;
+                self.servers[0].engine.stall_link(until);
+            }
+            (frame::Fault::SlowEngine, true) => self.servers[first_decode].engine.slow = 3,
+            _ => {}
+        }
+    }
+
+    fn set_silent(&mut self, server: usize, silent: bool) {
+        self.servers[server].silent = silent;
+        if silent {
+            self.lose_contact(server);
+        }
+    }
+
+    // Entries give up on what runs at a server that they do not hear any more.
+    fn lose_contact(&mut self, server: usize) {
+        for number in 0..self.requests.len() {
+            let request = &self.requests[number];
+            let at_prefill = request.prefill == Some(server);
+            if !request.closed && (at_prefill || request.decode == Some(server)) {
+                let tag = self.tag(number);
+                let ran = !at_prefill;
+                self.refuse_later(tag, at_prefill, Reason::LostContact, ran, LOST_AFTER);
+            }
+        }
+    }
+}
+
+fn make_pool(zone: usize, servers: &[Server], policy: &policy::Policy) -> pool::Pool {
+    let tuning = pool::Tuning {
+        suspect_after: policy.judge.then_some(SUSPECT_AFTER),
+        growing: policy.judge,
+    };
+    let mut pool = pool::Pool::new(format!("zone-{zone}"));
+    pool.set_tuning(tuning);
+    for server in servers {
+        pool.add(&server.name, &format!("zone-{}", server.zone));
+    }
+    pool
+}
+
+fn least_reported(pool: &pool::Pool, random: u64) -> Option<ids::ServerName> {
+    let names: Vec<_> = pool.names().collect();
+    let offset = random as usize % names.len().max(1);
+    let turned = names[offset..].iter().chain(&names[..offset]);
+    let load = |name: &ids::ServerName| {
+        pool.get(name).map_or(0, |server| server.load.held + server.load.waiting)
+    };
+    turned.min_by_key(|name| load(name)).map(|name| name.to_string())
+}
--- a/crates/core/src/budget.rs
+++ b/crates/core/src/budget.rs
@@ -1,5 +1,9 @@
 //! Retry budget of one service.
 
+use crate::outcome;
+
+use outcome::Reason;
+
 /// Allows retries in proportion to the requests of the recent past.
 #[derive(Clone, Copy, Debug)]
 pub struct Budget {
@@ -24,8 +28,13 @@
         self.balance = (self.balance + DEPOSIT).min(CEILING);
     }
 
-    /// Takes one retry; false if none is left.
-    pub fn take(&mut self) -> bool {
+    /// Takes one retry after a failure for `reason`; false if none is left.
+    ///
+    /// A retry after an attempt that cost no server any work is free.
+    pub fn take(&mut self, reason: Reason) -> bool {
+        if is_free(reason) {
+            return true;
+        }
         let has = self.balance >= COST;
         if has {
             self.balance -= COST;
@@ -33,3 +42,7 @@
         has
     }
 }
+
+fn is_free(reason: Reason) -> bool {
+    matches!(reason, Reason::Leaving | Reason::NoServer | Reason::NotLoaded | Reason::NoList)
+}
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod assembly;
 pub mod budget;
 pub mod edition;
+pub mod fair;
 pub mod flow;
 pub mod gate;
 pub mod home;
@@ -22,6 +23,7 @@
 pub mod list;
 pub mod load;
 pub mod outcome;
+pub mod pace;
 pub mod parse;
 pub mod pool;
 pub mod rooms;
--- a/crates/core/src/outcome.rs
+++ b/crates/core/src/outcome.rs
@@ -48,6 +48,8 @@
     NoService,
     /// The caller exceeds its request rate.
     OverRate,
+    /// The caller exceeds its fair share and nothing is free.
+    OverShare,
     /// The caller has too many requests in flight.
     OverConcurrent,
     /// No server has room soon enough.
@@ -87,7 +89,7 @@
 }
 
 /// All reasons, in the order of their names in reports.
-pub const REASONS: [Reason; 26] = [
+pub const REASONS: [Reason; 27] = [
     Reason::BadRequest,
     Reason::TooLarge,
     Reason::BadMethod,
@@ -96,6 +98,7 @@
     Reason::Forbidden,
     Reason::NoService,
     Reason::OverRate,
+    Reason::OverShare,
     Reason::OverConcurrent,
     Reason::NoRoom,
     Reason::TooLate,
@@ -141,6 +144,9 @@
             Reason::Forbidden => ("forbidden", "ask the operator to allow this service for you"),
             Reason::NoService => ("no-service", "use the name of a service in the service list"),
             Reason::OverRate => ("over-rate", "send fewer requests a second; retry as told"),
+            Reason::OverShare => {
+                ("over-share", "others need the servers; send fewer requests, or retry as told")
+            }
             Reason::OverConcurrent => {
                 ("over-concurrent", "wait for your earlier requests to end; retry as told")
             }
--- a/crates/core/src/pool.rs
+++ b/crates/core/src/pool.rs
@@ -17,20 +17,45 @@
     pub heard_at: Option<time::Instant>,
     /// Requests sent since the load was heard, which it does not count yet.
     pub sent: u32,
+    /// Work sent since the load was heard.
+    pub sent_work: time::Duration,
     /// Requests of this entry in flight.
     pub open: u32,
     /// Consecutive failures.
     pub failures: u32,
+    /// Consecutive ejections.
+    pub ejections: u32,
     /// Not chosen until then, unless all servers are ejected.
     pub ejected: Option<time::Instant>,
     /// Known to be leaving.
     pub leaving: bool,
 }
 
+/// How an entry judges servers.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Tuning {
+    /// A server that was heard before and not for this long is used like an ejected one.
+    pub suspect_after: Option<time::Duration>,
+    /// Whether each ejection in a row lasts twice as long as the one before.
+    pub growing: bool,
+}
+
+/// What the end of a request tells of its server.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum End {
+    /// The server did its part, and it was of use.
+    Good,
+    /// Nothing is known of its use.
+    Open,
+    /// The server refused or failed.
+    Bad(Reason),
+}
+
 /// Pool of servers.
 #[derive(Clone, Debug)]
 pub struct Pool {
     zone: ids::ZoneName,
+    tuning: Tuning,
     servers: collections::BTreeMap<ids::ServerName, Server>,
 }
 
@@ -43,14 +68,18 @@
     pub affinity: Option<u128>,
     /// Two random numbers in one.
     pub random: u64,
+    /// Whether servers are compared by the work before them instead of by requests.
+    pub by_work: bool,
 }
 
 const EJECT_AFTER: u32 = 3;
+const MAX_DOUBLINGS: u32 = 3;
 const UNREACHABLE_FOR: time::Duration = time::Duration::from_secs(1);
 const EJECT_FOR: time::Duration = time::Duration::from_secs(5);
 const STALE_AFTER: time::Duration = time::Duration::from_secs(5);
 // Scores are in thousandths of the server's rooms.
 const SCALE: u64 = 1000;
+const WORK_SCALE_MS: u64 = 1000;
 const AWAY_SCORE: u64 = 150;
 const AFFINITY_SLACK: u64 = 250;
 const STALE_SCORE: u64 = 500;
@@ -58,7 +87,13 @@
 impl Pool {
     /// Makes an empty pool for an entry in `zone`.
     pub fn new(zone: ids::ZoneName) -> Pool {
-        Pool { zone, servers: collections::BTreeMap::new() }
+        let tuning = Tuning { suspect_after: None, growing: false };
+        Pool { zone, tuning, servers: collections::BTreeMap::new() }
+    }
+
+    /// Sets how servers are judged.
+    pub fn set_tuning(&mut self, tuning: Tuning) {
+        self.tuning = tuning;
     }
 
     /// Adds a server or updates its availability zone.
@@ -68,8 +103,10 @@
             load: load::Load::default(),
             heard_at: None,
             sent: 0,
+            sent_work: time::Duration::ZERO,
             open: 0,
             failures: 0,
+            ejections: 0,
             ejected: None,
             leaving: false,
         };
@@ -112,6 +149,7 @@
             server.load = load;
             server.heard_at = Some(now);
             server.sent = 0;
+            server.sent_work = time::Duration::ZERO;
             server.leaving = load.leaving;
         }
     }
@@ -123,32 +161,45 @@
         }
     }
 
-    /// Notes a request sent to a server.
-    pub fn sent(&mut self, name: &str) {
+    /// Notes a request sent to a server, with the work expected of it.
+    pub fn sent(&mut self, name: &str, work: time::Duration) {
         if let Some(server) = self.servers.get_mut(name) {
             server.sent += 1;
+            server.sent_work += work;
             server.open += 1;
         }
     }
 
-    /// Notes the end of a request and what its refusal, if any, tells of the server.
+    /// Notes the end of a request.
+    pub fn ended(&mut self, name: &str, end: End, now: time::Instant) {
+        if let Some(server) = self.servers.get_mut(name) {
+            server.open = server.open.saturating_sub(1);
+        }
+        self.judge(name, end, now);
+    }
+
+    /// Takes in what is known of a server.
     ///
     /// A server that says that it leaves is not chosen until it reports otherwise; one that
     /// cannot be reached, or fails repeatedly, is ejected for a while.
-    pub fn ended(&mut self, name: &str, reason: Option<Reason>, now: time::Instant) {
+    pub fn judge(&mut self, name: &str, end: End, now: time::Instant) {
+        let growing = self.tuning.growing;
         let Some(server) = self.servers.get_mut(name) else { return };
-        server.open = server.open.saturating_sub(1);
-        match reason {
-            Some(Reason::Leaving) => server.leaving = true,
-            Some(Reason::NoServer) => server.ejected = Some(now + UNREACHABLE_FOR),
-            Some(Reason::EngineFailed | Reason::EngineSilent | Reason::LostContact) => {
+        match end {
+            End::Good => {
+                server.failures = 0;
+                server.ejections = 0;
+            }
+            End::Bad(Reason::Leaving) => server.leaving = true,
+            End::Bad(Reason::NoServer) => server.eject(UNREACHABLE_FOR, growing, now),
+            End::Bad(reason) if is_fault(reason) => {
                 server.failures += 1;
+                if server.failures >= EJECT_AFTER {
+                    server.failures = 0;
+                    server.eject(EJECT_FOR, growing, now);
+                }
             }
-            _ => server.failures = 0,
-        }
-        if server.failures >= EJECT_AFTER {
-            server.failures = 0;
-            server.ejected = Some(now + EJECT_FOR);
+            End::Open | End::Bad(_) => {}
         }
     }
 
@@ -160,16 +211,19 @@
         let usable: Vec<_> = self.usable(wish.tried, now);
         let first = usable.get(wish.random as u32 as usize % usable.len().max(1))?;
         let second = usable[(wish.random >> 32) as usize % usable.len()];
-        let best = if self.score(second, now) < self.score(first, now) { second } else { first };
+        let score = |name: &ids::ServerName| self.score(name, wish.by_work, now);
+        let best = if score(second) < score(first) { second } else { first };
         let Some(prefix) = wish.affinity else { return Some(best.clone()) };
         let liked = crate::home::rank(prefix, usable.iter().copied()).into_iter().next()?;
-        let is_near = self.score(liked, now) <= self.score(best, now) + AFFINITY_SLACK;
+        let is_near = score(liked) <= score(best) + AFFINITY_SLACK;
         Some(if is_near { liked.clone() } else { best.clone() })
     }
 
     fn usable(&self, tried: &[ids::ServerName], now: time::Instant) -> Vec<&ids::ServerName> {
         let staying = || self.servers.iter().filter(|(_, server)| !server.leaving);
-        let is_sound = |server: &Server| server.ejected.is_none_or(|until| until <= now);
+        let is_sound = |server: &Server| {
+            server.ejected.is_none_or(|until| until <= now) && !self.is_suspect(server, now)
+        };
         let is_tried = |name: &ids::ServerName| tried.iter().any(|other| other == name);
         let by_rank = |rank: usize| {
             let chosen =
@@ -183,11 +237,16 @@
         (0..3).map(by_rank).find(|names| !names.is_empty()).unwrap_or_default()
     }
 
-    fn score(&self, name: &ids::ServerName, now: time::Instant) -> u64 {
+    fn is_suspect(&self, server: &Server, now: time::Instant) -> bool {
+        let (Some(after), Some(heard)) = (self.tuning.suspect_after, server.heard_at) else {
+            return false;
+        };
+        now > heard + after
+    }
+
+    fn score(&self, name: &ids::ServerName, by_work: bool, now: time::Instant) -> u64 {
         let server = &self.servers[name];
-        let busy = u64::from(server.load.held + 2 * server.load.waiting + server.sent);
-        let busy = busy.max(u64::from(server.open));
-        let mut score = busy * SCALE / u64::from(server.load.rooms.max(1));
+        let mut score = if by_work { work_score(server, now) } else { busy_score(server) };
         if server.zone != self.zone {
             score += AWAY_SCORE;
         }
@@ -197,3 +256,34 @@
         score
     }
 }
+
+impl Server {
+    fn eject(&mut self, time: time::Duration, growing: bool, now: time::Instant) {
+        let factor = if growing { 1 << self.ejections.min(MAX_DOUBLINGS) } else { 1 };
+        // Requests that fail together eject the server once.
+        if self.ejected.is_none_or(|until| until <= now) {
+            self.ejections += 1;
+            self.ejected = Some(now + time * factor);
+        }
+    }
+}
+
+fn is_fault(reason: Reason) -> bool {
+    matches!(
+        reason,
+        Reason::EngineFailed | Reason::EngineSilent | Reason::LostContact | Reason::Evicted
+    )
+}
+
+fn busy_score(server: &Server) -> u64 {
+    let busy = u64::from(server.load.held + 2 * server.load.waiting + server.sent);
+    busy.max(u64::from(server.open)) * SCALE / u64::from(server.load.rooms.max(1))
+}
+
+// What was reported is worked off meanwhile. One second of work weighs as much as full rooms.
+fn work_score(server: &Server, now: time::Instant) -> u64 {
+    let reported = time::Duration::from_millis(u64::from(server.load.queue_ms));
+    let since = server.heard_at.map_or(time::Duration::ZERO, |heard| now - heard);
+    let left = (reported + server.sent_work).saturating_sub(since);
+    left.as_millis() as u64 * SCALE / WORK_SCALE_MS
+}
--- a/crates/core/tests/rooms.rs
+++ b/crates/core/tests/rooms.rs
@@ -116,13 +116,13 @@
                 }
                 Op::Advance(millis) => now += time::Duration::from_millis(millis),
             }
-            let load = rooms.load();
+            let load = rooms.load(now);
             prop_assert!(load.held <= 3, "over capacity: {}", load.held);
             prop_assert!(load.waiting <= 5, "over the queue's limit: {}", load.waiting);
         }
         for run in asked {
             rooms.release(run, now);
         }
-        prop_assert_eq!((rooms.load().held, rooms.load().waiting), (0, 0));
+        prop_assert_eq!((rooms.load(now).held, rooms.load(now).waiting), (0, 0));
     }
 }
--- a/crates/entry/src/admit.rs
+++ b/crates/entry/src/admit.rs
@@ -4,7 +4,7 @@
 
 use hyper::{HeaderMap, header};
 
-use rhubarb_core::{ids, limit, list, outcome};
+use rhubarb_core::{fair, ids, limit, list, outcome};
 use rhubarb_node::clock;
 
 use crate::{entry, refuse};
@@ -29,6 +29,8 @@
     pub(crate) key: Option<Key>,
     pub(crate) arrived: time::Instant,
     pub(crate) deadline: time::Instant,
+    /// Whether the caller is above its fair share.
+    pub(crate) excess: bool,
     fate: (Outcome, Option<Reason>),
 }
 
@@ -79,7 +81,11 @@
     admit_caller(entry, caller, arrived).map_err(|refusal| refuse::own(refusal, keyed))?;
     entry.open.fetch_add(1, atomic::Ordering::Relaxed);
     entry.metrics.open.inc();
-    entry.view().budget(&service.name).deposit();
+    let excess = {
+        let mut view = entry.view();
+        view.budget(&service.name).deposit();
+        view.fair(&service.name).admit(&caller.name, arrived) == fair::Share::Excess
+    };
     Ok(Ticket {
         entry: entry.clone(),
         service,
@@ -87,6 +93,7 @@
         key,
         arrived,
         deadline: arrived + deadline,
+        excess,
         fate: (Outcome::Cancelled, Some(Reason::CallerGone)),
     })
 }
--- a/crates/entry/src/completion.rs
+++ b/crates/entry/src/completion.rs
@@ -28,6 +28,8 @@
     flow: flow::Flow,
     decode: Option<Placed>,
     prefilled: Option<message::Prefilled>,
+    // Server of the prefill of which no token came yet.
+    source: Option<ids::ServerName>,
     pending: Vec<u8>,
     text: String,
     sent: u32,
@@ -68,6 +70,7 @@
             flow,
             decode: None,
             prefilled: None,
+            source: None,
             pending: Vec::new(),
             text: String::new(),
             sent: 0,
@@ -118,17 +121,24 @@
         }
         let prefix: String = self.request.prompt.chars().take(PREFIX_CHARS).collect();
         let affinity = (role == list::Role::Prefill).then(|| ids::digest(&[prefix.as_bytes()]));
-        let wish = pool::Wish { tried: self.flow.tried(), affinity, random: rand::random() };
+        let by_work = role == list::Role::Prefill;
+        let size = self.request.prompt.len() as u32;
+        let work = match by_work {
+            true => view.pace(&self.ticket.service.name).estimate(size),
+            false => time::Duration::ZERO,
+        };
+        let tried = self.flow.tried();
+        let wish = pool::Wish { tried, affinity, random: rand::random(), by_work };
         let pool = view.pool(&self.ticket.service.name, role)?;
         let server = pool.pick(wish, clock::now())?;
-        pool.sent(&server);
+        pool.sent(&server, work);
         Some(server)
     }
 
-    fn note_end(&self, server: &str, role: list::Role, reason: Option<Reason>) {
+    fn note_end(&self, server: &str, role: list::Role, end: pool::End) {
         let mut view = self.ticket.entry.view();
         if let Some(pool) = view.pool(&self.ticket.service.name, role) {
-            pool.ended(server, reason, clock::now());
+            pool.ended(server, end, clock::now());
         }
     }
 
@@ -158,7 +168,7 @@
             return self.unreachable(Some(server), keyed);
         };
         let Some(contact) = peer.contact().await else {
-            self.note_end(&server, list::Role::Decode, Some(Reason::NoServer));
+            self.note_end(&server, list::Role::Decode, pool::End::Bad(Reason::NoServer));
             return self.unreachable(Some(server), keyed);
         };
         let wait_by = self.ticket.deadline.min(clock::now() + self.model.max_wait);
@@ -168,6 +178,7 @@
             key: self.ticket.key.as_ref().map(|key| key.hash),
             wait_by_ms: contact.clock_at(wait_by),
             start_by_ms: contact.clock_at(self.ticket.deadline),
+            excess: self.ticket.excess,
         });
         let mut run = peer.start(run, contact, order);
         let waited = self.reply.wait(&mut run, self.ticket.deadline).await;
@@ -198,7 +209,8 @@
             return self.unreachable(None, false);
         };
         let event = self.prefill_at(&server).await;
-        self.note_end(&server, list::Role::Prefill, reason_of(&event));
+        let end = reason_of(&event).map_or(pool::End::Open, pool::End::Bad);
+        self.note_end(&server, list::Role::Prefill, end);
         event
     }
 
@@ -214,14 +226,18 @@
         let order = message::Order::Prefill(message::Prefill {
             run,
             start_by_ms: contact.clock_at(self.ticket.deadline),
+            due_ms: contact.clock_at(self.ticket.arrived + self.model.first_token),
+            max_wait_ms: self.model.max_wait.as_millis() as u64,
             limit_ms: self.ticket.time_left().as_millis() as u64,
+            excess: self.ticket.excess,
             prompt: self.request.prompt.clone(),
         });
         let mut run = peer.start(run, contact, order);
         match self.reply.wait(&mut run, self.ticket.deadline).await {
             driver::Waited::Event(peer::Event::Prefilled(prefilled)) => {
-                self.count_prefill(u64::from(prefilled.tokens));
+                self.count_prefill(&prefilled);
                 self.prefilled = Some(prefilled);
+                self.source = Some(server.clone());
                 flow::Event::Prefilled
             }
             driver::Waited::Event(peer::Event::Refused(refusal)) => {
@@ -232,8 +248,12 @@
         }
     }
 
-    fn count_prefill(&mut self, tokens: u64) {
+    fn count_prefill(&mut self, prefilled: &message::Prefilled) {
+        let tokens = u64::from(prefilled.tokens);
         self.prompt_tokens = tokens;
+        let work = time::Duration::from_micros(prefilled.work_us);
+        let size = self.request.prompt.len() as u32;
+        self.ticket.entry.view().pace(&self.ticket.service.name).learn(size, work);
         let mut ledger = self.ticket.entry.ledger();
         let totals = ledger.totals(&self.ticket.service.name, &self.ticket.caller);
         totals.prefill_tokens += tokens;
@@ -295,6 +315,7 @@
     async fn take_token(&mut self, token: &str) -> bool {
         let now = clock::now();
         self.flow.handle(&flow::Event::Streamed);
+        self.judge_source(pool::End::Good);
         self.first_at.get_or_insert(now);
         self.last_at = Some(now);
         self.sent += 1;
@@ -330,10 +351,28 @@
         }
     }
 
+    // A result that was evicted or never came speaks against the server that prefilled it, one
+    // of which a token came speaks for it.
+    fn judge_source(&mut self, end: pool::End) {
+        let Some(server) = self.source.take() else { return };
+        let mut view = self.ticket.entry.view();
+        if let Some(pool) = view.pool(&self.ticket.service.name, list::Role::Prefill) {
+            pool.judge(&server, end, clock::now());
+        }
+    }
+
     // Dropping the run cancels it at the agent.
     fn release(&mut self, reason: Option<Reason>) {
+        if reason == Some(Reason::Evicted) {
+            self.judge_source(pool::End::Bad(Reason::Evicted));
+        }
         if let Some(placed) = self.decode.take() {
-            self.note_end(&placed.server, list::Role::Decode, reason);
+            let end = match reason {
+                Some(reason) => pool::End::Bad(reason),
+                None if self.first_at.is_some() => pool::End::Good,
+                None => pool::End::Open,
+            };
+            self.note_end(&placed.server, list::Role::Decode, end);
         }
         if let Some(prefilled) = self.prefilled.take() {
             let ticket = &self.ticket;
--- a/crates/entry/src/entry.rs
+++ b/crates/entry/src/entry.rs
@@ -7,7 +7,7 @@
 use prometheus_client::metrics::{counter, gauge};
 
 use rhubarb_core::{ids, limit, outcome, usage};
-use rhubarb_node::{client, clock, metrics, objects, table};
+use rhubarb_node::{client, clock, locks, metrics, objects, table};
 
 use crate::{peer, settings, view};
 
@@ -86,17 +86,17 @@
     }
 
     pub(crate) fn view(&self) -> sync::MutexGuard<'_, view::View> {
-        self.view.lock().unwrap_or_else(sync::PoisonError::into_inner)
+        locks::lock(&self.view)
     }
 
     pub(crate) fn limits(
         &self,
     ) -> sync::MutexGuard<'_, collections::BTreeMap<ids::CallerName, limit::Limit>> {
-        self.limits.lock().unwrap_or_else(sync::PoisonError::into_inner)
+        locks::lock(&self.limits)
     }
 
     pub(crate) fn ledger(&self) -> sync::MutexGuard<'_, usage::Ledger> {
-        self.ledger.lock().unwrap_or_else(sync::PoisonError::into_inner)
+        locks::lock(&self.ledger)
     }
 
     /// Id for a new attempt.
@@ -111,7 +111,7 @@
     }
 
     fn peer_at(self: &sync::Arc<Self>, server: &str, address: net::SocketAddr) -> peer::Peer {
-        let mut peers = self.peers.lock().unwrap_or_else(sync::PoisonError::into_inner);
+        let mut peers = locks::lock(&self.peers);
         if let Some(peer) = peers.get(server).filter(|peer| peer.address == address) {
             return peer.clone();
         }
@@ -123,7 +123,7 @@
     /// Connections to the agents of servers that are no longer listed are dropped.
     pub(crate) fn drop_old_peers(&self) {
         let known: collections::BTreeSet<_> = self.view().instances.keys().cloned().collect();
-        let mut peers = self.peers.lock().unwrap_or_else(sync::PoisonError::into_inner);
+        let mut peers = locks::lock(&self.peers);
         peers.retain(|name, _| known.contains(name));
     }
 
@@ -132,10 +132,9 @@
         self.metrics.refused.get_or_create(&metrics::labels(reason)).inc();
     }
 
-    /// Takes a retry from the budget of a service, and counts it; one after an attempt that cost
-    /// no server any work is free.
+    /// Takes a retry from the budget of a service, and counts it.
     pub(crate) fn take_retry(&self, service: &str, caller: &str, reason: outcome::Reason) -> bool {
-        let taken = is_free(reason) || self.view().budget(service).take();
+        let taken = self.view().budget(service).take(reason);
         if taken {
             self.metrics.retried.get_or_create(&metrics::labels(reason)).inc();
             self.ledger().totals(service, caller).retry(reason);
@@ -170,8 +169,3 @@
         self.stopped_at.get().is_some_and(|at| clock::now() >= *at + self.settings.notice)
     }
 }
-
-fn is_free(reason: outcome::Reason) -> bool {
-    use outcome::Reason;
-    matches!(reason, Reason::Leaving | Reason::NoServer | Reason::NotLoaded | Reason::NoList)
-}
--- a/crates/entry/src/plain.rs
+++ b/crates/entry/src/plain.rs
@@ -101,17 +101,22 @@
         if let Some(key) = &self.ticket.key {
             return view.home(&self.ticket.service.name, key.hash);
         }
-        let wish = pool::Wish { tried: &self.tried, affinity: None, random: rand::random() };
+        let wish = pool::Wish {
+            tried: &self.tried,
+            affinity: None,
+            random: rand::random(),
+            by_work: false,
+        };
         let pool = view.pool(&self.ticket.service.name, list::Role::Plain)?;
         let server = pool.pick(wish, clock::now())?;
-        pool.sent(&server);
+        pool.sent(&server, time::Duration::ZERO);
         Some(server)
     }
 
-    fn note_end(&self, server: &str, reason: Option<Reason>) {
+    fn note_end(&self, server: &str, end: pool::End) {
         let mut view = self.ticket.entry.view();
         if let Some(pool) = view.pool(&self.ticket.service.name, list::Role::Plain) {
-            pool.ended(server, reason, clock::now());
+            pool.ended(server, end, clock::now());
         }
     }
 
@@ -123,11 +128,11 @@
             return Step::Failed(None, unreachable);
         };
         let step = self.attempt_at(&server, unreachable).await;
-        let reason = match &step {
-            Step::Failed(_, refusal) => Some(refusal.reason),
-            Step::Done => None,
+        let end = match &step {
+            Step::Failed(_, refusal) => pool::End::Bad(refusal.reason),
+            Step::Done => pool::End::Good,
         };
-        self.note_end(&server, reason);
+        self.note_end(&server, end);
         step
     }
 
@@ -144,6 +149,7 @@
             key: self.ticket.key.as_ref().map(|key| key.hash),
             start_by_ms: contact.clock_at(self.ticket.deadline),
             limit_ms: self.ticket.time_left().as_millis() as u64,
+            excess: self.ticket.excess,
             method: self.call.method.to_string(),
             target: self.call.target.clone(),
             headers: end_to_end(&self.call.headers),
--- a/crates/entry/src/refuse.rs
+++ b/crates/entry/src/refuse.rs
@@ -56,7 +56,9 @@
         Reason::UnknownCaller => StatusCode::UNAUTHORIZED,
         Reason::Forbidden => StatusCode::FORBIDDEN,
         Reason::NoService => StatusCode::NOT_FOUND,
-        Reason::OverRate | Reason::OverConcurrent => StatusCode::TOO_MANY_REQUESTS,
+        Reason::OverRate | Reason::OverShare | Reason::OverConcurrent => {
+            StatusCode::TOO_MANY_REQUESTS
+        }
         Reason::KeyRunning => StatusCode::CONFLICT,
         Reason::EngineSilent => StatusCode::GATEWAY_TIMEOUT,
         Reason::TooLate if refusal.outcome == Outcome::Unknown => StatusCode::GATEWAY_TIMEOUT,
--- a/crates/entry/src/view.rs
+++ b/crates/entry/src/view.rs
@@ -4,12 +4,16 @@
 
 use subtle::ConstantTimeEq;
 
-use rhubarb_core::{budget, edition, home, ids, list, load, pool, subset};
+use rhubarb_core::{budget, edition, fair, home, ids, list, load, pace, pool, subset};
 use rhubarb_node::instances;
 
 /// Pools by service and role.
 pub(crate) type PoolKey = (ids::ServiceName, list::Role);
 
+/// Load reports that may be missed before a server is suspect.
+const MISSED_REPORTS: u32 = 3;
+const REPORT_SLACK: time::Duration = time::Duration::from_millis(300);
+
 /// View of one entry.
 #[derive(Debug)]
 pub(crate) struct View {
@@ -22,6 +26,8 @@
     pools: collections::BTreeMap<PoolKey, pool::Pool>,
     members: collections::BTreeMap<ids::ServiceName, home::Members>,
     budgets: collections::BTreeMap<ids::ServiceName, budget::Budget>,
+    fairs: collections::BTreeMap<ids::ServiceName, fair::Fair>,
+    paces: collections::BTreeMap<ids::ServiceName, pace::Pace>,
     digests: collections::BTreeMap<String, ids::CallerName>,
 }
 
@@ -37,6 +43,8 @@
             pools: collections::BTreeMap::new(),
             members: collections::BTreeMap::new(),
             budgets: collections::BTreeMap::new(),
+            fairs: collections::BTreeMap::new(),
+            paces: collections::BTreeMap::new(),
             digests: collections::BTreeMap::new(),
         }
     }
@@ -96,6 +104,16 @@
             members.observe(service.servers(), gone, now);
             members.forget(service.servers(), service.window, now);
         }
+        self.tune_pools();
+    }
+
+    // Reports are asked for the less often, the more servers are followed.
+    fn tune_pools(&mut self) {
+        let followed: usize = self.pools.values().map(|pool| pool.names().count()).sum();
+        let suspect_after = subset::period(followed) * MISSED_REPORTS + REPORT_SLACK;
+        for pool in self.pools.values_mut() {
+            pool.set_tuning(pool::Tuning { suspect_after: Some(suspect_after), growing: true });
+        }
     }
 
     fn rebuild_pool(&mut self, service: &list::Service, role: list::Role) {
@@ -147,6 +165,16 @@
         self.members.get(service)?.home(key).cloned()
     }
 
+    /// Fair shares of the callers of a service.
+    pub(crate) fn fair(&mut self, service: &str) -> &mut fair::Fair {
+        self.fairs.entry(service.to_string()).or_default()
+    }
+
+    /// Pace of the prefill engines of a service.
+    pub(crate) fn pace(&mut self, service: &str) -> &mut pace::Pace {
+        self.paces.entry(service.to_string()).or_default()
+    }
+
     /// Retry budget of a service.
     pub(crate) fn budget(&mut self, service: &str) -> &mut budget::Budget {
         self.budgets.entry(service.to_string()).or_default()
--- a/crates/fakes/src/engine.rs
+++ b/crates/fakes/src/engine.rs
@@ -8,7 +8,7 @@
 use serde_json::json;
 use tokio::sync as lock;
 
-use rhubarb_node::{answer, client, clock};
+use rhubarb_node::{answer, client, clock, locks};
 
 use crate::{plain, switch, tokens};
 
@@ -29,7 +29,6 @@
     prefixes: collections::VecDeque<String>,
     prefilling: u32,
     prefilled: u64,
-    fence: u64,
     model: String,
     loads: collections::VecDeque<(time::Instant, u32)>,
 }
@@ -112,7 +111,7 @@
     }
 
     fn lock(&self) -> sync::MutexGuard<'_, State> {
-        self.state.lock().unwrap_or_else(sync::PoisonError::into_inner)
+        locks::lock(&self.state)
     }
 
     /// Requests that the engine's memory holds.
@@ -156,10 +155,7 @@
     }
 
     async fn prefill(&self, deps: &Deps, content: &Bytes) -> Reply {
-        let order: PrefillOrder = match serde_json::from_slice(content) {
-            Ok(order) => order,
-            Err(err) => return answer::text(StatusCode::BAD_REQUEST, err.to_string()),
-        };
+        let Ok(order) = serde_json::from_slice::<PrefillOrder>(content) else { return bad() };
         let _held = Prefilling::start(self);
         let count = tokens::prompt_tokens(&order.prompt);
         {
@@ -205,10 +201,7 @@
     }
 
     async fn decode(self: &sync::Arc<Self>, deps: &Deps, content: &Bytes) -> Reply {
-        let order: DecodeOrder = match serde_json::from_slice(content) {
-            Ok(order) => order,
-            Err(err) => return answer::text(StatusCode::BAD_REQUEST, err.to_string()),
-        };
+        let Ok(order) = serde_json::from_slice::<DecodeOrder>(content) else { return bad() };
         let cancelled = sync::Arc::new(lock::Notify::new());
         {
             let mut state = self.lock();
@@ -233,9 +226,7 @@
     }
 
     fn cancel(&self, content: &Bytes) -> Reply {
-        let Ok(order) = serde_json::from_slice::<CancelOrder>(content) else {
-            return answer::text(StatusCode::BAD_REQUEST, "give an id, or null for all");
-        };
+        let Ok(order) = serde_json::from_slice::<CancelOrder>(content) else { return bad() };
         let mut state = self.lock();
         let is_meant = |id: &String| order.id.as_ref().is_none_or(|wanted| wanted == id);
         state.results.retain(|id, _| !is_meant(id));
@@ -246,20 +237,12 @@
     }
 
     async fn load_model(&self, deps: &Deps, content: &Bytes) -> Reply {
-        let order: ModelOrder = match serde_json::from_slice(content) {
-            Ok(order) => order,
-            Err(err) => return answer::text(StatusCode::BAD_REQUEST, err.to_string()),
-        };
-        if let Some(fence) = order.fence {
-            let mut state = self.lock();
-            if fence < state.fence {
-                return answer::text(StatusCode::CONFLICT, "old fencing number");
-            }
-            state.fence = fence;
+        let Ok(order) = serde_json::from_slice::<ModelOrder>(content) else { return bad() };
+        if order.fence.is_some_and(|fence| !deps.runs.pass_fence(&self.name, fence)) {
+            return answer::text(StatusCode::CONFLICT, "old fencing number");
         }
-        deps.weights.fetch(&order.weights).await;
-        for adapter in &order.adapters {
-            deps.weights.fetch(adapter).await;
+        for _ in 0..=order.adapters.len() {
+            deps.fetch_weights().await;
         }
         let model = format!("{}@{}+{}", order.weights, order.version, order.adapters.join("+"));
         self.lock().model = model.clone();
@@ -274,12 +257,20 @@
     pub switches: sync::Arc<switch::Switches>,
     /// Run counts.
     pub runs: sync::Arc<plain::Runs>,
-    /// Weight store.
-    pub weights: sync::Arc<crate::weights::Weights>,
+    /// Time of one fetch from the weight store, which serves one at a time.
+    pub weights: sync::Arc<lock::Mutex<time::Duration>>,
     /// Client for transfers between engines.
     pub client: client::Client,
 }
 
+impl Deps {
+    /// Fetches one set of weights.
+    pub async fn fetch_weights(&self) {
+        let fetch_time = self.weights.lock().await;
+        tokio::time::sleep(*fetch_time).await;
+    }
+}
+
 struct Prefilling<'a>(&'a Engine);
 
 impl<'a> Prefilling<'a> {
@@ -295,6 +286,10 @@
     }
 }
 
+fn bad() -> Reply {
+    answer::text(StatusCode::BAD_REQUEST, "not such an order")
+}
+
 async fn generate(
     room: Room,
     order: DecodeOrder,
--- a/crates/fakes/src/instances.rs
+++ b/crates/fakes/src/instances.rs
@@ -6,7 +6,7 @@
 use hyper::{Method, Response, StatusCode};
 use serde_json::json;
 
-use rhubarb_node::{answer, clock, instances};
+use rhubarb_node::{answer, clock, instances, locks};
 
 /// Instance list.
 #[derive(Debug)]
@@ -42,7 +42,7 @@
     }
 
     fn change(&self, name: &str, instance: Option<instances::Instance>) -> Response<answer::Body> {
-        let mut changes = self.changes.lock().unwrap_or_else(sync::PoisonError::into_inner);
+        let mut changes = locks::lock(&self.changes);
         let shown_at = clock::now() + self.lag;
         changes.push(Change { shown_at, name: name.to_string(), instance });
         answer::text(StatusCode::OK, "noted")
@@ -50,7 +50,7 @@
 
     fn shown(&self) -> Vec<instances::Instance> {
         let now = clock::now();
-        let changes = self.changes.lock().unwrap_or_else(sync::PoisonError::into_inner);
+        let changes = locks::lock(&self.changes);
         let mut shown = collections::BTreeMap::new();
         for change in changes.iter().filter(|change| change.shown_at <= now) {
             match &change.instance {
--- a/crates/fakes/src/lib.rs
+++ b/crates/fakes/src/lib.rs
@@ -18,4 +18,3 @@
 pub mod switch;
 pub mod table;
 pub mod tokens;
-pub mod weights;
--- a/crates/fakes/src/objects.rs
+++ b/crates/fakes/src/objects.rs
@@ -6,7 +6,7 @@
 use hyper::{Method, Response, StatusCode};
 use serde_json::json;
 
-use rhubarb_node::answer;
+use rhubarb_node::{answer, locks};
 
 /// Object store.
 #[derive(Debug, Default)]
@@ -23,7 +23,7 @@
         query: &str,
         body: Bytes,
     ) -> Response<answer::Body> {
-        let mut objects = self.objects.lock().unwrap_or_else(sync::PoisonError::into_inner);
+        let mut objects = locks::lock(&self.objects);
         match (method, name) {
             (&Method::GET, "") => {
                 let prefix = query.strip_prefix("prefix=").unwrap_or_default();
--- a/crates/fakes/src/plain.rs
+++ b/crates/fakes/src/plain.rs
@@ -6,7 +6,7 @@
 use hyper::{HeaderMap, Method, Response, StatusCode, header};
 use serde_json::json;
 
-use rhubarb_node::answer;
+use rhubarb_node::{answer, locks};
 
 /// Runs by idempotency key, over all servers.
 #[derive(Debug, Default)]
@@ -23,20 +23,20 @@
     /// Counts one run of the key in `headers`, if there is one.
     pub fn count(&self, key: Option<&str>) {
         if let Some(key) = key {
-            let mut counts = self.counts.lock().unwrap_or_else(sync::PoisonError::into_inner);
+            let mut counts = locks::lock(&self.counts);
             *counts.entry(key.to_string()).or_default() += 1;
         }
     }
 
     /// Number of runs of `key`.
     pub fn get(&self, key: &str) -> u64 {
-        let counts = self.counts.lock().unwrap_or_else(sync::PoisonError::into_inner);
+        let counts = locks::lock(&self.counts);
         counts.get(key).copied().unwrap_or(0)
     }
 
     /// Whether `fence` is not older than the newest that `server` has seen.
     pub fn pass_fence(&self, server: &str, fence: u64) -> bool {
-        let mut fences = self.fences.lock().unwrap_or_else(sync::PoisonError::into_inner);
+        let mut fences = locks::lock(&self.fences);
         let newest = fences.entry(server.to_string()).or_default();
         *newest = fence.max(*newest);
         fence >= *newest
--- a/crates/fakes/src/routes.rs
+++ b/crates/fakes/src/routes.rs
@@ -5,9 +5,11 @@
 use bytes::Bytes;
 use hyper::{Method, Request, Response, StatusCode, body};
 
-use rhubarb_node::{answer, client};
+use tokio::sync as lock;
 
-use crate::{engine, instances, objects, plain, switch, table, weights};
+use rhubarb_node::{answer, client, locks};
+
+use crate::{engine, instances, objects, plain, switch, table};
 
 /// All stand-ins of a deployment.
 #[derive(Debug)]
@@ -45,7 +47,7 @@
             deps: engine::Deps {
                 switches: sync::Arc::default(),
                 runs: sync::Arc::default(),
-                weights: sync::Arc::new(weights::Weights::new(delays.weight_time)),
+                weights: sync::Arc::new(lock::Mutex::new(delays.weight_time)),
                 client: client::Client::new(),
             },
         }
@@ -116,7 +118,10 @@
                 self.objects.call(&head.method, key, query, content)
             }
             "instances" => self.instances.call(&head.method, key, &content),
-            "weights" => self.deps.weights.fetch(key).await,
+            "weights" => {
+                self.deps.fetch_weights().await;
+                answer::text(StatusCode::OK, "weights")
+            }
             _ => answer::text(StatusCode::NOT_FOUND, "no such stand-in"),
         }
     }
@@ -143,7 +148,7 @@
     }
 
     fn engine(&self, name: &str) -> sync::Arc<engine::Engine> {
-        let mut engines = self.engines.lock().unwrap_or_else(sync::PoisonError::into_inner);
+        let mut engines = locks::lock(&self.engines);
         let fresh = || {
             let url = format!("{}/engine/{name}", self.base);
             sync::Arc::new(engine::Engine::new(name, url))
@@ -152,7 +157,7 @@
     }
 
     fn held(&self) -> u64 {
-        let engines = self.engines.lock().unwrap_or_else(sync::PoisonError::into_inner);
+        let engines = locks::lock(&self.engines);
         engines.values().map(|engine| engine.held()).sum()
     }
 
--- a/crates/fakes/src/switch.rs
+++ b/crates/fakes/src/switch.rs
@@ -4,6 +4,8 @@
 
 use tokio::sync as lock;
 
+use rhubarb_node::locks;
+
 /// Mode of a stand-in.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum Mode {
@@ -35,19 +37,20 @@
 
 const SLOW_BY: time::Duration = time::Duration::from_millis(700);
 
+const MODES: [(&str, Mode); 8] = [
+    ("up", Mode::Up),
+    ("down", Mode::Down),
+    ("slow", Mode::Slow),
+    ("lost", Mode::Lost),
+    ("lost-writes", Mode::LostWrites),
+    ("frozen", Mode::Frozen),
+    ("failing", Mode::Failing),
+    ("silent", Mode::Silent),
+];
+
 /// Reads the name of a mode.
 pub fn scan_mode(name: &str) -> Option<Mode> {
-    Some(match name {
-        "up" => Mode::Up,
-        "down" => Mode::Down,
-        "slow" => Mode::Slow,
-        "lost" => Mode::Lost,
-        "lost-writes" => Mode::LostWrites,
-        "frozen" => Mode::Frozen,
-        "failing" => Mode::Failing,
-        "silent" => Mode::Silent,
-        _ => return None,
-    })
+    MODES.iter().find(|(known, _)| *known == name).map(|(_, mode)| *mode)
 }
 
 impl Switches {
@@ -82,6 +85,6 @@
     }
 
     fn lock(&self) -> sync::MutexGuard<'_, collections::BTreeMap<String, Mode>> {
-        self.modes.lock().unwrap_or_else(sync::PoisonError::into_inner)
+        locks::lock(&self.modes)
     }
 }
--- a/crates/fakes/src/table.rs
+++ b/crates/fakes/src/table.rs
@@ -7,7 +7,7 @@
 use serde::Deserialize;
 use serde_json::json;
 
-use rhubarb_node::{answer, clock, table};
+use rhubarb_node::{answer, clock, locks, table};
 
 /// Table service.
 #[derive(Debug, Default)]
@@ -43,7 +43,7 @@
         headers: &HeaderMap,
         body: &Bytes,
     ) -> Response<answer::Body> {
-        let mut state = self.state.lock().unwrap_or_else(sync::PoisonError::into_inner);
+        let mut state = locks::lock(&self.state);
         if !state.admit(method) {
             return answer::text(StatusCode::TOO_MANY_REQUESTS, "over the table's rate");
         }
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod clock;
 pub mod control;
 pub mod instances;
+pub mod locks;
 pub mod logs;
 pub mod metrics;
 pub mod objects;
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -9,7 +9,7 @@
 
 use rhubarb_core::outcome;
 
-use crate::answer;
+use crate::{answer, locks};
 
 /// Labels of a counter by reason.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
@@ -68,7 +68,7 @@
     }
 
     fn lock(&self) -> sync::MutexGuard<'_, registry::Registry> {
-        self.registry.lock().unwrap_or_else(sync::PoisonError::into_inner)
+        locks::lock(&self.registry)
     }
 }
 
--- a/crates/slopes/src/control.rs
+++ b/crates/slopes/src/control.rs
@@ -52,11 +52,14 @@
     }
     meter.time("choose a server of a subset of 12", 20_000, |number| {
         let random = u64::from(number) * 0x9e37_79b9_7f4a_7c15;
-        pool.pick(pool::Wish { tried: &[], affinity: None, random }, now)
+        pool.pick(pool::Wish { tried: &[], affinity: None, random, by_work: false }, now)
     });
     meter.time("choose a server of a subset of 12, by prefix", 5_000, |number| {
         let affinity = Some(u128::from(number));
-        pool.pick(pool::Wish { tried: &[], affinity, random: u64::from(number) }, now)
+        pool.pick(
+            pool::Wish { tried: &[], affinity, random: u64::from(number), by_work: false },
+            now,
+        )
     });
     let candidates: Vec<_> = (0..CANDIDATES)
         .map(|number| subset::Candidate {
--- a/crates/slopes/src/data.rs
+++ b/crates/slopes/src/data.rs
@@ -45,6 +45,7 @@
         key: Some(u128::MAX),
         start_by_ms: 100_000_000,
         limit_ms: 10_000,
+        excess: false,
         method: "POST".into(),
         target: "/confirm".into(),
         headers: (0..6)
--- a/crates/wire/src/message.rs
+++ b/crates/wire/src/message.rs
@@ -124,6 +124,8 @@
     pub wait_by_ms: u64,
     /// Last moment to start, in milliseconds of the agent's clock.
     pub start_by_ms: u64,
+    /// Whether the caller is above its fair share.
+    pub excess: bool,
 }
 
 /// Prefills a prompt.
@@ -133,8 +135,14 @@
     pub run: ids::RunId,
     /// Last moment to start, in milliseconds of the agent's clock.
     pub start_by_ms: u64,
+    /// When the first token is due, in milliseconds of the agent's clock.
+    pub due_ms: u64,
+    /// Longest wait in the agent's queue of a prompt that cannot be in time, in milliseconds.
+    pub max_wait_ms: u64,
     /// Time allowed after the start, in milliseconds.
     pub limit_ms: u64,
+    /// Whether the caller is above its fair share.
+    pub excess: bool,
     /// Prompt.
     pub prompt: String,
 }
@@ -180,6 +188,8 @@
     pub handle: String,
     /// Tokens of the prompt.
     pub tokens: u32,
+    /// Work that the prefill was, in microseconds.
+    pub work_us: u64,
 }
 
 /// Refusal or failure of a run.
--- a/crates/wire/src/offer.rs
+++ b/crates/wire/src/offer.rs
@@ -26,6 +26,8 @@
     pub start_by_ms: u64,
     /// Time allowed for the whole answer after the start, in milliseconds.
     pub limit_ms: u64,
+    /// Whether the caller is above its fair share.
+    pub excess: bool,
     /// HTTP method.
     pub method: String,
     /// Path and query, relative to the server.
@@ -36,7 +38,7 @@
     pub body: Vec<u8>,
 }
 
-const FIELDS: usize = 8;
+const FIELDS: usize = 9;
 
 impl ser::Serialize for Offer {
     fn serialize<S: ser::Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
@@ -46,6 +48,7 @@
         tuple.serialize_element(&self.key)?;
         tuple.serialize_element(&self.start_by_ms)?;
         tuple.serialize_element(&self.limit_ms)?;
+        tuple.serialize_element(&self.excess)?;
         tuple.serialize_element(&self.method)?;
         tuple.serialize_element(&self.target)?;
         tuple.serialize_element(&self.headers)?;
@@ -66,20 +69,21 @@
     type Value = Offer;
 
     fn expecting(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.write_str("an offer of eight fields")
+        f.write_str("an offer of nine fields")
     }
 
     fn visit_seq<A: de::SeqAccess<'de>>(self, mut seq: A) -> Result<Offer, A::Error> {
-        let missing = |at| de::Error::invalid_length(at, &"eight fields");
+        let missing = |at| de::Error::invalid_length(at, &"nine fields");
         Ok(Offer {
             run: seq.next_element()?.ok_or_else(|| missing(0))?,
             key: seq.next_element()?.ok_or_else(|| missing(1))?,
             start_by_ms: seq.next_element()?.ok_or_else(|| missing(2))?,
             limit_ms: seq.next_element()?.ok_or_else(|| missing(3))?,
-            method: seq.next_element()?.ok_or_else(|| missing(4))?,
-            target: seq.next_element()?.ok_or_else(|| missing(5))?,
-            headers: seq.next_element()?.ok_or_else(|| missing(6))?,
-            body: seq.next_element()?.ok_or_else(|| missing(7))?,
+            excess: seq.next_element()?.ok_or_else(|| missing(4))?,
+            method: seq.next_element()?.ok_or_else(|| missing(5))?,
+            target: seq.next_element()?.ok_or_else(|| missing(6))?,
+            headers: seq.next_element()?.ok_or_else(|| missing(7))?,
+            body: seq.next_element()?.ok_or_else(|| missing(8))?,
         })
     }
 }
