--- a/crates/core/src/pool.rs
+++ b/crates/core/src/pool.rs
@@ -191,6 +191,8 @@
                 server.ejections = 0;
             }
             End::Bad(Reason::Leaving) => server.leaving = true,
+            // With decode room reserved, only a source that cannot send lets its result expire.
+            End::Bad(Reason::Evicted) => server.eject(EJECT_FOR, growing, now),
             End::Bad(Reason::NoServer) => server.eject(UNREACHABLE_FOR, growing, now),
             End::Bad(reason) if is_fault(reason) => {
                 server.failures += 1;
@@ -269,10 +271,7 @@
 }
 
 fn is_fault(reason: Reason) -> bool {
-    matches!(
-        reason,
-        Reason::EngineFailed | Reason::EngineSilent | Reason::LostContact | Reason::Evicted
-    )
+    matches!(reason, Reason::EngineFailed | Reason::EngineSilent | Reason::LostContact)
 }
 
 fn busy_score(server: &Server) -> u64 {
