--- a/crates/entry/src/api.rs
+++ b/crates/entry/src/api.rs
@@ -15,6 +15,8 @@
 type Reply = Response<answer::Body>;
 
 const REQUEST_ID: &str = "x-request-id";
+/// Longest time to read the body of a request.
+const BODY_TIME: std::time::Duration = std::time::Duration::from_secs(30);
 
 /// Answers one request.
 pub(crate) async fn handle(entry: Shared, request: Request<body::Incoming>) -> Reply {
@@ -49,11 +51,7 @@
     id: &str,
 ) -> Result<Reply, Failure> {
     let caller = admit::authenticate(entry, &head.headers).map_err(plain_failure)?;
-    let content = answer::read_body(content, entry.settings.max_body).await;
-    let content = content.ok_or_else(|| {
-        let detail = format!("the body exceeds {} bytes or broke off", entry.settings.max_body);
-        (Refusal::never(Reason::TooLarge), Some(detail))
-    })?;
+    let content = read_body(entry, content).await?;
     let form = match head.uri.path() {
         "/v1/completions" => Some(openai::Form::Text),
         "/v1/chat/completions" => Some(openai::Form::Chat),
@@ -65,6 +63,19 @@
     }
 }
 
+async fn read_body(entry: &Shared, content: body::Incoming) -> Result<bytes::Bytes, Failure> {
+    let limit = entry.settings.max_body;
+    let reading = answer::read_body(content, limit);
+    let Ok(content) = tokio::time::timeout(BODY_TIME, reading).await else {
+        let detail = format!("the body did not come within {BODY_TIME:?}");
+        return Err((Refusal::never(Reason::BadRequest), Some(detail)));
+    };
+    content.ok_or_else(|| {
+        let detail = format!("the body exceeds {limit} bytes or broke off");
+        (Refusal::never(Reason::TooLarge), Some(detail))
+    })
+}
+
 fn plain_failure(refusal: Refusal) -> Failure {
     (refusal, None)
 }
--- a/crates/report/src/merge.rs
+++ b/crates/report/src/merge.rs
@@ -81,6 +81,7 @@
     pub fn gaps(&self, now_ms: u64) -> Vec<Gap> {
         let mut gaps = Vec::new();
         for (process, spans) in &self.seen {
+            gaps.extend(self.first_gap(process, spans));
             gaps.extend(inner_gaps(process, spans));
             let Some(end) = spans.values().next_back().filter(|span| !span.last) else { continue };
             let quiet = self.to_ms.min(now_ms).saturating_sub(end.to_ms);
@@ -92,6 +93,21 @@
         }
         gaps
     }
+
+    // Earlier records of a process may end before the report starts; later ones must be there.
+    fn first_gap(
+        &self,
+        process: &Process,
+        spans: &collections::BTreeMap<u64, Span>,
+    ) -> Option<Gap> {
+        let (seq, first) = spans.first_key_value()?;
+        let is_missing = *seq > 0 && first.from_ms > self.from_ms;
+        is_missing.then(|| Gap {
+            process: process.clone(),
+            from_ms: self.from_ms,
+            to_ms: Some(first.from_ms),
+        })
+    }
 }
 
 fn inner_gaps(process: &Process, spans: &collections::BTreeMap<u64, Span>) -> Vec<Gap> {
--- /dev/null
+++ b/crates/report/tests/merging.rs
@@ -0,0 +1,109 @@
+//! Records count once, in any order, and missing ones are named.
+
+use std::time;
+
+use rhubarb_core::{outcome, usage};
+use rhubarb_report::{dates, merge, render};
+
+const HOUR_MS: u64 = 3_600_000;
+
+/// Records of one entry, one a minute, each with one answered request.
+fn records(entry: &str, count: u64) -> Vec<usage::Record> {
+    let mut ledger = usage::Ledger::new(entry.into(), 7, 0);
+    for minute in 1..=count {
+        let totals = ledger.totals("board", "south");
+        totals.count(outcome::Outcome::Answered, None);
+        totals.first.add(time::Duration::from_millis(minute));
+        ledger.close(minute * 60_000, minute == count);
+    }
+    let mut records = Vec::new();
+    while let Some(record) = ledger.next_record().cloned() {
+        ledger.stored(record.seq);
+        records.push(record);
+    }
+    records
+}
+
+fn report(records: impl IntoIterator<Item = usage::Record>) -> merge::Report {
+    let mut report = merge::Report::new(0, HOUR_MS);
+    for record in records {
+        report.add(record);
+    }
+    report
+}
+
+#[test]
+fn any_order_twice() {
+    let once = report(records("entry-1", 10));
+    let mut shuffled = records("entry-1", 10);
+    shuffled.extend(records("entry-1", 10));
+    shuffled.reverse();
+    assert_eq!(report(shuffled), once);
+    let (_, _, totals) = once.rows().next().unwrap();
+    assert_eq!(totals.outcomes["answered"], 10);
+}
+
+#[test]
+fn missing_record() {
+    let left = records("entry-1", 10).into_iter().filter(|record| record.seq != 4);
+    let gaps = report(left).gaps(HOUR_MS);
+    assert_eq!(gaps.len(), 1);
+    assert_eq!((gaps[0].from_ms, gaps[0].to_ms), (4 * 60_000, Some(5 * 60_000)));
+    assert_eq!(gaps[0].process.entry, "entry-1");
+}
+
+#[test]
+fn missing_first() {
+    let left = records("entry-1", 10).into_iter().filter(|record| record.seq > 1);
+    let gaps = report(left).gaps(HOUR_MS);
+    assert_eq!(gaps.len(), 1, "records before the first one are missing");
+}
+
+#[test]
+fn ended_early() {
+    let left = records("entry-1", 10).into_iter().filter(|record| !record.last);
+    let report = report(left);
+    assert_eq!(report.gaps(9 * 60_000 + 30_000).len(), 0, "the next record is not due yet");
+    let gaps = report.gaps(HOUR_MS);
+    assert_eq!((gaps[0].from_ms, gaps[0].to_ms), (9 * 60_000, None));
+}
+
+#[test]
+fn long_outage() {
+    let mut ledger = usage::Ledger::new("entry-1".into(), 7, 0);
+    for minute in 1..=2000 {
+        ledger.totals("board", "south").count(outcome::Outcome::Answered, None);
+        ledger.close(minute * 60_000, minute == 2000);
+    }
+    let mut report = merge::Report::new(0, u64::MAX);
+    let mut kept = 0;
+    while let Some(record) = ledger.next_record().cloned() {
+        ledger.stored(record.seq);
+        report.add(record);
+        kept += 1;
+    }
+    assert!(kept <= 240, "memory is bounded: {kept}");
+    assert_eq!(report.rows().next().unwrap().2.outcomes["answered"], 2000, "nothing is lost");
+    assert!(report.gaps(u64::MAX).is_empty());
+}
+
+#[test]
+fn all_forms() {
+    let report = report(records("entry-1", 3));
+    let text = render::text(&report, HOUR_MS);
+    assert!(text.starts_with("usage from 1970-01-01T00:00:00Z to 1970-01-01T01:00:00Z, 3 records"));
+    assert!(text.contains("board    south   3"), "{text}");
+    let csv = render::csv(&report, HOUR_MS);
+    assert!(csv.lines().nth(1).unwrap().starts_with("board,south,3,"), "{csv}");
+    assert_eq!(render::json(&report, HOUR_MS)["rows"][0]["totals"]["outcomes"]["answered"], 3);
+}
+
+#[test]
+fn dates_read() {
+    assert_eq!(dates::scan_date("1970-01-02"), Some(86_400_000));
+    assert_eq!(dates::scan_date("2026-12-03"), Some(1_796_256_000_000));
+    assert_eq!(dates::write_time(1_796_256_000_000), "2026-12-03T00:00:00Z");
+    for wrong in ["", "yesterday", "2026-13-01", "2026-00-10", "1969-01-01"] {
+        assert_eq!(dates::scan_date(wrong), None, "{wrong}");
+    }
+}
