--- a/crates/core/src/fair.rs
+++ b/crates/core/src/fair.rs
@@ -19,6 +19,9 @@
 #[derive(Clone, Debug, Default)]
 pub struct Fair {
     counts: collections::BTreeMap<ids::CallerName, Count>,
+    // All counts halve alike, so their sum is kept as one more count.
+    total: Option<Count>,
+    pruned_at: Option<time::Instant>,
 }
 
 // A count that halves each half-life.
@@ -34,6 +37,7 @@
 /// Requests that are always within the share, so that a few callers do not limit each other.
 const ALWAYS: f64 = 8.0;
 const FORGOTTEN: f64 = 0.05;
+const PRUNE_PERIOD: time::Duration = time::Duration::from_secs(1);
 
 impl Count {
     fn now(&self, now: time::Instant) -> f64 {
@@ -45,14 +49,23 @@
 impl Fair {
     /// Counts a request of `caller` and tells whether it is within the fair share.
     pub fn admit(&mut self, caller: &str, now: time::Instant) -> Share {
-        self.counts.retain(|_, count| count.now(now) > FORGOTTEN);
-        let total: f64 = self.counts.values().map(|count| count.now(now)).sum();
+        self.prune(now);
+        let total = self.total.map_or(0.0, |total| total.now(now));
         let mean = total / self.counts.len().max(1) as f64;
         let own = self.counts.get(caller).map_or(0.0, |count| count.now(now));
         if own + 1.0 > ALWAYS.max(FACTOR * mean) {
             return Share::Excess;
         }
         self.counts.insert(caller.to_string(), Count { amount: own + 1.0, at: now });
+        self.total = Some(Count { amount: total + 1.0, at: now });
         Share::Within
     }
+
+    fn prune(&mut self, now: time::Instant) {
+        if self.pruned_at.is_some_and(|pruned_at| now < pruned_at + PRUNE_PERIOD) {
+            return;
+        }
+        self.pruned_at = Some(now);
+        self.counts.retain(|_, count| count.now(now) > FORGOTTEN);
+    }
 }
--- a/crates/core/src/outcome.rs
+++ b/crates/core/src/outcome.rs
@@ -84,12 +84,10 @@
     NotLoaded,
     /// The caller closed its connection.
     CallerGone,
-    /// The caller read its answer too slowly.
-    SlowCaller,
 }
 
 /// All reasons, in the order of their names in reports.
-pub const REASONS: [Reason; 27] = [
+pub const REASONS: [Reason; 26] = [
     Reason::BadRequest,
     Reason::TooLarge,
     Reason::BadMethod,
@@ -116,7 +114,6 @@
     Reason::Withdrawn,
     Reason::NotLoaded,
     Reason::CallerGone,
-    Reason::SlowCaller,
 ];
 
 impl Reason {
@@ -173,7 +170,6 @@
             Reason::Withdrawn => ("withdrawn", "the attempt was withdrawn; retry as told"),
             Reason::NotLoaded => ("not-loaded", "the server is loading its model; retry as told"),
             Reason::CallerGone => ("caller-gone", "keep the connection open until the answer ends"),
-            Reason::SlowCaller => ("slow-caller", "read the answer faster"),
         }
     }
 }
--- a/crates/e2e/tests/lists.rs
+++ b/crates/e2e/tests/lists.rs
@@ -7,7 +7,7 @@
 const IN_FORCE: time::Duration = time::Duration::from_secs(6);
 
 fn edited(number: u32) -> String {
-    stack::list("10m", "60s").replace("rate = 500", &format!("rate = {}", 500 + number))
+    stack::list("10m", "60s").replace("rate = 2000", &format!("rate = {}", 2000 + number))
 }
 
 async fn in_force(stack: &stack::Stack, version: u64) {
@@ -25,7 +25,7 @@
         stack.apply(&edited(version), u64::from(version)).unwrap();
         in_force(&stack, u64::from(version) + 1).await;
     }
-    assert!(stack.ctl(&["show"]).unwrap().contains("rate = 503"));
+    assert!(stack.ctl(&["show"]).unwrap().contains("rate = 2003"));
 }
 
 #[tokio::test(flavor = "multi_thread")]
@@ -36,7 +36,7 @@
     assert!(refused.contains("exit 3"), "{refused}");
     assert!(refused.contains("version 2 is in force, not 1"), "{refused}");
     in_force(&stack, 2).await;
-    assert!(stack.ctl(&["show"]).unwrap().contains("rate = 501"));
+    assert!(stack.ctl(&["show"]).unwrap().contains("rate = 2001"));
 }
 
 #[tokio::test(flavor = "multi_thread")]
--- a/crates/entry/src/view.rs
+++ b/crates/entry/src/view.rs
@@ -24,6 +24,7 @@
     pub(crate) instances: collections::BTreeMap<ids::ServerName, instances::Instance>,
     pub(crate) read_instances: bool,
     pools: collections::BTreeMap<PoolKey, pool::Pool>,
+    candidates: collections::BTreeMap<PoolKey, Vec<subset::Candidate>>,
     members: collections::BTreeMap<ids::ServiceName, home::Members>,
     budgets: collections::BTreeMap<ids::ServiceName, budget::Budget>,
     fairs: collections::BTreeMap<ids::ServiceName, fair::Fair>,
@@ -41,6 +42,7 @@
             instances: collections::BTreeMap::new(),
             read_instances: false,
             pools: collections::BTreeMap::new(),
+            candidates: collections::BTreeMap::new(),
             members: collections::BTreeMap::new(),
             budgets: collections::BTreeMap::new(),
             fairs: collections::BTreeMap::new(),
@@ -73,6 +75,11 @@
 
     /// Takes a new instance list.
     pub(crate) fn take_instances(&mut self, seen: Vec<instances::Instance>, now: time::Instant) {
+        let is_same = seen.len() == self.instances.len()
+            && seen.iter().all(|instance| self.instances.get(&instance.name) == Some(instance));
+        if is_same && self.read_instances {
+            return;
+        }
         for instance in &seen {
             let old = self.instances.get(&instance.name);
             if old.is_some_and(|old| old.address != instance.address) {
@@ -87,8 +94,11 @@
 
     // A new address means a new process, of which nothing is known yet.
     fn forget_process(&mut self, server: &str) {
-        for pool in self.pools.values_mut() {
-            pool.remove(server);
+        for (key, pool) in &mut self.pools {
+            if pool.get(server).is_some() {
+                pool.remove(server);
+                self.candidates.remove(key);
+            }
         }
     }
 
@@ -126,14 +136,22 @@
                 zone: instance.zone.clone(),
             })
             .collect();
-        let chosen = subset::choose(&self.name, &self.zone, &candidates, self.size);
+        let key = (service.name.clone(), role);
         let fresh = || pool::Pool::new(self.zone.clone());
-        let pool = self.pools.entry((service.name.clone(), role)).or_insert_with(fresh);
-        pool.retain(|name| chosen.iter().any(|other| other == name));
-        for candidate in candidates.iter().filter(|candidate| chosen.contains(&candidate.name)) {
-            pool.add(&candidate.name, &candidate.zone);
-            if self.instances[&candidate.name].state == instances::State::Leaving {
-                pool.set_leaving(&candidate.name);
+        let pool = self.pools.entry(key.clone()).or_insert_with(fresh);
+        if self.candidates.get(&key) != Some(&candidates) {
+            let chosen = subset::choose(&self.name, &self.zone, &candidates, self.size);
+            pool.retain(|name| chosen.iter().any(|other| other == name));
+            let is_chosen = |candidate: &&subset::Candidate| chosen.contains(&candidate.name);
+            for candidate in candidates.iter().filter(is_chosen) {
+                pool.add(&candidate.name, &candidate.zone);
+            }
+            self.candidates.insert(key, candidates);
+        }
+        let names: Vec<_> = pool.names().cloned().collect();
+        for name in names {
+            if self.instances[&name].state == instances::State::Leaving {
+                pool.set_leaving(&name);
             }
         }
     }
--- a/crates/node/src/client.rs
+++ b/crates/node/src/client.rs
@@ -68,9 +68,9 @@
         let mut connector = legacy::connect::HttpConnector::new();
         connector.set_nodelay(true);
         connector.set_connect_timeout(Some(CONNECT_LIMIT));
-        let mut builder = legacy::Client::builder(rt::TokioExecutor::new());
-        // A pooled connection that was closed meanwhile must not repeat a call by itself.
-        builder.retry_canceled_requests(false);
+        // By default a call goes out again only if its pooled connection closed before any of it
+        // was written, so it still runs at most once.
+        let builder = legacy::Client::builder(rt::TokioExecutor::new());
         Client { inner: builder.build(connector) }
     }
 
