Bound what is kept in memory, ping less, and share doubled code

Cause: docs/CAPACITY.md listed memory without a bound in bytes: answers to idempotency keys, and usage records in an outage of the object store. Pings went out after 0.5 s without an order although only the agent's 2 s count.

Ruled out: to drop old answers when memory is full, since a key must find its answer for the whole window.

Change: `max_answers` bounds the bytes of kept answers; further keys are refused as records-full, not run. Usage records are merged above 20,000 rows too. Links with open runs are pinged after 1.2 s without an order, or 0.5 s without a sign of the agent. One transaction is the only way to write to the table.

Shown: once::answers_full fails without the bound, since all keys run. Seen failing on a scratch copy, one mechanism off at a time: resume (link_cut), detection of silence (link_silent, idle_link_silent), cancel of orphans (entry_killed, entry_killed_silent), wait on a stop (long_stream_ends), hand-over (stopped_in_order), hold-back (agent_killed), the platform's word on leaving (platform_says_leaving), the list pushed to agents (agent_replaced_outage), seeds (started_in_outage), reading back (answers_lost_once), the key's record (same_answer), the fencing number (fenced_server), going on from a token (decode_agent_killed). Without the repeated cancel entry_frozen still passed; cancel_lost has an engine that does not notice closed connections since.

Measured: pings by a Poisson estimate, 1.6 orders a second on each of 216 links: 155 a second before, 51 after.

Conclusion: pings take about 7.6 KB/s with 12 servers followed in a pool, still just above the limit; with 8 they fit.

--- a/crates/agent/src/agent.rs
+++ b/crates/agent/src/agent.rs
@@ -49,6 +49,8 @@
     /// Whether the table knows of this process.
     pub(crate) registered: bool,
     pub(crate) outputs: collections::BTreeMap<ids::RunId, sync::Arc<output::Output>>,
+    /// Bytes of the answers to idempotency keys in `outputs`.
+    pub(crate) kept_bytes: usize,
     pub(crate) waiting: collections::BTreeMap<ids::RunId, jobs::Waiting>,
     /// Live links to entries.
     pub(crate) links: collections::BTreeMap<u64, jobs::Sender>,
@@ -112,6 +114,7 @@
             fence: 0,
             registered: false,
             outputs: collections::BTreeMap::new(),
+            kept_bytes: 0,
             waiting: collections::BTreeMap::new(),
             links: collections::BTreeMap::new(),
             tasks: collections::BTreeMap::new(),
@@ -173,6 +176,20 @@
         list.services.values().find(|service| service.role(server).is_some()).cloned()
     }
 
+    /// Drops the answer of a run whose record is gone.
+    pub(crate) fn drop_output(&mut self, run: ids::RunId) {
+        if let Some(output) = self.outputs.remove(&run) {
+            self.kept_bytes -= output.kept_bytes();
+        }
+    }
+
+    /// Counts the answer of a run as kept for its key.
+    pub(crate) fn keep_output(&mut self, run: ids::RunId) {
+        if let Some(output) = self.outputs.get(&run) {
+            self.kept_bytes += output.keep();
+        }
+    }
+
     /// Whether nothing runs and nothing waits.
     pub(crate) fn is_idle(&self) -> bool {
         self.gate.open_runs() == 0
--- a/crates/agent/src/jobs.rs
+++ b/crates/agent/src/jobs.rs
@@ -109,6 +109,10 @@
         gate::Verdict::Answered(old) => return Admission::Replay(old),
         gate::Verdict::Refuse(refusal) => return Admission::Refuse(refusal),
     }
+    if offer.key.is_some() && state.kept_bytes >= agent.settings.max_answers {
+        state.gate.withdraw(offer.run, now);
+        return Admission::Refuse(Refusal::not_run(Reason::RecordsFull, RETRY_SOON));
+    }
     match ask_room(agent, &mut state, job, offer.start_by) {
         rooms::Answer::Granted => Admission::Go,
         rooms::Answer::Queued => Admission::Wait,
@@ -304,10 +308,15 @@
     state.rooms.release(run, now);
     let output = state.outputs.get(&run).cloned();
     match result {
-        Ok(()) => state.gate.finish(run, true, now),
+        Ok(()) => {
+            state.gate.finish(run, true, now);
+            if state.gate.has_key(run) {
+                state.keep_output(run);
+            }
+        }
         Err(refusal) if refusal.outcome == outcome::Outcome::NotRun => {
             state.gate.undo(run, now);
-            state.outputs.remove(&run);
+            state.drop_output(run);
         }
         Err(_) => state.gate.finish(run, false, now),
     }
--- a/crates/agent/src/main.rs
+++ b/crates/agent/src/main.rs
@@ -1,31 +1,11 @@
 //! Runs the gate beside one backend server.
 
-use bpaf::Parser;
-
 use rhubarb_agent::settings;
-use rhubarb_node::logs;
-
-struct Options {
-    settings: String,
-    check: bool,
-}
-
-fn options() -> bpaf::OptionParser<Options> {
-    let settings = bpaf::long("settings").help("Settings file").argument::<String>("FILE");
-    let check = bpaf::long("check").help("Check the settings and exit").switch();
-    bpaf::construct!(Options { settings, check })
-        .to_options()
-        .descr("Gate beside one backend server")
-        .version(env!("CARGO_PKG_VERSION"))
-}
+use rhubarb_node::{command, logs};
 
 fn main() -> anyhow::Result<()> {
-    let options = options().run();
+    let options = command::read_options("Gate beside one backend server");
     let settings = settings::load(&options.settings)?;
-    if options.check {
-        println!("{}: no mistakes", options.settings);
-        return Ok(());
-    }
     logs::start(settings.log);
-    tokio::runtime::Runtime::new()?.block_on(rhubarb_agent::run(settings))
+    command::run(&options, rhubarb_agent::run(settings))
 }
--- a/crates/agent/src/output.rs
+++ b/crates/agent/src/output.rs
@@ -20,6 +20,8 @@
     head: Option<(u16, Vec<offer::Header>)>,
     bytes: Vec<u8>,
     end: Option<End>,
+    // Bytes that are counted as kept for an idempotency key.
+    kept: usize,
 }
 
 /// End of an answer.
@@ -45,7 +47,7 @@
     pub(crate) fn restored(status: u16, headers: Vec<offer::Header>, bytes: Vec<u8>) -> Output {
         let (changed, _) = watch::channel(());
         let head = Some((status, headers));
-        let buffer = Buffer { head, bytes, end: Some(End::Whole) };
+        let buffer = Buffer { head, bytes, end: Some(End::Whole), kept: 0 };
         Output { buffer: sync::Mutex::new(buffer), changed }
     }
 
@@ -72,6 +74,18 @@
         self.changed.send_replace(());
     }
 
+    /// Marks the answer as kept for its key and returns its size.
+    pub(crate) fn keep(&self) -> usize {
+        let mut buffer = self.lock();
+        buffer.kept = buffer.bytes.len();
+        buffer.kept
+    }
+
+    /// Bytes that are counted as kept.
+    pub(crate) fn kept_bytes(&self) -> usize {
+        self.lock().kept
+    }
+
     /// Status, headers and bytes of a whole answer.
     pub(crate) fn whole(&self) -> Option<(u16, Vec<offer::Header>, Vec<u8>)> {
         let buffer = self.lock();
--- a/crates/agent/src/settings.rs
+++ b/crates/agent/src/settings.rs
@@ -25,6 +25,8 @@
     pub queue: usize,
     /// Most idempotency keys remembered.
     pub max_keys: usize,
+    /// Most bytes of answers to idempotency keys kept.
+    pub max_answers: usize,
     /// Longest time to drain on a stop.
     pub drain: time::Duration,
     /// Time after a stop signal during which entries learn that the agent leaves.
@@ -40,6 +42,7 @@
 const PREFILLS: u32 = 2;
 const QUEUE: usize = 64;
 const MAX_KEYS: usize = 100_000;
+const MAX_ANSWERS: usize = 64 * 1024 * 1024;
 const DRAIN: time::Duration = time::Duration::from_secs(120);
 const NOTICE: time::Duration = time::Duration::from_millis(1500);
 
@@ -70,6 +73,7 @@
     let prefills = section.parsed("prefills", PREFILLS, whole);
     let queue = section.parsed("queue", QUEUE, whole);
     let max_keys = section.parsed("max_keys", MAX_KEYS, whole);
+    let max_answers = section.parsed("max_answers", MAX_ANSWERS, whole);
     let drain = section.duration("drain", DRAIN);
     let notice = section.duration("notice", NOTICE);
     let keys = control::read_keys(&mut section);
@@ -87,6 +91,7 @@
         prefills,
         queue,
         max_keys,
+        max_answers,
         drain,
         notice,
         keys,
--- a/crates/agent/src/slot.rs
+++ b/crates/agent/src/slot.rs
@@ -105,6 +105,7 @@
     for answer in parcel.answers {
         let output = output::Output::restored(answer.status, answer.headers, answer.bytes);
         state.outputs.insert(answer.run, sync::Arc::new(output));
+        state.keep_output(answer.run);
     }
 }
 
--- a/crates/agent/src/sweep.rs
+++ b/crates/agent/src/sweep.rs
@@ -35,7 +35,7 @@
     loop {
         let mut state = agent.lock();
         let Some(run) = state.gate.next_expired(now) else { break };
-        state.outputs.remove(&run);
+        state.drop_output(run);
     }
     jobs::grant(agent);
     let state = agent.lock();
--- a/crates/bench/src/frame.rs
+++ b/crates/bench/src/frame.rs
@@ -90,6 +90,17 @@
     Cancels,
 }
 
+/// All that goes wrong.
+pub const FAULTS: [Fault; 7] = [
+    Fault::DecodeDies,
+    Fault::Freeze,
+    Fault::ZoneSilent,
+    Fault::LinkStalls,
+    Fault::SlowEngine,
+    Fault::LateReports,
+    Fault::Cancels,
+];
+
 /// One cell of the table.
 #[derive(Clone, Debug)]
 pub struct Run {
--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -18,16 +18,6 @@
 }
 
 const LOADS: [f64; 5] = [0.5, 0.9, 1.0, 1.2, 2.0];
-const FAULTS: [frame::Fault; 7] = [
-    frame::Fault::DecodeDies,
-    frame::Fault::Freeze,
-    frame::Fault::ZoneSilent,
-    frame::Fault::LinkStalls,
-    frame::Fault::SlowEngine,
-    frame::Fault::LateReports,
-    frame::Fault::Cancels,
-];
-
 fn runs(options: &Options) -> Vec<frame::Run> {
     let mut runs = Vec::new();
     for fleet in [frame::laine_sahel(), frame::compas_nautico()] {
@@ -37,7 +27,7 @@
         for shape in [frame::Shape::Burst, frame::Shape::Greedy] {
             runs.push(frame::Run { shape, ..frame::Run::new(fleet.clone(), 0.9) });
         }
-        let faults = if options.faults { &FAULTS[..] } else { &[] };
+        let faults = if options.faults { &frame::FAULTS[..] } else { &[] };
         for fault in faults {
             runs.push(frame::Run { fault: *fault, ..frame::Run::new(fleet.clone(), 0.9) });
         }
--- a/crates/bench/tests/bounds.rs
+++ b/crates/bench/tests/bounds.rs
@@ -39,17 +39,8 @@
 
 #[test]
 fn waste_in_faults() {
-    let faults = [
-        frame::Fault::DecodeDies,
-        frame::Fault::Freeze,
-        frame::Fault::ZoneSilent,
-        frame::Fault::LinkStalls,
-        frame::Fault::SlowEngine,
-        frame::Fault::LateReports,
-        frame::Fault::Cancels,
-    ];
     for fleet in fleets() {
-        for fault in faults {
+        for fault in frame::FAULTS {
             let wasted = latest(&frame::Run { fault, ..run(&fleet, 0.9) }).wasted;
             assert!(wasted < WASTE_IN_FAULTS, "{} {fault:?}: {wasted}", fleet.name);
         }
--- a/crates/core/src/gate.rs
+++ b/crates/core/src/gate.rs
@@ -415,6 +415,11 @@
         self.runs.get(&run).map(|record| record.progress)
     }
 
+    /// Whether `run` runs an idempotency key.
+    pub fn has_key(&self, run: ids::RunId) -> bool {
+        self.runs.get(&run).is_some_and(|record| record.key.is_some())
+    }
+
     /// Whether `run` may be cancelled when its caller is gone.
     pub fn is_cancellable(&self, run: ids::RunId) -> bool {
         self.runs.get(&run).is_some_and(|record| record.cancellable)
--- a/crates/core/src/usage.rs
+++ b/crates/core/src/usage.rs
@@ -149,8 +149,10 @@
     pending: collections::VecDeque<Record>,
 }
 
-/// Records kept while the object store is away; older ones are merged beyond that.
+/// Records kept while the object store is away; beyond that the newest two become one.
 const MAX_PENDING: usize = 240;
+/// Rows of all records kept, of about 1.2 KB each; one record for each caller remains.
+const MAX_PENDING_ROWS: usize = 20_000;
 
 impl Ledger {
     /// Starts a ledger at `now_ms` milliseconds since 1970.
@@ -194,7 +196,9 @@
     // The newest two records become one, which keeps every total and loses only resolution.
     // The front record may be on its way to the store, so it is never touched.
     fn shrink(&mut self) {
-        if self.pending.len() <= MAX_PENDING {
+        let rows: usize = self.pending.iter().map(|record| record.rows.len()).sum();
+        let is_small = self.pending.len() <= MAX_PENDING && rows <= MAX_PENDING_ROWS;
+        if is_small || self.pending.len() <= 2 {
             return;
         }
         let (Some(newest), Some(before)) = (self.pending.pop_back(), self.pending.back_mut())
--- a/crates/ctl/src/main.rs
+++ b/crates/ctl/src/main.rs
@@ -29,49 +29,12 @@
     bpaf::long("settings").help("Settings file").argument::<String>("FILE")
 }
 
-fn options() -> bpaf::OptionParser<Options> {
-    let file = || bpaf::positional::<String>("LIST").help("Service list");
-    let check = {
-        let file = file();
-        bpaf::construct!(Command::Check { file })
-    };
-    let check = check.to_options().descr("Check a service list").command("check");
-    let apply = {
-        let settings = settings_option();
-        let expect = bpaf::long("expect")
-            .help("Version that the list in force must have; 0 for none")
-            .argument::<u64>("VERSION");
-        let file = file();
-        bpaf::construct!(Command::Apply { settings, expect, file })
-    };
-    let apply = apply.to_options().descr("Put a service list in force").command("apply");
-    let show = {
-        let settings = settings_option();
-        bpaf::construct!(Command::Show { settings })
-    };
-    let show = show.to_options().descr("Show the list in force").command("show");
-    let status = {
-        let settings = settings_option();
-        bpaf::construct!(Command::Status { settings })
-    };
-    let status = status.to_options().descr("Show all instances").command("status");
-    let drain = {
-        let settings = settings_option();
-        let at = bpaf::long("at")
-            .help("URL of the instance, for when the platform is away")
-            .argument::<String>("URL")
-            .optional();
-        let name = bpaf::positional::<String>("INSTANCE").help("Name of the instance");
-        bpaf::construct!(Command::Drain { settings, at, name })
-    };
-    let drain = drain.to_options().descr("Let an instance take no new work").command("drain");
-    let digest = {
-        let key = bpaf::positional::<String>("KEY").help("Caller key");
-        bpaf::construct!(Command::Digest { key })
-    };
-    let digest = digest.to_options().descr("Print a caller key's digest").command("digest");
-    let command = bpaf::construct!([check, apply, show, status, drain, digest]);
-    let json = bpaf::long("format")
+fn list_file() -> impl Parser<String> {
+    bpaf::positional::<String>("LIST").help("Service list")
+}
+
+fn form() -> impl Parser<bool> {
+    bpaf::long("format")
         .help("Form of the output: text or json")
         .argument::<String>("FORM")
         .parse(|form| match form.as_str() {
@@ -79,8 +42,65 @@
             "json" => Ok(true),
             _ => Err("give text or json"),
         })
-        .fallback(false);
-    bpaf::construct!(Options { json, command })
+        .fallback(false)
+}
+
+fn command(
+    name: &'static str,
+    description: &'static str,
+    command: impl Parser<Command> + 'static,
+) -> impl Parser<Options> {
+    let json = form();
+    bpaf::construct!(Options { json, command }).to_options().descr(description).command(name)
+}
+
+fn check() -> impl Parser<Command> {
+    let file = list_file();
+    bpaf::construct!(Command::Check { file })
+}
+
+fn apply() -> impl Parser<Command> {
+    let settings = settings_option();
+    let expect = bpaf::long("expect")
+        .help("Version that the list in force must have; 0 for none")
+        .argument::<u64>("VERSION");
+    let file = list_file();
+    bpaf::construct!(Command::Apply { settings, expect, file })
+}
+
+fn show() -> impl Parser<Command> {
+    let settings = settings_option();
+    bpaf::construct!(Command::Show { settings })
+}
+
+fn status() -> impl Parser<Command> {
+    let settings = settings_option();
+    bpaf::construct!(Command::Status { settings })
+}
+
+fn drain() -> impl Parser<Command> {
+    let settings = settings_option();
+    let at = bpaf::long("at")
+        .help("URL of the instance, for when the platform is away")
+        .argument::<String>("URL")
+        .optional();
+    let name = bpaf::positional::<String>("INSTANCE").help("Name of the instance");
+    bpaf::construct!(Command::Drain { settings, at, name })
+}
+
+fn digest() -> impl Parser<Command> {
+    let key = bpaf::positional::<String>("KEY").help("Caller key");
+    bpaf::construct!(Command::Digest { key })
+}
+
+fn options() -> bpaf::OptionParser<Options> {
+    let check = command("check", "Check a service list", check());
+    let apply = command("apply", "Put a service list in force", apply());
+    let show = command("show", "Show the list in force", show());
+    let status = command("status", "Show all instances", status());
+    let drain = command("drain", "Let an instance take no new work", drain());
+    let digest = command("digest", "Print a caller key's digest", digest());
+    bpaf::construct!([check, apply, show, status, drain, digest])
         .to_options()
         .descr("Operates a rhubarbloom deployment")
         .footer("Exit codes: 0 done, 1 mistakes in the input, 3 another version, 4 no answer")
--- a/crates/e2e/src/stack.rs
+++ b/crates/e2e/src/stack.rs
@@ -21,11 +21,19 @@
     pub relays: bool,
     /// Time between two usage records.
     pub flush: String,
+    /// Most bytes of answers that an agent keeps.
+    pub answers: usize,
 }
 
 impl Default for Plan {
     fn default() -> Plan {
-        Plan { entries: 2, list: list("10m", "60s"), relays: false, flush: "1s".to_string() }
+        Plan {
+            entries: 2,
+            list: list("10m", "60s"),
+            relays: false,
+            flush: "1s".to_string(),
+            answers: 1 << 20,
+        }
     }
 }
 
@@ -152,6 +160,7 @@
         let kind = if server.starts_with("yard") { "plain" } else { "engine" };
         let zone = zone_of(server);
         let engine = format!("http://{}/{kind}/{server}", self.fakes.http);
+        let answers = self.plan.answers.to_string();
         let settings = self.settings(
             include_str!("../../../examples/agent.ini"),
             &[
@@ -161,6 +170,7 @@
                 ("http", "127.0.0.1:0"),
                 ("engine", &engine),
                 ("notice", "300ms"),
+                ("max_answers", &answers),
             ],
         );
         let path = self.write(&format!("{server}.ini"), &settings)?;
--- a/crates/e2e/tests/once.rs
+++ b/crates/e2e/tests/once.rs
@@ -121,6 +121,28 @@
     assert_eq!(stack.runs(&key).await, 1);
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn answers_full() {
+    let plan = stack::Plan { answers: 300, ..stack::Plan::default() };
+    let stack = stack::Stack::start(plan).await.unwrap();
+    let first = stack.key_at("yard-1", "first");
+    let mut keys = (0..9).map(|number| stack.key_at("yard-1", &format!("more-{number}")));
+    assert_eq!(stack.caller(0).confirm(&first).await.unwrap().status, 200);
+    let refused = loop {
+        let key = keys.next().expect("the answers do not fit");
+        let reply = stack.caller(0).confirm(&key).await.unwrap();
+        if reply.status != 200 {
+            break (key, reply);
+        }
+    };
+    let (key, reply) = refused;
+    assert_eq!((reply.reason().as_str(), reply.outcome()), ("records-full", Some("not-run")));
+    assert_eq!(stack.runs(&key).await, 0);
+    assert_eq!(stack.caller(1).confirm(&first).await.unwrap().status, 200, "still answered");
+    let other = stack.caller(0).call(hyper::Method::GET, "/yard-app/x", &[], "").await.unwrap();
+    assert_eq!(other.status, 200, "calls without a key go on");
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn table_down() {
     let stack = stack::Stack::start(short_window()).await.unwrap();
--- a/crates/entry/src/peer.rs
+++ b/crates/entry/src/peer.rs
@@ -76,8 +76,10 @@
 
 const CONNECT_LIMIT: time::Duration = time::Duration::from_secs(1);
 const TICK: time::Duration = time::Duration::from_millis(100);
-/// A link with open runs is pinged when the agent was not heard, or sent nothing, for this long.
-const PING_QUIET: time::Duration = time::Duration::from_millis(500);
+/// A link with open runs is pinged when the agent was not heard for this long.
+const PING_UNHEARD: time::Duration = time::Duration::from_millis(500);
+/// And when nothing was sent for this long, since the agent gives up after 2 s of silence.
+const PING_UNSENT: time::Duration = time::Duration::from_millis(1200);
 /// A link without open runs is pinged this often.
 const PING_IDLE: time::Duration = time::Duration::from_secs(20);
 /// A link on which the agent was heard in this time is used without a probe.
@@ -209,9 +211,10 @@
     }
 
     fn is_ping_due(&self, has_runs: bool, now: time::Instant) -> bool {
-        let quiet = if has_runs { PING_QUIET } else { PING_IDLE };
-        let oldest = self.heard_at.min(self.sent_at);
-        self.due_at.is_none() && now >= oldest + quiet
+        let (unheard, unsent) =
+            if has_runs { (PING_UNHEARD, PING_UNSENT) } else { (PING_IDLE, PING_IDLE) };
+        let is_quiet = now >= self.heard_at + unheard || now >= self.sent_at + unsent;
+        self.due_at.is_none() && is_quiet
     }
 
     fn is_silent(&self, now: time::Instant) -> bool {
--- a/crates/fakes/src/routes.rs
+++ b/crates/fakes/src/routes.rs
@@ -112,7 +112,7 @@
         content: Bytes,
     ) -> Reply {
         match area {
-            "table" => self.table.call(&head.method, key, &head.headers, &content),
+            "table" => self.table.call(&head.method, key, &content),
             "objects" => {
                 let query = head.uri.query().unwrap_or_default();
                 self.objects.call(&head.method, key, query, content)
--- a/crates/fakes/src/table.rs
+++ b/crates/fakes/src/table.rs
@@ -3,7 +3,7 @@
 use std::{collections, sync, time};
 
 use bytes::Bytes;
-use hyper::{HeaderMap, Method, Response, StatusCode, header};
+use hyper::{Method, Response, StatusCode};
 use serde::Deserialize;
 use serde_json::json;
 
@@ -35,36 +35,19 @@
 const WRITES_A_SECOND: u32 = 400;
 
 impl Table {
-    /// Answers a call for the row `key`; an empty key names a transaction.
-    pub fn call(
-        &self,
-        method: &Method,
-        key: &str,
-        headers: &HeaderMap,
-        body: &Bytes,
-    ) -> Response<answer::Body> {
+    /// Answers a read of the row `key`, or a transaction.
+    pub fn call(&self, method: &Method, key: &str, body: &Bytes) -> Response<answer::Body> {
         let mut state = locks::lock(&self.state);
         if !state.admit(method) {
             return answer::text(StatusCode::TOO_MANY_REQUESTS, "over the table's rate");
         }
-        match (method, key) {
-            (&Method::GET, _) => state.read(key),
-            (&Method::PUT, _) => {
-                let number = |name| headers.get(name)?.to_str().ok()?.parse().ok();
-                let write_id = headers.get("write-id").and_then(|id| id.to_str().ok());
-                let write = Write {
-                    key: key.to_string(),
-                    expected: number(header::IF_MATCH).unwrap_or(0),
-                    write_id: write_id.unwrap_or_default().to_string(),
-                    value: String::from_utf8_lossy(body).into_owned(),
-                };
-                state.write_all(vec![write])
-            }
-            (&Method::POST, "") => match serde_json::from_slice(body) {
+        match *method {
+            Method::GET => state.read(key),
+            Method::POST => match serde_json::from_slice(body) {
                 Ok(writes) => state.write_all(writes),
                 Err(err) => answer::text(StatusCode::BAD_REQUEST, err.to_string()),
             },
-            _ => answer::text(StatusCode::METHOD_NOT_ALLOWED, "use GET, PUT or POST"),
+            _ => answer::text(StatusCode::METHOD_NOT_ALLOWED, "use GET or POST"),
         }
     }
 }
@@ -102,16 +85,10 @@
                 return answer::json(StatusCode::PRECONDITION_FAILED, &found);
             }
         }
-        let mut last = None;
         for write in writes {
-            let row = table::Row {
-                version: write.expected + 1,
-                write_id: write.write_id,
-                value: write.value,
-            };
-            self.rows.insert(write.key, row.clone());
-            last = Some(row);
+            let Write { key, expected, write_id, value } = write;
+            self.rows.insert(key, table::Row { version: expected + 1, write_id, value });
         }
-        answer::json(StatusCode::OK, &json!(last))
+        answer::text(StatusCode::OK, "written")
     }
 }
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod answer;
 pub mod client;
 pub mod clock;
+pub mod command;
 pub mod control;
 pub mod editions;
 pub mod instances;
--- a/crates/node/src/table.rs
+++ b/crates/node/src/table.rs
@@ -2,7 +2,7 @@
 
 use std::time;
 
-use hyper::{Method, StatusCode, header};
+use hyper::StatusCode;
 use serde::{Deserialize, Serialize};
 
 use crate::{client, platform};
@@ -50,7 +50,6 @@
 }
 
 const LIMIT: time::Duration = time::Duration::from_secs(2);
-const WRITE_ID: &str = "write-id";
 
 impl Table {
     /// Makes a client for the service at `url`.
@@ -103,9 +102,6 @@
 
     /// Writes a row if it has version `expected`, where 0 means that it is absent.
     ///
-    /// A lost answer is settled by reading the row back: it holds `write_id` if the write took
-    /// effect and nothing was written since.
-    ///
     /// # Errors
     /// Returns an error while the service is away; the write may then have taken effect.
     pub async fn write(
@@ -115,40 +111,13 @@
         write_id: &str,
         value: &str,
     ) -> Result<Written, PlatformError> {
-        match self.write_once(key, expected, write_id, value).await {
-            Ok(written) => Ok(written),
-            Err(err) => {
-                let write = Write {
-                    key: key.to_string(),
-                    expected,
-                    write_id: write_id.to_string(),
-                    value: String::new(),
-                };
-                self.settle_away(&write, err).await
-            }
-        }
-    }
-
-    async fn write_once(
-        &self,
-        key: &str,
-        expected: u64,
-        write_id: &str,
-        value: &str,
-    ) -> Result<Written, PlatformError> {
-        let url = format!("{}/{key}", self.url);
-        let mut request = client::request(Method::PUT, &url, value.to_string().into())?;
-        let headers = request.headers_mut();
-        headers.insert(header::IF_MATCH, header::HeaderValue::from(expected));
-        let id = header::HeaderValue::from_str(write_id);
-        let id = id.map_err(|err| PlatformError::Protocol(err.to_string()))?;
-        headers.insert(WRITE_ID, id);
-        let reply = self.client.fetch(request, LIMIT).await?;
-        match reply.status {
-            StatusCode::OK => Ok(Written::Done(platform::read_json::<Row>(&reply)?.version)),
-            StatusCode::PRECONDITION_FAILED => self.settle(key, write_id).await,
-            _ => Err(platform::unexpected(&reply)),
-        }
+        let write = Write {
+            key: key.to_string(),
+            expected,
+            write_id: write_id.to_string(),
+            value: value.to_string(),
+        };
+        self.commit(&[write]).await
     }
 
     // A conflict can be with this very write, sent again after its answer was lost.
