Split files that had grown and share what stood twice

Cause: four files of 450 to 770 lines had more than one job; entry's two drivers chose and judged servers in the same way; prompt tokens whose caller left were counted as withdrawn.

Change: connections are dialled in dial.rs and kept in keeper.rs; what a server may trust is an aggregate of its own beside the gate; both drivers place attempts by placing.rs; the caller's side of a model request is teller.rs; the bench's events and servers have files. A caller that leaves is named as the reason.

Ruled out: to split the bench's event loop, which is one match and its steps.

--- a/crates/agent/src/slot.rs
+++ b/crates/agent/src/slot.rs
@@ -4,7 +4,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use rhubarb_core::gate;
+use rhubarb_core::handover;
 use rhubarb_node::{clock, platform, table};
 use rhubarb_wire::offer;
 
@@ -20,7 +20,7 @@
 /// Key records of a process that stopped in order.
 #[derive(Debug, Serialize, Deserialize)]
 struct Parcel {
-    handover: gate::Handover,
+    handover: handover::Handover,
     answers: Vec<Answer>,
     at_ms: u64,
 }
--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -13,9 +13,11 @@
 //! ```
 
 mod engine;
+mod event;
 pub mod frame;
 pub mod policy;
 mod random;
 mod request;
 pub mod score;
+mod server;
 pub mod world;
--- a/crates/bench/src/world.rs
+++ b/crates/bench/src/world.rs
@@ -4,7 +4,10 @@
 
 use rhubarb_core::{budget, fair, flow, ids, load, outcome, pace, pool, rooms};
 
-use crate::{engine, frame, policy, random, request, score};
+use crate::{engine, event, frame, policy, random, request, score, server};
+
+use event::{Event, LoadKey, Tag};
+use server::{Entry, Server, least_reported, make_pool};
 
 use outcome::{Reason, Refusal};
 
@@ -17,73 +20,11 @@
 const LOST_AFTER: time::Duration = time::Duration::from_millis(3300);
 /// Time until an attempt to reach a silent server fails.
 const CONNECT_LIMIT: time::Duration = time::Duration::from_secs(1);
-/// Three reports missed.
-const SUSPECT_AFTER: time::Duration = time::Duration::from_millis(3200);
 const FAULT_TIME: time::Duration = time::Duration::from_secs(10);
 /// Time after the last arrival in which requests may end.
 const TAIL: time::Duration = time::Duration::from_secs(40);
 const RETRY_SOON: time::Duration = time::Duration::from_secs(1);
 
-#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
-enum Event {
-    Arrive(usize),
-    Leave(usize),
-    AskRoom { tag: Tag, server: usize },
-    Granted { tag: Tag },
-    AskPrefill { tag: Tag, server: usize },
-    PrefillEnds { tag: Tag, server: usize },
-    Prefilled { tag: Tag },
-    AskDecode { tag: Tag, server: usize, done_ms: u64 },
-    TransferEnds { tag: Tag, server: usize },
-    EngineStep { server: usize },
-    Ended { tag: Tag },
-    Refused { tag: Tag, at_prefill: bool, reason: Reason, ran: bool },
-    Cancel { tag: Tag, server: usize },
-    Report { entry: usize, server: usize },
-    Heard { entry: usize, server: usize, load: LoadKey },
-    Sweep { server: usize },
-    FaultStarts,
-    FaultEnds,
-}
-
-// Load in an ordered form, since events are ordered.
-type LoadKey = (u32, u32, u32, u32);
-
-/// A request and its attempt.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-struct Tag {
-    request: usize,
-    attempt: u64,
-}
-
-impl Tag {
-    fn run(self) -> ids::RunId {
-        ids::run_id(self.request as u64, self.attempt)
-    }
-}
-
-#[derive(Debug)]
-struct Server {
-    name: ids::ServerName,
-    zone: usize,
-    rooms: rooms::Rooms,
-    engine: engine::Engine,
-    pace: pace::Pace,
-    waiting: collections::BTreeMap<ids::RunId, Tag>,
-    // Prefill results or reservations by run.
-    done_at: collections::BTreeMap<ids::RunId, time::Instant>,
-    dead: bool,
-    silent: bool,
-}
-
-struct Entry {
-    prefills: pool::Pool,
-    decodes: pool::Pool,
-    budget: budget::Budget,
-    fair: fair::Fair,
-    turn: usize,
-}
-
 struct World<'a> {
     run: &'a frame::Run,
     policy: &'a policy::Policy,
@@ -115,16 +56,6 @@
     world.tally.finish(time::Duration::from_secs(run.seconds), held)
 }
 
-impl Server {
-    fn held(&self, now: time::Instant) -> u32 {
-        self.rooms.load(now).held
-    }
-
-    fn is_there(&self) -> bool {
-        !self.dead && !self.silent
-    }
-}
-
 impl<'a> World<'a> {
     fn new(run: &'a frame::Run, policy: &'a policy::Policy) -> World<'a> {
         let start = time::Instant::now();
@@ -740,26 +671,3 @@
         }
     }
 }
-
-fn make_pool(zone: usize, servers: &[Server], policy: &policy::Policy) -> pool::Pool {
-    let tuning = pool::Tuning {
-        suspect_after: policy.judge.then_some(SUSPECT_AFTER),
-        growing: policy.judge,
-    };
-    let mut pool = pool::Pool::new(format!("zone-{zone}"));
-    pool.set_tuning(tuning);
-    for server in servers {
-        pool.add(&server.name, &format!("zone-{}", server.zone));
-    }
-    pool
-}
-
-fn least_reported(pool: &pool::Pool, random: u64) -> Option<ids::ServerName> {
-    let names: Vec<_> = pool.names().collect();
-    let offset = random as usize % names.len().max(1);
-    let turned = names[offset..].iter().chain(&names[..offset]);
-    let load = |name: &ids::ServerName| {
-        pool.get(name).map_or(0, |server| server.load.held + server.load.waiting)
-    };
-    turned.min_by_key(|name| load(name)).map(|name| name.to_string())
-}
--- a/crates/core/src/gate.rs
+++ b/crates/core/src/gate.rs
@@ -2,9 +2,7 @@
 
 use std::{collections, time};
 
-use serde::{Deserialize, Serialize};
-
-use crate::{home, ids, outcome};
+use crate::{handover, ids, outcome, trust};
 
 use outcome::{Reason, Refusal};
 
@@ -69,28 +67,6 @@
     pub cancellable: bool,
 }
 
-/// A key record on its way to the next process of the same server.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct KeyRecord {
-    /// Idempotency key.
-    pub key: ids::KeyHash,
-    /// Run that ran the key.
-    pub run: ids::RunId,
-    /// Whether its whole answer is stored.
-    pub whole: bool,
-    /// Age of the end of the run in milliseconds.
-    pub age_ms: u64,
-}
-
-/// What a process that stops in order leaves to the next one of the same server.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Handover {
-    /// Key records of ended runs.
-    pub records: Vec<KeyRecord>,
-    /// Window of the gate that left them, in milliseconds.
-    pub window_ms: u64,
-}
-
 #[derive(Clone, Debug)]
 struct Run {
     key: Option<ids::KeyHash>,
@@ -110,7 +86,6 @@
 /// only if no earlier process of this server, and no other server, can have run it.
 #[derive(Clone, Debug)]
 pub struct Gate {
-    server: ids::ServerName,
     limits: Limits,
     runs: collections::BTreeMap<ids::RunId, Run>,
     keys: collections::BTreeMap<ids::KeyHash, ids::RunId>,
@@ -120,12 +95,7 @@
     lost: collections::BTreeSet<Due>,
     ended: collections::BTreeSet<Due>,
     ended_keys: collections::BTreeSet<Due>,
-    members: home::Members,
-    // Keys may have run out of this gate's sight until then.
-    unsure_until: Option<time::Instant>,
-    ticked: time::Instant,
-    // The platform's list lags, so absence counts only after presence.
-    seen_live: bool,
+    trust: trust::Trust,
     leaving: bool,
 }
 
@@ -135,7 +105,6 @@
     /// Opens a gate whose memory starts at `now`: unknown keys are held back for the window.
     pub fn new(server: ids::ServerName, limits: Limits, now: time::Instant) -> Gate {
         Gate {
-            server,
             limits,
             runs: collections::BTreeMap::new(),
             keys: collections::BTreeMap::new(),
@@ -144,27 +113,19 @@
             lost: collections::BTreeSet::new(),
             ended: collections::BTreeSet::new(),
             ended_keys: collections::BTreeSet::new(),
-            members: home::Members::default(),
-            unsure_until: Some(now),
-            ticked: now,
-            seen_live: false,
+            trust: trust::Trust::new(server, now),
             leaving: false,
         }
     }
 
     /// Declares that no earlier process of this server can have run a key.
     pub fn trust_memory(&mut self) {
-        self.unsure_until = None;
-    }
-
-    /// Declares that keys may have run elsewhere until now.
-    pub fn distrust_memory(&mut self, now: time::Instant) {
-        self.unsure_until = self.unsure_until.max(Some(now));
+        self.trust.trust();
     }
 
     /// Notes that the server joined its service `ago`, when others had run keys for it before.
     pub fn join(&mut self, ago: time::Duration, now: time::Instant) {
-        self.unsure_until = self.unsure_until.max(now.checked_sub(ago));
+        self.trust.join(ago, now);
     }
 
     /// Changes the time for which records are kept and unknown keys held back.
@@ -174,28 +135,37 @@
 
     /// Time until unknown keys are accepted; zero if they are now.
     pub fn held_back(&self, now: time::Instant) -> time::Duration {
-        let until = self.unsure_until.map(|until| until + self.limits.window);
-        until.map_or(time::Duration::ZERO, |until| until.saturating_duration_since(now))
+        self.trust.held_back(self.limits.window, now)
     }
 
     /// What the next process of this server needs; `None` while this gate is unsure itself.
-    pub fn export(&self, now: time::Instant) -> Option<Handover> {
+    pub fn export(&self, now: time::Instant) -> Option<handover::Handover> {
         let ended = self.keys.iter().filter_map(|(key, run)| {
             let record = &self.runs[run];
             let age = now.saturating_duration_since(record.ended_at?);
             let whole = record.progress == Progress::Whole;
-            Some(KeyRecord { key: *key, run: *run, whole, age_ms: age.as_millis() as u64 })
+            Some(handover::KeyRecord {
+                key: *key,
+                run: *run,
+                whole,
+                age_ms: age.as_millis() as u64,
+            })
         });
         let window_ms = self.limits.window.as_millis() as u64;
         let is_sure = self.held_back(now).is_zero();
-        is_sure.then(|| Handover { records: ended.collect(), window_ms })
+        is_sure.then(|| handover::Handover { records: ended.collect(), window_ms })
     }
 
     /// Takes over from the process before, which stopped in order `away` ago.
     ///
     /// After half the window the memory is not trusted: other servers may have been told that
     /// this one is gone, and run its keys.
-    pub fn import(&mut self, handover: &Handover, away: time::Duration, now: time::Instant) {
+    pub fn import(
+        &mut self,
+        handover: &handover::Handover,
+        away: time::Duration,
+        now: time::Instant,
+    ) {
         let window = self.limits.window.min(time::Duration::from_millis(handover.window_ms));
         if away < window / 2 {
             self.trust_memory();
@@ -224,20 +194,12 @@
         is_gone: impl Fn(&str) -> bool,
         now: time::Instant,
     ) {
-        if !is_gone(&self.server) {
-            self.seen_live = true;
-        } else if self.seen_live {
-            self.distrust_memory(now);
-        }
-        self.members.observe(listed, is_gone, now);
-        self.members.forget(listed, self.limits.window, now);
+        self.trust.observe(listed, is_gone, self.limits.window, now);
     }
 
     /// Notes a server that left the service `ago`, before this process could see it.
     pub fn note_removed(&mut self, server: &str, ago: time::Duration, now: time::Instant) {
-        if ago < self.limits.window {
-            self.members.note_removed(server, now.checked_sub(ago).unwrap_or(now));
-        }
+        self.trust.note_removed(server, ago, self.limits.window, now);
     }
 
     /// Refuses new work from now on.
@@ -301,23 +263,10 @@
         None
     }
 
-    // A key without a record here may still have run elsewhere, so these are never "not run".
     fn refuse_key(&self, key: ids::KeyHash, now: time::Instant) -> Option<Refusal> {
-        let held_back = self.held_back(now);
-        if !held_back.is_zero() {
-            return Some(Refusal::unknown(Reason::KeyUncertain, held_back));
-        }
-        match self.members.standing(key, &self.server, self.limits.window, now) {
-            home::Standing::Home => {}
-            home::Standing::Elsewhere => {
-                return Some(Refusal::unknown(Reason::WrongHome, RETRY_SOON));
-            }
-            home::Standing::HeldUntil(until) => {
-                return Some(Refusal::unknown(Reason::KeyUncertain, until - now));
-            }
-        }
-        (self.keys.len() >= self.limits.max_keys)
-            .then(|| Refusal::not_run(Reason::RecordsFull, RETRY_SOON))
+        let refusal = self.trust.refuse(key, self.limits.window, now);
+        let is_full = self.keys.len() >= self.limits.max_keys;
+        refusal.or(is_full.then(|| Refusal::not_run(Reason::RecordsFull, RETRY_SOON)))
     }
 
     fn record(&mut self, offer: Offer) {
@@ -469,14 +418,10 @@
         Some(run)
     }
 
-    /// Drops old tombstones, and distrusts the memory after a pause of half the window: others
-    /// may have been told meanwhile that this server is gone.
+    /// Drops old tombstones, and notes that this process moves.
     pub fn tick(&mut self, now: time::Instant) {
         let window = self.limits.window;
-        if now.saturating_duration_since(self.ticked) >= window / 2 {
-            self.distrust_memory(now);
-        }
-        self.ticked = now;
+        self.trust.tick(window, now);
         while let Some(run) = first_due(&self.tomb_times, window, now) {
             self.tomb_times.pop_first();
             self.tombs.remove(&run);
--- a/crates/core/tests/once.rs
+++ b/crates/core/tests/once.rs
@@ -4,7 +4,7 @@
 
 use proptest::{prelude::*, test_runner};
 
-use rhubarb_core::{gate, home, ids, outcome};
+use rhubarb_core::{gate, handover, home, ids, outcome};
 
 const WINDOW: time::Duration = time::Duration::from_secs(100);
 const DEADLINE: time::Duration = time::Duration::from_secs(20);
@@ -53,7 +53,7 @@
     gate: Option<gate::Gate>,
     incarnation: u64,
     paused: bool,
-    handed_over: Option<(gate::Handover, time::Instant)>,
+    handed_over: Option<(handover::Handover, time::Instant)>,
 }
 
 #[derive(Clone, Copy)]
--- a/crates/entry/src/api.rs
+++ b/crates/entry/src/api.rs
@@ -7,7 +7,7 @@
 use rhubarb_core::{list, outcome};
 use rhubarb_node::{answer, clock, control};
 
-use crate::{admit, completion, driver, entry, openai, plain, refuse};
+use crate::{admit, completion, driver, entry, openai, plain, refuse, teller};
 
 use outcome::{Reason, Refusal};
 
@@ -103,7 +103,8 @@
     };
     let style = openai::Style { form, id: id.to_string(), model: request.model.clone() };
     let (reply, answer) = driver::Reply::new();
-    let completion = completion::Completion::new(ticket, targets, request, style, reply);
+    let teller = teller::Teller::new(reply, style, request.stream);
+    let completion = completion::Completion::new(ticket, targets, request, teller);
     tokio::spawn(completion.drive());
     Ok(answer.await.unwrap_or_else(|_| broken()))
 }
--- a/crates/entry/src/completion.rs
+++ b/crates/entry/src/completion.rs
@@ -2,20 +2,17 @@
 
 use std::time;
 
-use bytes::Bytes;
-use hyper::{Response, StatusCode, header};
 use serde::Deserialize;
 
 use rhubarb_core::{flow, ids, list, outcome, pool};
-use rhubarb_node::{answer, clock};
+use rhubarb_node::clock;
 use rhubarb_wire::message;
 
-use crate::{admit, driver, openai, peer, refuse};
+use crate::{admit, driver, openai, peer, placing, refuse, teller};
 
 use outcome::{Outcome, Reason, Refusal};
 
 const RETRY_SOON: time::Duration = time::Duration::from_secs(1);
-const PREFIX_CHARS: usize = 256;
 
 /// One model request on its way.
 #[derive(Debug)]
@@ -23,20 +20,17 @@
     ticket: admit::Ticket,
     targets: Targets,
     request: openai::Request,
-    style: openai::Style,
-    reply: driver::Reply,
+    teller: teller::Teller,
     flow: flow::Flow,
     decode: Option<Placed>,
     prefilled: Option<message::Prefilled>,
     // Server of the prefill of which no token came yet.
     source: Option<ids::ServerName>,
     pending: Vec<u8>,
-    text: String,
     sent: u32,
     prompt_tokens: u64,
     first_at: Option<time::Instant>,
     last_at: Option<time::Instant>,
-    begun: bool,
     failure: Option<Reason>,
 }
 
@@ -77,27 +71,23 @@
         ticket: admit::Ticket,
         targets: Targets,
         request: openai::Request,
-        style: openai::Style,
-        reply: driver::Reply,
+        teller: teller::Teller,
     ) -> Completion {
         let flow = flow::Flow::new(ticket.key.is_some());
         Completion {
             ticket,
             targets,
             request,
-            style,
-            reply,
+            teller,
             flow,
             decode: None,
             prefilled: None,
             source: None,
             pending: Vec::new(),
-            text: String::new(),
             sent: 0,
             prompt_tokens: 0,
             first_at: None,
             last_at: None,
-            begun: false,
             failure: None,
         }
     }
@@ -133,35 +123,6 @@
         }
     }
 
-    fn pick(&self, role: list::Role) -> Option<ids::ServerName> {
-        let entry = &self.ticket.entry;
-        let mut view = entry.view();
-        if let (list::Role::Decode, Some(key)) = (role, &self.ticket.key) {
-            return view.home(&self.ticket.service.name, key.hash);
-        }
-        let prefix: String = self.request.prompt.chars().take(PREFIX_CHARS).collect();
-        let affinity = (role == list::Role::Prefill).then(|| ids::digest(&[prefix.as_bytes()]));
-        let by_work = role == list::Role::Prefill;
-        let size = self.request.prompt.len() as u32;
-        let work = match by_work {
-            true => view.pace(&self.ticket.service.name).estimate(size),
-            false => time::Duration::ZERO,
-        };
-        let tried = self.flow.tried();
-        let wish = pool::Wish { tried, affinity, random: rand::random(), by_work };
-        let pool = view.pool(&self.ticket.service.name, role)?;
-        let server = pool.pick(wish, clock::now())?;
-        pool.sent(&server, work);
-        Some(server)
-    }
-
-    fn note_end(&self, server: &str, role: list::Role, end: pool::End) {
-        let mut view = self.ticket.entry.view();
-        if let Some(pool) = view.pool(&self.ticket.service.name, role) {
-            pool.ended(server, end, clock::now());
-        }
-    }
-
     // A server that cannot be reached did not get the request; with a key, an earlier copy may
     // have reached it.
     fn unreachable(&self, server: Option<ids::ServerName>, keyed: bool) -> flow::Event {
@@ -180,7 +141,9 @@
 
     async fn reserve(&mut self) -> flow::Event {
         let keyed = self.ticket.key.is_some();
-        let Some(server) = self.pick(list::Role::Decode) else {
+        let Some(server) =
+            placing::choose(&self.ticket, list::Role::Decode, self.flow.tried(), None)
+        else {
             self.ticket.entry.list_wanted.notify_one();
             return self.unreachable(None, keyed);
         };
@@ -188,7 +151,12 @@
             return self.unreachable(Some(server), keyed);
         };
         let Some(contact) = peer.contact().await else {
-            self.note_end(&server, list::Role::Decode, pool::End::Bad(Reason::NoServer));
+            placing::note_end(
+                &self.ticket,
+                &server,
+                list::Role::Decode,
+                pool::End::Bad(Reason::NoServer),
+            );
             return self.unreachable(Some(server), keyed);
         };
         let wait_by = self.ticket.deadline.min(clock::now() + self.targets.max_wait);
@@ -201,7 +169,7 @@
             excess: self.ticket.excess,
         });
         let mut run = peer.start(run, contact, order);
-        let waited = self.reply.wait(&mut run, self.ticket.deadline).await;
+        let waited = self.teller.reply.wait(&mut run, self.ticket.deadline).await;
         self.decode = Some(Placed { server: server.clone(), run });
         match waited {
             driver::Waited::Event(peer::Event::Reserved) => flow::Event::Reserved,
@@ -225,12 +193,17 @@
 
     // Nothing that a caller sees has run while the prompt is prefilled.
     async fn prefill(&mut self) -> flow::Event {
-        let Some(server) = self.pick(list::Role::Prefill) else {
+        let Some(server) = placing::choose(
+            &self.ticket,
+            list::Role::Prefill,
+            self.flow.tried(),
+            Some(&self.request.prompt),
+        ) else {
             return self.unreachable(None, false);
         };
         let event = self.prefill_at(&server).await;
         let end = reason_of(&event).map_or(pool::End::Open, pool::End::Bad);
-        self.note_end(&server, list::Role::Prefill, end);
+        placing::note_end(&self.ticket, &server, list::Role::Prefill, end);
         event
     }
 
@@ -253,7 +226,7 @@
             prompt: self.request.prompt.clone(),
         });
         let mut run = peer.start(run, contact, order);
-        match self.reply.wait(&mut run, self.ticket.deadline).await {
+        match self.teller.reply.wait(&mut run, self.ticket.deadline).await {
             driver::Waited::Event(peer::Event::Prefilled(prefilled)) => {
                 self.count_prefill(&prefilled);
                 self.prefilled = Some(prefilled);
@@ -303,7 +276,7 @@
             let Some(placed) = &mut self.decode else {
                 return self.unreachable(None, self.ticket.key.is_some());
             };
-            match self.reply.wait(&mut placed.run, self.ticket.deadline).await {
+            match self.teller.reply.wait(&mut placed.run, self.ticket.deadline).await {
                 driver::Waited::Event(peer::Event::Head(_) | peer::Event::Reserved) => {}
                 driver::Waited::Event(peer::Event::Bytes(bytes)) => {
                     if !self.take_bytes(&bytes).await {
@@ -341,44 +314,14 @@
         self.sent += 1;
         // The prefill is of use once a token came of it.
         self.prefilled = None;
-        if !self.request.stream {
-            self.text.push_str(token);
-            return true;
-        }
-        self.begin_stream();
-        let event = Bytes::from(self.style.event(token));
-        self.reply.send(event, self.ticket.deadline).await
-    }
-
-    fn begin_stream(&mut self) {
-        if self.begun {
-            return;
-        }
-        self.begun = true;
-        let mut head = Response::new(());
-        let headers = head.headers_mut();
-        let kind = header::HeaderValue::from_static("text/event-stream");
-        headers.insert(header::CONTENT_TYPE, kind);
-        let no_store = header::HeaderValue::from_static("no-cache");
-        headers.insert(header::CACHE_CONTROL, no_store);
-        self.insert_id(headers);
-        self.reply.begin(head);
-    }
-
-    fn insert_id(&self, headers: &mut hyper::HeaderMap) {
-        if let Ok(id) = header::HeaderValue::from_str(&self.style.id) {
-            headers.insert("x-request-id", id);
-        }
+        self.teller.token(token, self.ticket.deadline).await
     }
 
     // A result that was evicted or never came speaks against the server that prefilled it, one
     // of which a token came speaks for it.
     fn judge_source(&mut self, end: pool::End) {
         let Some(server) = self.source.take() else { return };
-        let mut view = self.ticket.entry.view();
-        if let Some(pool) = view.pool(&self.ticket.service.name, list::Role::Prefill) {
-            pool.judge(&server, end, clock::now());
-        }
+        placing::judge(&self.ticket, &server, list::Role::Prefill, end);
     }
 
     // Dropping the run cancels it at the agent.
@@ -392,7 +335,7 @@
                 None if self.first_at.is_some() => pool::End::Good,
                 None => pool::End::Open,
             };
-            self.note_end(&placed.server, list::Role::Decode, end);
+            placing::note_end(&self.ticket, &placed.server, list::Role::Decode, end);
         }
         if let Some(prefilled) = self.prefilled.take() {
             let ticket = &self.ticket;
@@ -404,18 +347,8 @@
 
     async fn finish(&mut self) {
         let reason = if self.sent >= self.request.max_tokens { "length" } else { "stop" };
-        let is_whole = if self.request.stream {
-            self.begin_stream();
-            let event = Bytes::from(self.style.last_event(reason));
-            self.reply.send(event, self.ticket.deadline).await
-        } else {
-            let usage = openai::Usage { prompt: self.prompt_tokens, output: u64::from(self.sent) };
-            let body = self.style.whole(&self.text, reason, usage);
-            let mut response = answer::json(StatusCode::OK, &body);
-            self.insert_id(response.headers_mut());
-            self.reply.answer(response);
-            true
-        };
+        let usage = openai::Usage { prompt: self.prompt_tokens, output: u64::from(self.sent) };
+        let is_whole = self.teller.finish(reason, usage, self.ticket.deadline).await;
         self.release(None);
         if is_whole {
             self.count_answer();
@@ -445,15 +378,7 @@
     async fn refuse(&mut self, refusal: Refusal) {
         self.release(Some(refusal.reason));
         self.ticket.close(refusal.outcome, Some(refusal.reason));
-        if self.reply.has_begun() {
-            let event = format!("data: {}\n\n", refuse::body(refusal, None));
-            self.reply.send(event.into(), clock::now() + RETRY_SOON).await;
-            self.reply.break_off(refusal.reason.name()).await;
-        } else {
-            let mut response = refuse::answer(refusal, None);
-            self.insert_id(response.headers_mut());
-            self.reply.answer(response);
-        }
+        self.teller.refuse(refusal).await;
     }
 }
 
@@ -477,6 +402,8 @@
 fn reason_of(event: &flow::Event) -> Option<Reason> {
     match event {
         flow::Event::Failed { refusal, .. } => Some(refusal.reason),
+        flow::Event::CallerGone => Some(Reason::CallerGone),
+        flow::Event::Expired => Some(Reason::TooLate),
         _ => None,
     }
 }
--- /dev/null
+++ b/crates/entry/src/keeper.rs
@@ -0,0 +1,301 @@
+//! Keeps the connection to the agent of one server.
+
+use std::{collections, net, sync, time};
+
+use tokio::sync::{mpsc, watch};
+
+use rhubarb_core::{assembly, ids, outcome};
+use rhubarb_node::clock;
+use rhubarb_wire::{chunk, message};
+
+use crate::{dial, entry, link, lists, peer};
+
+use outcome::{Reason, Refusal};
+
+const TICK: time::Duration = time::Duration::from_millis(100);
+/// A probe that is not answered in this time breaks the link.
+const PROBE: time::Duration = time::Duration::from_millis(300);
+const BACKOFF: time::Duration = time::Duration::from_millis(100);
+const RETRY_SOON: time::Duration = time::Duration::from_secs(1);
+
+#[derive(Debug)]
+struct Open {
+    sink: peer::Sink,
+    assembly: assembly::Assembly,
+    has_head: bool,
+}
+
+/// Keeps the connection to one agent, and hands on what comes over it.
+#[derive(Debug)]
+pub(crate) struct Keeper {
+    entry: sync::Arc<entry::Entry>,
+    server: ids::ServerName,
+    address: net::SocketAddr,
+    link: link::Link,
+    commands: mpsc::UnboundedReceiver<peer::Command>,
+    contact: watch::Sender<Option<peer::Contact>>,
+    runs: collections::BTreeMap<ids::RunId, Open>,
+    // A request waits for the connection.
+    wanted: bool,
+}
+
+impl Keeper {
+    /// Makes the keeper of the connection to the agent of `server`.
+    pub(crate) fn new(
+        entry: sync::Arc<entry::Entry>,
+        server: &str,
+        address: net::SocketAddr,
+        commands: mpsc::UnboundedReceiver<peer::Command>,
+        contact: watch::Sender<Option<peer::Contact>>,
+    ) -> Keeper {
+        Keeper {
+            entry,
+            server: server.to_string(),
+            address,
+            link: link::Link::new(),
+            commands,
+            contact,
+            runs: collections::BTreeMap::new(),
+            wanted: false,
+        }
+    }
+
+    /// Keeps the connection until the entry drops the peer.
+    pub(crate) async fn run(mut self) {
+        loop {
+            if self.runs.is_empty() && !self.wanted && !self.wait_wanted().await {
+                return;
+            }
+            match tokio::time::timeout(dial::CONNECT_LIMIT, self.connect()).await {
+                Ok(Ok(wire)) => self.serve(wire).await,
+                Ok(Err(err)) => {
+                    tracing::info!("entry: no link to {}: {err}", self.server);
+                    self.note_refused();
+                }
+                Err(_) => {
+                    tracing::info!("entry: {} does not answer; check its agent", self.server);
+                    self.note_refused();
+                }
+            }
+            tokio::time::sleep(BACKOFF).await;
+            self.step(link::Event::Tick(clock::now())).await;
+        }
+    }
+
+    fn note_refused(&mut self) {
+        self.wanted = false;
+        if let Some(link::Step::GiveUp) = self.link.handle(link::Event::Refused) {
+            self.fail_all(Refusal::unknown(Reason::LostContact, RETRY_SOON));
+        }
+    }
+
+    // Waits for the first command that needs a connection; false when the entry dropped the peer.
+    async fn wait_wanted(&mut self) -> bool {
+        loop {
+            match self.commands.recv().await {
+                Some(peer::Command::Connect) => return true,
+                Some(peer::Command::Open { sink, .. }) => {
+                    let refusal = Refusal::not_run(Reason::NoServer, RETRY_SOON);
+                    let _ = sink.try_send(peer::Event::Refused(refusal));
+                }
+                Some(peer::Command::Send(_) | peer::Command::Close(_)) => {}
+                None => return false,
+            }
+        }
+    }
+
+    async fn connect(&mut self) -> anyhow::Result<dial::Wire> {
+        let (mut wire, incarnation, pong) =
+            dial::connect(&self.entry, &self.server, self.address).await?;
+        self.note_pong(incarnation, &pong);
+        match self.link.handle(link::Event::Welcomed(incarnation)) {
+            Some(link::Step::Resume) => self.resume_all(&mut wire).await,
+            Some(link::Step::GiveUp) => {
+                self.fail_all(Refusal::unknown(Reason::LostContact, RETRY_SOON));
+            }
+            None => {}
+        }
+        Ok(wire)
+    }
+
+    fn note_pong(&mut self, incarnation: ids::Incarnation, pong: &message::Pong) {
+        let heard_at = clock::now();
+        let contact = peer::Contact { incarnation, clock_ms: pong.clock_ms, heard_at };
+        self.wanted = false;
+        self.contact.send_replace(Some(contact));
+        self.entry.view().hear(&self.server, pong.load, heard_at);
+        lists::note_version(&self.entry, pong.version);
+    }
+
+    async fn resume_all(&mut self, wire: &mut dial::Wire) {
+        for (run, open) in &self.runs {
+            let resume = message::Resume { run: *run, offset: open.assembly.offset() };
+            wire.send(&message::Order::Resume(resume)).await;
+        }
+    }
+
+    async fn serve(&mut self, mut wire: dial::Wire) {
+        let mut ticks = tokio::time::interval(TICK);
+        ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+        loop {
+            let worked = tokio::select! {
+                command = self.commands.recv() => match command {
+                    Some(command) => self.obey(command, &mut wire).await,
+                    None => break,
+                },
+                notice = wire.notices.recv() => match notice {
+                    Some(notice) => {
+                        wire.hear();
+                        self.take(notice, &mut wire).await
+                    }
+                    None => break,
+                },
+                _ = ticks.tick() => self.keep_alive(&mut wire).await,
+            };
+            if !worked {
+                break;
+            }
+        }
+        self.contact.send_replace(None);
+        self.link.handle(link::Event::Broken(clock::now()));
+    }
+
+    async fn keep_alive(&mut self, wire: &mut dial::Wire) -> bool {
+        let now = clock::now();
+        if wire.is_silent(now) {
+            tracing::info!("entry: link to {} is silent", self.server);
+            return false;
+        }
+        if !wire.is_ping_due(!self.runs.is_empty(), now) {
+            return true;
+        }
+        let version = self.entry.view().version();
+        wire.ping(version, dial::SILENCE).await
+    }
+
+    async fn step(&mut self, event: link::Event) {
+        if let Some(link::Step::GiveUp) = self.link.handle(event) {
+            self.fail_all(Refusal::unknown(Reason::LostContact, RETRY_SOON));
+        }
+        // Runs that their requests dropped meanwhile need no connection.
+        while let Ok(command) = self.commands.try_recv() {
+            match command {
+                peer::Command::Open { sink, .. } => {
+                    let refusal = Refusal::not_run(Reason::NoServer, RETRY_SOON);
+                    let _ = sink.try_send(peer::Event::Refused(refusal));
+                }
+                peer::Command::Close(run) => {
+                    self.runs.remove(&run);
+                }
+                peer::Command::Connect => self.wanted = true,
+                peer::Command::Send(_) => {}
+            }
+        }
+    }
+
+    fn fail_all(&mut self, refusal: Refusal) {
+        for (_, open) in std::mem::take(&mut self.runs) {
+            let _ = open.sink.try_send(peer::Event::Refused(refusal));
+        }
+    }
+
+    async fn obey(&mut self, command: peer::Command, wire: &mut dial::Wire) -> bool {
+        match command {
+            peer::Command::Connect => {
+                self.wanted = true;
+                let version = self.entry.view().version();
+                wire.ping(version, PROBE).await
+            }
+            peer::Command::Open { run, incarnation, order, sink } => {
+                // The order's times are on the clock of one incarnation of the agent.
+                if self.link.incarnation() != Some(incarnation) {
+                    let refusal = Refusal::not_run(Reason::NoServer, RETRY_SOON);
+                    let _ = sink.try_send(peer::Event::Refused(refusal));
+                    return true;
+                }
+                let assembly = assembly::Assembly::default();
+                self.runs.insert(run, Open { sink, assembly, has_head: false });
+                wire.send(&order).await && self.keep_alive(wire).await
+            }
+            peer::Command::Send(order) => wire.send(&order).await,
+            peer::Command::Close(run) => {
+                self.runs.remove(&run);
+                wire.send(&message::Order::Cancel(run)).await
+            }
+        }
+    }
+
+    async fn take(&mut self, notice: message::Notice, wire: &mut dial::Wire) -> bool {
+        match notice {
+            message::Notice::Challenge(_) | message::Notice::Welcome(_) => false,
+            message::Notice::Reserved(run) => self.pass(run, peer::Event::Reserved, false),
+            message::Notice::Prefilled(prefilled) => {
+                self.pass(prefilled.run, peer::Event::Prefilled(prefilled), true)
+            }
+            message::Notice::Refused(refused) => {
+                self.pass(refused.run, peer::Event::Refused(refused.refusal), true)
+            }
+            message::Notice::Head(head) => self.take_head(head),
+            message::Notice::Chunk(chunk) => self.take_chunk(chunk),
+            message::Notice::End(end) => self.take_end(end),
+            message::Notice::Pong(pong) => {
+                if let Some(incarnation) = self.link.incarnation() {
+                    self.note_pong(incarnation, &pong);
+                }
+                true
+            }
+            message::Notice::WantList(version) => match lists::copy(&self.entry, version) {
+                Some(copy) => wire.send(&message::Order::List(copy)).await,
+                None => true,
+            },
+            message::Notice::List(copy) => {
+                lists::take_copy(&self.entry, &copy);
+                true
+            }
+        }
+    }
+
+    // A run that cannot take an event any more is dropped, which cancels it at the agent.
+    fn pass(&mut self, run: ids::RunId, event: peer::Event, is_last: bool) -> bool {
+        if let Some(open) = self.runs.get(&run) {
+            let is_full = open.sink.try_send(event).is_err();
+            if is_last || is_full {
+                self.runs.remove(&run);
+            }
+        }
+        true
+    }
+
+    fn take_head(&mut self, head: message::Head) -> bool {
+        let Some(open) = self.runs.get_mut(&head.run) else { return true };
+        if open.has_head {
+            return true;
+        }
+        open.has_head = true;
+        self.pass(head.run, peer::Event::Head(head), false)
+    }
+
+    // After a gap the connection is opened again, and every run resumed at its offset.
+    fn take_chunk(&mut self, chunk: chunk::Chunk) -> bool {
+        let Some(open) = self.runs.get_mut(&chunk.run) else { return true };
+        match open.assembly.take(chunk.offset, &chunk.bytes) {
+            Ok([]) => true,
+            Ok(fresh) => {
+                let bytes = fresh.to_vec();
+                self.pass(chunk.run, peer::Event::Bytes(bytes), false)
+            }
+            Err(gap) => {
+                tracing::warn!("entry: {gap}");
+                false
+            }
+        }
+    }
+
+    fn take_end(&mut self, end: message::End) -> bool {
+        let Some(open) = self.runs.get(&end.run) else { return true };
+        if open.assembly.finish(end.length).is_err() {
+            return false;
+        }
+        self.pass(end.run, peer::Event::End, true)
+    }
+}
--- a/crates/entry/src/link.rs
+++ b/crates/entry/src/link.rs
@@ -1,6 +1,6 @@
 //! Life cycle of the connection to one agent.
 
-use std::time;
+use std::{fmt, time};
 
 use statig::prelude::*;
 
@@ -37,6 +37,12 @@
     steps: Vec<Step>,
 }
 
+impl fmt::Debug for Link {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "Link({:?})", self.incarnation())
+    }
+}
+
 impl Link {
     pub(crate) fn new() -> Link {
         let life = Life { incarnation: None };
--- a/crates/entry/src/lists.rs
+++ b/crates/entry/src/lists.rs
@@ -6,7 +6,7 @@
 use rhubarb_node::{clock, editions, instances};
 use rhubarb_wire::message;
 
-use crate::{entry, peer};
+use crate::{dial, entry};
 
 const POLL: time::Duration = time::Duration::from_secs(2);
 const HURRY: time::Duration = time::Duration::from_millis(200);
@@ -81,7 +81,7 @@
     }
     if followed.is_empty() {
         for seed in &entry.settings.seeds {
-            if let Some(copy) = peer::fetch_list(entry, *seed).await {
+            if let Some(copy) = dial::fetch_list(entry, *seed).await {
                 take_copy(entry, &copy);
                 return;
             }
--- a/crates/entry/src/plain.rs
+++ b/crates/entry/src/plain.rs
@@ -9,7 +9,7 @@
 use rhubarb_node::clock;
 use rhubarb_wire::{message, offer};
 
-use crate::{admit, completion, driver, peer, refuse};
+use crate::{admit, completion, driver, peer, placing, refuse};
 
 use outcome::{Outcome, Reason, Refusal};
 
@@ -96,34 +96,11 @@
             && ticket.entry.take_retry(&ticket.service.name, &ticket.caller, refusal.reason)
     }
 
-    fn pick(&self) -> Option<ids::ServerName> {
-        let mut view = self.ticket.entry.view();
-        if let Some(key) = &self.ticket.key {
-            return view.home(&self.ticket.service.name, key.hash);
-        }
-        let wish = pool::Wish {
-            tried: &self.tried,
-            affinity: None,
-            random: rand::random(),
-            by_work: false,
-        };
-        let pool = view.pool(&self.ticket.service.name, list::Role::Plain)?;
-        let server = pool.pick(wish, clock::now())?;
-        pool.sent(&server, time::Duration::ZERO);
-        Some(server)
-    }
-
-    fn note_end(&self, server: &str, end: pool::End) {
-        let mut view = self.ticket.entry.view();
-        if let Some(pool) = view.pool(&self.ticket.service.name, list::Role::Plain) {
-            pool.ended(server, end, clock::now());
-        }
-    }
-
     async fn attempt(&mut self) -> Step {
         let keyed = self.ticket.key.is_some();
         let unreachable = refuse::own(Refusal::not_run(Reason::NoServer, RETRY_SOON), keyed);
-        let Some(server) = self.pick() else {
+        let Some(server) = placing::choose(&self.ticket, list::Role::Plain, &self.tried, None)
+        else {
             self.ticket.entry.list_wanted.notify_one();
             return Step::Failed(None, unreachable);
         };
@@ -132,7 +109,7 @@
             Step::Failed(_, refusal) => pool::End::Bad(refusal.reason),
             Step::Done => pool::End::Good,
         };
-        self.note_end(&server, end);
+        placing::note_end(&self.ticket, &server, list::Role::Plain, end);
         step
     }
 
