Never call a run «not run» once its record is forgotten

Cause: an agent forgets a run without a key 2 s after its end. If its entry was frozen meanwhile and then asked to resume it, the agent found no record, refused the id for good and said «not run» of a call that had run; the entry could then send it again. Found by reading the resume path; the new case of the gate failed first. Through processes the answer had always come before the entry froze, so that test passed before too.

Ruled out: to keep all answers for the window, since answers without a key are not bounded.

Change: the ids of forgotten runs are kept as having run, apart from those that never did; resuming or offering one is answered as unknown.

Conclusion: mended. An entry frozen for longer than the window cannot ask any more, since its requests have passed their deadlines.

--- a/crates/core/src/gate.rs
+++ b/crates/core/src/gate.rs
@@ -77,6 +77,12 @@
     ended_at: Option<time::Instant>,
 }
 
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Tomb {
+    NeverRan,
+    Ran,
+}
+
 // A run and the moment from which its time counts.
 type Due = (time::Instant, ids::RunId);
 
@@ -89,7 +95,8 @@
     limits: Limits,
     runs: collections::BTreeMap<ids::RunId, Run>,
     keys: collections::BTreeMap<ids::KeyHash, ids::RunId>,
-    tombs: collections::BTreeSet<ids::RunId>,
+    // Ids that are refused for good, and whether they ran.
+    tombs: collections::BTreeMap<ids::RunId, Tomb>,
     // The runs that time acts on, oldest first, so that a sweep reads only what is due.
     tomb_times: collections::BTreeSet<Due>,
     lost: collections::BTreeSet<Due>,
@@ -108,7 +115,7 @@
             limits,
             runs: collections::BTreeMap::new(),
             keys: collections::BTreeMap::new(),
-            tombs: collections::BTreeSet::new(),
+            tombs: collections::BTreeMap::new(),
             tomb_times: collections::BTreeSet::new(),
             lost: collections::BTreeSet::new(),
             ended: collections::BTreeSet::new(),
@@ -214,8 +221,14 @@
 
     /// Decides on an offered run.
     pub fn offer(&mut self, offer: Offer, now: time::Instant) -> Verdict {
-        if self.tombs.contains(&offer.run) {
-            return Verdict::Refuse(Refusal::not_run(Reason::Withdrawn, RETRY_SOON));
+        match self.tombs.get(&offer.run) {
+            Some(Tomb::NeverRan) => {
+                return Verdict::Refuse(Refusal::not_run(Reason::Withdrawn, RETRY_SOON));
+            }
+            Some(Tomb::Ran) => {
+                return Verdict::Refuse(Refusal::unknown(Reason::LostContact, RETRY_SOON));
+            }
+            None => {}
         }
         if self.runs.contains_key(&offer.run) {
             return Verdict::Duplicate;
@@ -332,15 +345,16 @@
             Some(Progress::Started) => return Settled::Running,
             Some(Progress::Whole | Progress::Broken) => return Settled::Ended,
             Some(Progress::Accepted) => self.forget(run),
+            None if self.tombs.get(&run) == Some(&Tomb::Ran) => return Settled::Ended,
             None => {}
         }
-        self.bury(run, now);
+        self.bury(run, Tomb::NeverRan, now);
         Settled::NotRun
     }
 
     // Refuses the id of a run from now on.
-    fn bury(&mut self, run: ids::RunId, now: time::Instant) {
-        if self.tombs.insert(run) {
+    fn bury(&mut self, run: ids::RunId, tomb: Tomb, now: time::Instant) {
+        if self.tombs.insert(run, tomb).is_none() {
             self.tomb_times.insert((now, run));
         }
     }
@@ -414,7 +428,7 @@
         let keyed = first_due(&self.ended_keys, self.limits.window, now);
         let run = keyed.or_else(|| first_due(&self.ended, self.limits.orphan_grace, now))?;
         self.forget(run);
-        self.bury(run, now);
+        self.bury(run, Tomb::Ran, now);
         Some(run)
     }
 
--- a/crates/core/tests/gate.rs
+++ b/crates/core/tests/gate.rs
@@ -265,3 +265,17 @@
     gate.leave();
     assert_eq!(refusal(gate.offer(offer(1, None, now), now)), (Reason::Leaving, Outcome::NotRun));
 }
+
+#[test]
+fn ended_forgotten() {
+    let now = time::Instant::now();
+    let mut gate = open(1, now);
+    gate.offer(offer(1, None, now), now);
+    gate.start(1, now).unwrap();
+    gate.finish(1, true, now);
+    let later = now + 2 * GRACE;
+    assert_eq!(gate.next_expired(later), Some(1));
+    assert_eq!(gate.withdraw(1, later), gate::Settled::Ended, "it ran, though long ago");
+    let verdict = gate.offer(offer(1, None, later), later);
+    assert_eq!(refusal(verdict).1, Outcome::Unknown);
+}
--- a/crates/e2e/tests/streams.rs
+++ b/crates/e2e/tests/streams.rs
@@ -136,3 +136,29 @@
     assert_eq!(tokens::token("long summary", 0) + &rest, tokens::answer("long summary", TOKENS));
     freed(&stack).await;
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn entry_frozen() {
+    let stack = stack::Stack::start(stack::Plan::default()).await.unwrap();
+    let caller = stack.caller(0);
+    let call = tokio::spawn(async move {
+        caller.call(hyper::Method::POST, "/yard-app/wait?300", &[], "{}").await.unwrap()
+    });
+    let runs = async || {
+        let agents = stack.agents.values();
+        for agent in agents {
+            if stack.status(agent.http).await["open"] == 1 {
+                return true;
+            }
+        }
+        false
+    };
+    stack.until("the call runs", runs).await;
+    stack.entries[0].freeze();
+    // Longer than the agent keeps the answer of a call without a key.
+    tokio::time::sleep(time::Duration::from_secs(7)).await;
+    stack.entries[0].thaw();
+    let reply = call.await.unwrap();
+    let said = (reply.status, reply.outcome());
+    assert!(said == (200, None) || said.1 == Some("unknown"), "{said:?} {}", reply.body);
+}
