Let new keys run at an agent that started in an outage

Cause: an agent that started while the table was down refused all keys until the table was back, since the process after it would have found no row and trusted its own memory. Users ask that lot confirmations go on in a long outage but for keys that lost memory makes uncertain. A stored completion was answered again without the tokens of its prompt.

Ruled out: rows for servers written by apply, since a row would then exist for servers whose agents never ran, and say nothing.

Change: such an agent holds its keys back for the window and then runs new ones; where servers check fencing numbers it still waits for the table. In return, a missing row is trusted only within half a window after the server was listed. Answers of decodes carry the tokens of their prompt.

Shown: once::agent_replaced_outage, which now waits for new keys to run in the outage and checks that the next process refuses them, failed before (not in 24 s) and passes. once::keyed_completion is new: two copies at a time run once, and the stored answer has the same text and usage.

--- a/crates/agent/src/agent.rs
+++ b/crates/agent/src/agent.rs
@@ -48,6 +48,8 @@
     pub(crate) fence: u64,
     /// Whether the table knows of this process.
     pub(crate) registered: bool,
+    /// Whether the table knew of no process of this server before.
+    pub(crate) first: bool,
     pub(crate) outputs: collections::BTreeMap<ids::RunId, sync::Arc<output::Output>>,
     /// Bytes of the answers to idempotency keys in `outputs`.
     pub(crate) kept_bytes: usize,
@@ -113,6 +115,7 @@
             swept: false,
             fence: 0,
             registered: false,
+            first: false,
             outputs: collections::BTreeMap::new(),
             kept_bytes: 0,
             waiting: collections::BTreeMap::new(),
@@ -170,6 +173,19 @@
         self.editions.current().list.find_server(server)
     }
 
+    /// Trusts the memory of the first process of a server that was listed lately.
+    ///
+    /// A process that started while the table was down is not in it, and may run keys once it has
+    /// waited for the window after the server was listed; so later absence tells nothing.
+    pub(crate) fn trust_first(&mut self, server: &str) {
+        let Some(service) = self.service(server).filter(|_| self.first) else { return };
+        let listed = self.editions.current().listed_ago(server, clock::unix_ms());
+        if listed.is_some_and(|ago| ago < service.window / 2) {
+            self.gate.trust_memory();
+            self.first = false;
+        }
+    }
+
     /// Service of `server`.
     pub(crate) fn service(&self, server: &str) -> Option<sync::Arc<list::Service>> {
         let list = &self.editions.current().list;
--- a/crates/agent/src/decode.rs
+++ b/crates/agent/src/decode.rs
@@ -62,7 +62,7 @@
         StatusCode::TOO_MANY_REQUESTS => return Err(Refusal::not_run(Reason::NoRoom, RETRY_SOON)),
         _ => return Err(Refusal::unknown(Reason::EngineFailed, RETRY_SOON)),
     }
-    output.set_head(STATUS_OK, Vec::new());
+    output.set_head(STATUS_OK, vec![message::write_prompt_tokens(order.prompt_tokens)]);
     copy_events(body, output).await
 }
 
--- a/crates/agent/src/jobs.rs
+++ b/crates/agent/src/jobs.rs
@@ -151,7 +151,7 @@
     }
 }
 
-// Keys need a fencing number and a note in the table that a next process will find.
+// Keys at servers that check fencing numbers need one, which the table gives.
 fn check_duty(agent: &Shared, state: &agent::State, job: &Job, keyed: bool) -> Option<Refusal> {
     let duty = state.duty(&agent.settings.server);
     if duty.is_none_or(|(_, role)| role != job.role()) {
@@ -161,7 +161,9 @@
     if !state.loaded {
         return Some(refuse_early(Reason::NotLoaded, keyed));
     }
-    (keyed && !state.registered).then(|| Refusal::unknown(Reason::KeyUncertain, RETRY_SOON))
+    let is_fenced = duty.is_some_and(|(service, _)| service.fenced);
+    let lacks_fence = keyed && is_fenced && !state.registered;
+    lacks_fence.then(|| Refusal::unknown(Reason::KeyUncertain, RETRY_SOON))
 }
 
 // The gate has not looked at the key yet, so an earlier copy of it may have run.
--- a/crates/agent/src/lists.rs
+++ b/crates/agent/src/lists.rs
@@ -84,6 +84,7 @@
     let removed: Vec<_> =
         edition.removed.iter().filter(|gone| gone.service == service.name).cloned().collect();
     state.gate.set_window(service.window);
+    state.trust_first(server);
     if let Some(ago) = joined {
         state.gate.join(ago, now);
     }
--- a/crates/agent/src/slot.rs
+++ b/crates/agent/src/slot.rs
@@ -68,10 +68,8 @@
     let mut state = agent.lock();
     state.fence = fence;
     state.registered = true;
-    let is_first = row.is_none();
-    if is_first {
-        state.gate.trust_memory();
-    }
+    state.first = row.is_none();
+    state.trust_first(&agent.settings.server);
     if let Some(parcel) = parcel {
         take_over(&mut state, parcel);
     }
--- a/crates/core/src/edition.rs
+++ b/crates/core/src/edition.rs
@@ -121,6 +121,12 @@
         serde_json::to_string(&content).expect("contents can be encoded")
     }
 
+    /// Time since `server` joined its service.
+    pub fn listed_ago(&self, server: &str, now_ms: u64) -> Option<time::Duration> {
+        let joined = *self.joined.get(server)?;
+        Some(time::Duration::from_millis(now_ms.saturating_sub(joined)))
+    }
+
     /// Time since `server` joined a service that existed before it, if it did.
     pub fn joined_ago(&self, service: &str, server: &str, now_ms: u64) -> Option<time::Duration> {
         let joined = *self.joined.get(server)?;
--- a/crates/e2e/tests/once.rs
+++ b/crates/e2e/tests/once.rs
@@ -121,6 +121,27 @@
     assert_eq!(stack.runs(&key).await, 1);
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn keyed_completion() {
+    let stack = stack::Stack::start(stack::Plan::default()).await.unwrap();
+    let key = [("idempotency-key", "certificate-9")];
+    let (one, two) = (stack.caller(0), stack.caller(1));
+    let (one, two) = tokio::join!(
+        one.complete_with("long justification", 60, &key),
+        two.complete_with("long justification", 60, &key),
+    );
+    let (one, two) = (one.unwrap(), two.unwrap());
+    let (whole, other) = if one.status == 200 { (one, two) } else { (two, one) };
+    assert_eq!(whole.status, 200, "{}", whole.body);
+    assert_eq!((other.status, other.reason().as_str()), (409, "key-running"));
+    let again = stack.caller(1).complete_with("long justification", 60, &key).await.unwrap();
+    assert_eq!(again.text(), whole.text());
+    assert_eq!(again.json()["usage"], whole.json()["usage"]);
+    assert_eq!(stack.runs("certificate-9").await, 1);
+    let gone = async || stack.held().await == 0;
+    stack.until("engine memory is free", gone).await;
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn answers_full() {
     let plan = stack::Plan { answers: 300, ..stack::Plan::default() };
@@ -174,6 +195,24 @@
         assert_eq!(stack.caller(0).confirm(&key).await.unwrap().status, 200);
     }
     assert_eq!(stack.runs(&lost).await, 1);
+
+    // New keys run again after the window, while the table is still down.
+    let fresh = stack.key_at("yard-1", "fresh");
+    let runs_again = async || stack.caller(0).confirm(&fresh).await.unwrap().status == 200;
+    stack.within(WINDOW_TIME * 2, "new keys run in the outage", runs_again).await;
+
+    // The next process does not trust the table, which knows nothing of the one before.
+    stack.agents.get_mut("yard-1").unwrap().kill();
+    stack.switch("table", "up").await.unwrap();
+    stack.start_agent("yard-1").await.unwrap();
+    stack.wait_agents().await;
+    let refused = async || {
+        let reply = stack.caller(1).confirm(&fresh).await.unwrap();
+        assert_ne!(reply.status, 200, "it may have run: {}", reply.body);
+        reply.reason() == "key-uncertain"
+    };
+    stack.until("the next process refuses the key", refused).await;
+    assert_eq!(stack.runs(&fresh).await, 1);
 }
 
 #[tokio::test(flavor = "multi_thread")]
--- a/crates/entry/src/completion.rs
+++ b/crates/entry/src/completion.rs
@@ -173,7 +173,10 @@
         self.decode = Some(Placed { server: server.clone(), run });
         match waited {
             driver::Waited::Event(peer::Event::Reserved) => flow::Event::Reserved,
-            driver::Waited::Event(peer::Event::Head(_)) => flow::Event::Replayed,
+            driver::Waited::Event(peer::Event::Head(head)) => {
+                self.prompt_tokens = head.prompt_tokens().unwrap_or(0).into();
+                flow::Event::Replayed
+            }
             waited => self.interrupted(server, waited),
         }
     }
@@ -262,6 +265,7 @@
             source: prefilled.source.clone(),
             handle: prefilled.handle.clone(),
             prompt: self.request.prompt.clone(),
+            prompt_tokens: self.prompt_tokens as u32,
             max_tokens: self.request.max_tokens,
             skip: self.sent,
             key: self.ticket.key.as_ref().map(|key| key.text.clone()),
--- a/crates/wire/src/message.rs
+++ b/crates/wire/src/message.rs
@@ -160,6 +160,8 @@
     pub handle: String,
     /// Prompt.
     pub prompt: String,
+    /// Tokens of the prompt, which the agent keeps with the answer.
+    pub prompt_tokens: u32,
     /// Most tokens to generate.
     pub max_tokens: u32,
     /// Tokens that the caller already has.
@@ -212,6 +214,22 @@
     pub headers: Vec<offer::Header>,
 }
 
+/// Header of a decode's answer that tells the tokens of its prompt.
+const PROMPT_TOKENS: &str = "prompt-tokens";
+
+/// Writes the header with the tokens of a prompt.
+pub fn write_prompt_tokens(tokens: u32) -> offer::Header {
+    offer::Header { name: PROMPT_TOKENS.to_string(), value: tokens.to_string().into_bytes() }
+}
+
+impl Head {
+    /// Tokens of the prompt of a decode's answer.
+    pub fn prompt_tokens(&self) -> Option<u32> {
+        let header = self.headers.iter().find(|header| header.name == PROMPT_TOKENS)?;
+        std::str::from_utf8(&header.value).ok()?.parse().ok()
+    }
+}
+
 /// End of an answer.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct End {
