Compare the managers' report with the bench's own counts

Cause: the report's totals were compared with callers of real processes, but not under load and faults.

Change: the bench counts usage by the same code as an entry does, and a test merges its record and compares answered, good, refused and wasted.

Conclusion: totals agree.

--- a/crates/bench/src/score.rs
+++ b/crates/bench/src/score.rs
@@ -2,8 +2,12 @@
 
 use std::{collections, fmt::Write, time};
 
+use rhubarb_core::{outcome, usage};
+
 use crate::{frame, request};
 
+use outcome::Reason;
+
 /// Results of one run.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Score {
@@ -30,45 +34,72 @@
 }
 
 /// Adds results up.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(crate) struct Tally {
     prefilled: u64,
     wasted: u64,
     score: Score,
+    ledger: usage::Ledger,
     good: [u64; frame::CALLERS],
     arrived: [u64; frame::CALLERS],
     answered: u64,
 }
 
+/// Service that all requests of a run are counted for.
+pub const SERVICE: &str = "model";
+
 impl Tally {
+    pub(crate) fn new() -> Tally {
+        Tally {
+            prefilled: 0,
+            wasted: 0,
+            score: Score::default(),
+            ledger: usage::Ledger::new("bench".to_string(), 1, 0),
+            good: [0; frame::CALLERS],
+            arrived: [0; frame::CALLERS],
+            answered: 0,
+        }
+    }
+
+    // Usage as an entry counts it, beside the bench's own counts.
+    fn totals(&mut self, caller: usize) -> &mut usage::Totals {
+        self.ledger.totals(SERVICE, &format!("caller-{caller}"))
+    }
+
     pub(crate) fn arrive(&mut self, caller: usize) {
         self.arrived[caller] += 1;
     }
 
-    pub(crate) fn prefilled(&mut self, tokens: u32) {
+    pub(crate) fn prefilled(&mut self, caller: usize, tokens: u32) {
+        self.totals(caller).prefill_tokens += u64::from(tokens);
         self.prefilled += u64::from(tokens);
     }
 
-    pub(crate) fn waste(&mut self, reason: &'static str, tokens: u32) {
+    pub(crate) fn waste(&mut self, caller: usize, reason: Reason, tokens: u32) {
+        self.totals(caller).waste(reason, u64::from(tokens));
         self.wasted += u64::from(tokens);
-        *self.score.wasted_by.entry(reason).or_default() += u64::from(tokens);
+        *self.score.wasted_by.entry(reason.name()).or_default() += u64::from(tokens);
     }
 
-    pub(crate) fn refuse(&mut self, reason: &'static str) {
-        *self.score.refused.entry(reason).or_default() += 1;
+    pub(crate) fn refuse(&mut self, caller: usize, refusal: outcome::Refusal) {
+        self.totals(caller).count(refusal.outcome, Some(refusal.reason));
+        *self.score.refused.entry(refusal.reason.name()).or_default() += 1;
     }
 
     pub(crate) fn answer(&mut self, request: &request::Request, fleet: &frame::Fleet) {
         self.answered += 1;
+        self.totals(request.caller).count(outcome::Outcome::Answered, None);
         let (Some(first), Some(last)) = (request.first_at, request.last_at) else { return };
         let first_time = first - request.arrived;
         let between = (last - first) / request.sent.saturating_sub(1).max(1);
-        if first_time <= fleet.first_token && between <= fleet.between_tokens {
-            self.good[request.caller] += 1;
-        }
+        let is_good = first_time <= fleet.first_token && between <= fleet.between_tokens;
+        let tokens = u64::from(request.sent);
+        self.totals(request.caller).answer(first_time, between, tokens, is_good);
+        self.good[request.caller] += u64::from(is_good);
     }
 
-    pub(crate) fn finish(mut self, length: time::Duration, held: u32) -> Score {
+    pub(crate) fn finish(mut self, length: time::Duration, held: u32) -> (Score, usage::Ledger) {
+        self.ledger.close(length.as_millis() as u64, true);
         let seconds = length.as_secs_f64();
         let good: Vec<f64> = self.good.iter().map(|count| *count as f64).collect();
         let sum: f64 = good.iter().sum();
@@ -84,7 +115,7 @@
         let others: u64 = self.arrived[1..].iter().sum();
         self.score.others_part = (sum - good[0]) / (others as f64).max(1.0);
         self.score.held = held;
-        self.score
+        (self.score, self.ledger)
     }
 }
 
--- a/crates/bench/src/world.rs
+++ b/crates/bench/src/world.rs
@@ -2,7 +2,7 @@
 
 use std::{cmp, collections, time};
 
-use rhubarb_core::{budget, fair, flow, ids, load, outcome, pace, pool, rooms};
+use rhubarb_core::{budget, fair, flow, ids, load, outcome, pace, pool, rooms, usage};
 
 use crate::{engine, event, frame, policy, random, request, score, server};
 
@@ -41,6 +41,14 @@
 
 /// Runs one cell of the table.
 pub fn simulate(run: &frame::Run, policy: &policy::Policy) -> score::Score {
+    simulate_with_usage(run, policy).0
+}
+
+/// Runs one cell of the table, and returns the usage that an entry would have recorded too.
+pub fn simulate_with_usage(
+    run: &frame::Run,
+    policy: &policy::Policy,
+) -> (score::Score, usage::Ledger) {
     let mut world = World::new(run, policy);
     world.prepare();
     let end = world.start + time::Duration::from_secs(run.seconds) + TAIL;
@@ -94,7 +102,7 @@
             entries: entries.collect(),
             servers,
             requests: Vec::new(),
-            tally: score::Tally::default(),
+            tally: score::Tally::new(),
         }
     }
 
@@ -332,7 +340,8 @@
         let reason = request.refusal.map_or(Reason::CallerGone, |refusal| refusal.reason);
         request.attempt += 1;
         if unused > 0 {
-            self.tally.waste(reason.name(), unused);
+            let caller = request.caller;
+            self.tally.waste(caller, reason, unused);
         }
     }
 
@@ -346,7 +355,8 @@
 
     fn close_refused(&mut self, number: usize, refusal: Refusal) {
         self.requests[number].closed = true;
-        self.tally.refuse(refusal.reason.name());
+        let caller = self.requests[number].caller;
+        self.tally.refuse(caller, refusal);
     }
 
     fn report(&mut self, entry: usize, server: usize) {
@@ -454,7 +464,7 @@
         let request = &mut self.requests[tag.request];
         let server_ref = &mut self.servers[server];
         server_ref.rooms.take_up(tag.run());
-        self.tally.prefilled(request.prompt);
+        self.tally.prefilled(request.caller, request.prompt);
         request.unused = request.prompt;
         request.source = server;
         let (work, done) = server_ref.engine.prefill(request, self.now);
--- /dev/null
+++ b/crates/bench/tests/reports.rs
@@ -0,0 +1,36 @@
+//! The managers' report agrees with the bench's own counts.
+
+use rhubarb_bench::{frame, policy, score, world};
+use rhubarb_report::merge;
+
+fn merged(run: &frame::Run) -> (score::Score, merge::Report) {
+    let (score, ledger) = world::simulate_with_usage(run, &policy::LATEST);
+    let mut report = merge::Report::new(0, u64::MAX);
+    let record = ledger.next_record().expect("the run was closed");
+    assert!(report.add(record.clone()));
+    assert!(!report.add(record.clone()), "a record counts once");
+    (score, report)
+}
+
+#[test]
+fn totals_agree() {
+    let fleet = frame::compas_nautico();
+    for fault in [frame::Fault::None, frame::Fault::LinkStalls, frame::Fault::Cancels] {
+        let run = frame::Run { fault, ..frame::Run::new(fleet.clone(), 1.2) };
+        let (score, report) = merged(&run);
+        let sum = |count: &dyn Fn(&rhubarb_core::usage::Totals) -> u64| -> u64 {
+            report.rows().map(|(_, _, totals)| count(totals)).sum()
+        };
+        let seconds = run.seconds as f64;
+        let answered = sum(&|totals| totals.outcomes.get("answered").copied().unwrap_or(0));
+        assert_eq!(answered as f64 / seconds, score.answered, "{fault:?}");
+        assert_eq!(sum(&|totals| totals.good) as f64 / seconds, score.goodput, "{fault:?}");
+        for (reason, count) in &score.refused {
+            let refused = sum(&|totals| totals.refusals.get(*reason).copied().unwrap_or(0));
+            assert_eq!(refused, *count, "{fault:?} {reason}");
+        }
+        let wasted = sum(&|totals| totals.wasted_tokens.values().sum());
+        let prefilled = sum(&|totals| totals.prefill_tokens);
+        assert_eq!(wasted as f64 / prefilled as f64, score.wasted, "{fault:?}");
+    }
+}
--- a/crates/core/src/usage.rs
+++ b/crates/core/src/usage.rs
@@ -113,6 +113,23 @@
         }
     }
 
+    /// Counts the tokens and times of a whole answer; `good` if it met all targets.
+    pub fn answer(
+        &mut self,
+        first: time::Duration,
+        between: time::Duration,
+        tokens: u64,
+        good: bool,
+    ) {
+        self.first.add(first);
+        self.between.add(between);
+        self.output_tokens += tokens;
+        if good {
+            self.good += 1;
+            self.useful_tokens += tokens;
+        }
+    }
+
     /// Counts a retry.
     pub fn retry(&mut self, reason: outcome::Reason) {
         *self.retries.entry(reason.name().to_string()).or_default() += 1;
--- a/crates/entry/src/completion.rs
+++ b/crates/entry/src/completion.rs
@@ -370,13 +370,7 @@
         let tokens = u64::from(self.sent);
         let mut ledger = self.ticket.entry.ledger();
         let totals = ledger.totals(&self.ticket.service.name, &self.ticket.caller);
-        totals.first.add(first_time);
-        totals.between.add(between);
-        totals.output_tokens += tokens;
-        if is_good {
-            totals.good += 1;
-            totals.useful_tokens += tokens;
-        }
+        totals.answer(first_time, between, tokens, is_good);
     }
 
     async fn refuse(&mut self, refusal: Refusal) {
