Answer at once for a server whose agent is dead

Cause: a request for a dead agent waited for the whole time of a connect, 1 s, although the connection was refused at once: the request was told only of success.

Ruled out: a shorter limit for connects, since silent servers need it.

Change: requests learn of each failed attempt to connect.

Shown: once::dead_answered_soon failed after 1.00 s and passes with its bound of 0.5 s.

--- a/crates/e2e/tests/once.rs
+++ b/crates/e2e/tests/once.rs
@@ -50,6 +50,18 @@
     assert_eq!(stack.runs(&fresh).await, 1);
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn dead_answered_soon() {
+    let mut stack = stack::Stack::start(stack::Plan::default()).await.unwrap();
+    let key = stack.key_at("yard-1", "dead");
+    stack.agents.get_mut("yard-1").unwrap().kill();
+    for _ in 0..5 {
+        let reply = stack.caller(0).confirm(&key).await.unwrap();
+        assert_eq!(reply.outcome(), Some("unknown"), "{}", reply.body);
+        assert!(reply.taken < time::Duration::from_millis(500), "after {:?}", reply.taken);
+    }
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn killed_running() {
     let mut stack = stack::Stack::start(short_window()).await.unwrap();
--- a/crates/entry/src/keeper.rs
+++ b/crates/entry/src/keeper.rs
@@ -33,7 +33,7 @@
     address: net::SocketAddr,
     link: link::Link,
     commands: mpsc::UnboundedReceiver<peer::Command>,
-    contact: watch::Sender<Option<peer::Contact>>,
+    reach: watch::Sender<peer::Reach>,
     runs: collections::BTreeMap<ids::RunId, Open>,
     // A request waits for the connection.
     wanted: bool,
@@ -46,7 +46,7 @@
         server: &str,
         address: net::SocketAddr,
         commands: mpsc::UnboundedReceiver<peer::Command>,
-        contact: watch::Sender<Option<peer::Contact>>,
+        reach: watch::Sender<peer::Reach>,
     ) -> Keeper {
         Keeper {
             entry,
@@ -54,7 +54,7 @@
             address,
             link: link::Link::new(),
             commands,
-            contact,
+            reach,
             runs: collections::BTreeMap::new(),
             wanted: false,
         }
@@ -84,6 +84,7 @@
 
     fn note_refused(&mut self) {
         self.wanted = false;
+        self.reach.send_modify(|reach| reach.failures += 1);
         if let Some(link::Step::GiveUp) = self.link.handle(link::Event::Refused) {
             self.fail_all(Refusal::unknown(Reason::LostContact, RETRY_SOON));
         }
@@ -122,7 +123,7 @@
         let heard_at = clock::now();
         let contact = peer::Contact { incarnation, clock_ms: pong.clock_ms, heard_at };
         self.wanted = false;
-        self.contact.send_replace(Some(contact));
+        self.reach.send_modify(|reach| reach.contact = Some(contact));
         self.entry.view().hear(&self.server, pong.load, heard_at);
         lists::note_version(&self.entry, pong.version);
     }
@@ -156,7 +157,7 @@
                 break;
             }
         }
-        self.contact.send_replace(None);
+        self.reach.send_modify(|reach| reach.contact = None);
         self.link.handle(link::Event::Broken(clock::now()));
     }
 
--- a/crates/entry/src/peer.rs
+++ b/crates/entry/src/peer.rs
@@ -44,12 +44,27 @@
     }
 }
 
+/// Whether the agent can be reached.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct Reach {
+    /// Set while the connection is open.
+    pub(crate) contact: Option<Contact>,
+    /// Attempts to connect that have failed so far.
+    pub(crate) failures: u64,
+}
+
+impl Reach {
+    fn heard_after(&self, oldest: Option<time::Instant>) -> Option<Contact> {
+        self.contact.filter(|contact| oldest.is_none_or(|oldest| contact.heard_at > oldest))
+    }
+}
+
 /// Handle of a connection.
 #[derive(Clone, Debug)]
 pub(crate) struct Peer {
     pub(crate) address: net::SocketAddr,
     commands: mpsc::UnboundedSender<Command>,
-    contact: watch::Receiver<Option<Contact>>,
+    reach: watch::Receiver<Reach>,
 }
 
 /// What requests ask of the connection.
@@ -91,28 +106,29 @@
         address: net::SocketAddr,
     ) -> Peer {
         let (commands, receiver) = mpsc::unbounded_channel();
-        let (sender, contact) = watch::channel(None);
+        let (sender, reach) = watch::channel(Reach::default());
         let keeper = keeper::Keeper::new(entry, server, address, receiver, sender);
         tokio::spawn(keeper.run());
-        Peer { address, commands, contact }
+        Peer { address, commands, reach }
     }
 
-    /// Waits for a connection on which the agent was heard lately, at most the time of one connect.
+    /// Waits for a connection on which the agent was heard lately, until an attempt to connect has
+    /// failed.
     ///
     /// A connection that was idle may have gone silent for good, so it is probed before use.
     pub(crate) async fn contact(&self) -> Option<Contact> {
-        let mut contact = self.contact.clone();
+        let mut reach = self.reach.clone();
         let oldest = clock::now().checked_sub(FRESH);
-        let is_fresh = |contact: &Option<Contact>| {
-            contact.is_some_and(|contact| oldest.is_none_or(|oldest| contact.heard_at > oldest))
-        };
-        if let Some(contact) = contact.borrow().filter(|contact| is_fresh(&Some(*contact))) {
+        let before = *reach.borrow();
+        if let Some(contact) = before.heard_after(oldest) {
             return Some(contact);
         }
         self.commands.send(Command::Connect).ok()?;
-        let wait = contact.wait_for(is_fresh);
+        let wait = reach.wait_for(|reach| {
+            reach.heard_after(oldest).is_some() || reach.failures > before.failures
+        });
         let found = tokio::time::timeout(dial::CONNECT_LIMIT, wait).await.ok()?.ok()?;
-        *found
+        found.heard_after(oldest)
     }
 
     /// Opens a run with its first order, made for `contact`.
