--- a/crates/agent/src/agent.rs
+++ b/crates/agent/src/agent.rs
@@ -183,6 +183,7 @@
         if listed.is_some_and(|ago| ago < service.window / 2) {
             self.gate.trust_memory();
             self.first = false;
+            tracing::info!("agent: first process of its server; unknown keys do not wait");
         }
     }
 
--- a/crates/agent/src/slot.rs
+++ b/crates/agent/src/slot.rs
@@ -83,7 +83,7 @@
         state.gate.join(ago, clock::now());
     }
     let held = state.gate.held_back(clock::now());
-    tracing::info!("agent: registered with fence {fence}; unknown keys wait {held:?}");
+    tracing::info!("agent: registered with fence {fence}; unknown keys wait {} s", held.as_secs());
     Ok(true)
 }
 
--- a/crates/core/src/parse.rs
+++ b/crates/core/src/parse.rs
@@ -156,11 +156,16 @@
         self.mistakes.extend(section.finish());
     }
 
+    // A service with mistakes of its own is listed all the same.
+    fn is_listed(&self, service: &str) -> bool {
+        self.lines.contains_key(&format!("service {service}"))
+    }
+
     fn check_depends(&mut self) {
         let mut found = Vec::new();
         for service in self.list.services.values() {
             for name in &service.depends {
-                if !self.list.services.contains_key(name) {
+                if !self.is_listed(name) {
                     let what = format!("`{}` depends on unknown service `{name}`", service.name);
                     found.push((format!("service {}", service.name), what));
                 }
@@ -175,7 +180,7 @@
         let mut found = Vec::new();
         for caller in self.list.callers.values() {
             for name in &caller.services {
-                if !self.list.services.contains_key(name) {
+                if !self.is_listed(name) {
                     let what = format!("caller `{}` names unknown service `{name}`", caller.name);
                     found.push((format!("caller {}", caller.name), what));
                 }
--- a/crates/ctl/tests/checks.rs
+++ b/crates/ctl/tests/checks.rs
@@ -75,6 +75,13 @@
     assert!(found.contains("`fibre` depends on itself"));
 }
 
+#[test]
+fn only_the_cause() {
+    let text = GOOD.replacen("kind = plain", "kind = plan", 1);
+    let found = checks::check_text("list.ini", &text).unwrap_err();
+    assert_eq!(found.lines().count(), 1, "{found}");
+}
+
 #[test]
 fn all_at_once() {
     let text = GOOD.replacen("kind = plain", "kind = plan", 1).replacen("p-1", "p 1", 1);
--- a/crates/entry/src/completion.rs
+++ b/crates/entry/src/completion.rs
@@ -132,7 +132,9 @@
 
     fn failed(&self, server: Option<ids::ServerName>, refusal: Refusal) -> flow::Event {
         let ticket = &self.ticket;
-        let is_useful = clock::now() < ticket.deadline && is_retryable(refusal.reason);
+        // Without any server another attempt is of no use now.
+        let is_useful =
+            server.is_some() && clock::now() < ticket.deadline && is_retryable(refusal.reason);
         let retry = is_useful
             && self.flow.retries() < flow::MAX_RETRIES
             && ticket.entry.take_retry(&ticket.service.name, &ticket.caller, refusal.reason);
--- a/crates/entry/src/plain.rs
+++ b/crates/entry/src/plain.rs
@@ -74,7 +74,8 @@
             let Step::Failed(server, refusal) = self.attempt().await else { return };
             tracing::debug!("entry: attempt at {server:?} failed: {refusal}");
             self.unsure |= refusal.outcome != Outcome::NotRun;
-            if !self.may_retry(&refusal) {
+            // Without any server another attempt is of no use now.
+            if server.is_none() || !self.may_retry(&refusal) {
                 return self.refuse(refusal).await;
             }
             self.retries += 1;
--- a/crates/report/src/main.rs
+++ b/crates/report/src/main.rs
@@ -53,8 +53,8 @@
     anyhow::ensure!(options.from < options.to, "--from is not before --to; swap the dates");
     let mut file = settings::Settings::load(&options.settings)?;
     let platform = control::Platform::read(&mut file);
-    let section = file.section("ctl");
-    drop(section);
+    // The file is that of rhubarb-ctl, whose own section is of no use here.
+    drop(file.section("ctl"));
     file.finish()?;
     let objects = objects::Objects::new(client::Client::new(), &platform.objects);
     let mut report = merge::Report::new(options.from, options.to);
