--- a/crates/core/src/pool.rs
+++ b/crates/core/src/pool.rs
@@ -211,8 +211,12 @@
     /// leaving ones never.
     pub fn pick(&self, wish: Wish<'_>, now: time::Instant) -> Option<ids::ServerName> {
         let usable: Vec<_> = self.usable(wish.tried, now);
-        let first = usable.get(wish.random as u32 as usize % usable.len().max(1))?;
-        let second = usable[(wish.random >> 32) as usize % usable.len()];
+        let count = usable.len();
+        let at = wish.random as u32 as usize % count.max(1);
+        let first = usable.get(at)?;
+        // A different one, as far as there is one.
+        let step = 1 + (wish.random >> 32) as usize % (count - 1).max(1);
+        let second = usable[(at + step) % count];
         let score = |name: &ids::ServerName| self.score(name, wish.by_work, now);
         let best = if score(second) < score(first) { second } else { first };
         let Some(prefix) = wish.affinity else { return Some(best.clone()) };
