Choose ports that are free for both TCP and UDP in tests too

Agents already tried another port there; the relay did not.

Change: one function for both, with the agent's retries.

--- a/crates/agent/src/run.rs
+++ b/crates/agent/src/run.rs
@@ -1,14 +1,11 @@
 //! Runs the agent's process.
 
-use std::{net, sync, time};
-
-use tokio::net as socket;
+use std::{sync, time};
 
 use rhubarb_node::{clock, server, stop};
 
 use crate::{agent, beats, converge, http, link, lists, settings, slot, sweep};
 
-const BIND_TRIES: u32 = 20;
 const DRAIN_STEP: time::Duration = time::Duration::from_millis(20);
 
 /// Runs an agent until a stop signal, then drains it.
@@ -16,7 +13,7 @@
 /// # Errors
 /// Returns an error if an address cannot be bound or signals cannot be caught.
 pub async fn run(settings: settings::Settings) -> anyhow::Result<()> {
-    let (listener, udp) = bind(settings.listen).await?;
+    let (listener, udp) = server::bind_both(settings.listen).await?;
     let web = server::bind(settings.http).await?;
     println!("listening http={} peer={}", web.local_addr()?, listener.local_addr()?);
     let agent = sync::Arc::new(agent::Agent::new(settings));
@@ -36,21 +33,6 @@
     Ok(())
 }
 
-// TCP and UDP use the same port number, so that one address names the agent.
-async fn bind(
-    address: net::SocketAddr,
-) -> anyhow::Result<(socket::TcpListener, socket::UdpSocket)> {
-    for _ in 0..BIND_TRIES {
-        let listener = server::bind(address).await?;
-        match socket::UdpSocket::bind(listener.local_addr()?).await {
-            Ok(udp) => return Ok((listener, udp)),
-            Err(_) if address.port() == 0 => {}
-            Err(err) => anyhow::bail!("cannot listen on UDP {address}: {err}; choose a free port"),
-        }
-    }
-    anyhow::bail!("no port is free for both TCP and UDP; choose one in the settings")
-}
-
 async fn drain(agent: &agent::Agent) {
     tracing::info!("agent: stopping; open runs end first");
     agent.lock().gate.leave();
--- a/crates/e2e/src/relay.rs
+++ b/crates/e2e/src/relay.rs
@@ -11,6 +11,8 @@
     sync::watch,
 };
 
+use rhubarb_node::server;
+
 /// What a relay does with the bytes of one direction.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum Mode {
@@ -48,7 +50,7 @@
     /// # Errors
     /// Returns an error if no port is free.
     pub async fn start(target: net::SocketAddr) -> anyhow::Result<Relay> {
-        let listener = tcp::TcpListener::bind((net::Ipv4Addr::LOCALHOST, 0)).await?;
+        let (listener, udp) = server::bind_both((net::Ipv4Addr::LOCALHOST, 0).into()).await?;
         let address = listener.local_addr()?;
         let (modes, _) = watch::channel(Modes::default());
         let modes = sync::Arc::new(modes);
@@ -59,7 +61,6 @@
                 spawn_pair(entry, agent, &shared);
             }
         });
-        let udp = tcp::UdpSocket::bind(address).await?;
         tokio::spawn(pass_datagrams(udp, target));
         Ok(Relay { address, modes })
     }
--- a/crates/node/src/server.rs
+++ b/crates/node/src/server.rs
@@ -29,6 +29,7 @@
     }
 }
 
+const BIND_TRIES: u32 = 20;
 const ACCEPT_PAUSE: time::Duration = time::Duration::from_millis(50);
 
 /// Binds `address`.
@@ -41,6 +42,26 @@
     })
 }
 
+/// Binds TCP and UDP to the same port, so that one address names a process.
+///
+/// With port 0 another port is tried where the one that TCP got is taken for UDP.
+///
+/// # Errors
+/// Returns an error that names the address.
+pub async fn bind_both(
+    address: net::SocketAddr,
+) -> anyhow::Result<(tcp::TcpListener, tcp::UdpSocket)> {
+    for _ in 0..BIND_TRIES {
+        let listener = bind(address).await?;
+        match tcp::UdpSocket::bind(listener.local_addr()?).await {
+            Ok(udp) => return Ok((listener, udp)),
+            Err(_) if address.port() == 0 => {}
+            Err(err) => anyhow::bail!("cannot listen on UDP {address}: {err}; choose a free port"),
+        }
+    }
+    anyhow::bail!("no port is free for both TCP and UDP; choose one in the settings")
+}
+
 /// Serves HTTP/1.1 on `listener` until the task is dropped.
 pub async fn serve<H, F>(listener: tcp::TcpListener, limits: Limits, handler: H)
 where
