Prove that a planned stop ends queued work too

Cause: the table of faults names queued work and a next instance that stops too; only running work was tested.

Change: stops::queued_ends, with a server that runs one call at a time: its agent and then the entry stop while one key runs and another waits.

Shown: passes; both keys are answered and both processes exit with 0.

--- a/crates/e2e/tests/stops.rs
+++ b/crates/e2e/tests/stops.rs
@@ -98,6 +98,33 @@
     assert_eq!(stack.runs(&key).await, 1);
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn queued_ends() {
+    let list = stack::list("10m", "60s").replace("rooms = 64", "rooms = 1");
+    let plan = stack::Plan { list, ..stack::Plan::default() };
+    let mut stack = stack::Stack::start(plan).await.unwrap();
+    let (slow, queued) = (stack.key_at("yard-1", "slow"), stack.key_at("yard-1", "queued"));
+    let call = |key: &str, millis: u64| {
+        let (caller, key) = (stack.caller(0), key.to_string());
+        tokio::spawn(async move { caller.confirm_slowly(&key, millis).await.unwrap() })
+    };
+    let first = call(&slow, 1500);
+    stack.until("the slow key runs", async || stack.runs(&slow).await == 1).await;
+    let second = call(&queued, 0);
+    let http = stack.agents["yard-1"].http;
+    let waits = async || stack.status(http).await["waiting"] == 1;
+    stack.until("the other key waits", waits).await;
+    // The agent stops, and then the entry too.
+    stack.agents["yard-1"].terminate();
+    stack.entries[0].terminate();
+    for reply in [first.await.unwrap(), second.await.unwrap()] {
+        assert_eq!(reply.status, 200, "{}", reply.body);
+    }
+    assert_eq!(stack.runs(&queued).await, 1);
+    assert_eq!(stack.wait_exit_agent("yard-1").await, 0);
+    assert_eq!(stack.wait_exit_entry(0).await, 0);
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn entry_leaves() {
     let mut stack = stack::Stack::start(stack::Plan::default()).await.unwrap();
