Show an hour without the platform in the gate's decisions

Change: gate::hour_alone ticks a gate through 3,600 seconds with no view of the platform: new keys run, repeated ones get their answer, and only the records of the last window are kept.

Conclusion: the hour through real processes stays listed as not proved.

--- a/crates/core/tests/gate.rs
+++ b/crates/core/tests/gate.rs
@@ -279,3 +279,27 @@
     let verdict = gate.offer(offer(1, None, later), later);
     assert_eq!(refusal(verdict).1, Outcome::Unknown);
 }
+
+#[test]
+fn hour_alone() {
+    // Nothing is heard of the platform for an hour; the process goes on and ticks.
+    let start = time::Instant::now();
+    let mut gate = open(1, start);
+    for second in 0..3600u32 {
+        let now = start + second * SECOND;
+        gate.tick(now);
+        while gate.next_expired(now).is_some() {}
+        if second % 300 == 0 {
+            let run = u128::from(second) + 1;
+            assert_eq!(gate.offer(offer(run, Some(run), now), now), gate::Verdict::Accept);
+            gate.start(run, now).unwrap();
+            gate.finish(run, true, now);
+        }
+        if second % 300 == 200 {
+            let (run, key) = (u128::from(second) + 1, u128::from(second - 200) + 1);
+            let again = gate.offer(offer(run, Some(key), now), now);
+            assert_eq!(again, gate::Verdict::Answered(key), "second {second}");
+        }
+    }
+    assert!(gate.key_count() <= 3, "records of the last window only");
+}
