--- /dev/null
+++ b/crates/core/src/engines.rs
@@ -0,0 +1,304 @@
+//! Memory and prefill time of a service's engines, as committed by all entries.
+//!
+//! Engines report their load late. An entry therefore counts what it has sent itself, and adds
+//! what its peers say they have sent.
+
+use std::{collections, time};
+
+use crate::{fleet, ids};
+
+/// What a request needs of a decode engine.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Need {
+    /// Tokens of the prompt.
+    pub prompt: u32,
+    /// Tokens expected to be generated.
+    pub output: u32,
+}
+
+/// Work that one entry has given to one engine.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Commitment {
+    /// Memory that is expected to be taken, in tokens.
+    pub tokens: u32,
+    /// Requests.
+    pub runs: u32,
+    /// Prefill work that is left.
+    pub prefill: time::Duration,
+}
+
+#[derive(Clone, Debug)]
+struct Engine {
+    zone: ids::ZoneName,
+    stage: fleet::Stage,
+    usable: bool,
+    slots: u32,
+    memory: u32,
+    runs: collections::BTreeMap<ids::RunId, Need>,
+    prefill_until: Option<time::Instant>,
+    peers: collections::BTreeMap<String, Told>,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Told {
+    commitment: Commitment,
+    at: time::Instant,
+}
+
+/// Engines of one service.
+#[derive(Clone, Debug, Default)]
+pub struct Engines {
+    engines: collections::BTreeMap<ids::ServerName, Engine>,
+    // Requests that wait for decode memory, in the order of their arrival.
+    queue: collections::BTreeSet<Place>,
+}
+
+/// Place of a request in the queue for decode memory.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Place {
+    /// When the request arrived.
+    pub arrived: time::Instant,
+    /// Its run.
+    pub run: ids::RunId,
+}
+
+/// What a peer said is void after this time without news of it.
+pub const PEER_SILENCE: time::Duration = time::Duration::from_millis(1_500);
+/// Part of an expected answer that is charged: runs are at different points of their growth.
+const OUTPUT_SHARE: f64 = 0.6;
+/// Part of the memory that is given away; the rest takes answers longer than expected.
+const MEMORY_SHARE: f64 = 0.95;
+/// Prompt tokens that an engine reads in a millisecond, until told otherwise.
+const TOKENS_PER_MS: u64 = 33;
+/// Fixed cost of a prefill: the call, and the first step.
+const PREFILL_BASE: time::Duration = time::Duration::from_millis(10);
+/// A source in another availability zone costs as much as this much waiting.
+const AWAY_PREFILL: time::Duration = time::Duration::from_millis(60);
+
+/// Time that an idle engine needs to read a prompt.
+pub fn prefill_work(tokens: u32) -> time::Duration {
+    PREFILL_BASE + time::Duration::from_millis(u64::from(tokens) / TOKENS_PER_MS)
+}
+
+impl Need {
+    /// Memory charged for the request, in tokens.
+    pub fn charge(&self) -> u32 {
+        self.prompt + (f64::from(self.output) * OUTPUT_SHARE) as u32
+    }
+}
+
+impl Engine {
+    fn peers(&self, now: time::Instant) -> impl Iterator<Item = &Commitment> {
+        let is_fresh = move |told: &&Told| now <= told.at + PEER_SILENCE;
+        self.peers.values().filter(is_fresh).map(|told| &told.commitment)
+    }
+
+    fn tokens(&self, now: time::Instant) -> u32 {
+        let own: u32 = self.runs.values().map(Need::charge).sum();
+        own + self.peers(now).map(|peer| peer.tokens).sum::<u32>()
+    }
+
+    fn running(&self, now: time::Instant) -> u32 {
+        self.runs.len() as u32 + self.peers(now).map(|peer| peer.runs).sum::<u32>()
+    }
+
+    fn room(&self) -> u32 {
+        (f64::from(self.memory) * MEMORY_SHARE) as u32
+    }
+
+    fn own_prefill(&self, now: time::Instant) -> time::Duration {
+        self.prefill_until
+            .map_or(time::Duration::ZERO, |until| until.saturating_duration_since(now))
+    }
+
+    fn prefill(&self, now: time::Instant) -> time::Duration {
+        self.own_prefill(now) + self.peers(now).map(|peer| peer.prefill).sum::<time::Duration>()
+    }
+
+    fn fits(&self, charge: u32, now: time::Instant) -> bool {
+        let is_free = self.running(now) < self.slots;
+        is_free && self.tokens(now) + charge <= self.room()
+    }
+}
+
+impl Engines {
+    /// Adds an engine, or updates its stage.
+    pub fn set(&mut self, id: &str, instance: &fleet::Instance, slots: u32, memory: u32) {
+        let Some(stage) = instance.stage else { return };
+        let fresh = || Engine {
+            zone: instance.zone.clone(),
+            stage,
+            usable: true,
+            slots,
+            memory,
+            runs: collections::BTreeMap::new(),
+            prefill_until: None,
+            peers: collections::BTreeMap::new(),
+        };
+        let engine = self.engines.entry(id.to_string()).or_insert_with(fresh);
+        engine.stage = stage;
+        engine.usable = !instance.leaving;
+        engine.slots = slots;
+        engine.memory = memory;
+    }
+
+    /// Forgets an engine, and what ran there.
+    pub fn remove(&mut self, id: &str) {
+        self.engines.remove(id);
+    }
+
+    /// Keeps the engine from new work.
+    pub fn set_unusable(&mut self, id: &str) {
+        if let Some(engine) = self.engines.get_mut(id) {
+            engine.usable = false;
+        }
+    }
+
+    /// Stage of an engine.
+    pub fn stage(&self, id: &str) -> Option<fleet::Stage> {
+        self.engines.get(id).map(|engine| engine.stage)
+    }
+
+    fn of_stage(
+        &self,
+        stage: fleet::Stage,
+    ) -> impl Iterator<Item = (&ids::ServerName, &Engine)> + Clone {
+        self.engines.iter().filter(move |(_, engine)| engine.usable && engine.stage == stage)
+    }
+
+    /// Ids of the engines of a stage that take new work.
+    pub fn ids(&self, stage: fleet::Stage) -> impl Iterator<Item = &ids::ServerName> {
+        self.of_stage(stage).map(|(id, _)| id)
+    }
+
+    /// Puts a request into the queue for decode memory; one that is there keeps its place.
+    pub fn join(&mut self, place: Place) {
+        self.queue.insert(place);
+    }
+
+    /// Takes a request out of the queue.
+    pub fn leave(&mut self, place: Place) {
+        self.queue.remove(&place);
+    }
+
+    /// Requests that wait for decode memory.
+    pub fn waiting(&self) -> usize {
+        self.queue.len()
+    }
+
+    /// Commits memory at the emptiest decode engine that has room; `allowed` limits the choice.
+    ///
+    /// Requests get memory in the order of the queue.
+    pub fn reserve(
+        &mut self,
+        place: Place,
+        need: Need,
+        allowed: impl Fn(&str) -> bool,
+        now: time::Instant,
+    ) -> Option<ids::ServerName> {
+        if self.queue.first().is_some_and(|first| *first < place) {
+            return None;
+        }
+        let charge = need.charge();
+        let decode = self.of_stage(fleet::Stage::Decode);
+        let fitting = decode.filter(|(id, engine)| allowed(id) && engine.fits(charge, now));
+        let (id, _) = fitting.min_by_key(|(_, engine)| engine.tokens(now))?;
+        let id = id.clone();
+        self.queue.remove(&place);
+        self.commit(&id, place.run, need);
+        Some(id)
+    }
+
+    fn commit(&mut self, id: &str, run: ids::RunId, need: Need) {
+        if let Some(engine) = self.engines.get_mut(id) {
+            engine.runs.insert(run, need);
+        }
+    }
+
+    /// Ends a run's commitment.
+    pub fn release(&mut self, id: &str, run: ids::RunId) {
+        if let Some(engine) = self.engines.get_mut(id) {
+            engine.runs.remove(&run);
+        }
+    }
+
+    /// Chooses the engine that would have read a prompt first, near `zone` where that is equal.
+    ///
+    /// Returns the engine and the time until the prompt will have been read.
+    pub fn pick_prefill(
+        &self,
+        tokens: u32,
+        zone: &str,
+        allowed: impl Fn(&str) -> bool,
+        now: time::Instant,
+    ) -> Option<(ids::ServerName, time::Duration)> {
+        let wait = |engine: &Engine| {
+            let away = if engine.zone == zone { time::Duration::ZERO } else { AWAY_PREFILL };
+            engine.prefill(now) + away
+        };
+        let sources = self.of_stage(fleet::Stage::Prefill).filter(|(id, _)| allowed(id));
+        let (id, engine) = sources.min_by_key(|(_, engine)| wait(engine))?;
+        Some((id.clone(), engine.prefill(now) + prefill_work(tokens)))
+    }
+
+    /// Notes a prompt sent to an engine.
+    pub fn prefill_sent(&mut self, id: &str, tokens: u32, now: time::Instant) {
+        if let Some(engine) = self.engines.get_mut(id) {
+            let from = engine.prefill_until.map_or(now, |until| until.max(now));
+            engine.prefill_until = Some(from + prefill_work(tokens));
+        }
+    }
+
+    /// Shortest expected time until a prompt of `tokens` has been read.
+    pub fn prefill_wait(&self, tokens: u32, now: time::Instant) -> Option<time::Duration> {
+        let sources = self.of_stage(fleet::Stage::Prefill);
+        let wait = sources.map(|(_, engine)| engine.prefill(now)).min();
+        wait.map(|wait| wait + prefill_work(tokens))
+    }
+
+    /// Availability zone of an engine.
+    pub fn zone(&self, id: &str) -> Option<&ids::ZoneName> {
+        self.engines.get(id).map(|engine| &engine.zone)
+    }
+
+    /// What this entry has given to each engine, for its peers.
+    pub fn own(&self, now: time::Instant) -> collections::BTreeMap<ids::ServerName, Commitment> {
+        let told = self.engines.iter().map(|(id, engine)| {
+            let commitment = Commitment {
+                tokens: engine.runs.values().map(Need::charge).sum(),
+                runs: engine.runs.len() as u32,
+                prefill: engine.own_prefill(now),
+            };
+            (id.clone(), commitment)
+        });
+        told.filter(|(_, commitment)| *commitment != Commitment::default()).collect()
+    }
+
+    /// Takes what a peer has given to each engine.
+    pub fn hear(
+        &mut self,
+        peer: &str,
+        told: &collections::BTreeMap<ids::ServerName, Commitment>,
+        now: time::Instant,
+    ) {
+        for (id, engine) in &mut self.engines {
+            match told.get(id) {
+                Some(commitment) => {
+                    let told = Told { commitment: *commitment, at: now };
+                    engine.peers.insert(peer.to_string(), told);
+                }
+                None => {
+                    engine.peers.remove(peer);
+                }
+            }
+        }
+    }
+
+    /// Share of the decode engines' memory that is committed, in thousandths.
+    pub fn fill(&self, now: time::Instant) -> u32 {
+        let decode = self.of_stage(fleet::Stage::Decode);
+        let room: u64 = decode.clone().map(|(_, engine)| u64::from(engine.room())).sum();
+        let taken: u64 = decode.map(|(_, engine)| u64::from(engine.tokens(now))).sum();
+        (taken * 1000 / room.max(1)) as u32
+    }
+}
--- a/crates/core/src/pool.rs
+++ b/crates/core/src/pool.rs
@@ -155,9 +155,9 @@
     }
 
     /// Takes the platform's word on whether a server is leaving.
-    pub fn set_leaving(&mut self, name: &str) {
+    pub fn set_leaving(&mut self, name: &str, leaving: bool) {
         if let Some(server) = self.servers.get_mut(name) {
-            server.leaving = true;
+            server.leaving = leaving;
         }
     }
 
@@ -210,7 +210,7 @@
     /// Ejected servers are used only when no other is left, and tried ones only after those;
     /// leaving ones never.
     pub fn pick(&self, wish: Wish<'_>, now: time::Instant) -> Option<ids::ServerName> {
-        let usable: Vec<_> = self.usable(wish.tried, now);
+        let usable = self.candidates(wish.tried, |_| true, now);
         let count = usable.len();
         let at = wish.random as u32 as usize % count.max(1);
         let first = usable.get(at)?;
@@ -225,8 +225,16 @@
         Some(if is_near { liked.clone() } else { best.clone() })
     }
 
-    fn usable(&self, tried: &[ids::ServerName], now: time::Instant) -> Vec<&ids::ServerName> {
-        let staying = || self.servers.iter().filter(|(_, server)| !server.leaving);
+    /// Servers to choose from among those that are `allowed`, in the order of [`Pool::pick`]:
+    /// sound ones, else ejected ones, else those that were tried.
+    pub fn candidates(
+        &self,
+        tried: &[ids::ServerName],
+        allowed: impl Fn(&str) -> bool,
+        now: time::Instant,
+    ) -> Vec<&ids::ServerName> {
+        let staying =
+            || self.servers.iter().filter(|(name, server)| !server.leaving && allowed(name));
         let is_sound = |server: &Server| {
             server.ejected.is_none_or(|until| until <= now) && !self.is_suspect(server, now)
         };
--- a/crates/core/tests/choice.rs
+++ b/crates/core/tests/choice.rs
@@ -72,7 +72,7 @@
     let mut pool = pool(2, now);
     pool.judge("s-0", pool::End::Bad(Reason::Leaving), now);
     assert_eq!(counts(&pool, &[], now)[0], 0);
-    pool.set_leaving("s-1");
+    pool.set_leaving("s-1", true);
     assert_eq!(counts(&pool, &[], now), [0, 0]);
 }
 
--- /dev/null
+++ b/crates/edge/src/call.rs
@@ -0,0 +1,70 @@
+//! One request on its way through the entry.
+
+use std::{sync, sync::atomic, time};
+
+use bytes::Bytes;
+use hyper::header;
+
+use rhubarb_core::{ids, outcome, routing};
+use rhubarb_node::{clock, metrics};
+use rhubarb_platform::request;
+
+use crate::edge;
+
+/// A request that has been read and has a route.
+#[derive(Debug)]
+pub(crate) struct Call {
+    pub(crate) edge: sync::Arc<edge::Edge>,
+    pub(crate) head: request::Head,
+    pub(crate) body: Bytes,
+    pub(crate) route: routing::Route,
+    pub(crate) service: ids::ServiceName,
+    pub(crate) version: ids::ListVersion,
+    pub(crate) arrived: time::Instant,
+    /// When the final answer is due.
+    pub(crate) deadline: time::Instant,
+}
+
+impl Call {
+    /// Id for logs.
+    pub(crate) fn id(&self) -> &str {
+        let id = self.head.attempt.as_ref().map(header::HeaderValue::to_str);
+        id.and_then(Result::ok).unwrap_or("-")
+    }
+
+    pub(crate) fn time_left(&self) -> time::Duration {
+        self.deadline.saturating_duration_since(clock::now())
+    }
+
+    /// Time since the request arrived, in milliseconds.
+    pub(crate) fn age_ms(&self) -> u64 {
+        (clock::now() - self.arrived).as_millis() as u64
+    }
+
+    /// Takes a repeat from the shared budget, and notes it.
+    pub(crate) fn take_repeat(&self, reason: outcome::Reason) -> bool {
+        let taken = self.edge.directory().take_repeat(&self.service, clock::now());
+        if taken {
+            self.edge.counters.retried.get_or_create(&metrics::labels(reason)).inc();
+        }
+        tracing::info!(id = self.id(), reason = reason.name(), taken, "edge: repeat asked for");
+        taken
+    }
+}
+
+/// Counts a request as open until it is dropped.
+#[derive(Debug)]
+pub(crate) struct Open(sync::Arc<edge::Edge>);
+
+impl Open {
+    pub(crate) fn new(edge: &sync::Arc<edge::Edge>) -> Open {
+        edge.open.fetch_add(1, atomic::Ordering::Relaxed);
+        Open(edge.clone())
+    }
+}
+
+impl Drop for Open {
+    fn drop(&mut self) {
+        self.0.open.fetch_sub(1, atomic::Ordering::Relaxed);
+    }
+}
--- /dev/null
+++ b/crates/edge/src/directory.rs
@@ -0,0 +1,166 @@
+//! Who serves what, as this entry knows it.
+
+use std::{collections, net, sync, time};
+
+use rhubarb_core::{engines, fleet, ids, load, pool, repeat, routing};
+
+/// One service with its servers.
+#[derive(Debug)]
+pub(crate) struct Service {
+    pub(crate) pool: pool::Pool,
+    pub(crate) engines: engines::Engines,
+    pub(crate) repeats: repeat::Repeats,
+}
+
+/// A server that was chosen.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) struct Target {
+    pub(crate) id: ids::ServerName,
+    pub(crate) address: net::SocketAddr,
+}
+
+/// Routes, services and servers in force.
+#[derive(Debug)]
+pub(crate) struct Directory {
+    zone: ids::ZoneName,
+    allowance: repeat::Allowance,
+    config: Option<sync::Arc<routing::Config>>,
+    pub(crate) fleet: fleet::Fleet,
+    has_fleet: bool,
+    services: collections::BTreeMap<ids::ServiceName, Service>,
+    /// Entries that share the retry budget, this one included.
+    pub(crate) entries: u32,
+}
+
+/// Entries that are assumed until the others are known.
+const ASSUMED_ENTRIES: u32 = 8;
+
+impl Directory {
+    pub(crate) fn new(zone: &str, allowance: repeat::Allowance) -> Directory {
+        Directory {
+            zone: zone.to_string(),
+            allowance,
+            config: None,
+            fleet: fleet::Fleet::default(),
+            has_fleet: false,
+            services: collections::BTreeMap::new(),
+            entries: ASSUMED_ENTRIES,
+        }
+    }
+
+    /// Routes and services in force.
+    pub(crate) fn config(&self) -> Option<sync::Arc<routing::Config>> {
+        self.config.clone()
+    }
+
+    /// Whether both the config and the servers are known.
+    pub(crate) fn is_complete(&self) -> bool {
+        self.config.is_some() && self.has_fleet
+    }
+
+    /// Puts a config in force, unless one as new is already.
+    pub(crate) fn set_config(&mut self, config: routing::Config) -> bool {
+        if self.config.as_ref().is_some_and(|old| old.version >= config.version) {
+            return false;
+        }
+        self.config = Some(sync::Arc::new(config));
+        let ids: Vec<_> = self.fleet.instances().keys().cloned().collect();
+        for id in ids {
+            self.place(&id);
+        }
+        true
+    }
+
+    /// Notes that the servers are known.
+    pub(crate) fn set_has_fleet(&mut self) {
+        self.has_fleet = true;
+    }
+
+    /// Makes a change of the registry known to the service.
+    pub(crate) fn apply(&mut self, change: &fleet::Change) {
+        match change {
+            fleet::Change::Joined(id) => {
+                self.forget(id);
+                self.place(id);
+            }
+            fleet::Change::Updated(id) => self.place(id),
+            fleet::Change::Leaving(id) => {
+                for service in self.services.values_mut() {
+                    service.pool.set_leaving(id, true);
+                    service.engines.set_unusable(id);
+                }
+            }
+            fleet::Change::Gone(id) => self.forget(id),
+        }
+    }
+
+    fn forget(&mut self, id: &str) {
+        for service in self.services.values_mut() {
+            service.pool.remove(id);
+            service.engines.remove(id);
+        }
+    }
+
+    fn place(&mut self, id: &str) {
+        let Some(instance) = self.fleet.get(id).cloned() else { return };
+        let config = self.config.clone();
+        let engine = config
+            .as_ref()
+            .and_then(|config| config.services.get(&instance.service))
+            .and_then(|service| service.engine.clone());
+        let service = self.service(&instance.service);
+        let is_new = service.pool.get(id).is_none();
+        service.pool.add(id, &instance.zone);
+        if is_new {
+            let rooms = instance.slots;
+            let idle = load::Load { rooms, ..load::Load::default() };
+            service.pool.hear(id, idle, rhubarb_node::clock::now());
+        }
+        service.pool.set_leaving(id, instance.leaving);
+        if let Some(engine) = engine {
+            service.engines.set(id, &instance, engine.slots, engine.memory);
+        }
+    }
+
+    /// The service `name`, made on first use.
+    pub(crate) fn service(&mut self, name: &str) -> &mut Service {
+        let (zone, allowance) = (&self.zone, self.allowance);
+        let fresh = || Service {
+            pool: pool::Pool::new(zone.clone()),
+            engines: engines::Engines::default(),
+            repeats: repeat::Repeats::new(allowance),
+        };
+        self.services.entry(name.to_string()).or_insert_with(fresh)
+    }
+
+    /// All services.
+    pub(crate) fn services(&mut self) -> &mut collections::BTreeMap<ids::ServiceName, Service> {
+        &mut self.services
+    }
+
+    /// Where a server is reached.
+    pub(crate) fn target(&self, id: &str) -> Option<Target> {
+        let instance = self.fleet.get(id)?;
+        Some(Target { id: id.to_string(), address: instance.address })
+    }
+
+    /// Chooses a server of a plain service.
+    pub(crate) fn pick(
+        &mut self,
+        service: &str,
+        tried: &[ids::ServerName],
+        now: time::Instant,
+    ) -> Option<Target> {
+        let wish = pool::Wish { tried, affinity: None, random: rand::random(), by_work: false };
+        let pool = &mut self.service(service).pool;
+        let id = pool.pick(wish, now)?;
+        pool.sent(&id, time::Duration::ZERO);
+        self.target(&id)
+    }
+
+    /// Takes one repeat from the service's budget.
+    pub(crate) fn take_repeat(&mut self, service: &str, now: time::Instant) -> bool {
+        let entries = self.entries;
+        self.service(service).repeats.take(entries, now)
+    }
+}
--- /dev/null
+++ b/crates/edge/src/edge.rs
@@ -0,0 +1,69 @@
+//! State shared by the parts of an entry.
+
+use std::{sync, sync::atomic, time};
+
+use tokio::sync as lock;
+
+use rhubarb_core::ids;
+use rhubarb_node::{client, clock, locks};
+use rhubarb_platform::{settings, store};
+
+use crate::{directory, links, metrics};
+
+/// One entry.
+#[derive(Debug)]
+pub(crate) struct Edge {
+    pub(crate) settings: settings::Settings,
+    pub(crate) incarnation: ids::Incarnation,
+    pub(crate) store: store::Store,
+    pub(crate) links: links::Links,
+    pub(crate) counters: metrics::Counters,
+    /// Decode memory may have become free.
+    pub(crate) room_freed: lock::Notify,
+    pub(crate) open: atomic::AtomicU64,
+    directory: sync::Mutex<directory::Directory>,
+    seq: atomic::AtomicU64,
+    stopped_at: sync::OnceLock<time::Instant>,
+}
+
+impl Edge {
+    pub(crate) fn new(settings: settings::Settings) -> Edge {
+        let directory = directory::Directory::new(&settings.zone, settings.allowance);
+        let store = store::Store::new(client::Client::new(), settings.store);
+        Edge {
+            incarnation: rand::random(),
+            store,
+            links: links::Links::default(),
+            counters: metrics::Counters::new(),
+            room_freed: lock::Notify::new(),
+            open: atomic::AtomicU64::new(0),
+            directory: sync::Mutex::new(directory),
+            seq: atomic::AtomicU64::new(1),
+            stopped_at: sync::OnceLock::new(),
+            settings,
+        }
+    }
+
+    pub(crate) fn directory(&self) -> sync::MutexGuard<'_, directory::Directory> {
+        locks::lock(&self.directory)
+    }
+
+    /// Id for a new run.
+    pub(crate) fn next_run(&self) -> ids::RunId {
+        ids::run_id(self.incarnation, self.seq.fetch_add(1, atomic::Ordering::Relaxed))
+    }
+
+    /// Whether the balancer may send new connections.
+    pub(crate) fn is_ready(&self) -> bool {
+        !self.is_stopping() && self.directory().is_complete()
+    }
+
+    /// Starts to leave.
+    pub(crate) fn stop(&self) {
+        self.stopped_at.get_or_init(clock::now);
+    }
+
+    pub(crate) fn is_stopping(&self) -> bool {
+        self.stopped_at.get().is_some()
+    }
+}
--- /dev/null
+++ b/crates/edge/src/lib.rs
@@ -0,0 +1,27 @@
+//! Entry of rhubarbloom on the users' platform.
+//!
+//! Callers' requests come in, are placed by the decisions of `rhubarb_core`, and go straight to
+//! the backend servers. What is known of routes and servers comes from the platform's store and
+//! from the other entries.
+//!
+//! ```
+//! use rhubarb_platform::settings;
+//!
+//! assert!(settings::parse("").is_err());
+//! ```
+
+mod call;
+mod directory;
+mod edge;
+mod ingress;
+mod links;
+mod metrics;
+mod plain;
+mod prefill;
+mod refuse;
+mod room;
+mod run;
+mod stream;
+mod watch;
+
+pub use run::run;
--- /dev/null
+++ b/crates/edge/src/metrics.rs
@@ -0,0 +1,36 @@
+//! Metrics of the entry.
+
+use prometheus_client::metrics::{counter, gauge, histogram};
+
+use rhubarb_node::metrics;
+
+/// Counters, gauges and latency histograms.
+#[derive(Debug)]
+pub(crate) struct Counters {
+    pub(crate) registry: metrics::Metrics,
+    pub(crate) requests: counter::Counter,
+    pub(crate) answered: counter::Counter,
+    pub(crate) refused: metrics::ReasonFamily,
+    pub(crate) retried: metrics::ReasonFamily,
+    pub(crate) wasted: metrics::ReasonFamily,
+    pub(crate) version: gauge::Gauge,
+    pub(crate) plain_time: histogram::Histogram,
+    pub(crate) first_event: histogram::Histogram,
+}
+
+impl Counters {
+    pub(crate) fn new() -> Counters {
+        let registry = metrics::Metrics::new("rhubarb_edge");
+        Counters {
+            requests: registry.counter("requests", "Requests received"),
+            answered: registry.counter("answered", "Requests answered whole by a server"),
+            refused: registry.reasons("refused", "Requests refused or failed, by reason"),
+            retried: registry.reasons("retried", "Attempts repeated, by reason"),
+            wasted: registry.reasons("wasted_tokens", "Prompt tokens prefilled in vain, by reason"),
+            version: registry.gauge("config_version", "Version of the config in force"),
+            plain_time: registry.seconds("plain_seconds", "Time to the answer of a plain call"),
+            first_event: registry.seconds("first_event_seconds", "Time to a stream's first event"),
+            registry,
+        }
+    }
+}
--- /dev/null
+++ b/crates/edge/src/stream.rs
@@ -0,0 +1,372 @@
+//! Drives one model request: decode room, prefill, decode, and its events to the caller.
+
+use std::time;
+
+use bytes::Bytes;
+use http_body_util::BodyExt;
+use hyper::{Response, body};
+
+use rhubarb_core::{engines, events, flow, ids, outcome, pool, repeat, routing};
+use rhubarb_node::{answer, clock, reply};
+use rhubarb_platform::{answer as forms, request};
+
+use outcome::{Outcome, Reason, Refusal};
+
+use crate::{call, links, plain, prefill, refuse, room};
+
+/// One model request on its way.
+#[derive(Debug)]
+pub(crate) struct Streaming {
+    call: call::Call,
+    reply: reply::Reply,
+    flow: flow::Flow,
+    need: engines::Need,
+    room: Option<room::Room>,
+    cache: Option<prefill::Cache>,
+    // Servers at which the request may have run.
+    runs: u32,
+    last_event: Option<u64>,
+    events: u64,
+    first_at: Option<time::Instant>,
+}
+
+/// Time from the end of a prefill to the first event: transfer, messages, one batch of steps.
+const FIRST_EVENT: time::Duration = time::Duration::from_millis(130);
+/// A stream that can go on elsewhere does so after a silence of this length.
+const STALL: time::Duration = time::Duration::from_millis(1_500);
+/// A stream that broke off waits this long for room elsewhere.
+const RESUME_WAIT: time::Duration = time::Duration::from_millis(1_000);
+const RETRY_SOON: time::Duration = time::Duration::from_secs(1);
+/// Need of a request that does not tell its size.
+const UNKNOWN_NEED: engines::Need = engines::Need { prompt: 1_000, output: 500 };
+
+impl Streaming {
+    pub(crate) fn new(call: call::Call, reply: reply::Reply) -> Streaming {
+        let is_once = !call.route.kind.is_repeatable();
+        let last_event = call.head.last_event;
+        Streaming {
+            need: call.head.need.unwrap_or(UNKNOWN_NEED),
+            flow: flow::Flow::new(is_once),
+            call,
+            reply,
+            room: None,
+            cache: None,
+            runs: 0,
+            last_event,
+            events: 0,
+            first_at: None,
+        }
+    }
+
+    /// Runs the request to its one outcome.
+    pub(crate) async fn drive(mut self) {
+        self.flow.handle(&flow::Event::Begin);
+        while let Some(step) = self.flow.next_step() {
+            let event = match step {
+                flow::Step::Reserve => self.reserve().await,
+                flow::Step::Prefill => self.prefill().await,
+                flow::Step::Decode => self.decode().await,
+                flow::Step::Release => {
+                    self.room = None;
+                    self.cache = None;
+                    continue;
+                }
+                flow::Step::Finish => {
+                    self.finish();
+                    continue;
+                }
+                flow::Step::Refuse(refusal) => {
+                    self.refuse(refusal).await;
+                    continue;
+                }
+            };
+            self.flow.handle(&event);
+        }
+    }
+
+    fn failed(&self, server: Option<ids::ServerName>, refusal: Refusal) -> flow::Event {
+        let call = &self.call;
+        let retry = server.is_some()
+            && clock::now() < call.deadline
+            && repeat::is_allowed(call.route.kind, refusal.outcome)
+            && self.runs < call.route.attempts
+            && self.flow.retries() < flow::MAX_RETRIES
+            && call.take_repeat(refusal.reason);
+        flow::Event::Failed { server, refusal, retry }
+    }
+
+    // Room is of use while the first event can still be in time.
+    fn wait_by(&self) -> time::Instant {
+        let now = clock::now();
+        if self.events > 0 {
+            return self.call.deadline.min(now + RESUME_WAIT);
+        }
+        let mut directory = self.call.edge.directory();
+        let engines = &directory.service(&self.call.service).engines;
+        let prefill = engines.prefill_wait(self.need.prompt, now).unwrap_or_default();
+        let due = self.call.arrived + self.call.route.target;
+        due.checked_sub(prefill + FIRST_EVENT).unwrap_or(now).min(self.call.deadline)
+    }
+
+    async fn reserve(&mut self) -> flow::Event {
+        let wait_by = self.wait_by();
+        let tried = self.flow.tried().to_vec();
+        let asked = room::ask(&self.call, &mut self.reply, self.need, &tried, wait_by).await;
+        match asked {
+            room::Asked::Granted(room) => {
+                self.room = Some(room);
+                flow::Event::Reserved
+            }
+            room::Asked::Refused(refusal) => self.failed(None, refusal),
+            room::Asked::Gone => flow::Event::CallerGone,
+        }
+    }
+
+    async fn prefill(&mut self) -> flow::Event {
+        let zone = self.decode_zone();
+        let tried = self.flow.tried().to_vec();
+        let (call, reply) = (&self.call, &mut self.reply);
+        match prefill::read(call, reply, &zone, self.need.prompt, &tried).await {
+            prefill::Read::Done(cache) => {
+                self.cache = Some(cache);
+                flow::Event::Prefilled
+            }
+            prefill::Read::Failed(server, refusal) => self.failed(server, refusal),
+            prefill::Read::Gone => flow::Event::CallerGone,
+        }
+    }
+
+    fn decode_zone(&self) -> ids::ZoneName {
+        let Some(room) = &self.room else { return self.call.edge.settings.zone.clone() };
+        let mut directory = self.call.edge.directory();
+        let engines = &directory.service(&self.call.service).engines;
+        engines.zone(&room.target.id).cloned().unwrap_or_default()
+    }
+
+    async fn decode(&mut self) -> flow::Event {
+        let Some(target) = self.room.as_ref().map(|room| room.target.clone()) else {
+            return self.failed(None, room::no_room());
+        };
+        let source = self.cache.as_ref().map(prefill::Cache::source);
+        let send = request::Send {
+            expect: &target.id,
+            left: self.call.time_left(),
+            source: source.as_deref(),
+            last_event: self.last_event,
+            ..request::Send::default()
+        };
+        let request = self.call.head.to_server(&send, self.call.body.clone());
+        let edge = self.call.edge.clone();
+        let sending = edge.links.send(target.address, request);
+        let event = match self.reply.wait(sending, self.call.deadline).await {
+            reply::Waited::Gone => flow::Event::CallerGone,
+            reply::Waited::Expired => flow::Event::Expired,
+            reply::Waited::Event(Err(links::SendError::Unsent(err))) => {
+                tracing::info!(id = self.call.id(), server = target.id, err, "edge: not sent");
+                let refusal = Refusal::not_run(Reason::NoServer, RETRY_SOON);
+                self.failed(Some(target.id.clone()), refusal)
+            }
+            reply::Waited::Event(Err(links::SendError::Broken(err))) => {
+                tracing::info!(id = self.call.id(), server = target.id, err, "edge: broke off");
+                self.broken(&target.id, Reason::LostContact)
+            }
+            reply::Waited::Event(Ok(answered)) => self.take(&target.id, answered).await,
+        };
+        self.judge(&target.id, &event);
+        event
+    }
+
+    fn broken(&mut self, server: &str, reason: Reason) -> flow::Event {
+        self.runs += 1;
+        self.failed(Some(server.to_string()), Refusal::unknown(reason, RETRY_SOON))
+    }
+
+    fn judge(&mut self, server: &str, event: &flow::Event) {
+        match event {
+            flow::Event::Ended => prefill::note_end(&self.call, server, pool::End::Good),
+            flow::Event::Failed { refusal, .. } => {
+                prefill::note_end(&self.call, server, pool::End::Bad(refusal.reason));
+            }
+            _ => {}
+        }
+    }
+
+    async fn take(&mut self, server: &ids::ServerName, answered: links::Answered) -> flow::Event {
+        match forms::judge(&answered.response, self.call.head.attempt.as_ref()) {
+            forms::Proof::OtherServer => {
+                let refusal = Refusal::not_run(Reason::Leaving, RETRY_SOON);
+                return self.failed(Some(server.clone()), refusal);
+            }
+            forms::Proof::NotRun => return self.not_admitted(server, answered).await,
+            forms::Proof::Foreign => return self.broken(server, Reason::LostContact),
+            forms::Proof::Genuine => {}
+        }
+        if let Some(cache) = &mut self.cache {
+            cache.set_taken();
+            prefill::note_end(&self.call, &cache.server, pool::End::Good);
+        }
+        if !answered.response.status().is_success() {
+            return self.pass_failure(server, answered).await;
+        }
+        self.pass_events(server, answered).await
+    }
+
+    // The engine is full, or it could not fetch the KV cache.
+    async fn not_admitted(
+        &mut self,
+        server: &ids::ServerName,
+        answered: links::Answered,
+    ) -> flow::Event {
+        plain::read_whole(&self.call.edge.links, answered).await;
+        if let Some(cache) = &self.cache {
+            let lapsed = pool::End::Bad(Reason::LostContact);
+            prefill::note_end(&self.call, &cache.server, lapsed);
+        }
+        self.failed(Some(server.clone()), Refusal::not_run(Reason::Evicted, RETRY_SOON))
+    }
+
+    // The server ran the request and failed; its answer is the caller's.
+    async fn pass_failure(
+        &mut self,
+        server: &ids::ServerName,
+        answered: links::Answered,
+    ) -> flow::Event {
+        let edge = self.call.edge.clone();
+        let reading = plain::read_whole(&edge.links, answered);
+        match self.reply.wait(reading, self.call.deadline).await {
+            reply::Waited::Gone => flow::Event::CallerGone,
+            reply::Waited::Expired => flow::Event::Expired,
+            reply::Waited::Event(plain::Read { head, body: Some(body) })
+                if !self.reply.has_begun() =>
+            {
+                self.reply.answer(forms::to_caller(&head).map(|()| answer::full(body)));
+                flow::Event::Ended
+            }
+            reply::Waited::Event(_) => self.broken(server, Reason::EngineFailed),
+        }
+    }
+
+    async fn pass_events(
+        &mut self,
+        server: &ids::ServerName,
+        answered: links::Answered,
+    ) -> flow::Event {
+        let head = forms::to_caller(&answered.response);
+        let told = links::told_limit(&answered.response);
+        let mut body = answered.response.into_body();
+        let mut scanner = events::Scanner::default();
+        loop {
+            let next = next_bytes(&mut body);
+            match self.reply.wait(next, self.silence_ends()).await {
+                reply::Waited::Gone => return flow::Event::CallerGone,
+                reply::Waited::Expired if clock::now() >= self.call.deadline => {
+                    return flow::Event::Expired;
+                }
+                reply::Waited::Expired => return self.broken(server, Reason::EngineSilent),
+                reply::Waited::Event(Piece::Broken(err)) => {
+                    tracing::info!(id = self.call.id(), server, err, "edge: stream broke off");
+                    return self.broken(server, Reason::LostContact);
+                }
+                reply::Waited::Event(Piece::End) if scanner.is_partial() => {
+                    return self.broken(server, Reason::EngineFailed);
+                }
+                reply::Waited::Event(Piece::End) => {
+                    self.call.edge.links.keep(answered.link, told);
+                    return flow::Event::Ended;
+                }
+                reply::Waited::Event(Piece::Bytes(bytes)) => scanner.push(&bytes),
+            }
+            while let Some(event) = scanner.next_event() {
+                if let Some(ended) = self.pass(server, &head, event).await {
+                    return ended;
+                }
+            }
+        }
+    }
+
+    fn silence_ends(&self) -> time::Instant {
+        let is_resumable = self.call.route.kind == routing::Kind::Stream { resumable: true };
+        let stall = clock::now() + STALL;
+        if is_resumable { stall.min(self.call.deadline) } else { self.call.deadline }
+    }
+
+    async fn pass(
+        &mut self,
+        server: &ids::ServerName,
+        head: &Response<()>,
+        event: events::Event,
+    ) -> Option<flow::Event> {
+        if let (Some(id), Some(last)) = (event.id, self.last_event) {
+            if id <= last {
+                return None;
+            }
+            if id != last + 1 {
+                tracing::warn!(id = self.call.id(), server, last, next = id, "edge: event missing");
+                return Some(self.broken(server, Reason::EngineFailed));
+            }
+        }
+        if !self.reply.has_begun() {
+            self.first_at = Some(clock::now());
+            self.reply.begin(head.clone());
+        }
+        self.flow.handle(&flow::Event::Streamed);
+        if !self.reply.send(Bytes::from(event.bytes), self.call.deadline).await {
+            return Some(flow::Event::CallerGone);
+        }
+        self.last_event = event.id.or(self.last_event);
+        self.events += 1;
+        None
+    }
+
+    fn finish(&self) {
+        let call = &self.call;
+        call.edge.counters.answered.inc();
+        let first = self.first_at.map(|at| at - call.arrived);
+        if let Some(first) = first {
+            call.edge.counters.first_event.observe(first.as_secs_f64());
+        }
+        tracing::info!(
+            id = call.id(),
+            route = call.route.name,
+            config = call.version,
+            server = self.room.as_ref().map(|room| room.target.id.as_str()),
+            retries = self.flow.retries(),
+            events = self.events,
+            first_ms = first.map(|first| first.as_millis() as u64),
+            age_ms = call.age_ms(),
+            "edge: streamed"
+        );
+    }
+
+    async fn refuse(&mut self, refusal: Refusal) {
+        if self.reply.has_begun() {
+            refuse::note(&self.call, refusal);
+            return self.reply.break_off(refusal.reason.name()).await;
+        }
+        if refusal.outcome == Outcome::Cancelled {
+            return refuse::note(&self.call, refusal);
+        }
+        let response = refuse::late(&self.call, refusal);
+        self.reply.answer(response);
+    }
+}
+
+enum Piece {
+    Bytes(Bytes),
+    End,
+    Broken(String),
+}
+
+async fn next_bytes(body: &mut body::Incoming) -> Piece {
+    loop {
+        match body.frame().await {
+            None => return Piece::End,
+            Some(Err(err)) => return Piece::Broken(err.to_string()),
+            Some(Ok(frame)) => {
+                if let Ok(bytes) = frame.into_data() {
+                    return Piece::Bytes(bytes);
+                }
+            }
+        }
+    }
+}
--- a/crates/entry/src/api.rs
+++ b/crates/entry/src/api.rs
@@ -5,9 +5,9 @@
 use hyper::{Method, Request, Response, StatusCode, body, http};
 
 use rhubarb_core::{list, outcome};
-use rhubarb_node::{answer, clock, control};
+use rhubarb_node::{answer, clock, control, reply};
 
-use crate::{admit, completion, driver, entry, openai, plain, refuse, teller};
+use crate::{admit, completion, entry, openai, plain, refuse, teller};
 
 use outcome::{Reason, Refusal};
 
@@ -102,7 +102,7 @@
         return Ok(refuse::answer(refusal, Some(&detail)));
     };
     let style = openai::Style { form, id: id.to_string(), model: request.model.clone() };
-    let (reply, answer) = driver::Reply::new();
+    let (reply, answer) = reply::Reply::new();
     let teller = teller::Teller::new(reply, style, request.stream);
     let completion = completion::Completion::new(ticket, targets, request, teller);
     tokio::spawn(completion.drive());
@@ -140,7 +140,7 @@
         body: content,
         id: id.to_string(),
     };
-    let (reply, answer) = driver::Reply::new();
+    let (reply, answer) = reply::Reply::new();
     tokio::spawn(plain::Plain::new(ticket, target, call, reply).drive());
     Ok(answer.await.unwrap_or_else(|_| broken()))
 }
--- a/crates/entry/src/completion.rs
+++ b/crates/entry/src/completion.rs
@@ -5,10 +5,10 @@
 use serde::Deserialize;
 
 use rhubarb_core::{flow, ids, list, outcome, pool};
-use rhubarb_node::clock;
+use rhubarb_node::{clock, reply};
 use rhubarb_wire::message;
 
-use crate::{admit, driver, openai, peer, placing, refuse, teller};
+use crate::{admit, openai, peer, placing, refuse, teller};
 
 use outcome::{Outcome, Reason, Refusal};
 
@@ -171,11 +171,11 @@
             excess: self.ticket.excess,
         });
         let mut run = peer.start(run, contact, order);
-        let waited = self.teller.reply.wait(&mut run, self.ticket.deadline).await;
+        let waited = self.teller.reply.wait(run.next(), self.ticket.deadline).await;
         self.decode = Some(Placed { server: server.clone(), run });
         match waited {
-            driver::Waited::Event(peer::Event::Reserved) => flow::Event::Reserved,
-            driver::Waited::Event(peer::Event::Head(head)) => {
+            reply::Waited::Event(peer::Event::Reserved) => flow::Event::Reserved,
+            reply::Waited::Event(peer::Event::Head(head)) => {
                 self.prompt_tokens = head.prompt_tokens().unwrap_or(0).into();
                 flow::Event::Replayed
             }
@@ -183,14 +183,18 @@
         }
     }
 
-    fn interrupted(&self, server: ids::ServerName, waited: driver::Waited) -> flow::Event {
+    fn interrupted(
+        &self,
+        server: ids::ServerName,
+        waited: reply::Waited<peer::Event>,
+    ) -> flow::Event {
         match waited {
-            driver::Waited::Gone => flow::Event::CallerGone,
-            driver::Waited::Expired => flow::Event::Expired,
-            driver::Waited::Event(peer::Event::Refused(refusal)) => {
+            reply::Waited::Gone => flow::Event::CallerGone,
+            reply::Waited::Expired => flow::Event::Expired,
+            reply::Waited::Event(peer::Event::Refused(refusal)) => {
                 self.failed(Some(server), refusal)
             }
-            driver::Waited::Event(_) => {
+            reply::Waited::Event(_) => {
                 self.failed(Some(server), Refusal::unknown(Reason::EngineFailed, RETRY_SOON))
             }
         }
@@ -231,14 +235,14 @@
             prompt: self.request.prompt.clone(),
         });
         let mut run = peer.start(run, contact, order);
-        match self.teller.reply.wait(&mut run, self.ticket.deadline).await {
-            driver::Waited::Event(peer::Event::Prefilled(prefilled)) => {
+        match self.teller.reply.wait(run.next(), self.ticket.deadline).await {
+            reply::Waited::Event(peer::Event::Prefilled(prefilled)) => {
                 self.count_prefill(&prefilled);
                 self.prefilled = Some(prefilled);
                 self.source = Some(server.clone());
                 flow::Event::Prefilled
             }
-            driver::Waited::Event(peer::Event::Refused(refusal)) => {
+            reply::Waited::Event(peer::Event::Refused(refusal)) => {
                 let refusal = Refusal { outcome: Outcome::NotRun, ..refusal };
                 self.failed(Some(server.clone()), refusal)
             }
@@ -282,14 +286,14 @@
             let Some(placed) = &mut self.decode else {
                 return self.unreachable(None, self.ticket.key.is_some());
             };
-            match self.teller.reply.wait(&mut placed.run, self.ticket.deadline).await {
-                driver::Waited::Event(peer::Event::Head(_) | peer::Event::Reserved) => {}
-                driver::Waited::Event(peer::Event::Bytes(bytes)) => {
+            match self.teller.reply.wait(placed.run.next(), self.ticket.deadline).await {
+                reply::Waited::Event(peer::Event::Head(_) | peer::Event::Reserved) => {}
+                reply::Waited::Event(peer::Event::Bytes(bytes)) => {
                     if !self.take_bytes(&bytes).await {
                         return flow::Event::CallerGone;
                     }
                 }
-                driver::Waited::Event(peer::Event::End) => return flow::Event::Ended,
+                reply::Waited::Event(peer::Event::End) => return flow::Event::Ended,
                 waited => {
                     let server = placed.server.clone();
                     return self.interrupted(server, waited);
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -14,7 +14,6 @@
 mod api;
 mod completion;
 mod dial;
-mod driver;
 mod entry;
 mod follow;
 mod keeper;
--- a/crates/entry/src/plain.rs
+++ b/crates/entry/src/plain.rs
@@ -6,10 +6,10 @@
 use hyper::{HeaderMap, Method, Response, StatusCode, header};
 
 use rhubarb_core::{ids, list, outcome, pool};
-use rhubarb_node::clock;
+use rhubarb_node::{clock, reply};
 use rhubarb_wire::{message, offer};
 
-use crate::{admit, completion, driver, peer, placing, refuse};
+use crate::{admit, completion, peer, placing, refuse};
 
 use outcome::{Outcome, Reason, Refusal};
 
@@ -47,7 +47,7 @@
     ticket: admit::Ticket,
     target: time::Duration,
     call: Call,
-    reply: driver::Reply,
+    reply: reply::Reply,
     tried: Vec<ids::ServerName>,
     retries: u32,
     unsure: bool,
@@ -63,7 +63,7 @@
         ticket: admit::Ticket,
         target: time::Duration,
         call: Call,
-        reply: driver::Reply,
+        reply: reply::Reply,
     ) -> Plain {
         Plain { ticket, target, call, reply, tried: Vec::new(), retries: 0, unsure: false }
     }
@@ -135,24 +135,24 @@
         });
         let mut run = peer.start(run, contact, order);
         loop {
-            match self.reply.wait(&mut run, self.ticket.deadline).await {
-                driver::Waited::Event(peer::Event::Head(head)) => self.begin(&head),
-                driver::Waited::Event(peer::Event::Bytes(bytes)) => {
+            match self.reply.wait(run.next(), self.ticket.deadline).await {
+                reply::Waited::Event(peer::Event::Head(head)) => self.begin(&head),
+                reply::Waited::Event(peer::Event::Bytes(bytes)) => {
                     if !self.reply.send(bytes.into(), self.ticket.deadline).await {
                         return Step::Done;
                     }
                 }
-                driver::Waited::Event(peer::Event::End) => {
+                reply::Waited::Event(peer::Event::End) => {
                     self.count_answer();
                     self.ticket.close(Outcome::Answered, None);
                     return Step::Done;
                 }
-                driver::Waited::Event(peer::Event::Refused(refusal)) => {
+                reply::Waited::Event(peer::Event::Refused(refusal)) => {
                     return Step::Failed(Some(server.clone()), refusal);
                 }
-                driver::Waited::Event(_) => {}
-                driver::Waited::Gone => return Step::Done,
-                driver::Waited::Expired => {
+                reply::Waited::Event(_) => {}
+                reply::Waited::Gone => return Step::Done,
+                reply::Waited::Expired => {
                     let late = Refusal::unknown(Reason::TooLate, RETRY_SOON);
                     return Step::Failed(Some(server.clone()), late);
                 }
--- a/crates/entry/src/teller.rs
+++ b/crates/entry/src/teller.rs
@@ -6,9 +6,9 @@
 use hyper::{Response, StatusCode, header};
 
 use rhubarb_core::outcome;
-use rhubarb_node::{answer, clock};
+use rhubarb_node::{answer, clock, reply};
 
-use crate::{driver, openai, plain, refuse};
+use crate::{openai, plain, refuse};
 
 /// Longest time to tell a caller that its stream broke.
 const LAST_WORD: time::Duration = time::Duration::from_secs(1);
@@ -16,14 +16,14 @@
 /// The caller's side of a model request.
 #[derive(Debug)]
 pub(crate) struct Teller {
-    pub(crate) reply: driver::Reply,
+    pub(crate) reply: reply::Reply,
     style: openai::Style,
     stream: bool,
     text: String,
 }
 
 impl Teller {
-    pub(crate) fn new(reply: driver::Reply, style: openai::Style, stream: bool) -> Teller {
+    pub(crate) fn new(reply: reply::Reply, style: openai::Style, stream: bool) -> Teller {
         Teller { reply, style, stream, text: String::new() }
     }
 
--- a/crates/entry/src/view.rs
+++ b/crates/entry/src/view.rs
@@ -174,7 +174,7 @@
         let names: Vec<_> = pool.names().cloned().collect();
         for name in names {
             if self.instances[&name].state == instances::State::Leaving {
-                pool.set_leaving(&name);
+                pool.set_leaving(&name, true);
             }
         }
     }
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -24,6 +24,7 @@
 pub mod metrics;
 pub mod objects;
 pub mod platform;
+pub mod reply;
 pub mod server;
 pub mod settings;
 pub mod stop;
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -4,7 +4,7 @@
 
 use hyper::{Response, StatusCode};
 use prometheus_client::encoding::{EncodeLabelSet, text};
-use prometheus_client::metrics::{counter, family, gauge};
+use prometheus_client::metrics::{counter, family, gauge, histogram};
 use prometheus_client::registry;
 
 use rhubarb_core::outcome;
@@ -21,6 +21,9 @@
 /// Counter by reason.
 pub type ReasonFamily = family::Family<ReasonLabels, counter::Counter>;
 
+/// Upper bounds of the buckets of latency histograms, in seconds.
+const SECONDS_BOUNDS: [f64; 10] = [0.025, 0.05, 0.1, 0.15, 0.3, 0.5, 0.9, 2.0, 5.0, 15.0];
+
 /// Registry of one process.
 #[derive(Debug)]
 pub struct Metrics {
@@ -58,6 +61,13 @@
         gauge
     }
 
+    /// Registers a histogram of times in seconds.
+    pub fn seconds(&self, name: &str, help: &str) -> histogram::Histogram {
+        let histogram = histogram::Histogram::new(SECONDS_BOUNDS);
+        self.lock().register(name, help, histogram.clone());
+        histogram
+    }
+
     /// Answer to `GET /metrics`.
     pub fn answer(&self) -> Response<answer::Body> {
         let mut content = String::new();
