Tell peers what was given to engines, and what the store said

Cause: five entries filled the same engines without seeing one another; an entry that the store turns away learned nothing.

Change: entries exchange commitments by UDP ten times a second and fetch the config and the servers' entries from a peer while the store does not answer. Rows carry versions, so an older copy never replaces a newer one.

--- a/crates/core/src/fleet.rs
+++ b/crates/core/src/fleet.rs
@@ -105,17 +105,6 @@
         self.drop(id)
     }
 
-    /// Takes the whole registry: servers that are not in `ids` have no entry.
-    pub fn keep_only(
-        &mut self,
-        ids: &collections::BTreeSet<ids::ServerName>,
-        now: time::Instant,
-    ) -> Vec<Change> {
-        let absent: Vec<_> =
-            self.instances.keys().filter(|id| !ids.contains(*id)).cloned().collect();
-        absent.iter().filter_map(|id| self.unset(id, now)).collect()
-    }
-
     /// Drops the next server whose entry did not come back in time.
     pub fn next_gone(&mut self, now: time::Instant) -> Option<Change> {
         let due = self.missing.iter().find(|(_, until)| **until <= now);
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -28,6 +28,7 @@
 pub mod limit;
 pub mod list;
 pub mod load;
+pub mod members;
 pub mod outcome;
 pub mod pace;
 pub mod parse;
--- /dev/null
+++ b/crates/core/src/members.rs
@@ -0,0 +1,82 @@
+//! Other entries that one entry hears, and how many share the fleet's budgets.
+
+use std::{collections, net, time};
+
+use crate::ids;
+
+/// One peer.
+#[derive(Clone, Copy, Debug)]
+struct Peer {
+    incarnation: ids::Incarnation,
+    seq: u64,
+    heard_at: time::Instant,
+}
+
+/// Peers of an entry.
+#[derive(Clone, Debug, Default)]
+pub struct Members {
+    heard: collections::BTreeMap<net::IpAddr, Peer>,
+    // Addresses to try, with the time until which they are tried.
+    hoped: collections::BTreeMap<net::IpAddr, time::Instant>,
+    counts: collections::VecDeque<(time::Instant, u32)>,
+}
+
+/// A peer is part of the fleet for this long after it was heard.
+const SILENCE: time::Duration = time::Duration::from_secs(3);
+/// An address is tried for this long after it was named.
+const HOPE: time::Duration = time::Duration::from_secs(10);
+/// Entries that went silent may still spend: the largest number of this long counts.
+const COUNT_WINDOW: time::Duration = time::Duration::from_secs(20);
+/// Most peers that one entry exchanges its state with.
+pub const MAX_PEERS: usize = 40;
+
+impl Members {
+    /// Notes that an instance may be reached at `ip`.
+    pub fn hope(&mut self, ip: net::IpAddr, now: time::Instant) {
+        self.hoped.insert(ip, now + HOPE);
+    }
+
+    /// Takes a sign of life; false for one that is older than what was heard.
+    pub fn hear(
+        &mut self,
+        ip: net::IpAddr,
+        incarnation: ids::Incarnation,
+        seq: u64,
+        now: time::Instant,
+    ) -> bool {
+        let known = self.heard.get(&ip);
+        if known.is_some_and(|peer| peer.incarnation == incarnation && peer.seq >= seq) {
+            return false;
+        }
+        self.heard.insert(ip, Peer { incarnation, seq, heard_at: now });
+        true
+    }
+
+    /// Peers that were heard lately.
+    pub fn alive(&self, now: time::Instant) -> impl Iterator<Item = net::IpAddr> {
+        let is_alive = move |peer: &Peer| now <= peer.heard_at + SILENCE;
+        self.heard.iter().filter(move |(_, peer)| is_alive(peer)).map(|(ip, _)| *ip)
+    }
+
+    /// Addresses to send to: live peers, then those that may be some.
+    pub fn targets(&self, now: time::Instant) -> collections::BTreeSet<net::IpAddr> {
+        let hoped = self.hoped.iter().filter(|(_, until)| now <= **until).map(|(ip, _)| *ip);
+        self.alive(now).chain(hoped).take(MAX_PEERS).collect()
+    }
+
+    /// Entries that share the fleet's budgets, this one included.
+    pub fn count(&mut self, now: time::Instant) -> u32 {
+        let alive = self.alive(now).count() as u32 + 1;
+        while self.counts.front().is_some_and(|(at, _)| *at + COUNT_WINDOW < now) {
+            self.counts.pop_front();
+        }
+        // Kept as a falling series, so that the first one is the largest.
+        while self.counts.back().is_some_and(|(_, count)| *count <= alive) {
+            self.counts.pop_back();
+        }
+        self.counts.push_back((now, alive));
+        self.heard.retain(|_, peer| now <= peer.heard_at + COUNT_WINDOW);
+        self.hoped.retain(|_, until| now <= *until);
+        self.counts.front().map_or(alive, |(_, count)| *count)
+    }
+}
--- a/crates/edge/src/directory.rs
+++ b/crates/edge/src/directory.rs
@@ -4,6 +4,8 @@
 
 use rhubarb_core::{engines, fleet, ids, load, pool, repeat, routing};
 
+use crate::rows;
+
 /// One service with its servers.
 #[derive(Debug)]
 pub(crate) struct Service {
@@ -25,6 +27,8 @@
     zone: ids::ZoneName,
     allowance: repeat::Allowance,
     config: Option<sync::Arc<routing::Config>>,
+    /// What the store said, as it said it.
+    pub(crate) rows: rows::Rows,
     pub(crate) fleet: fleet::Fleet,
     has_fleet: bool,
     services: collections::BTreeMap<ids::ServiceName, Service>,
@@ -41,6 +45,7 @@
             zone: zone.to_string(),
             allowance,
             config: None,
+            rows: rows::Rows::default(),
             fleet: fleet::Fleet::default(),
             has_fleet: false,
             services: collections::BTreeMap::new(),
@@ -134,8 +139,8 @@
     }
 
     /// All services.
-    pub(crate) fn services(&mut self) -> &mut collections::BTreeMap<ids::ServiceName, Service> {
-        &mut self.services
+    pub(crate) fn services(&mut self) -> impl Iterator<Item = &mut Service> {
+        self.services.values_mut()
     }
 
     /// Where a server is reached.
--- a/crates/edge/src/edge.rs
+++ b/crates/edge/src/edge.rs
@@ -1,10 +1,10 @@
 //! State shared by the parts of an entry.
 
-use std::{sync, sync::atomic, time};
+use std::{net, sync, sync::atomic, time};
 
 use tokio::sync as lock;
 
-use rhubarb_core::ids;
+use rhubarb_core::{ids, members};
 use rhubarb_node::{client, clock, locks};
 use rhubarb_platform::{settings, store};
 
@@ -20,8 +20,15 @@
     pub(crate) counters: metrics::Counters,
     /// Decode memory may have become free.
     pub(crate) room_freed: lock::Notify,
+    /// A peer knows more than this entry.
+    pub(crate) behind: lock::Notify,
+    /// Tables of the store that do not answer now.
+    pub(crate) away: atomic::AtomicU64,
     pub(crate) open: atomic::AtomicU64,
     directory: sync::Mutex<directory::Directory>,
+    members: sync::Mutex<members::Members>,
+    // Peer that knows more.
+    ahead: sync::Mutex<Option<net::IpAddr>>,
     seq: atomic::AtomicU64,
     stopped_at: sync::OnceLock<time::Instant>,
 }
@@ -36,8 +43,12 @@
             links: links::Links::default(),
             counters: metrics::Counters::new(),
             room_freed: lock::Notify::new(),
+            behind: lock::Notify::new(),
+            away: atomic::AtomicU64::new(0),
             open: atomic::AtomicU64::new(0),
             directory: sync::Mutex::new(directory),
+            members: sync::Mutex::default(),
+            ahead: sync::Mutex::default(),
             seq: atomic::AtomicU64::new(1),
             stopped_at: sync::OnceLock::new(),
             settings,
@@ -48,6 +59,15 @@
         locks::lock(&self.directory)
     }
 
+    pub(crate) fn members(&self) -> sync::MutexGuard<'_, members::Members> {
+        locks::lock(&self.members)
+    }
+
+    /// Peer that knows more than this entry.
+    pub(crate) fn ahead(&self) -> sync::MutexGuard<'_, Option<net::IpAddr>> {
+        locks::lock(&self.ahead)
+    }
+
     /// Id for a new run.
     pub(crate) fn next_run(&self) -> ids::RunId {
         ids::run_id(self.incarnation, self.seq.fetch_add(1, atomic::Ordering::Relaxed))
--- /dev/null
+++ b/crates/edge/src/peers.rs
@@ -0,0 +1,241 @@
+//! Exchange with the other entries: commitments by UDP, what the store said by TCP.
+
+use std::{net, sync, sync::atomic, time};
+
+use tokio::{io, net as tcp, sync as lock};
+
+use rhubarb_node::clock;
+use rhubarb_platform::store;
+use rhubarb_wire::share;
+
+use crate::{edge, links, watch};
+
+/// Commitments are told this often: a prefill takes about as long.
+const TELL_PERIOD: time::Duration = time::Duration::from_millis(100);
+/// Instances that may be peers are looked up this often.
+const DISCOVER_PERIOD: time::Duration = time::Duration::from_secs(30);
+/// Addresses from the settings are tried this often, until as many peers are heard.
+const SEED_PERIOD: time::Duration = time::Duration::from_secs(2);
+/// A peer's news is fetched at most this often.
+const FETCH_PERIOD: time::Duration = time::Duration::from_millis(250);
+/// Time for one snapshot.
+const FETCH_LIMIT: time::Duration = time::Duration::from_secs(1);
+/// Time for one call to the store.
+const STORE_LIMIT: time::Duration = time::Duration::from_millis(1_500);
+/// Snapshots that are sent at the same time.
+const SNAPSHOTS: usize = 8;
+
+/// Where the entry at `ip` listens for its peers.
+pub(crate) fn address(edge: &edge::Edge, ip: net::IpAddr) -> net::SocketAddr {
+    let (first, _) = edge.settings.ports;
+    net::SocketAddr::new(ip, first)
+}
+
+/// Tells the peers what this entry has given to engines.
+pub(crate) async fn tell(edge: sync::Arc<edge::Edge>, socket: sync::Arc<tcp::UdpSocket>) {
+    let mut seq = 0;
+    loop {
+        tokio::time::sleep(TELL_PERIOD).await;
+        seq += 1;
+        let targets = note_members(&edge);
+        let bytes = match make_share(&edge, seq).write() {
+            Ok(bytes) => bytes,
+            Err(err) => {
+                tracing::error!(%err, "edge: state not written for peers");
+                continue;
+            }
+        };
+        for ip in targets {
+            if let Err(err) = socket.send_to(&bytes, address(&edge, ip)).await {
+                tracing::debug!(%ip, %err, "edge: state not sent to peer");
+            }
+        }
+    }
+}
+
+fn note_members(edge: &edge::Edge) -> Vec<net::IpAddr> {
+    let now = clock::now();
+    let mut members = edge.members();
+    let count = members.count(now);
+    let targets = members.targets(now);
+    drop(members);
+    edge.directory().entries = count;
+    targets.into_iter().filter(|ip| *ip != edge.settings.ip).collect()
+}
+
+fn make_share(edge: &edge::Edge, seq: u64) -> share::Share {
+    let now = clock::now();
+    let peers = edge.members().alive(now).collect();
+    let mut directory = edge.directory();
+    let config = directory.config().map_or(0, |config| config.version);
+    let servers = directory.rows.version;
+    let own = directory.services().flat_map(|service| service.engines.own(now));
+    let given = own.map(|(id, commitment)| share::Given::new(&id, &commitment)).collect();
+    let (name, incarnation) = (edge.settings.name.clone(), edge.incarnation);
+    share::Share { name, incarnation, seq, config, servers, peers, given }
+}
+
+/// Takes what the peers tell.
+pub(crate) async fn hear(edge: sync::Arc<edge::Edge>, socket: sync::Arc<tcp::UdpSocket>) {
+    let mut buffer = vec![0; share::MAX_DATAGRAM];
+    loop {
+        let (length, from) = match socket.recv_from(&mut buffer).await {
+            Ok(received) => received,
+            Err(err) => {
+                tracing::debug!(%err, "edge: no datagram received");
+                continue;
+            }
+        };
+        match share::Share::read(&buffer[..length]) {
+            Ok(share) => take(&edge, from.ip(), &share),
+            Err(err) => tracing::warn!(%from, %err, "edge: datagram dropped"),
+        }
+    }
+}
+
+fn take(edge: &edge::Edge, from: net::IpAddr, share: &share::Share) {
+    let now = clock::now();
+    if share.incarnation == edge.incarnation {
+        return;
+    }
+    let mut members = edge.members();
+    let is_new = members.alive(now).all(|ip| ip != from);
+    if !members.hear(from, share.incarnation, share.seq, now) {
+        return;
+    }
+    for ip in &share.peers {
+        members.hope(*ip, now);
+    }
+    drop(members);
+    if is_new {
+        tracing::info!(peer = share.name, %from, config = share.config, "edge: peer heard");
+    }
+    let told = share.commitments();
+    let mut directory = edge.directory();
+    for service in directory.services() {
+        service.engines.hear(&share.name, &told, now);
+    }
+    let config = directory.config().map_or(0, |config| config.version);
+    let is_behind = share.config > config || share.servers > directory.rows.version;
+    drop(directory);
+    if is_behind {
+        *edge.ahead() = Some(from);
+        edge.behind.notify_one();
+    }
+    edge.room_freed.notify_waiters();
+}
+
+/// Sends what the store said to peers that ask.
+pub(crate) async fn serve_snapshots(edge: sync::Arc<edge::Edge>, listener: tcp::TcpListener) {
+    let slots = sync::Arc::new(lock::Semaphore::new(SNAPSHOTS));
+    loop {
+        let slot = slots.clone().acquire_owned().await;
+        let Ok((mut stream, from)) = listener.accept().await else {
+            tokio::time::sleep(FETCH_PERIOD).await;
+            continue;
+        };
+        let snapshot = edge.directory().rows.snapshot();
+        tokio::spawn(async move {
+            let _slot = slot;
+            let sending = send_snapshot(&mut stream, &snapshot);
+            match tokio::time::timeout(FETCH_LIMIT, sending).await {
+                Ok(Ok(())) => {}
+                Ok(Err(err)) => tracing::info!(%from, %err, "edge: snapshot not sent"),
+                Err(_) => tracing::info!(%from, "edge: snapshot not sent in time"),
+            }
+        });
+    }
+}
+
+async fn send_snapshot(
+    stream: &mut tcp::TcpStream,
+    snapshot: &share::Snapshot,
+) -> anyhow::Result<()> {
+    links::set_options(stream)?;
+    io::AsyncWriteExt::write_all(stream, &snapshot.write()?).await?;
+    io::AsyncWriteExt::shutdown(stream).await?;
+    Ok(())
+}
+
+/// Fetches from peers what the store does not tell this entry.
+pub(crate) async fn fetch_snapshots(edge: sync::Arc<edge::Edge>) {
+    loop {
+        edge.behind.notified().await;
+        // The store's own feed comes first where it works.
+        tokio::time::sleep(FETCH_PERIOD).await;
+        let Some(ip) = edge.ahead().take().filter(|_| is_turned_away(&edge)) else { continue };
+        let fetching = fetch(address(&edge, ip));
+        match tokio::time::timeout(FETCH_LIMIT, fetching).await {
+            Ok(Ok(snapshot)) => watch::learn_from_peer(&edge, ip, snapshot),
+            Ok(Err(err)) => tracing::info!(%ip, %err, "edge: no snapshot from peer"),
+            Err(_) => tracing::info!(%ip, "edge: no snapshot from peer in time"),
+        }
+    }
+}
+
+fn is_turned_away(edge: &edge::Edge) -> bool {
+    edge.away.load(atomic::Ordering::Relaxed) > 0
+}
+
+async fn fetch(from: net::SocketAddr) -> anyhow::Result<share::Snapshot> {
+    let stream = tcp::TcpStream::connect(from).await?;
+    links::set_options(&stream)?;
+    let mut bytes = Vec::new();
+    let mut limited = io::AsyncReadExt::take(stream, share::MAX_SNAPSHOT as u64);
+    io::AsyncReadExt::read_to_end(&mut limited, &mut bytes).await?;
+    Ok(share::Snapshot::read(&bytes)?)
+}
+
+/// Finds peers by the addresses in the settings and by the instances' rows in the store.
+pub(crate) async fn discover(edge: sync::Arc<edge::Edge>) {
+    tokio::spawn(try_seeds(edge.clone()));
+    loop {
+        if let Err(err) = exchange_rows(&edge).await {
+            tracing::info!(%err, "edge: instances not looked up in the store");
+            tokio::time::sleep(clock::jitter(SEED_PERIOD)).await;
+            continue;
+        }
+        tokio::time::sleep(clock::jitter(DISCOVER_PERIOD)).await;
+    }
+}
+
+async fn try_seeds(edge: sync::Arc<edge::Edge>) {
+    loop {
+        hope_for_seeds(&edge);
+        tokio::time::sleep(clock::jitter(SEED_PERIOD)).await;
+    }
+}
+
+fn hope_for_seeds(edge: &edge::Edge) {
+    let now = clock::now();
+    let mut members = edge.members();
+    if members.alive(now).count() < edge.settings.seeds.len() {
+        for ip in &edge.settings.seeds {
+            members.hope(*ip, now);
+        }
+    }
+}
+
+async fn exchange_rows(edge: &edge::Edge) -> Result<(), store::StoreError> {
+    let ip = edge.settings.ip.to_string();
+    let write = store::Write {
+        table: store::Table::Members,
+        key: &edge.settings.name,
+        expected: None,
+        value: ip.as_bytes(),
+    };
+    edge.store.write(write, STORE_LIMIT).await?;
+    let rows = edge.store.read(store::Table::Members, None, STORE_LIMIT).await?;
+    let now = clock::now();
+    let mut members = edge.members();
+    for row in rows.rows {
+        let text = row.value.and_then(|value| String::from_utf8(value).ok());
+        match text.map(|text| text.parse()) {
+            Some(Ok(ip)) => members.hope(ip, now),
+            Some(Err(_)) | None => {
+                tracing::warn!(key = row.key, "edge: an instance's row is not an IP number");
+            }
+        }
+    }
+    Ok(())
+}
--- a/crates/edge/src/run.rs
+++ b/crates/edge/src/run.rs
@@ -7,7 +7,7 @@
 use rhubarb_node::{answer, clock, server, stop};
 use rhubarb_platform::{settings, store};
 
-use crate::{edge, ingress, watch};
+use crate::{edge, ingress, peers, watch};
 
 /// Connections from callers at once; descriptors are left for servers and the store.
 const CONNECTIONS: usize = 2_000;
@@ -42,6 +42,13 @@
         tokio::spawn(watch::follow(edge.clone(), table));
     }
     tokio::spawn(watch::sweep(edge.clone()));
+    let (snapshots, shares) = server::bind_both(peers::address(&edge, edge.settings.ip)).await?;
+    let shares = sync::Arc::new(shares);
+    tokio::spawn(peers::tell(edge.clone(), shares.clone()));
+    tokio::spawn(peers::hear(edge.clone(), shares));
+    tokio::spawn(peers::serve_snapshots(edge.clone(), snapshots));
+    tokio::spawn(peers::fetch_snapshots(edge.clone()));
+    tokio::spawn(peers::discover(edge.clone()));
     let limits = server::Limits {
         connections: CONNECTIONS,
         header_time: IDLE_TIME,
--- a/crates/edge/src/watch.rs
+++ b/crates/edge/src/watch.rs
@@ -1,12 +1,13 @@
 //! Follows the operator's config and the servers' entries in the platform's store.
 
-use std::{collections, sync, time};
+use std::{convert, net, sync, sync::atomic, time};
 
 use rhubarb_core::fleet;
 use rhubarb_node::clock;
 use rhubarb_platform::{config, entries, store};
+use rhubarb_wire::share;
 
-use crate::edge;
+use crate::{directory, edge};
 
 /// A feed waits this long in the store; connections that have gone silent are found by probes.
 const FEED_WAIT: time::Duration = time::Duration::from_secs(20);
@@ -21,45 +22,68 @@
 
 /// Follows `table` for as long as the process runs.
 pub(crate) async fn follow(edge: sync::Arc<edge::Edge>, table: store::Table) {
-    let mut pause = PAUSE;
-    let mut is_away = false;
+    // Until the first answer the store counts as away, so that peers are asked.
+    let mut contact = Contact { is_away: true, pause: PAUSE };
+    edge.away.fetch_add(1, atomic::Ordering::Relaxed);
     loop {
-        let Err(err) = follow_once(&edge, table, &mut is_away, &mut pause).await;
-        if !is_away && !matches!(err, store::StoreError::HistoryGone) {
-            is_away = true;
+        let Err(err) = follow_once(&edge, table, &mut contact).await;
+        if matches!(err, store::StoreError::HistoryGone) {
+            tracing::info!(?table, "edge: history of the store is gone, reading all");
+            continue;
+        }
+        contact.lose(&edge, table, &err);
+        tokio::time::sleep(clock::jitter(contact.pause)).await;
+    }
+}
+
+struct Contact {
+    is_away: bool,
+    pause: time::Duration,
+}
+
+impl Contact {
+    fn lose(&mut self, edge: &edge::Edge, table: store::Table, err: &store::StoreError) {
+        self.pause = (self.pause * 2).min(MAX_PAUSE);
+        if !self.is_away {
+            self.is_away = true;
+            edge.away.fetch_add(1, atomic::Ordering::Relaxed);
             tracing::warn!(?table, %err, "edge: store lost");
         }
-        if !matches!(err, store::StoreError::HistoryGone) {
-            tokio::time::sleep(clock::jitter(pause)).await;
-            pause = (pause * 2).min(MAX_PAUSE);
+    }
+
+    fn regain(&mut self, edge: &edge::Edge, table: store::Table, version: store::Version) {
+        self.pause = PAUSE;
+        if self.is_away {
+            self.is_away = false;
+            edge.away.fetch_sub(1, atomic::Ordering::Relaxed);
+            tracing::info!(?table, version, "edge: store regained");
+            if table == store::Table::Servers {
+                edge.directory().fleet.registry_returned(clock::now());
+            }
         }
     }
 }
 
 async fn follow_once(
-    edge: &sync::Arc<edge::Edge>,
+    edge: &edge::Edge,
     table: store::Table,
-    is_away: &mut bool,
-    pause: &mut time::Duration,
-) -> Result<std::convert::Infallible, store::StoreError> {
+    contact: &mut Contact,
+) -> Result<convert::Infallible, store::StoreError> {
     let all = read_all(edge, table).await?;
-    if *is_away {
-        *is_away = false;
-        tracing::info!(?table, version = all.version, "edge: store regained");
-        if table == store::Table::Servers {
-            edge.directory().fleet.registry_returned(clock::now());
-        }
-    }
-    *pause = PAUSE;
+    contact.regain(edge, table, all.version);
     let mut version = all.version;
     apply(edge, table, &all.rows);
     if table == store::Table::Servers {
-        keep_only(edge, &all.rows);
+        keep_only(edge, &all.rows, all.version);
     }
     loop {
         let news = edge.store.feed(table, version, FEED_WAIT).await?;
         version = version.max(news.version);
         apply(edge, table, &news.rows);
+        if table == store::Table::Servers {
+            let mut directory = edge.directory();
+            directory.rows.version = directory.rows.version.max(version);
+        }
     }
 }
 
@@ -77,15 +101,32 @@
     Ok(all)
 }
 
+/// Takes what a peer knows from the store.
+pub(crate) fn learn_from_peer(edge: &edge::Edge, from: net::IpAddr, snapshot: share::Snapshot) {
+    let version = snapshot.version;
+    tracing::info!(%from, version, servers = snapshot.servers.len(), "edge: learned from peer");
+    let to_row = |row: share::Row| store::Row {
+        key: row.key,
+        version: row.version,
+        value: Some(row.value),
+    };
+    let config: Vec<_> = snapshot.config.into_iter().map(to_row).collect();
+    apply(edge, store::Table::Operator, &config);
+    let servers: Vec<_> = snapshot.servers.into_iter().map(to_row).collect();
+    apply(edge, store::Table::Servers, &servers);
+    if !servers.is_empty() {
+        keep_only(edge, &servers, version);
+    }
+}
+
 fn apply(edge: &edge::Edge, table: store::Table, rows: &[store::Row]) {
     for row in rows {
-        match table {
-            store::Table::Operator if row.key == store::CONFIG => {
-                if let Some(value) = &row.value {
-                    set_config(edge, value);
-                }
-            }
-            store::Table::Servers => set_server(edge, row),
+        if !edge.directory().rows.take(table, row) {
+            continue;
+        }
+        match (table, &row.value) {
+            (store::Table::Operator, Some(value)) => set_config(edge, value),
+            (store::Table::Servers, _) => set_server(edge, row),
             _ => {}
         }
     }
@@ -120,7 +161,7 @@
 }
 
 fn note_change(
-    directory: &mut crate::directory::Directory,
+    directory: &mut directory::Directory,
     change: Option<fleet::Change>,
     version: store::Version,
 ) {
@@ -130,12 +171,15 @@
     }
 }
 
-fn keep_only(edge: &edge::Edge, rows: &[store::Row]) {
-    let ids: collections::BTreeSet<_> = rows.iter().map(|row| row.key.clone()).collect();
+// Servers without an entry as of `version` are gone.
+fn keep_only(edge: &edge::Edge, rows: &[store::Row], version: store::Version) {
     let mut directory = edge.directory();
-    for change in directory.fleet.keep_only(&ids, clock::now()) {
-        note_change(&mut directory, Some(change), 0);
+    for key in directory.rows.absent(rows, version) {
+        directory.rows.drop_server(&key, version);
+        let change = directory.fleet.unset(&key, clock::now());
+        note_change(&mut directory, change, version);
     }
+    directory.rows.version = directory.rows.version.max(version);
     directory.set_has_fleet();
 }
 
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -15,3 +15,4 @@
 pub mod frame;
 pub mod message;
 pub mod offer;
+pub mod share;
