Place prompts where they are read soonest, and end connections in order

Change: draws among engines that are alike, commitments told within 20 ms of a change, a prompt's cache offered to another engine while it lasts, own prefill at the decode engine when the prefill engines are behind, growing ejection, settings read again, connections ended gracefully after the balancer's notice.

--- a/crates/core/src/engines.rs
+++ b/crates/core/src/engines.rs
@@ -70,11 +70,26 @@
 const MEMORY_SHARE: f64 = 0.95;
 /// Prompt tokens that an engine reads in a millisecond, until told otherwise.
 const TOKENS_PER_MS: u64 = 33;
+/// A decode engine reads at half the speed, and lets its runs go on in between.
+const OWN_FACTOR: u64 = 3;
 /// Fixed cost of a prefill: the call, and the first step.
 const PREFILL_BASE: time::Duration = time::Duration::from_millis(10);
+/// Engines whose fill differs by less than one of this many steps count as alike.
+const MEMORY_STEPS: u32 = 16;
+/// Prefill engines whose waits differ by less count as alike.
+const PREFILL_STEP: time::Duration = time::Duration::from_millis(30);
 /// A source in another availability zone costs as much as this much waiting.
 const AWAY_PREFILL: time::Duration = time::Duration::from_millis(60);
 
+// Order of engines that are alike.
+fn shuffle(id: &str, draw: u64) -> u64 {
+    let mut hash = draw ^ 0xcbf2_9ce4_8422_2325;
+    for byte in id.bytes() {
+        hash = (hash ^ u64::from(byte)).wrapping_mul(0x0100_0000_01b3);
+    }
+    hash
+}
+
 /// Time that an idle engine needs to read a prompt.
 pub fn prefill_work(tokens: u32) -> time::Duration {
     PREFILL_BASE + time::Duration::from_millis(u64::from(tokens) / TOKENS_PER_MS)
@@ -186,7 +201,8 @@
         self.queue.len()
     }
 
-    /// Commits memory at the emptiest decode engine that has room; `allowed` limits the choice.
+    /// Commits memory at one of the emptiest decode engines that have room; `allowed` limits the
+    /// choice, and `draw` spreads entries that see the same state over engines that are alike.
     ///
     /// Requests get memory in the order of the queue.
     pub fn reserve(
@@ -194,6 +210,7 @@
         place: Place,
         need: Need,
         allowed: impl Fn(&str) -> bool,
+        draw: u64,
         now: time::Instant,
     ) -> Option<ids::ServerName> {
         if self.queue.first().is_some_and(|first| *first < place) {
@@ -202,7 +219,8 @@
         let charge = need.charge();
         let decode = self.of_stage(fleet::Stage::Decode);
         let fitting = decode.filter(|(id, engine)| allowed(id) && engine.fits(charge, now));
-        let (id, _) = fitting.min_by_key(|(_, engine)| engine.tokens(now))?;
+        let step = |engine: &Engine| engine.tokens(now) / (engine.memory / MEMORY_STEPS).max(1);
+        let (id, _) = fitting.min_by_key(|(id, engine)| (step(engine), shuffle(id, draw)))?;
         let id = id.clone();
         self.queue.remove(&place);
         self.commit(&id, place.run, need);
@@ -230,6 +248,7 @@
         tokens: u32,
         zone: &str,
         allowed: impl Fn(&str) -> bool,
+        draw: u64,
         now: time::Instant,
     ) -> Option<(ids::ServerName, time::Duration)> {
         let wait = |engine: &Engine| {
@@ -237,7 +256,8 @@
             engine.prefill(now) + away
         };
         let sources = self.of_stage(fleet::Stage::Prefill).filter(|(id, _)| allowed(id));
-        let (id, engine) = sources.min_by_key(|(_, engine)| wait(engine))?;
+        let step = |engine: &Engine| wait(engine).as_millis() / PREFILL_STEP.as_millis();
+        let (id, engine) = sources.min_by_key(|(id, engine)| (step(engine), shuffle(id, draw)))?;
         Some((id.clone(), engine.prefill(now) + prefill_work(tokens)))
     }
 
@@ -249,6 +269,11 @@
         }
     }
 
+    /// Time in which a decode engine reads a prompt itself, between the tokens of its runs.
+    pub fn own_prefill(tokens: u32) -> time::Duration {
+        PREFILL_BASE + time::Duration::from_millis(u64::from(tokens) * OWN_FACTOR / TOKENS_PER_MS)
+    }
+
     /// Shortest expected time until a prompt of `tokens` has been read.
     pub fn prefill_wait(&self, tokens: u32, now: time::Instant) -> Option<time::Duration> {
         let sources = self.of_stage(fleet::Stage::Prefill);
--- a/crates/core/src/repeat.rs
+++ b/crates/core/src/repeat.rs
@@ -40,20 +40,26 @@
         Repeats { allowance, requests, repeats }
     }
 
+    /// Changes the bounds.
+    pub fn set_allowance(&mut self, allowance: Allowance) {
+        self.allowance = allowance;
+    }
+
     /// Notes a request for the service.
     pub fn note_request(&mut self, now: time::Instant) {
         self.prune(now);
         self.requests.push_back(now);
     }
 
-    /// Takes one repeat for an entry that is one of `entries`; false if its part is used up.
-    pub fn take(&mut self, entries: u32, now: time::Instant) -> bool {
+    /// Takes `sends` repeats for an entry that is one of `entries`; false if its part is used up.
+    pub fn take(&mut self, sends: u32, entries: u32, now: time::Instant) -> bool {
         self.prune(now);
         let slack = f64::from(self.allowance.slack) / f64::from(entries.max(1));
         let earned = self.allowance.ratio * self.requests.len() as f64;
-        let is_left = ((self.repeats.len() + 1) as f64) <= (slack + earned) * SAFETY;
+        let spent = self.repeats.len() as f64 + f64::from(sends);
+        let is_left = spent <= (slack + earned) * SAFETY;
         if is_left {
-            self.repeats.push_back(now);
+            self.repeats.extend((0..sends).map(|_| now));
         }
         is_left
     }
--- a/crates/edge/src/call.rs
+++ b/crates/edge/src/call.rs
@@ -41,13 +41,19 @@
         (clock::now() - self.arrived).as_millis() as u64
     }
 
-    /// Takes a repeat from the shared budget, and notes it.
-    pub(crate) fn take_repeat(&self, reason: outcome::Reason) -> bool {
-        let taken = self.edge.directory().take_repeat(&self.service, clock::now());
+    /// Takes `sends` repeats from the shared budget, and notes it.
+    pub(crate) fn take_repeats(&self, sends: u32, reason: outcome::Reason) -> bool {
+        let taken = self.edge.directory().take_repeats(&self.service, sends, clock::now());
         if taken {
             self.edge.counters.retried.get_or_create(&metrics::labels(reason)).inc();
         }
-        tracing::info!(id = self.id(), reason = reason.name(), taken, "edge: repeat asked for");
+        tracing::info!(
+            id = self.id(),
+            reason = reason.name(),
+            sends,
+            taken,
+            "edge: repeat asked for"
+        );
         taken
     }
 }
--- a/crates/edge/src/directory.rs
+++ b/crates/edge/src/directory.rs
@@ -36,6 +36,13 @@
     pub(crate) entries: u32,
 }
 
+/// Servers that cannot be reached, time after time, are asked less and less often.
+fn new_pool(zone: &str) -> pool::Pool {
+    let mut pool = pool::Pool::new(zone.to_string());
+    pool.set_tuning(pool::Tuning { suspect_after: None, growing: true });
+    pool
+}
+
 /// Entries that are assumed until the others are known.
 const ASSUMED_ENTRIES: u32 = 8;
 
@@ -131,7 +138,7 @@
     pub(crate) fn service(&mut self, name: &str) -> &mut Service {
         let (zone, allowance) = (&self.zone, self.allowance);
         let fresh = || Service {
-            pool: pool::Pool::new(zone.clone()),
+            pool: new_pool(zone),
             engines: engines::Engines::default(),
             repeats: repeat::Repeats::new(allowance),
         };
@@ -163,9 +170,29 @@
         self.target(&id)
     }
 
-    /// Takes one repeat from the service's budget.
-    pub(crate) fn take_repeat(&mut self, service: &str, now: time::Instant) -> bool {
+    /// Takes the load that a server told with an answer.
+    pub(crate) fn hear(&mut self, service: &str, id: &str, load: load::Load, now: time::Instant) {
+        // Whether a server leaves is the store's to say.
+        let leaving = self.fleet.get(id).is_none_or(|instance| instance.leaving);
+        self.service(service).pool.hear(id, load::Load { leaving, ..load }, now);
+    }
+
+    /// Changes the bounds on repeated sends.
+    pub(crate) fn set_allowance(&mut self, allowance: repeat::Allowance) {
+        self.allowance = allowance;
+        for service in self.services.values_mut() {
+            service.repeats.set_allowance(allowance);
+        }
+    }
+
+    /// Whether a server has announced that it leaves, or is gone.
+    pub(crate) fn is_leaving(&self, id: &str) -> bool {
+        self.fleet.get(id).is_none_or(|instance| instance.leaving)
+    }
+
+    /// Takes `sends` repeats from the service's budget.
+    pub(crate) fn take_repeats(&mut self, service: &str, sends: u32, now: time::Instant) -> bool {
         let entries = self.entries;
-        self.service(service).repeats.take(entries, now)
+        self.service(service).repeats.take(sends, entries, now)
     }
 }
--- a/crates/edge/src/edge.rs
+++ b/crates/edge/src/edge.rs
@@ -13,13 +13,15 @@
 /// One entry.
 #[derive(Debug)]
 pub(crate) struct Edge {
-    pub(crate) settings: settings::Settings,
+    settings: sync::Mutex<sync::Arc<settings::Settings>>,
     pub(crate) incarnation: ids::Incarnation,
     pub(crate) store: store::Store,
     pub(crate) links: links::Links,
     pub(crate) counters: metrics::Counters,
     /// Decode memory may have become free.
     pub(crate) room_freed: lock::Notify,
+    /// What this entry has given to engines has changed.
+    pub(crate) given: lock::Notify,
     /// A peer knows more than this entry.
     pub(crate) behind: lock::Notify,
     /// Tables of the store that do not answer now.
@@ -33,6 +35,9 @@
     stopped_at: sync::OnceLock<time::Instant>,
 }
 
+/// The balancer stops sending within two of its checks, which come once a second.
+pub(crate) const NOTICE: time::Duration = time::Duration::from_millis(2_500);
+
 impl Edge {
     pub(crate) fn new(settings: settings::Settings) -> Edge {
         let directory = directory::Directory::new(&settings.zone, settings.allowance);
@@ -43,6 +48,7 @@
             links: links::Links::default(),
             counters: metrics::Counters::new(),
             room_freed: lock::Notify::new(),
+            given: lock::Notify::new(),
             behind: lock::Notify::new(),
             away: atomic::AtomicU64::new(0),
             open: atomic::AtomicU64::new(0),
@@ -51,10 +57,21 @@
             ahead: sync::Mutex::default(),
             seq: atomic::AtomicU64::new(1),
             stopped_at: sync::OnceLock::new(),
-            settings,
+            settings: sync::Mutex::new(sync::Arc::new(settings)),
         }
     }
 
+    /// Settings in force.
+    pub(crate) fn settings(&self) -> sync::Arc<settings::Settings> {
+        locks::lock(&self.settings).clone()
+    }
+
+    /// Puts settings that were read again in force.
+    pub(crate) fn set_settings(&self, settings: settings::Settings) {
+        self.directory().set_allowance(settings.allowance);
+        *locks::lock(&self.settings) = sync::Arc::new(settings);
+    }
+
     pub(crate) fn directory(&self) -> sync::MutexGuard<'_, directory::Directory> {
         locks::lock(&self.directory)
     }
@@ -83,6 +100,11 @@
         self.stopped_at.get_or_init(clock::now);
     }
 
+    /// Whether the time for long requests before the end has passed.
+    pub(crate) fn is_ending(&self) -> bool {
+        self.stopped_at.get().is_some_and(|at| clock::now() >= *at + NOTICE)
+    }
+
     pub(crate) fn is_stopping(&self) -> bool {
         self.stopped_at.get().is_some()
     }
--- a/crates/edge/src/ingress.rs
+++ b/crates/edge/src/ingress.rs
@@ -15,6 +15,9 @@
 /// A config arrives within this time after the store is back.
 const CONFIG_RETRY: time::Duration = time::Duration::from_secs(1);
 
+/// A retry reaches another instance, so it need not wait.
+const ELSEWHERE: time::Duration = time::Duration::from_millis(50);
+
 /// Answers one request.
 pub(crate) async fn handle(
     edge: sync::Arc<edge::Edge>,
@@ -47,6 +50,9 @@
     let Some(service) = route.service(rand::random()).cloned() else {
         return early(Refusal::not_run(Reason::NoServer, CONFIG_RETRY));
     };
+    if edge.is_ending() && matches!(route.kind, routing::Kind::Stream { .. }) {
+        return early(Refusal::not_run(Reason::Leaving, ELSEWHERE));
+    }
     let limit = config.limits.body_bytes;
     if body::Body::size_hint(&body).lower() > limit as u64 {
         return early(Refusal::never(Reason::TooLarge));
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -20,6 +20,7 @@
 mod plain;
 mod prefill;
 mod refuse;
+mod reload;
 mod room;
 mod rows;
 mod run;
--- a/crates/edge/src/peers.rs
+++ b/crates/edge/src/peers.rs
@@ -10,8 +10,10 @@
 
 use crate::{edge, links, watch};
 
-/// Commitments are told this often: a prefill takes about as long.
-const TELL_PERIOD: time::Duration = time::Duration::from_millis(100);
+/// Peers are told at least this often, as a sign of life.
+const TELL_PERIOD: time::Duration = time::Duration::from_millis(300);
+/// Changes within this time are told together; a prefill takes several times as long.
+const TELL_PAUSE: time::Duration = time::Duration::from_millis(20);
 /// Instances that may be peers are looked up this often.
 const DISCOVER_PERIOD: time::Duration = time::Duration::from_secs(30);
 /// Addresses from the settings are tried this often, until as many peers are heard.
@@ -27,7 +29,7 @@
 
 /// Where the entry at `ip` listens for its peers.
 pub(crate) fn address(edge: &edge::Edge, ip: net::IpAddr) -> net::SocketAddr {
-    let (first, _) = edge.settings.ports;
+    let (first, _) = edge.settings().ports;
     net::SocketAddr::new(ip, first)
 }
 
@@ -35,7 +37,9 @@
 pub(crate) async fn tell(edge: sync::Arc<edge::Edge>, socket: sync::Arc<tcp::UdpSocket>) {
     let mut seq = 0;
     loop {
-        tokio::time::sleep(TELL_PERIOD).await;
+        // Either what has changed or nothing within the period.
+        let _ = tokio::time::timeout(TELL_PERIOD, edge.given.notified()).await;
+        tokio::time::sleep(TELL_PAUSE).await;
         seq += 1;
         let targets = note_members(&edge);
         let bytes = match make_share(&edge, seq).write() {
@@ -60,7 +64,7 @@
     let targets = members.targets(now);
     drop(members);
     edge.directory().entries = count;
-    targets.into_iter().filter(|ip| *ip != edge.settings.ip).collect()
+    targets.into_iter().filter(|ip| *ip != edge.settings().ip).collect()
 }
 
 fn make_share(edge: &edge::Edge, seq: u64) -> share::Share {
@@ -71,7 +75,7 @@
     let servers = directory.rows.version;
     let own = directory.services().flat_map(|service| service.engines.own(now));
     let given = own.map(|(id, commitment)| share::Given::new(&id, &commitment)).collect();
-    let (name, incarnation) = (edge.settings.name.clone(), edge.incarnation);
+    let (name, incarnation) = (edge.settings().name.clone(), edge.incarnation);
     share::Share { name, incarnation, seq, config, servers, peers, given }
 }
 
@@ -209,18 +213,18 @@
 fn hope_for_seeds(edge: &edge::Edge) {
     let now = clock::now();
     let mut members = edge.members();
-    if members.alive(now).count() < edge.settings.seeds.len() {
-        for ip in &edge.settings.seeds {
+    if members.alive(now).count() < edge.settings().seeds.len() {
+        for ip in &edge.settings().seeds {
             members.hope(*ip, now);
         }
     }
 }
 
 async fn exchange_rows(edge: &edge::Edge) -> Result<(), store::StoreError> {
-    let ip = edge.settings.ip.to_string();
+    let ip = edge.settings().ip.to_string();
     let write = store::Write {
         table: store::Table::Members,
-        key: &edge.settings.name,
+        key: &edge.settings().name,
         expected: None,
         value: ip.as_bytes(),
     };
--- a/crates/edge/src/plain.rs
+++ b/crates/edge/src/plain.rs
@@ -92,7 +92,7 @@
             && self.tried.len() < MAX_SENDS
             && clock::now() < call.deadline
             // What was not written reached no server, so it costs no budget.
-            && (refusal.reason == Reason::NoServer || call.take_repeat(refusal.reason))
+            && (refusal.reason == Reason::NoServer || call.take_repeats(1, refusal.reason))
     }
 
     // How long this attempt may take; one that can be repeated leaves time for another server.
@@ -138,7 +138,7 @@
     fn take(&mut self, target: &directory::Target, read: Read) -> Attempt {
         if let Some(load) = forms::load(read.head.headers()) {
             let mut directory = self.call.edge.directory();
-            directory.service(&self.call.service).pool.hear(&target.id, load, clock::now());
+            directory.hear(&self.call.service, &target.id, load, clock::now());
         }
         match forms::judge(&read.head, self.call.head.attempt.as_ref()) {
             forms::Proof::NotRun => Attempt::Failed(Refusal::not_run(Reason::NoRoom, RETRY_SOON)),
--- a/crates/edge/src/prefill.rs
+++ b/crates/edge/src/prefill.rs
@@ -10,7 +10,7 @@
 
 use outcome::{Reason, Refusal};
 
-use crate::{call, directory, edge, plain};
+use crate::{call, directory, edge, links, plain};
 
 /// The KV cache of a prompt at the engine that read it; freed when dropped before it is taken.
 #[derive(Debug)]
@@ -20,6 +20,7 @@
     target: directory::Target,
     handle: String,
     tokens: u32,
+    read_at: time::Instant,
     is_taken: bool,
 }
 
@@ -29,6 +30,15 @@
         engine::source(self.target.address, &self.handle)
     }
 
+    /// Until when a decode engine can still be sought for it.
+    pub(crate) fn use_by(&self, call: &call::Call) -> time::Instant {
+        let config = self.edge.directory().config();
+        let service = config.as_ref().and_then(|config| config.services.get(&call.service));
+        let engine = service.and_then(|service| service.engine.as_ref());
+        let life = engine.map_or(time::Duration::ZERO, |engine| engine.handle_life);
+        self.read_at + life.mul_f64(USABLE_LIFE)
+    }
+
     /// Notes that a decode engine has it.
     pub(crate) fn set_taken(&mut self) {
         self.is_taken = true;
@@ -55,7 +65,7 @@
 ) {
     let freeing = async {
         let answered = edge.links.send(address, request).await?;
-        Ok::<_, crate::links::SendError>(plain::read_whole(&edge.links, answered).await)
+        Ok::<_, links::SendError>(plain::read_whole(&edge.links, answered).await)
     };
     match tokio::time::timeout(FREE_LIMIT, freeing).await {
         Ok(Ok(_)) => {}
@@ -71,15 +81,21 @@
     Done(Cache),
     /// It has not; the server is not to be tried again.
     Failed(Option<ids::ServerName>, Refusal),
+    /// It could not be sent to the server.
+    Unsent(ids::ServerName),
     /// The caller closed its connection.
     Gone,
 }
 
+/// Part of a result's life in which it is offered: the rest is for the way to the engine.
+const USABLE_LIFE: f64 = 0.6;
 /// Unused results lapse by themselves soon after.
 const FREE_LIMIT: time::Duration = time::Duration::from_secs(1);
 /// Time beyond the expected one before a prefill engine counts as silent: other entries' prompts
 /// may stand before ours.
 const SLACK: time::Duration = time::Duration::from_millis(700);
+/// Servers that may turn out to be out of reach before a prompt is given up.
+const MAX_UNSENT: usize = 4;
 const RETRY_SOON: time::Duration = time::Duration::from_secs(1);
 
 /// Has the prompt read, near `zone` if that is as fast.
@@ -89,6 +105,23 @@
     zone: &str,
     tokens: u32,
     tried: &[ids::ServerName],
+) -> Read {
+    let mut tried = tried.to_vec();
+    for _ in 0..MAX_UNSENT {
+        match read_once(call, reply, zone, tokens, &tried).await {
+            Read::Unsent(server) => tried.push(server),
+            read => return read,
+        }
+    }
+    Read::Failed(None, Refusal::not_run(Reason::NoServer, RETRY_SOON))
+}
+
+async fn read_once(
+    call: &call::Call,
+    reply: &mut reply::Reply,
+    zone: &str,
+    tokens: u32,
+    tried: &[ids::ServerName],
 ) -> Read {
     let chosen = choose(call, zone, tokens, tried);
     let Some((target, expected)) = chosen else {
@@ -104,15 +137,20 @@
     let started = clock::now();
     let reading = async {
         let answered = call.edge.links.send(target.address, request).await?;
-        Ok::<_, crate::links::SendError>(plain::read_whole(&call.edge.links, answered).await)
+        Ok::<_, links::SendError>(plain::read_whole(&call.edge.links, answered).await)
     };
     let waited = reply.wait(reading, deadline).await;
     let result = match waited {
         reply::Waited::Gone => return Read::Gone,
         reply::Waited::Expired => Err(Refusal::not_run(Reason::EngineSilent, RETRY_SOON)),
-        reply::Waited::Event(Err(err)) => {
-            tracing::info!(id = call.id(), server = target.id, %err, "edge: prefill not sent");
-            Err(Refusal::not_run(Reason::NoServer, RETRY_SOON))
+        reply::Waited::Event(Err(links::SendError::Unsent(err))) => {
+            tracing::info!(id = call.id(), server = target.id, err, "edge: prefill not sent");
+            note_end(call, &target.id, pool::End::Bad(Reason::NoServer));
+            return Read::Unsent(target.id);
+        }
+        reply::Waited::Event(Err(links::SendError::Broken(err))) => {
+            tracing::info!(id = call.id(), server = target.id, err, "edge: prefill broke off");
+            Err(Refusal::not_run(Reason::LostContact, RETRY_SOON))
         }
         reply::Waited::Event(Ok(read)) => take(call, &target, &read),
     };
@@ -135,6 +173,7 @@
                 target,
                 handle: prefilled.handle,
                 tokens: prefilled.tokens,
+                read_at: clock::now(),
                 is_taken: false,
             })
         }
@@ -163,8 +202,9 @@
     let is_prefill = |id: &str| engines.stage(id) == Some(fleet::Stage::Prefill);
     let sound = service.pool.candidates(tried, is_prefill, now);
     let allowed = |id: &str| sound.iter().any(|other| *other == id);
-    let (id, expected) = engines.pick_prefill(tokens, zone, allowed, now)?;
+    let (id, expected) = engines.pick_prefill(tokens, zone, allowed, rand::random(), now)?;
     service.engines.prefill_sent(&id, tokens, now);
+    call.edge.given.notify_one();
     Some((directory.target(&id)?, expected))
 }
 
--- a/crates/edge/src/room.rs
+++ b/crates/edge/src/room.rs
@@ -22,6 +22,7 @@
     fn drop(&mut self) {
         self.edge.directory().service(&self.service).engines.release(&self.target.id, self.run);
         self.edge.room_freed.notify_waiters();
+        self.edge.given.notify_one();
     }
 }
 
@@ -99,11 +100,12 @@
     let is_decode = |id: &str| engines.stage(id) == Some(fleet::Stage::Decode);
     let sound: Vec<_> = service.pool.candidates(tried, is_decode, now);
     let allowed = |id: &str| sound.iter().any(|other| *other == id);
-    let Some(id) = engines.reserve(place, need, allowed, now) else {
+    let Some(id) = engines.reserve(place, need, allowed, rand::random(), now) else {
         engines.join(place);
         return None;
     };
     let target = directory.target(&id)?;
+    call.edge.given.notify_one();
     let (edge, service) = (call.edge.clone(), call.service.clone());
     Some(Room { edge, service, target, run: place.run })
 }
--- a/crates/edge/src/rows.rs
+++ b/crates/edge/src/rows.rs
@@ -62,9 +62,8 @@
     /// Keys of the servers' rows that are older than `version` and not among `kept`.
     pub(crate) fn absent(&self, kept: &[store::Row], version: store::Version) -> Vec<String> {
         let kept: collections::BTreeSet<_> = kept.iter().map(|row| row.key.as_str()).collect();
-        let is_absent = |row: &&share::Row| {
-            row.version <= version && !kept.contains(row.key.as_str())
-        };
+        let is_absent =
+            |row: &&share::Row| row.version <= version && !kept.contains(row.key.as_str());
         self.servers.values().filter(is_absent).map(|row| row.key.clone()).collect()
     }
 
--- a/crates/edge/src/run.rs
+++ b/crates/edge/src/run.rs
@@ -7,7 +7,9 @@
 use rhubarb_node::{answer, clock, server, stop};
 use rhubarb_platform::{settings, store};
 
-use crate::{edge, ingress, peers, watch};
+use tokio::sync as lock;
+
+use crate::{edge, ingress, peers, reload, watch};
 
 /// Connections from callers at once; descriptors are left for servers and the store.
 const CONNECTIONS: usize = 2_000;
@@ -15,8 +17,6 @@
 const IDLE_TIME: time::Duration = time::Duration::from_secs(20);
 /// Most bytes of headers that are read; the config's limit lies below it.
 const HEADER_BYTES: usize = 64 * 1024;
-/// The balancer stops sending within two of its checks, which come once a second.
-const NOTICE: time::Duration = time::Duration::from_millis(3_000);
 /// Time before the platform's kill that is left to end.
 const LAST: time::Duration = time::Duration::from_millis(300);
 const DRAIN_STEP: time::Duration = time::Duration::from_millis(20);
@@ -33,8 +33,8 @@
     let metrics = server::bind((settings.ip, METRICS_PORT).into()).await?;
     let edge = sync::Arc::new(edge::Edge::new(settings));
     tracing::info!(
-        name = edge.settings.name,
-        zone = edge.settings.zone,
+        name = edge.settings().name,
+        zone = edge.settings().zone,
         incarnation = edge.incarnation,
         "edge: started"
     );
@@ -42,7 +42,8 @@
         tokio::spawn(watch::follow(edge.clone(), table));
     }
     tokio::spawn(watch::sweep(edge.clone()));
-    let (snapshots, shares) = server::bind_both(peers::address(&edge, edge.settings.ip)).await?;
+    tokio::spawn(reload::run(edge.clone(), stop::hangups()?));
+    let (snapshots, shares) = server::bind_both(peers::address(&edge, edge.settings().ip)).await?;
     let shares = sync::Arc::new(shares);
     tokio::spawn(peers::tell(edge.clone(), shares.clone()));
     tokio::spawn(peers::hear(edge.clone(), shares));
@@ -55,7 +56,8 @@
         header_bytes: HEADER_BYTES,
     };
     let shared = edge.clone();
-    tokio::spawn(server::serve(callers, limits, move |request| {
+    let (close, closing) = lock::watch::channel(false);
+    tokio::spawn(server::serve_until(callers, limits, closing, move |request| {
         ingress::handle(shared.clone(), request)
     }));
     for listener in [ready, metrics] {
@@ -66,7 +68,7 @@
     }
     stop::wait().await?;
     edge.stop();
-    drain(&edge).await;
+    drain(&edge, &close).await;
     Ok(())
 }
 
@@ -82,18 +84,18 @@
     }
 }
 
-// New requests are served until the balancer has noticed; those in flight end.
-async fn drain(edge: &edge::Edge) {
+// New requests are served until the balancer has noticed. Then connections end with the request
+// in flight, and idle ones at once.
+async fn drain(edge: &edge::Edge, close: &lock::watch::Sender<bool>) {
+    let open = || edge.open.load(atomic::Ordering::Relaxed);
     let start = clock::now();
-    let most = edge.settings.grace.saturating_sub(LAST);
-    tracing::info!(open = edge.open.load(atomic::Ordering::Relaxed), "edge: stopping");
-    loop {
-        let waited = clock::now() - start;
-        let open = edge.open.load(atomic::Ordering::Relaxed);
-        if waited >= most || (waited >= NOTICE && open == 0) {
-            tracing::info!(open, waited_ms = waited.as_millis() as u64, "edge: stopped");
-            return;
-        }
+    let most = edge.settings().grace.saturating_sub(LAST);
+    tracing::info!(open = open(), "edge: stopping");
+    tokio::time::sleep(edge::NOTICE).await;
+    close.send_replace(true);
+    while clock::now() - start < most && (open() > 0 || close.receiver_count() > 1) {
         tokio::time::sleep(DRAIN_STEP).await;
     }
+    let waited_ms = (clock::now() - start).as_millis() as u64;
+    tracing::info!(open = open(), waited_ms, "edge: stopped");
 }
--- a/crates/edge/src/stream.rs
+++ b/crates/edge/src/stream.rs
@@ -12,7 +12,7 @@
 
 use outcome::{Outcome, Reason, Refusal};
 
-use crate::{call, links, plain, prefill, refuse, room};
+use crate::{call, directory, links, plain, prefill, refuse, room};
 
 /// One model request on its way.
 #[derive(Debug)]
@@ -91,10 +91,15 @@
             && repeat::is_allowed(call.route.kind, refusal.outcome)
             && self.runs < call.route.attempts
             && self.flow.retries() < flow::MAX_RETRIES
-            && call.take_repeat(refusal.reason);
+            && call.take_repeats(self.repeat_sends(), refusal.reason);
         flow::Event::Failed { server, refusal, retry }
     }
 
+    // Sends that another attempt takes: with the prompt read in vain, that is done again too.
+    fn repeat_sends(&self) -> u32 {
+        if self.cache.is_some() { 2 } else { 1 }
+    }
+
     // Room is of use while the first event can still be in time.
     fn wait_by(&self) -> time::Instant {
         let now = clock::now();
@@ -103,7 +108,9 @@
         }
         let mut directory = self.call.edge.directory();
         let engines = &directory.service(&self.call.service).engines;
-        let prefill = engines.prefill_wait(self.need.prompt, now).unwrap_or_default();
+        let own = engines::Engines::own_prefill(self.need.prompt);
+        let prefill =
+            engines.prefill_wait(self.need.prompt, now).map_or(own, |apart| apart.min(own));
         let due = self.call.arrived + self.call.route.target;
         due.checked_sub(prefill + FIRST_EVENT).unwrap_or(now).min(self.call.deadline)
     }
@@ -123,6 +130,10 @@
     }
 
     async fn prefill(&mut self) -> flow::Event {
+        if self.is_own_faster() {
+            tracing::info!(id = self.call.id(), "edge: the decode engine reads the prompt itself");
+            return flow::Event::Prefilled;
+        }
         let zone = self.decode_zone();
         let tried = self.flow.tried().to_vec();
         let (call, reply) = (&self.call, &mut self.reply);
@@ -132,21 +143,58 @@
                 flow::Event::Prefilled
             }
             prefill::Read::Failed(server, refusal) => self.failed(server, refusal),
+            prefill::Read::Unsent(server) => {
+                self.failed(Some(server), Refusal::not_run(Reason::NoServer, RETRY_SOON))
+            }
             prefill::Read::Gone => flow::Event::CallerGone,
         }
     }
 
+    fn is_own_faster(&self) -> bool {
+        let mut directory = self.call.edge.directory();
+        let engines = &directory.service(&self.call.service).engines;
+        let apart = engines.prefill_wait(self.need.prompt, clock::now());
+        apart.is_none_or(|apart| apart > engines::Engines::own_prefill(self.need.prompt))
+    }
+
     fn decode_zone(&self) -> ids::ZoneName {
-        let Some(room) = &self.room else { return self.call.edge.settings.zone.clone() };
+        let Some(room) = &self.room else { return self.call.edge.settings().zone.clone() };
         let mut directory = self.call.edge.directory();
         let engines = &directory.service(&self.call.service).engines;
         engines.zone(&room.target.id).cloned().unwrap_or_default()
     }
 
+    // An engine that cannot be reached or leaves is replaced while the prompt's cache lasts.
     async fn decode(&mut self) -> flow::Event {
-        let Some(target) = self.room.as_ref().map(|room| room.target.clone()) else {
-            return self.failed(None, room::no_room());
-        };
+        let mut tried = self.flow.tried().to_vec();
+        loop {
+            let Some(target) = self.room.as_ref().map(|room| room.target.clone()) else {
+                return self.failed(None, room::no_room());
+            };
+            let is_leaving = self.call.edge.directory().is_leaving(&target.id);
+            let sent =
+                if is_leaving { Sent::No(Reason::Leaving) } else { self.send(&target).await };
+            let reason = match sent {
+                Sent::Yes(event) => {
+                    self.judge(&target.id, &event);
+                    return event;
+                }
+                Sent::No(reason) => reason,
+            };
+            prefill::note_end(&self.call, &target.id, pool::End::Bad(reason));
+            tried.push(target.id.clone());
+            self.room = None;
+            let use_by = self.cache.as_ref().map_or(clock::now(), |cache| cache.use_by(&self.call));
+            let asked = room::ask(&self.call, &mut self.reply, self.need, &tried, use_by).await;
+            match asked {
+                room::Asked::Granted(room) => self.room = Some(room),
+                room::Asked::Refused(refusal) => return self.failed(Some(target.id), refusal),
+                room::Asked::Gone => return flow::Event::CallerGone,
+            }
+        }
+    }
+
+    async fn send(&mut self, target: &directory::Target) -> Sent {
         let source = self.cache.as_ref().map(prefill::Cache::source);
         let send = request::Send {
             expect: &target.id,
@@ -158,22 +206,19 @@
         let request = self.call.head.to_server(&send, self.call.body.clone());
         let edge = self.call.edge.clone();
         let sending = edge.links.send(target.address, request);
-        let event = match self.reply.wait(sending, self.call.deadline).await {
+        Sent::Yes(match self.reply.wait(sending, self.call.deadline).await {
             reply::Waited::Gone => flow::Event::CallerGone,
             reply::Waited::Expired => flow::Event::Expired,
             reply::Waited::Event(Err(links::SendError::Unsent(err))) => {
                 tracing::info!(id = self.call.id(), server = target.id, err, "edge: not sent");
-                let refusal = Refusal::not_run(Reason::NoServer, RETRY_SOON);
-                self.failed(Some(target.id.clone()), refusal)
+                return Sent::No(Reason::NoServer);
             }
             reply::Waited::Event(Err(links::SendError::Broken(err))) => {
                 tracing::info!(id = self.call.id(), server = target.id, err, "edge: broke off");
                 self.broken(&target.id, Reason::LostContact)
             }
             reply::Waited::Event(Ok(answered)) => self.take(&target.id, answered).await,
-        };
-        self.judge(&target.id, &event);
-        event
+        })
     }
 
     fn broken(&mut self, server: &str, reason: Reason) -> flow::Event {
@@ -351,6 +396,12 @@
     }
 }
 
+// Whether a request went out, and what came of it.
+enum Sent {
+    Yes(flow::Event),
+    No(Reason),
+}
+
 enum Piece {
     Bytes(Bytes),
     End,
--- a/crates/edge/src/watch.rs
+++ b/crates/edge/src/watch.rs
@@ -105,11 +105,8 @@
 pub(crate) fn learn_from_peer(edge: &edge::Edge, from: net::IpAddr, snapshot: share::Snapshot) {
     let version = snapshot.version;
     tracing::info!(%from, version, servers = snapshot.servers.len(), "edge: learned from peer");
-    let to_row = |row: share::Row| store::Row {
-        key: row.key,
-        version: row.version,
-        value: Some(row.value),
-    };
+    let to_row =
+        |row: share::Row| store::Row { key: row.key, version: row.version, value: Some(row.value) };
     let config: Vec<_> = snapshot.config.into_iter().map(to_row).collect();
     apply(edge, store::Table::Operator, &config);
     let servers: Vec<_> = snapshot.servers.into_iter().map(to_row).collect();
--- a/crates/node/src/server.rs
+++ b/crates/node/src/server.rs
@@ -1,6 +1,6 @@
 //! HTTP server loop shared by all binaries.
 
-use std::{convert, future, io, net, sync, time};
+use std::{convert, future, io, net, pin, sync, time};
 
 use hyper::{Request, Response, body, server::conn::http1, service};
 use hyper_util::rt;
@@ -67,6 +67,21 @@
 where
     H: Fn(Request<body::Incoming>) -> F + Clone + Send + Sync + 'static,
     F: future::Future<Output = Response<answer::Body>> + Send + 'static,
+{
+    let (_open, never) = lock::watch::channel(false);
+    serve_until(listener, limits, never, handler).await;
+}
+
+/// Serves like [`serve`]; once `closing` is true, connections end with the request in flight and
+/// idle ones at once.
+pub async fn serve_until<H, F>(
+    listener: tcp::TcpListener,
+    limits: Limits,
+    closing: lock::watch::Receiver<bool>,
+    handler: H,
+) where
+    H: Fn(Request<body::Incoming>) -> F + Clone + Send + Sync + 'static,
+    F: future::Future<Output = Response<answer::Body>> + Send + 'static,
 {
     let slots = sync::Arc::new(lock::Semaphore::new(limits.connections));
     loop {
@@ -79,10 +94,10 @@
                 continue;
             }
         };
-        let handler = handler.clone();
+        let (handler, closing) = (handler.clone(), closing.clone());
         tokio::spawn(async move {
             let _slot = slot;
-            if let Err(err) = serve_connection(stream, limits, handler).await {
+            if let Err(err) = serve_connection(stream, limits, closing, handler).await {
                 tracing::debug!("http: connection ended: {err}");
             }
         });
@@ -92,6 +107,7 @@
 async fn serve_connection<H, F>(
     stream: tcp::TcpStream,
     limits: Limits,
+    mut closing: lock::watch::Receiver<bool>,
     handler: H,
 ) -> Result<(), hyper::Error>
 where
@@ -103,12 +119,17 @@
         let answer = handler(request);
         async move { Ok::<_, convert::Infallible>(answer.await) }
     });
-    http1::Builder::new()
+    let connection = http1::Builder::new()
         .timer(rt::TokioTimer::new())
         .header_read_timeout(limits.header_time)
         .max_buf_size(limits.header_bytes)
-        .serve_connection(rt::TokioIo::new(stream), service)
-        .await
+        .serve_connection(rt::TokioIo::new(stream), service);
+    let mut connection = pin::pin!(connection);
+    tokio::select! {
+        ended = &mut connection => return ended,
+        _ = closing.wait_for(|closing| *closing) => connection.as_mut().graceful_shutdown(),
+    }
+    connection.await
 }
 
 fn set_nodelay(stream: &tcp::TcpStream) -> io::Result<()> {
--- a/crates/node/src/stop.rs
+++ b/crates/node/src/stop.rs
@@ -1,4 +1,4 @@
-//! Stop signals.
+//! Stop and reload signals.
 
 use tokio::signal::unix;
 
@@ -15,3 +15,11 @@
     }
     Ok(())
 }
+
+/// Signals that the settings have changed.
+///
+/// # Errors
+/// Returns an error if the signal cannot be caught.
+pub fn hangups() -> anyhow::Result<unix::Signal> {
+    Ok(unix::signal(unix::SignalKind::hangup())?)
+}
