Set memory aside at the decode engine before the prompt is read

Change: after choosing an engine by the commitments, the entry has it set the memory aside; a full engine is left out for 150 ms and another one asked.

--- a/crates/core/src/engines.rs
+++ b/crates/core/src/engines.rs
@@ -36,6 +36,8 @@
     memory: u32,
     runs: collections::BTreeMap<ids::RunId, Need>,
     prefill_until: Option<time::Instant>,
+    // An engine that refused to set memory aside is not asked again until then.
+    full_until: Option<time::Instant>,
     peers: collections::BTreeMap<String, Told>,
 }
 
@@ -68,6 +70,8 @@
 const OUTPUT_SHARE: f64 = 0.6;
 /// Part of the memory that is given away; the rest takes answers longer than expected.
 const MEMORY_SHARE: f64 = 0.95;
+/// An engine that was full is asked again after this; a run ends there about as often.
+const FULL_TIME: time::Duration = time::Duration::from_millis(150);
 /// Prompt tokens that an engine reads in a millisecond, until told otherwise.
 const TOKENS_PER_MS: u64 = 33;
 /// A decode engine reads at half the speed, and lets its runs go on in between.
@@ -96,6 +100,11 @@
 }
 
 impl Need {
+    /// Memory that the request takes at its end, in tokens.
+    pub fn whole(&self) -> u32 {
+        self.prompt + self.output
+    }
+
     /// Memory charged for the request, in tokens.
     pub fn charge(&self) -> u32 {
         self.prompt + (f64::from(self.output) * OUTPUT_SHARE) as u32
@@ -131,8 +140,9 @@
     }
 
     fn fits(&self, charge: u32, now: time::Instant) -> bool {
+        let is_full = self.full_until.is_some_and(|until| now < until);
         let is_free = self.running(now) < self.slots;
-        is_free && self.tokens(now) + charge <= self.room()
+        !is_full && is_free && self.tokens(now) + charge <= self.room()
     }
 }
 
@@ -148,6 +158,7 @@
             memory,
             runs: collections::BTreeMap::new(),
             prefill_until: None,
+            full_until: None,
             peers: collections::BTreeMap::new(),
         };
         let engine = self.engines.entry(id.to_string()).or_insert_with(fresh);
@@ -233,6 +244,13 @@
         }
     }
 
+    /// Notes that an engine has no room now, whatever was committed.
+    pub fn set_full(&mut self, id: &str, now: time::Instant) {
+        if let Some(engine) = self.engines.get_mut(id) {
+            engine.full_until = Some(now + FULL_TIME);
+        }
+    }
+
     /// Ends a run's commitment.
     pub fn release(&mut self, id: &str, run: ids::RunId) {
         if let Some(engine) = self.engines.get_mut(id) {
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -11,6 +11,7 @@
 //! ```
 
 mod call;
+mod cleanup;
 mod directory;
 mod edge;
 mod ingress;
--- a/crates/edge/src/prefill.rs
+++ b/crates/edge/src/prefill.rs
@@ -2,15 +2,13 @@
 
 use std::{sync, time};
 
-use hyper::Request;
-
 use rhubarb_core::{fleet, ids, outcome, pool};
 use rhubarb_node::{clock, metrics, reply};
 use rhubarb_platform::{answer as forms, engine, request};
 
 use outcome::{Reason, Refusal};
 
-use crate::{call, directory, edge, links, plain};
+use crate::{call, cleanup, directory, edge, links, plain};
 
 /// The KV cache of a prompt at the engine that read it; freed when dropped before it is taken.
 #[derive(Debug)]
@@ -54,23 +52,7 @@
         self.edge.counters.wasted.get_or_create(&reason).inc_by(u64::from(self.tokens));
         let (edge, address) = (self.edge.clone(), self.target.address);
         let request = engine::free_handle(&self.handle);
-        tokio::spawn(async move { free(&edge, address, request).await });
-    }
-}
-
-async fn free(
-    edge: &edge::Edge,
-    address: std::net::SocketAddr,
-    request: Request<http_body_util::Full<bytes::Bytes>>,
-) {
-    let freeing = async {
-        let answered = edge.links.send(address, request).await?;
-        Ok::<_, links::SendError>(plain::read_whole(&edge.links, answered).await)
-    };
-    match tokio::time::timeout(FREE_LIMIT, freeing).await {
-        Ok(Ok(_)) => {}
-        Ok(Err(err)) => tracing::info!(%address, %err, "edge: a KV cache was not freed"),
-        Err(_) => tracing::info!(%address, "edge: a KV cache was not freed in time"),
+        tokio::spawn(async move { cleanup::send(&edge, address, request).await });
     }
 }
 
@@ -89,8 +71,6 @@
 
 /// Part of a result's life in which it is offered: the rest is for the way to the engine.
 const USABLE_LIFE: f64 = 0.6;
-/// Unused results lapse by themselves soon after.
-const FREE_LIMIT: time::Duration = time::Duration::from_secs(1);
 /// Time beyond the expected one before a prefill engine counts as silent: other entries' prompts
 /// may stand before ours.
 const SLACK: time::Duration = time::Duration::from_millis(700);
--- a/crates/edge/src/room.rs
+++ b/crates/edge/src/room.rs
@@ -2,12 +2,15 @@
 
 use std::{sync, time};
 
-use rhubarb_core::{engines, fleet, ids, outcome};
+use hyper::StatusCode;
+
+use rhubarb_core::{engines, fleet, ids, outcome, pool};
 use rhubarb_node::{clock, reply};
+use rhubarb_platform::engine;
 
 use outcome::{Reason, Refusal};
 
-use crate::{call, directory, edge};
+use crate::{call, cleanup, directory, edge, links, plain, prefill};
 
 /// Memory at a decode engine.
 #[derive(Debug)]
@@ -16,10 +19,23 @@
     service: ids::ServiceName,
     pub(crate) target: directory::Target,
     run: ids::RunId,
+    hold: Option<String>,
+}
+
+impl Room {
+    /// Takes the memory that the engine set aside, to be used by one send.
+    pub(crate) fn use_hold(&mut self) -> Option<String> {
+        self.hold.take()
+    }
 }
 
 impl Drop for Room {
     fn drop(&mut self) {
+        if let Some(hold) = self.hold.take() {
+            let (edge, address) = (self.edge.clone(), self.target.address);
+            let request = engine::drop_hold(&hold);
+            tokio::spawn(async move { cleanup::send(&edge, address, request).await });
+        }
         self.edge.directory().service(&self.service).engines.release(&self.target.id, self.run);
         self.edge.room_freed.notify_waiters();
         self.edge.given.notify_one();
@@ -37,6 +53,8 @@
     Gone,
 }
 
+/// A live engine answers in milliseconds.
+const HOLD_LIMIT: time::Duration = time::Duration::from_millis(250);
 /// What peers have freed is looked at this often.
 const RECHECK: time::Duration = time::Duration::from_millis(50);
 /// Shortest and longest time after which a refused caller is asked to come back: bursts last
@@ -60,10 +78,17 @@
 ) -> Asked {
     let place = engines::Place { arrived: call.arrived, run: call.edge.next_run() };
     let _seat = Seat { call, place };
+    let mut tried = tried.to_vec();
     loop {
         let freed = call.edge.room_freed.notified();
-        if let Some(room) = take(call, place, need, tried) {
-            return Asked::Granted(room);
+        while let Some(mut room) = take(call, place, need, &tried) {
+            match reply.wait(hold(call, &mut room, need), call.deadline).await {
+                reply::Waited::Event(Held::Yes) => return Asked::Granted(room),
+                reply::Waited::Event(Held::Full) => {}
+                reply::Waited::Event(Held::Unreachable) => tried.push(room.target.id.clone()),
+                reply::Waited::Gone => return Asked::Gone,
+                reply::Waited::Expired => break,
+            }
         }
         if clock::now() >= wait_by {
             return Asked::Refused(no_room());
@@ -75,6 +100,64 @@
     }
 }
 
+enum Held {
+    Yes,
+    Full,
+    Unreachable,
+}
+
+// Has the engine set the memory aside, where it can.
+async fn hold(call: &call::Call, room: &mut Room, need: engines::Need) -> Held {
+    let Some(life) = hold_life(call) else { return Held::Yes };
+    let id = room.target.id.clone();
+    let request = engine::take_hold(&id, need.charge(), life);
+    let asking = async {
+        let answered = call.edge.links.send(room.target.address, request).await?;
+        Ok::<_, links::SendError>(plain::read_whole(&call.edge.links, answered).await)
+    };
+    let asked = tokio::time::timeout(HOLD_LIMIT, asking).await;
+    let read = match asked {
+        Ok(Ok(read)) => read,
+        Ok(Err(err)) => {
+            tracing::info!(id = call.id(), server = id, %err, "edge: no memory asked for");
+            prefill::note_end(call, &id, pool::End::Bad(Reason::NoServer));
+            return Held::Unreachable;
+        }
+        Err(_) => {
+            tracing::info!(id = call.id(), server = id, "edge: memory asked for in vain");
+            prefill::note_end(call, &id, pool::End::Bad(Reason::NoServer));
+            return Held::Unreachable;
+        }
+    };
+    let body = read.body.as_ref().filter(|_| read.is_success());
+    match body.map(|body| engine::read_hold(body)) {
+        Some(Ok(hold)) => {
+            room.hold = Some(hold);
+            Held::Yes
+        }
+        Some(Err(err)) => {
+            tracing::warn!(id = call.id(), server = id, %err, "edge: hold unreadable");
+            Held::Unreachable
+        }
+        None if read.head.status() == StatusCode::SERVICE_UNAVAILABLE => {
+            let mut directory = call.edge.directory();
+            directory.service(&call.service).engines.set_full(&id, clock::now());
+            tracing::info!(id = call.id(), server = id, "edge: engine is full");
+            Held::Full
+        }
+        None => {
+            let status = read.head.status().as_u16();
+            tracing::info!(id = call.id(), server = id, status, "edge: no memory set aside");
+            Held::Unreachable
+        }
+    }
+}
+
+fn hold_life(call: &call::Call) -> Option<time::Duration> {
+    let config = call.edge.directory().config()?;
+    config.services.get(&call.service)?.engine.as_ref()?.hold_life
+}
+
 struct Seat<'a> {
     call: &'a call::Call,
     place: engines::Place,
@@ -107,5 +190,5 @@
     let target = directory.target(&id)?;
     call.edge.given.notify_one();
     let (edge, service) = (call.edge.clone(), call.service.clone());
-    Some(Room { edge, service, target, run: place.run })
+    Some(Room { edge, service, target, run: place.run, hold: None })
 }
--- a/crates/edge/src/stream.rs
+++ b/crates/edge/src/stream.rs
@@ -196,10 +196,12 @@
 
     async fn send(&mut self, target: &directory::Target) -> Sent {
         let source = self.cache.as_ref().map(prefill::Cache::source);
+        let hold = self.room.as_mut().and_then(room::Room::use_hold);
         let send = request::Send {
             expect: &target.id,
             left: self.call.time_left(),
             source: source.as_deref(),
+            hold: hold.as_deref(),
             last_event: self.last_event,
             ..request::Send::default()
         };
