Move engines between stages by what requests take at each

Change: entries tell one another the engine time their requests took; the first of them plans the number of prefill engines that balances both stages and gives the orders under a lease in the store, fenced, with the engine's own count of orders. Engines that change take no work.

--- a/crates/core/src/engines.rs
+++ b/crates/core/src/engines.rs
@@ -5,7 +5,7 @@
 
 use std::{collections, time};
 
-use crate::{fleet, ids};
+use crate::{fleet, ids, stages};
 
 /// What a request needs of a decode engine.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -34,13 +34,21 @@
     usable: bool,
     slots: u32,
     memory: u32,
-    runs: collections::BTreeMap<ids::RunId, Need>,
+    runs: collections::BTreeMap<ids::RunId, Run>,
+    // Changing its stage; it takes no work until then.
+    changing_until: Option<time::Instant>,
     prefill_until: Option<time::Instant>,
     // An engine that refused to set memory aside is not asked again until then.
     full_until: Option<time::Instant>,
     peers: collections::BTreeMap<String, Told>,
 }
 
+#[derive(Clone, Copy, Debug)]
+struct Run {
+    need: Need,
+    since: time::Instant,
+}
+
 #[derive(Clone, Copy, Debug)]
 struct Told {
     commitment: Commitment,
@@ -53,6 +61,8 @@
     engines: collections::BTreeMap<ids::ServerName, Engine>,
     // Requests that wait for decode memory, in the order of their arrival.
     queue: collections::BTreeSet<Place>,
+    usage: stages::Usage,
+    peer_usage: collections::BTreeMap<String, stages::Usage>,
 }
 
 /// Place of a request in the queue for decode memory.
@@ -85,6 +95,9 @@
 /// A source in another availability zone costs as much as this much waiting.
 const AWAY_PREFILL: time::Duration = time::Duration::from_millis(60);
 
+/// Shortest stay that counts as a run.
+const MIN_STAY: time::Duration = time::Duration::from_millis(500);
+
 // Order of engines that are alike.
 fn shuffle(id: &str, draw: u64) -> u64 {
     let mut hash = draw ^ 0xcbf2_9ce4_8422_2325;
@@ -111,6 +124,14 @@
     }
 }
 
+impl Run {
+    // Share of the engine's memory times the time for which it was held.
+    fn exposure(&self, room: u32, now: time::Instant) -> time::Duration {
+        let share = f64::from(self.need.charge()) / f64::from(room.max(1));
+        now.saturating_duration_since(self.since).mul_f64(share)
+    }
+}
+
 impl Engine {
     fn peers(&self, now: time::Instant) -> impl Iterator<Item = &Commitment> {
         let is_fresh = move |told: &&Told| now <= told.at + PEER_SILENCE;
@@ -118,7 +139,7 @@
     }
 
     fn tokens(&self, now: time::Instant) -> u32 {
-        let own: u32 = self.runs.values().map(Need::charge).sum();
+        let own: u32 = self.runs.values().map(|run| run.need.charge()).sum();
         own + self.peers(now).map(|peer| peer.tokens).sum::<u32>()
     }
 
@@ -126,6 +147,10 @@
         self.runs.len() as u32 + self.peers(now).map(|peer| peer.runs).sum::<u32>()
     }
 
+    fn is_changing(&self, now: time::Instant) -> bool {
+        self.changing_until.is_some_and(|until| now < until)
+    }
+
     fn room(&self) -> u32 {
         (f64::from(self.memory) * MEMORY_SHARE) as u32
     }
@@ -157,11 +182,15 @@
             slots,
             memory,
             runs: collections::BTreeMap::new(),
+            changing_until: None,
             prefill_until: None,
             full_until: None,
             peers: collections::BTreeMap::new(),
         };
         let engine = self.engines.entry(id.to_string()).or_insert_with(fresh);
+        if engine.stage != stage {
+            engine.changing_until = None;
+        }
         engine.stage = stage;
         engine.usable = !instance.leaving;
         engine.slots = slots;
@@ -188,13 +217,10 @@
     fn of_stage(
         &self,
         stage: fleet::Stage,
+        now: time::Instant,
     ) -> impl Iterator<Item = (&ids::ServerName, &Engine)> + Clone {
-        self.engines.iter().filter(move |(_, engine)| engine.usable && engine.stage == stage)
-    }
-
-    /// Ids of the engines of a stage that take new work.
-    pub fn ids(&self, stage: fleet::Stage) -> impl Iterator<Item = &ids::ServerName> {
-        self.of_stage(stage).map(|(id, _)| id)
+        let takes_work = move |engine: &Engine| engine.usable && !engine.is_changing(now);
+        self.engines.iter().filter(move |(_, engine)| engine.stage == stage && takes_work(engine))
     }
 
     /// Puts a request into the queue for decode memory; one that is there keeps its place.
@@ -228,20 +254,16 @@
             return None;
         }
         let charge = need.charge();
-        let decode = self.of_stage(fleet::Stage::Decode);
+        let decode = self.of_stage(fleet::Stage::Decode, now);
         let fitting = decode.filter(|(id, engine)| allowed(id) && engine.fits(charge, now));
         let step = |engine: &Engine| engine.tokens(now) / (engine.memory / MEMORY_STEPS).max(1);
         let (id, _) = fitting.min_by_key(|(id, engine)| (step(engine), shuffle(id, draw)))?;
         let id = id.clone();
         self.queue.remove(&place);
-        self.commit(&id, place.run, need);
-        Some(id)
-    }
-
-    fn commit(&mut self, id: &str, run: ids::RunId, need: Need) {
-        if let Some(engine) = self.engines.get_mut(id) {
-            engine.runs.insert(run, need);
+        if let Some(engine) = self.engines.get_mut(&id) {
+            engine.runs.insert(place.run, Run { need, since: now });
         }
+        Some(id)
     }
 
     /// Notes that an engine has no room now, whatever was committed.
@@ -252,12 +274,55 @@
     }
 
     /// Ends a run's commitment.
-    pub fn release(&mut self, id: &str, run: ids::RunId) {
+    pub fn release(&mut self, id: &str, run: ids::RunId, now: time::Instant) {
+        let Some(engine) = self.engines.get_mut(id) else { return };
+        let Some(run) = engine.runs.remove(&run) else { return };
+        // What was refused or broke off soon was no run.
+        if now.saturating_duration_since(run.since) >= MIN_STAY {
+            self.usage.runs += 1;
+        }
+        self.usage.decode += run.exposure(engine.room(), now);
+    }
+
+    /// Keeps an engine that changes its stage from new work until `until`.
+    pub fn set_changing(&mut self, id: &str, until: time::Instant) {
         if let Some(engine) = self.engines.get_mut(id) {
-            engine.runs.remove(&run);
+            engine.changing_until = Some(until);
         }
     }
 
+    /// Engine time that this entry's requests have taken since its start, open ones included.
+    pub fn usage(&self, now: time::Instant) -> stages::Usage {
+        let open = |engine: &Engine| {
+            let runs = engine.runs.values();
+            runs.map(|run| run.exposure(engine.room(), now)).sum::<time::Duration>()
+        };
+        let open: time::Duration = self.engines.values().map(open).sum();
+        stages::Usage { decode: self.usage.decode + open, ..self.usage }
+    }
+
+    /// Takes what a peer's requests have taken since its start.
+    pub fn hear_usage(&mut self, peer: &str, usage: stages::Usage) {
+        self.peer_usage.insert(peer.to_string(), usage);
+    }
+
+    /// Engine time that the requests of all entries have taken.
+    pub fn total_usage(&self, now: time::Instant) -> stages::Usage {
+        let all = self.peer_usage.values();
+        all.fold(self.usage(now), |sum, usage| sum.plus(usage))
+    }
+
+    /// Engines that are not leaving, with the stage that they have or will have.
+    pub fn candidates(&self, now: time::Instant) -> Vec<stages::Candidate> {
+        let all = self.engines.iter().filter(|(_, engine)| engine.usable);
+        let candidates = all.map(|(id, engine)| {
+            let is_changing = engine.is_changing(now);
+            let stage = if is_changing { engine.stage.other() } else { engine.stage };
+            stages::Candidate { id: id.clone(), zone: engine.zone.clone(), stage, is_changing }
+        });
+        candidates.collect()
+    }
+
     /// Chooses the engine that would have read a prompt first, near `zone` where that is equal.
     ///
     /// Returns the engine and the time until the prompt will have been read.
@@ -273,7 +338,7 @@
             let away = if engine.zone == zone { time::Duration::ZERO } else { AWAY_PREFILL };
             engine.prefill(now) + away
         };
-        let sources = self.of_stage(fleet::Stage::Prefill).filter(|(id, _)| allowed(id));
+        let sources = self.of_stage(fleet::Stage::Prefill, now).filter(|(id, _)| allowed(id));
         let step = |engine: &Engine| wait(engine).as_millis() / PREFILL_STEP.as_millis();
         let (id, engine) = sources.min_by_key(|(id, engine)| (step(engine), shuffle(id, draw)))?;
         Some((id.clone(), engine.prefill(now) + prefill_work(tokens)))
@@ -281,6 +346,8 @@
 
     /// Notes a prompt sent to an engine.
     pub fn prefill_sent(&mut self, id: &str, tokens: u32, now: time::Instant) {
+        self.usage.prompts += 1;
+        self.usage.prefill += prefill_work(tokens);
         if let Some(engine) = self.engines.get_mut(id) {
             let from = engine.prefill_until.map_or(now, |until| until.max(now));
             engine.prefill_until = Some(from + prefill_work(tokens));
@@ -294,7 +361,7 @@
 
     /// Shortest expected time until a prompt of `tokens` has been read.
     pub fn prefill_wait(&self, tokens: u32, now: time::Instant) -> Option<time::Duration> {
-        let sources = self.of_stage(fleet::Stage::Prefill);
+        let sources = self.of_stage(fleet::Stage::Prefill, now);
         let wait = sources.map(|(_, engine)| engine.prefill(now)).min();
         wait.map(|wait| wait + prefill_work(tokens))
     }
@@ -308,7 +375,7 @@
     pub fn own(&self, now: time::Instant) -> collections::BTreeMap<ids::ServerName, Commitment> {
         let told = self.engines.iter().map(|(id, engine)| {
             let commitment = Commitment {
-                tokens: engine.runs.values().map(Need::charge).sum(),
+                tokens: engine.runs.values().map(|run| run.need.charge()).sum(),
                 runs: engine.runs.len() as u32,
                 prefill: engine.own_prefill(now),
             };
@@ -339,7 +406,7 @@
 
     /// Share of the decode engines' memory that is committed, in thousandths.
     pub fn fill(&self, now: time::Instant) -> u32 {
-        let decode = self.of_stage(fleet::Stage::Decode);
+        let decode = self.of_stage(fleet::Stage::Decode, now);
         let room: u64 = decode.clone().map(|(_, engine)| u64::from(engine.room())).sum();
         let taken: u64 = decode.map(|(_, engine)| u64::from(engine.tokens(now))).sum();
         (taken * 1000 / room.max(1)) as u32
--- a/crates/core/src/fleet.rs
+++ b/crates/core/src/fleet.rs
@@ -13,6 +13,16 @@
     Decode,
 }
 
+impl Stage {
+    /// The other stage.
+    pub fn other(self) -> Stage {
+        match self {
+            Stage::Prefill => Stage::Decode,
+            Stage::Decode => Stage::Prefill,
+        }
+    }
+}
+
 /// One registered server.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Instance {
@@ -30,8 +40,6 @@
     pub leaving: bool,
     /// Start of its process in Unix milliseconds, where it says so.
     pub born: Option<u64>,
-    /// Orders that it has accepted since its start.
-    pub orders: u64,
 }
 
 /// What a change of the registry means for those who use the servers.
--- /dev/null
+++ b/crates/core/src/lease.rs
@@ -0,0 +1,85 @@
+//! A lease in the platform's store, as one candidate sees it.
+//!
+//! Times are of a clock that also counts suspension (`CLOCK_BOOTTIME`), since a frozen holder
+//! still believes in its lease.
+
+use std::time;
+
+/// Version of the lease's row; that of the newest write is the holder's fencing number.
+pub type Fence = u64;
+/// Time since the machine started, suspension included.
+pub type BootTime = time::Duration;
+
+/// One candidate's view of a lease.
+#[derive(Clone, Debug)]
+pub struct Lease {
+    holder: String,
+    length: time::Duration,
+    seen: Option<Seen>,
+    held: Option<Held>,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq)]
+struct Seen {
+    version: Fence,
+    since: BootTime,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Held {
+    fence: Fence,
+    // When the write that renewed it was sent.
+    renewed_at: BootTime,
+}
+
+/// The lease's row as it was read.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Row<'a> {
+    /// Version; 0 if there is none.
+    pub version: Fence,
+    /// Who wrote it.
+    pub holder: &'a str,
+}
+
+/// Part of the length after which the holder renews before it acts again.
+const VALID_SHARE: f64 = 0.4;
+/// Waited beyond the length before a lease is taken over: clocks run apart, writes travel.
+const TAKEOVER_MARGIN: time::Duration = time::Duration::from_millis(500);
+
+impl Lease {
+    /// Makes the view of a candidate that writes its rows as `holder`.
+    pub fn new(holder: String, length: time::Duration) -> Lease {
+        Lease { holder, length, seen: None, held: None }
+    }
+
+    /// Fencing number, while the lease is surely held.
+    pub fn fence(&self, now: BootTime) -> Option<Fence> {
+        let valid = self.length.mul_f64(VALID_SHARE);
+        let held = self.held.filter(|held| now < held.renewed_at + valid)?;
+        Some(held.fence)
+    }
+
+    /// Takes the row as read now; whether the candidate may write it, on this version.
+    pub fn read(&mut self, row: Row<'_>, now: BootTime) -> bool {
+        if self.seen.as_ref().is_none_or(|seen| seen.version != row.version) {
+            self.seen = Some(Seen { version: row.version, since: now });
+        }
+        if row.version == 0 || row.holder == self.holder {
+            return true;
+        }
+        self.held = None;
+        let since = self.seen.as_ref().map_or(now, |seen| seen.since);
+        now >= since + self.length + TAKEOVER_MARGIN
+    }
+
+    /// Notes that a write sent at `sent_at` made `fence` the row's version.
+    pub fn won(&mut self, fence: Fence, sent_at: BootTime) {
+        self.held = Some(Held { fence, renewed_at: sent_at });
+        self.seen = Some(Seen { version: fence, since: sent_at });
+    }
+
+    /// Notes that another holder was faster, or that a fencing number was refused.
+    pub fn lost(&mut self) {
+        self.held = None;
+    }
+}
--- a/crates/edge/src/directory.rs
+++ b/crates/edge/src/directory.rs
@@ -150,6 +150,20 @@
         self.services.values_mut()
     }
 
+    /// All services by name.
+    pub(crate) fn named_services(
+        &mut self,
+    ) -> impl Iterator<Item = (&ids::ServiceName, &mut Service)> {
+        self.services.iter_mut()
+    }
+
+    /// Time that a change of stage takes at a service's engines.
+    pub(crate) fn switch_time(&self, service: &str) -> time::Duration {
+        let service = self.config.as_ref().and_then(|config| config.services.get(service));
+        let engine = service.and_then(|service| service.engine.as_ref());
+        engine.map_or(time::Duration::ZERO, |engine| engine.switch_time)
+    }
+
     /// Where a server is reached.
     pub(crate) fn target(&self, id: &str) -> Option<Target> {
         let instance = self.fleet.get(id)?;
--- a/crates/edge/src/edge.rs
+++ b/crates/edge/src/edge.rs
@@ -8,7 +8,7 @@
 use rhubarb_node::{client, clock, locks};
 use rhubarb_platform::{settings, store};
 
-use crate::{directory, links, metrics};
+use crate::{directory, duty, links, metrics};
 
 /// One entry.
 #[derive(Debug)]
@@ -29,6 +29,7 @@
     pub(crate) open: atomic::AtomicU64,
     directory: sync::Mutex<directory::Directory>,
     members: sync::Mutex<members::Members>,
+    duty: sync::Mutex<duty::Duty>,
     // Peer that knows more.
     ahead: sync::Mutex<Option<net::IpAddr>>,
     seq: atomic::AtomicU64,
@@ -54,6 +55,7 @@
             open: atomic::AtomicU64::new(0),
             directory: sync::Mutex::new(directory),
             members: sync::Mutex::default(),
+            duty: sync::Mutex::default(),
             ahead: sync::Mutex::default(),
             seq: atomic::AtomicU64::new(1),
             stopped_at: sync::OnceLock::new(),
@@ -80,6 +82,11 @@
         locks::lock(&self.members)
     }
 
+    /// The duty of changing engines' stages.
+    pub(crate) fn duty(&self) -> sync::MutexGuard<'_, duty::Duty> {
+        locks::lock(&self.duty)
+    }
+
     /// Peer that knows more than this entry.
     pub(crate) fn ahead(&self) -> sync::MutexGuard<'_, Option<net::IpAddr>> {
         locks::lock(&self.ahead)
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -13,6 +13,7 @@
 mod call;
 mod cleanup;
 mod directory;
+mod duty;
 mod edge;
 mod ingress;
 mod links;
--- a/crates/edge/src/peers.rs
+++ b/crates/edge/src/peers.rs
@@ -12,6 +12,8 @@
 
 /// Peers are told at least this often, as a sign of life.
 const TELL_PERIOD: time::Duration = time::Duration::from_millis(300);
+/// An engine that a peer has ordered to change counts as changing for this long after it said so.
+const CHANGING_TIME: time::Duration = time::Duration::from_secs(1);
 /// Changes within this time are told together; a prefill takes several times as long.
 const TELL_PAUSE: time::Duration = time::Duration::from_millis(20);
 /// Instances that may be peers are looked up this often.
@@ -75,8 +77,14 @@
     let servers = directory.rows.version;
     let own = directory.services().flat_map(|service| service.engines.own(now));
     let given = own.map(|(id, commitment)| share::Given::new(&id, &commitment)).collect();
+    let usage = directory
+        .named_services()
+        .map(|(name, service)| (name.clone(), service.engines.usage(now)));
+    let usage = usage.filter(|(_, usage)| usage.prompts > 0).collect();
+    drop(directory);
+    let changing = edge.duty().changing(now);
     let (name, incarnation) = (edge.settings().name.clone(), edge.incarnation);
-    share::Share { name, incarnation, seq, config, servers, peers, given }
+    share::Share { name, incarnation, seq, config, servers, peers, given, usage, changing }
 }
 
 /// Takes what the peers tell.
@@ -118,6 +126,12 @@
     let mut directory = edge.directory();
     for service in directory.services() {
         service.engines.hear(&share.name, &told, now);
+        for id in &share.changing {
+            service.engines.set_changing(id, now + CHANGING_TIME);
+        }
+    }
+    for (name, usage) in &share.usage {
+        directory.service(name).engines.hear_usage(&share.name, *usage);
     }
     let config = directory.config().map_or(0, |config| config.version);
     let is_behind = share.config > config || share.servers > directory.rows.version;
--- a/crates/edge/src/room.rs
+++ b/crates/edge/src/room.rs
@@ -36,7 +36,10 @@
             let request = engine::drop_hold(&hold);
             tokio::spawn(async move { cleanup::send(&edge, address, request).await });
         }
-        self.edge.directory().service(&self.service).engines.release(&self.target.id, self.run);
+        let mut directory = self.edge.directory();
+        let engines = &mut directory.service(&self.service).engines;
+        engines.release(&self.target.id, self.run, clock::now());
+        drop(directory);
         self.edge.room_freed.notify_waiters();
         self.edge.given.notify_one();
     }
--- a/crates/edge/src/run.rs
+++ b/crates/edge/src/run.rs
@@ -9,7 +9,7 @@
 
 use tokio::sync as lock;
 
-use crate::{edge, ingress, peers, reload, watch};
+use crate::{duty, edge, ingress, peers, reload, watch};
 
 /// Connections from callers at once; descriptors are left for servers and the store.
 const CONNECTIONS: usize = 2_000;
@@ -42,6 +42,7 @@
         tokio::spawn(watch::follow(edge.clone(), table));
     }
     tokio::spawn(watch::sweep(edge.clone()));
+    tokio::spawn(duty::run(edge.clone()));
     tokio::spawn(reload::run(edge.clone(), stop::hangups()?));
     let (snapshots, shares) = server::bind_both(peers::address(&edge, edge.settings().ip)).await?;
     let shares = sync::Arc::new(shares);
--- a/crates/wire/src/share.rs
+++ b/crates/wire/src/share.rs
@@ -5,7 +5,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use rhubarb_core::{engines, ids};
+use rhubarb_core::{engines, ids, stages};
 
 /// Most bytes of one datagram: what fits into one packet.
 pub const MAX_DATAGRAM: usize = 1_400;
@@ -29,6 +29,10 @@
     pub peers: Vec<net::IpAddr>,
     /// What the sender has given to engines; those with nothing are left out.
     pub given: Vec<Given>,
+    /// Engine time that the sender's requests have taken, by service.
+    pub usage: collections::BTreeMap<ids::ServiceName, stages::Usage>,
+    /// Engines that the sender has ordered to change their stage.
+    pub changing: Vec<ids::ServerName>,
 }
 
 /// Work that the sender has given to one engine.
