Test the decisions for the platform and its border

Cause: the modules behind the platform's path stood without tests.

Found by it: draws among engines that are alike fell on two of twelve, since the hash was not finished; it is now.

--- a/crates/core/src/engines.rs
+++ b/crates/core/src/engines.rs
@@ -98,13 +98,13 @@
 /// Shortest stay that counts as a run.
 const MIN_STAY: time::Duration = time::Duration::from_millis(500);
 
-// Order of engines that are alike.
+// Order of engines that are alike: a hash of both, by the finisher of MurmurHash3.
 fn shuffle(id: &str, draw: u64) -> u64 {
-    let mut hash = draw ^ 0xcbf2_9ce4_8422_2325;
-    for byte in id.bytes() {
-        hash = (hash ^ u64::from(byte)).wrapping_mul(0x0100_0000_01b3);
-    }
-    hash
+    let mix = |hash: u64, byte: u8| (hash ^ u64::from(byte)).wrapping_mul(0x0100_0000_01b3);
+    let mut hash = id.bytes().fold(draw, mix);
+    hash = (hash ^ (hash >> 33)).wrapping_mul(0xff51_afd7_ed55_8ccd);
+    hash = (hash ^ (hash >> 33)).wrapping_mul(0xc4ce_b9fe_1a85_ec53);
+    hash ^ (hash >> 33)
 }
 
 /// Time that an idle engine needs to read a prompt.
--- /dev/null
+++ b/crates/core/tests/leases.rs
@@ -0,0 +1,91 @@
+//! The lease of a duty: one holder, fences that grow, and holders that were frozen.
+
+use std::time;
+
+use proptest::prelude::*;
+use rhubarb_core::lease;
+
+const LENGTH: time::Duration = time::Duration::from_secs(3);
+
+fn at(millis: u64) -> lease::BootTime {
+    lease::BootTime::from_millis(millis)
+}
+
+fn candidate(name: &str) -> lease::Lease {
+    lease::Lease::new(name.into(), LENGTH)
+}
+
+#[test]
+fn free_row() {
+    let mut lease = candidate("a");
+    assert!(lease.read(lease::Row { version: 0, holder: "" }, at(0)));
+    lease.won(7, at(1));
+    assert_eq!(lease.fence(at(100)), Some(7));
+    assert_eq!(lease.fence(at(3_000)), None, "long before it can lapse");
+}
+
+#[test]
+fn takeover_waits() {
+    let mut lease = candidate("b");
+    let row = lease::Row { version: 7, holder: "a" };
+    assert!(!lease.read(row, at(0)));
+    assert!(!lease.read(row, at(3_000)));
+    assert!(lease.read(row, at(3_600)));
+    let renewed = lease::Row { version: 9, holder: "a" };
+    assert!(!lease.read(renewed, at(3_700)), "the holder renewed it");
+    assert!(!lease.read(renewed, at(7_000)));
+}
+
+#[test]
+fn frozen_holder() {
+    // The clock counts the freeze, so nothing is ordered on the old lease after the thaw.
+    let mut lease = candidate("a");
+    lease.won(7, at(0));
+    assert_eq!(lease.fence(at(4_000)), None);
+    assert!(!lease.read(lease::Row { version: 9, holder: "b" }, at(4_000)));
+    assert_eq!(lease.fence(at(4_001)), None);
+}
+
+#[test]
+fn refused_fence() {
+    let mut lease = candidate("a");
+    lease.won(7, at(0));
+    lease.lost();
+    assert_eq!(lease.fence(at(1)), None);
+}
+
+proptest! {
+    // Candidates act at random, freeze, and lose answers; two of them never act within the
+    // length of the lease of one another, and fences only grow.
+    #[test]
+    fn one_holder(steps in proptest::collection::vec((0usize..3, 0u64..1500, 0u8..4), 1..300)) {
+        let names = ["a", "b", "c"];
+        let mut leases: Vec<_> = names.iter().map(|name| candidate(name)).collect();
+        let (mut version, mut holder) = (0, String::new());
+        let mut acted: Option<(usize, u64, u64)> = None;
+        let mut now = 0;
+        for (who, pause, kind) in steps {
+            now += pause;
+            let lease = &mut leases[who];
+            if lease.fence(at(now)).is_none() && kind != 0 {
+                let row = lease::Row { version, holder: &holder };
+                if lease.read(row, at(now)) {
+                    version += 1;
+                    holder = names[who].to_string();
+                    // The answer of the write may be lost.
+                    if kind != 1 {
+                        lease.won(version, at(now));
+                    }
+                }
+            }
+            let Some(fence) = lease.fence(at(now)) else { continue };
+            if let Some((other, then, old)) = acted {
+                prop_assert!(fence >= old, "{fence} after {old}");
+                let is_turn = other != who;
+                prop_assert!(!is_turn || now >= then + LENGTH.as_millis() as u64 - 1_200,
+                    "{other} at {then}, {who} at {now}");
+            }
+            acted = Some((who, now, fence));
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/tests/members.rs
@@ -0,0 +1,56 @@
+//! Peers: order of datagrams, silence, and the number that shares the budgets.
+
+use std::{net, time};
+
+use rhubarb_core::members;
+
+const SECOND: time::Duration = time::Duration::from_secs(1);
+
+fn ip(last: u8) -> net::IpAddr {
+    [10, 0, 0, last].into()
+}
+
+#[test]
+fn old_datagrams() {
+    let now = time::Instant::now();
+    let mut members = members::Members::default();
+    assert!(members.hear(ip(2), 1, 5, now));
+    assert!(!members.hear(ip(2), 1, 5, now), "twice");
+    assert!(!members.hear(ip(2), 1, 4, now), "overtaken");
+    assert!(members.hear(ip(2), 2, 1, now), "a new process");
+}
+
+#[test]
+fn silent_peers_spend() {
+    let now = time::Instant::now();
+    let mut members = members::Members::default();
+    for last in 2..6 {
+        members.hear(ip(last), 1, 1, now);
+    }
+    assert_eq!(members.count(now), 5);
+    let cut = now + 5 * SECOND;
+    assert_eq!(members.alive(cut).count(), 0);
+    assert_eq!(members.count(cut), 5, "they may live behind a cut");
+    assert_eq!(members.count(now + 30 * SECOND), 1);
+}
+
+#[test]
+fn hoped_until_heard() {
+    let now = time::Instant::now();
+    let mut members = members::Members::default();
+    members.hope(ip(9), now);
+    assert!(members.targets(now).contains(&ip(9)));
+    assert!(members.targets(now + 11 * SECOND).is_empty());
+    members.hear(ip(9), 1, 1, now + 9 * SECOND);
+    assert!(members.targets(now + 11 * SECOND).contains(&ip(9)));
+}
+
+#[test]
+fn bounded_targets() {
+    let now = time::Instant::now();
+    let mut members = members::Members::default();
+    for last in 0..200 {
+        members.hope(ip(last), now);
+    }
+    assert_eq!(members.targets(now).len(), members::MAX_PEERS);
+}
--- /dev/null
+++ b/crates/core/tests/stages.rs
@@ -0,0 +1,88 @@
+//! Stages follow what requests take, slowly.
+
+use std::time;
+
+use rhubarb_core::{fleet, stages};
+
+const MILLI: time::Duration = time::Duration::from_millis(1);
+const COSTS: stages::Costs = stages::Costs { prefill: 0.1, decode: 0.53 };
+
+fn candidates(prefill: usize, decode: usize) -> Vec<stages::Candidate> {
+    let all = (0..prefill + decode).map(|number| stages::Candidate {
+        id: format!("i-{number}"),
+        zone: format!("zone-{}", number % 3),
+        stage: if number < prefill { fleet::Stage::Prefill } else { fleet::Stage::Decode },
+        is_changing: false,
+    });
+    all.collect()
+}
+
+#[test]
+fn balance_table() {
+    let cases = [
+        (0.1, 0.53, 45, 10),
+        (0.1, 0.42, 18, 5),
+        (0.1, 0.1, 10, 7),
+        (0.1, 0.0001, 10, 9),
+        (0.0001, 1.0, 10, 1),
+        (0.1, 0.5, 2, 1),
+    ];
+    for (prefill, decode, count, expected) in cases {
+        let costs = stages::Costs { prefill, decode };
+        assert_eq!(stages::balanced(costs, count), expected, "{costs:?} of {count}");
+    }
+}
+
+#[test]
+fn surplus_lasts_first() {
+    // Long answers: a third of the engines read prompts, a fifth is enough.
+    let now = time::Instant::now();
+    let mut planner = stages::Planner::default();
+    assert!(planner.plan(COSTS, &candidates(16, 29), now).is_empty());
+    assert!(planner.plan(COSTS, &candidates(16, 29), now + 1_000 * MILLI).is_empty());
+    let changes = planner.plan(COSTS, &candidates(16, 29), now + 1_600 * MILLI);
+    assert_eq!(changes.len(), 6);
+    assert!(changes.iter().all(|change| change.to == fleet::Stage::Decode));
+}
+
+#[test]
+fn no_flapping() {
+    let now = time::Instant::now();
+    let mut planner = stages::Planner::default();
+    for step in 0..40 {
+        let later = now + step * 500 * MILLI;
+        assert!(planner.plan(COSTS, &candidates(10, 35), later).is_empty());
+        assert!(planner.plan(COSTS, &candidates(9, 36), later).is_empty(), "one is no lack");
+    }
+}
+
+#[test]
+fn changing_not_taken() {
+    let now = time::Instant::now();
+    let mut planner = stages::Planner::default();
+    let mut all = candidates(16, 29);
+    for candidate in all.iter_mut().take(14) {
+        candidate.is_changing = true;
+    }
+    planner.plan(COSTS, &all, now);
+    let changes = planner.plan(COSTS, &all, now + 2_000 * MILLI);
+    assert_eq!(changes.len(), 2, "only two are free to change: {changes:?}");
+}
+
+#[test]
+fn sample_first() {
+    // Runs that are open at the start would count as long ones.
+    let now = time::Instant::now();
+    let mut planner = stages::Planner::default();
+    let usage = |runs: u64| stages::Usage {
+        prompts: runs,
+        prefill: 100 * MILLI * runs as u32,
+        runs,
+        decode: 500 * MILLI * runs as u32 + 10_000 * MILLI,
+    };
+    assert_eq!(planner.costs(usage(20), now), None);
+    assert_eq!(planner.costs(usage(70), now + 1_000 * MILLI), None);
+    assert_eq!(planner.costs(usage(100), now + 2_000 * MILLI), None);
+    let costs = planner.costs(usage(140), now + 3_000 * MILLI).unwrap();
+    assert!((costs.decode - 0.5).abs() < 0.001 && (costs.prefill - 0.1).abs() < 0.001);
+}
--- a/crates/edge/src/run.rs
+++ b/crates/edge/src/run.rs
@@ -5,7 +5,7 @@
 use hyper::{Request, Response, StatusCode, body};
 
 use rhubarb_node::{answer, clock, server, stop};
-use rhubarb_platform::{settings, store};
+use rhubarb_platform::{paths, settings, store};
 
 use tokio::sync as lock;
 
@@ -78,8 +78,8 @@
     request: Request<body::Incoming>,
 ) -> Response<answer::Body> {
     match request.uri().path() {
-        "/v1/ready" if edge.is_ready() => answer::text(StatusCode::OK, "ready\n"),
-        "/v1/ready" => answer::text(StatusCode::SERVICE_UNAVAILABLE, "not ready\n"),
+        paths::READY if edge.is_ready() => answer::text(StatusCode::OK, "ready\n"),
+        paths::READY => answer::text(StatusCode::SERVICE_UNAVAILABLE, "not ready\n"),
         "/metrics" => edge.counters.registry.answer(),
         _ => answer::text(StatusCode::NOT_FOUND, "no such page\n"),
     }
