--- a/crates/core/src/engines.rs
+++ b/crates/core/src/engines.rs
@@ -96,7 +96,7 @@
 const AWAY_PREFILL: time::Duration = time::Duration::from_millis(60);
 
 /// Shortest stay that counts as a run.
-const MIN_STAY: time::Duration = time::Duration::from_millis(500);
+const MIN_STAY: time::Duration = time::Duration::from_millis(100);
 
 // Order of engines that are alike: a hash of both, by the finisher of MurmurHash3.
 fn shuffle(id: &str, draw: u64) -> u64 {
--- a/crates/core/src/fleet.rs
+++ b/crates/core/src/fleet.rs
@@ -101,7 +101,12 @@
         (old != instance || was_missing).then_some(Change::Updated(id))
     }
 
-    /// Takes the news that a server has no entry, or none that can be read.
+    /// Takes the news that a server's entry cannot be read: it names no server to use.
+    pub fn spoil(&mut self, id: &str) -> Option<Change> {
+        self.drop(id)
+    }
+
+    /// Takes the news that a server has no entry.
     pub fn unset(&mut self, id: &str, now: time::Instant) -> Option<Change> {
         if !self.instances.contains_key(id) {
             return None;
--- a/crates/core/tests/fleet.rs
+++ b/crates/core/tests/fleet.rs
@@ -75,3 +75,11 @@
     let gone = fleet.next_gone(now + 2_000 * MILLI);
     assert_eq!(gone, Some(Change::Gone("i-1".into())), "two seconds after the return");
 }
+
+#[test]
+fn unreadable_at_once() {
+    let mut fleet = fleet::Fleet::default();
+    fleet.set("i-1", instance(1, false));
+    fleet.registry_returned(time::Instant::now());
+    assert_eq!(fleet.spoil("i-1"), Some(Change::Gone("i-1".into())));
+}
--- a/crates/e2e/src/lib.rs
+++ b/crates/e2e/src/lib.rs
@@ -14,4 +14,5 @@
 pub mod caller;
 pub mod process;
 pub mod relay;
+pub mod site;
 pub mod stack;
--- /dev/null
+++ b/crates/e2e/src/site.rs
@@ -0,0 +1,350 @@
+//! A deployment on the users' platform: its store and servers as stand-ins, entries as processes.
+
+use std::{env, fs, net, path, process, sync::atomic, time};
+
+use bytes::Bytes;
+use hyper::{HeaderMap, Method, header};
+use rustix::process as signals;
+use serde_json::json;
+
+use rhubarb_fakes::{backend, store};
+use rhubarb_node::client;
+
+use crate::process as programs;
+
+/// A running deployment.
+#[derive(Debug)]
+pub struct Site {
+    /// The platform's store.
+    pub store: store::Store,
+    /// Plain servers.
+    pub plain: Vec<backend::Backend>,
+    /// Prefill engines.
+    pub prefill: Vec<backend::Backend>,
+    /// Decode engines.
+    pub decode: Vec<backend::Backend>,
+    /// Entries.
+    pub edges: Vec<Edge>,
+    handles: backend::Handles,
+    dir: path::PathBuf,
+    net: [u8; 2],
+}
+
+/// One entry; it is killed when this is dropped.
+#[derive(Debug)]
+pub struct Edge {
+    child: process::Child,
+    /// Where callers connect.
+    pub callers: net::SocketAddr,
+    ready: net::SocketAddr,
+    settings: path::PathBuf,
+    log: path::PathBuf,
+}
+
+/// Sizes of a deployment.
+#[derive(Clone, Copy, Debug)]
+pub struct Sizes {
+    /// Entries.
+    pub edges: usize,
+    /// Plain servers.
+    pub plain: usize,
+    /// Prefill engines.
+    pub prefill: usize,
+    /// Decode engines.
+    pub decode: usize,
+}
+
+impl Default for Sizes {
+    fn default() -> Sizes {
+        Sizes { edges: 1, plain: 2, prefill: 1, decode: 2 }
+    }
+}
+
+/// A whole answer, or how much of it came.
+#[derive(Clone, Debug)]
+pub struct Reply {
+    /// Status.
+    pub status: u16,
+    /// Headers.
+    pub headers: HeaderMap,
+    /// Body; `None` where it broke off.
+    pub body: Option<String>,
+    /// Time from the call to its end.
+    pub taken: time::Duration,
+}
+
+/// Paths of the routes in [`Site::config`].
+pub const SAFE: &str = "/safe/x";
+/// Route whose requests run at most once.
+pub const UNSAFE: &str = "/unsafe/x";
+/// Route of streams that may be resumed.
+pub const RESUMABLE: &str = "/resumable/x";
+/// Route of streams that run at most once.
+pub const STREAM: &str = "/stream/x";
+
+const START_LIMIT: time::Duration = time::Duration::from_secs(20);
+const CALL_LIMIT: time::Duration = time::Duration::from_secs(20);
+const STEP: time::Duration = time::Duration::from_millis(20);
+
+impl Site {
+    /// Starts the stand-ins and the entries, and waits until these are ready.
+    ///
+    /// # Errors
+    /// Returns what could not be started.
+    pub async fn start(sizes: Sizes) -> anyhow::Result<Site> {
+        let mut site = Site::prepare(sizes).await?;
+        for _ in 0..sizes.edges {
+            site.add_edge().await?;
+        }
+        site.wait_ready().await?;
+        Ok(site)
+    }
+
+    /// Starts the stand-ins only.
+    ///
+    /// # Errors
+    /// Returns what could not be started.
+    pub async fn prepare(sizes: Sizes) -> anyhow::Result<Site> {
+        static COUNT: atomic::AtomicU8 = atomic::AtomicU8::new(1);
+        let net = [(process::id() % 120 + 2) as u8, COUNT.fetch_add(1, atomic::Ordering::Relaxed)];
+        let dir = env::temp_dir().join(format!("rhubarb-site-{}-{}", process::id(), net[1]));
+        fs::create_dir_all(&dir)?;
+        let handles = backend::Handles::default();
+        let group = |name: &str, stage: &str, count: usize| {
+            let ids = (0..count).map(|number| format!("i-{name}-{number}"));
+            ids.map(|id| backend::Backend::new(&id, stage, &handles)).collect::<Vec<_>>()
+        };
+        let site = Site {
+            store: store::Store::default(),
+            plain: group("plain", "", sizes.plain),
+            prefill: group("prefill", "prefill", sizes.prefill),
+            decode: group("decode", "decode", sizes.decode),
+            edges: Vec::new(),
+            handles: handles.clone(),
+            dir,
+            net,
+        };
+        for backend in site.plain.iter().chain(&site.prefill).chain(&site.decode) {
+            let address = backend.serve(site.ip(1)).await?;
+            site.store.put("servers", &backend.id, site.entry(backend, address).to_string());
+        }
+        site.store.put("op", "config", site.config(1).to_string());
+        Ok(site)
+    }
+
+    fn ip(&self, last: u8) -> net::IpAddr {
+        [127, self.net[0], self.net[1], last].into()
+    }
+
+    fn entry(&self, backend: &backend::Backend, address: net::SocketAddr) -> serde_json::Value {
+        let (stage, _) = backend.stage();
+        let service = if stage.is_empty() { "plain" } else { "models" };
+        let mut entry = json!({
+            "service": service, "address": address, "zone": "hall-a", "version": "v1",
+            "batch_slots": 6, "state": "ready", "cold_remaining_ms": 0, "sequence": 1, "born": 1,
+        });
+        if !stage.is_empty() {
+            entry["stage"] = json!(stage);
+        }
+        entry
+    }
+
+    /// Routes and services as version `version`.
+    pub fn config(&self, version: u64) -> serde_json::Value {
+        let route = |name: &str, kind: &str, service: &str, resumable: bool| {
+            let is_stream = kind == "streaming";
+            json!({
+                "name": name, "host": "x.example", "prefix": format!("/{name}/"), "kind": kind,
+                "timeout_ms": if is_stream { 6_000 } else { 1_500 }, "target_latency_ms": 300,
+                "priority": 1, "service": service, "max_attempts": 2, "resumable": resumable,
+                "sticky": is_stream,
+            })
+        };
+        json!({
+            "version": version,
+            "routes": [
+                route("safe", "safe", "plain", false),
+                route("unsafe", "unsafe", "plain", false),
+                route("resumable", "streaming", "models", true),
+                route("stream", "streaming", "models", false),
+            ],
+            "services": [
+                {"name": "plain", "health_path": "/health", "max_connections": 100},
+                {"name": "models", "health_path": "/health", "max_connections": 100, "engine": {
+                    "batch_slots": 6, "kv_capacity": 20_000, "kv_hold_s": 0.5,
+                    "role_switch_s": 1.0, "hold_ms": 2_000.0,
+                }},
+            ],
+            "limits": {"max_header_bytes": 16_384, "max_body_bytes": 65_536},
+        })
+    }
+
+    /// Starts one more entry.
+    ///
+    /// # Errors
+    /// Returns an error if the process cannot be started.
+    pub async fn add_edge(&mut self) -> anyhow::Result<()> {
+        let number = self.edges.len();
+        let ip = self.ip(10 + number as u8);
+        let store = match fs::read_to_string(self.dir.join("store")) {
+            Ok(address) => address.parse()?,
+            Err(_) => self.store.serve(self.ip(2)).await?,
+        };
+        fs::write(self.dir.join("store"), store.to_string())?;
+        let settings = self.dir.join(format!("edge-{number}.conf"));
+        fs::write(&settings, self.settings(number, ip, store))?;
+        let log = self.dir.join(format!("edge-{number}.log"));
+        let child = process::Command::new(programs::program("rhubarb-edge"))
+            .env("RHUBARBLOOM_NODE_FILE", &settings)
+            .stdin(process::Stdio::null())
+            .stdout(fs::File::create(&log)?)
+            .spawn()
+            .map_err(|err| anyhow::anyhow!("rhubarb-edge: {err}; run `cargo build --workspace`"))?;
+        let (callers, ready) = ((ip, 8144).into(), (ip, 8140).into());
+        self.edges.push(Edge { child, callers, ready, settings, log });
+        Ok(())
+    }
+
+    fn settings(&self, number: usize, ip: net::IpAddr, store: net::SocketAddr) -> String {
+        let seed = self.ip(10);
+        format!(
+            "node_name=edge-{number}\nzone=hall-a\nip={ip}\nbind.frontend={ip}:8144\n\
+             bind.ready={ip}:8140\nport_range=7660,7675\nseed_nodes={seed}:8146\n\
+             contract_params.grace_s=8\ncontract_params.lease_ms=1000\n\
+             contract_params.retry_budget_ratio=0.2\ncontract_params.budget_window_s=10\n\
+             contract_params.budget_slack=560\nplatform.address={store}\n"
+        )
+    }
+
+    /// Waits until all entries are ready.
+    ///
+    /// # Errors
+    /// Returns an error if one does not become ready in time.
+    pub async fn wait_ready(&self) -> anyhow::Result<()> {
+        let until = time::Instant::now() + START_LIMIT;
+        for edge in &self.edges {
+            while !edge.is_ready().await {
+                let log = fs::read_to_string(&edge.log).unwrap_or_default();
+                anyhow::ensure!(time::Instant::now() < until, "an entry is not ready: {log}");
+                tokio::time::sleep(STEP).await;
+            }
+        }
+        Ok(())
+    }
+
+    /// All attempts that ran at any server, with how often.
+    pub fn runs(&self, attempt: &str) -> u32 {
+        let all = self.plain.iter().chain(&self.prefill).chain(&self.decode);
+        all.map(|backend| backend.runs().get(attempt).copied().unwrap_or(0)).sum()
+    }
+
+    /// Requests that run at any server now, and what engines keep for others.
+    pub fn kept(&self) -> usize {
+        let engines = self.prefill.iter().chain(&self.decode);
+        let held = engines.map(|engine| engine.kept() + engine.running() as usize);
+        held.sum::<usize>() + rhubarb_node::locks::lock(&self.handles).len()
+    }
+}
+
+impl Drop for Site {
+    fn drop(&mut self) {
+        self.edges.clear();
+        let _ = fs::remove_dir_all(&self.dir);
+    }
+}
+
+impl Edge {
+    /// Whether the balancer may send new connections.
+    pub async fn is_ready(&self) -> bool {
+        let url = format!("http://{}/v1/ready", self.ready);
+        let reply = client::Client::new().get(&url, time::Duration::from_secs(1)).await;
+        reply.is_ok_and(|reply| reply.status.is_success())
+    }
+
+    /// Log so far.
+    pub fn log(&self) -> String {
+        fs::read_to_string(&self.log).unwrap_or_default()
+    }
+
+    /// Changes a line of the settings file.
+    ///
+    /// # Errors
+    /// Returns an error if the file cannot be written.
+    pub fn edit_settings(&self, from: &str, to: &str) -> anyhow::Result<()> {
+        let text = fs::read_to_string(&self.settings)?;
+        Ok(fs::write(&self.settings, text.replace(from, to))?)
+    }
+
+    /// Sends a signal.
+    pub fn signal(&self, signal: signals::Signal) {
+        let pid = signals::Pid::from_child(&self.child);
+        signals::kill_process(pid, signal).expect("the process is there");
+    }
+
+    /// Kills the process.
+    pub fn kill(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+
+    /// Exit code, once the process has ended.
+    pub fn exit_code(&mut self) -> Option<i32> {
+        self.child.try_wait().ok().flatten().map(|status| status.code().unwrap_or(-1))
+    }
+
+    /// Sends a request with the id `attempt`.
+    ///
+    /// # Errors
+    /// Returns an error if there is no answer.
+    pub async fn call(
+        &self,
+        method: Method,
+        path: &str,
+        attempt: &str,
+        body: &str,
+    ) -> anyhow::Result<Reply> {
+        self.call_with(method, path, attempt, body, &[]).await
+    }
+
+    /// Sends a request with more headers.
+    ///
+    /// # Errors
+    /// Returns an error if there is no answer.
+    pub async fn call_with(
+        &self,
+        method: Method,
+        path: &str,
+        attempt: &str,
+        body: &str,
+        headers: &[(&str, &str)],
+    ) -> anyhow::Result<Reply> {
+        let start = time::Instant::now();
+        let url = format!("http://{}{path}", self.callers);
+        let mut request = client::request(method, &url, Bytes::from(body.to_string()))?;
+        let usual = [("host", "x.example"), ("x-attempt-id", attempt), ("x-token-usage", "100,60")];
+        for (name, value) in usual.iter().chain(headers) {
+            let name: header::HeaderName = name.parse()?;
+            request.headers_mut().insert(name, value.parse()?);
+        }
+        let answer = client::Client::new().send(request, CALL_LIMIT).await?;
+        let (head, body) = answer.into_parts();
+        let body = rhubarb_node::answer::read_body(body, 1 << 20).await;
+        Ok(Reply {
+            status: head.status.as_u16(),
+            headers: head.headers,
+            body: body.map(|body| String::from_utf8_lossy(&body).into_owned()),
+            taken: start.elapsed(),
+        })
+    }
+}
+
+impl Drop for Edge {
+    fn drop(&mut self) {
+        self.kill();
+    }
+}
+
+/// The whole stream that engines send.
+pub fn whole_stream() -> String {
+    (0..backend::EVENTS).map(|number| format!("id: {number}\ndata: token-{number}\n\n")).collect()
+}
--- /dev/null
+++ b/crates/e2e/tests/platform_plain.rs
@@ -0,0 +1,88 @@
+//! Plain requests on the platform: routes, limits, and what each fault of a server leads to.
+
+use std::time;
+
+use hyper::Method;
+
+use rhubarb_e2e::site;
+use rhubarb_fakes::backend;
+
+use backend::Fault;
+
+#[tokio::test]
+async fn passed_unchanged() -> anyhow::Result<()> {
+    let site = site::Site::start(site::Sizes::default()).await?;
+    let forged = [("x-stage", "prefill"), ("x-kv-source", "10.0.0.1:1/h"), ("x-other", "kept")];
+    let path = "/unsafe/a%20b?c=%2F&d";
+    let reply = site.edges[0].call_with(Method::POST, path, "a1", "body", &forged).await?;
+    assert_eq!((reply.status, reply.body.as_deref()), (200, Some("body")));
+    assert_eq!(reply.headers["x-response-seal"], "seal");
+    let seen: Vec<_> = site.plain.iter().flat_map(|plain| plain.seen()).collect();
+    assert_eq!(seen.len(), 1);
+    assert_eq!(seen[0].target, path);
+    assert_eq!(seen[0].headers["x-other"], "kept");
+    assert!(!seen[0].headers.contains_key("x-stage"));
+    assert!(!seen[0].headers.contains_key("x-kv-source"));
+    Ok(())
+}
+
+#[tokio::test]
+async fn own_refusals() -> anyhow::Result<()> {
+    let site = site::Site::start(site::Sizes::default()).await?;
+    let edge = &site.edges[0];
+    let none = edge.call(Method::GET, "/none/x", "a1", "").await?;
+    assert_eq!(none.status, 404);
+    let large = edge.call(Method::POST, site::UNSAFE, "a2", &"x".repeat(70_000)).await?;
+    assert_eq!(large.status, 413);
+    assert_eq!(site.runs("a1") + site.runs("a2"), 0);
+    Ok(())
+}
+
+// What a caller gets while every server has the fault, and how often the request ran.
+#[tokio::test]
+async fn fault_table() -> anyhow::Result<()> {
+    let site = site::Site::start(site::Sizes::default()).await?;
+    let cases = [
+        (Fault::None, site::SAFE, 200, 1),
+        (Fault::None, site::UNSAFE, 200, 1),
+        (Fault::Sheds, site::SAFE, 503, 0),
+        (Fault::Sheds, site::UNSAFE, 503, 0),
+        (Fault::Moved, site::UNSAFE, 503, 0),
+        (Fault::Fails, site::SAFE, 500, 2),
+        (Fault::Fails, site::UNSAFE, 500, 1),
+        (Fault::Resets, site::SAFE, 502, 2),
+        (Fault::Resets, site::UNSAFE, 502, 1),
+        (Fault::OtherId, site::SAFE, 502, 2),
+        (Fault::OtherId, site::UNSAFE, 502, 1),
+        (Fault::Mute, site::SAFE, 504, 2),
+        (Fault::Mute, site::UNSAFE, 504, 1),
+    ];
+    for (number, (fault, path, status, runs)) in cases.into_iter().enumerate() {
+        for plain in &site.plain {
+            plain.set_fault(fault);
+        }
+        let attempt = format!("a{number}");
+        let reply = site.edges[0].call(Method::POST, path, &attempt, "body").await?;
+        assert_eq!(reply.status, status, "{fault:?} {path}");
+        assert_eq!(site.runs(&attempt), runs, "{fault:?} {path}: {}", site.edges[0].log());
+        let is_promise = reply.headers.contains_key("retry-after");
+        assert_eq!(is_promise, status == 503, "{fault:?} {path}");
+        assert!(reply.taken < time::Duration::from_millis(2_000), "{fault:?}: {:?}", reply.taken);
+    }
+    Ok(())
+}
+
+#[tokio::test]
+async fn other_server_serves() -> anyhow::Result<()> {
+    let site = site::Site::start(site::Sizes::default()).await?;
+    for (number, fault) in [Fault::Sheds, Fault::Moved].into_iter().enumerate() {
+        site.plain[0].set_fault(fault);
+        for attempt in 0..10 {
+            let attempt = format!("a{number}-{attempt}");
+            let reply = site.edges[0].call(Method::POST, site::UNSAFE, &attempt, "b").await?;
+            assert_eq!(reply.status, 200, "{fault:?}");
+            assert_eq!(site.runs(&attempt), 1);
+        }
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/e2e/tests/platform_store.rs
@@ -0,0 +1,174 @@
+//! The platform's store: outages, history, entries that cannot be read, and peers instead of it.
+
+use std::time;
+
+use hyper::Method;
+use serde_json::json;
+
+use rhubarb_e2e::site;
+use rhubarb_fakes::{backend, store};
+
+async fn is_served(site: &site::Site, edge: usize, path: &str) -> bool {
+    let attempt = format!("probe-{:?}", time::Instant::now());
+    let reply = site.edges[edge].call(Method::POST, path, &attempt, "b").await;
+    reply.is_ok_and(|reply| reply.status == 200)
+}
+
+async fn served_within(site: &site::Site, edge: usize, path: &str, limit: u64) -> bool {
+    let until = time::Instant::now() + time::Duration::from_millis(limit);
+    while time::Instant::now() < until {
+        if is_served(site, edge, path).await {
+            return true;
+        }
+        tokio::time::sleep(time::Duration::from_millis(50)).await;
+    }
+    false
+}
+
+// A config with one more route.
+fn longer_config(site: &site::Site, version: u64) -> String {
+    let mut config = site.config(version);
+    let mut route = config["routes"][0].clone();
+    route["name"] = json!("added");
+    route["prefix"] = json!("/added/");
+    config["routes"].as_array_mut().unwrap().push(route);
+    config.to_string()
+}
+
+#[tokio::test]
+async fn change_in_force() -> anyhow::Result<()> {
+    let site = site::Site::start(site::Sizes::default()).await?;
+    assert!(!is_served(&site, 0, "/added/x").await);
+    site.store.put("op", "config", longer_config(&site, 5));
+    assert!(served_within(&site, 0, "/added/x", 2_000).await);
+    site.store.put("op", "config", site.config(3).to_string());
+    tokio::time::sleep(time::Duration::from_millis(300)).await;
+    assert!(is_served(&site, 0, "/added/x").await, "an older version came into force");
+    Ok(())
+}
+
+#[tokio::test]
+async fn history_gone() -> anyhow::Result<()> {
+    let site = site::Site::start(site::Sizes::default()).await?;
+    site.store.compact();
+    site.store.put("op", "config", longer_config(&site, 5));
+    assert!(served_within(&site, 0, "/added/x", 2_000).await);
+    Ok(())
+}
+
+#[tokio::test]
+async fn outages_served() -> anyhow::Result<()> {
+    let site = site::Site::start(site::Sizes::default()).await?;
+    for mode in [store::Mode::Busy, store::Mode::Silent, store::Mode::Lost] {
+        site.store.set_mode(mode);
+        tokio::time::sleep(time::Duration::from_millis(300)).await;
+        assert!(is_served(&site, 0, site::UNSAFE).await, "{mode:?}");
+        assert!(site.edges[0].is_ready().await, "{mode:?}");
+        site.store.set_mode(store::Mode::Up);
+    }
+    site.store.put("op", "config", longer_config(&site, 5));
+    assert!(served_within(&site, 0, "/added/x", 4_000).await, "the store is back");
+    Ok(())
+}
+
+#[tokio::test]
+async fn away_at_start() -> anyhow::Result<()> {
+    let mut site = site::Site::prepare(site::Sizes::default()).await?;
+    site.store.set_mode(store::Mode::Busy);
+    site.add_edge().await?;
+    tokio::time::sleep(time::Duration::from_millis(500)).await;
+    assert!(!site.edges[0].is_ready().await);
+    let reply = site.edges[0].call(Method::GET, site::SAFE, "a1", "").await?;
+    assert_eq!(reply.status, 503, "an entry without a config promises that nothing ran");
+    site.store.set_mode(store::Mode::Up);
+    site.wait_ready().await?;
+    assert!(is_served(&site, 0, site::SAFE).await);
+    Ok(())
+}
+
+#[tokio::test]
+async fn learned_from_peer() -> anyhow::Result<()> {
+    // The second entry starts while the store answers nobody; the first one knows enough.
+    let mut site = site::Site::start(site::Sizes::default()).await?;
+    site.store.set_mode(store::Mode::Busy);
+    tokio::time::sleep(time::Duration::from_millis(300)).await;
+    site.add_edge().await?;
+    site.wait_ready().await?;
+    assert!(is_served(&site, 1, site::UNSAFE).await);
+    assert!(site.edges[1].log().contains("learned from peer"));
+    Ok(())
+}
+
+#[tokio::test]
+async fn leaving_server() -> anyhow::Result<()> {
+    let site = site::Site::start(site::Sizes::default()).await?;
+    let text = site.store.get("servers", "i-plain-0").unwrap();
+    let mut entry: serde_json::Value = serde_json::from_slice(&text)?;
+    entry["state"] = json!("draining");
+    site.store.put("servers", "i-plain-0", entry.to_string());
+    tokio::time::sleep(time::Duration::from_millis(500)).await;
+    let before = site.plain[0].seen().len();
+    for _ in 0..20 {
+        assert!(is_served(&site, 0, site::SAFE).await);
+    }
+    // Answers tell a load; they do not make a leaving server usable again.
+    assert_eq!(site.plain[0].seen().len(), before);
+    Ok(())
+}
+
+#[tokio::test]
+async fn unreadable_entries() -> anyhow::Result<()> {
+    let site = site::Site::start(site::Sizes::default()).await?;
+    site.store.put("servers", "i-ghost", "not an entry");
+    site.store.put("servers", "i-plain-1", json!({"service": "plain"}).to_string());
+    tokio::time::sleep(time::Duration::from_millis(500)).await;
+    let before = site.plain[1].seen().len();
+    for _ in 0..10 {
+        assert!(is_served(&site, 0, site::SAFE).await, "the other entries hold");
+    }
+    assert_eq!(site.plain[1].seen().len(), before);
+    assert!(site.edges[0].log().contains("entry not used"));
+    Ok(())
+}
+
+#[tokio::test]
+async fn orders_fenced() -> anyhow::Result<()> {
+    // Answers are short, and one engine reads all prompts: others change their stage.
+    let sizes = site::Sizes { edges: 2, plain: 1, prefill: 1, decode: 9 };
+    let site = site::Site::start(sizes).await?;
+    for round in 0..100 {
+        let ids: Vec<_> = (0..4).map(|call| format!("a{round}-{call}")).collect();
+        let call = |number: usize| {
+            let edge = &site.edges[number % 2];
+            edge.call(Method::POST, site::RESUMABLE, &ids[number], "b")
+        };
+        let _ = tokio::join!(call(0), call(1), call(2), call(3));
+        if site.decode.iter().any(|engine| engine.stage().0 == "prefill") {
+            let lease = site.store.get("leases", "stages").expect("orders need the lease");
+            assert!(String::from_utf8(lease)?.starts_with("edge-0/"));
+            return Ok(());
+        }
+    }
+    anyhow::bail!("no engine changed its stage")
+}
+
+#[tokio::test]
+async fn reborn_server() -> anyhow::Result<()> {
+    let site = site::Site::start(site::Sizes::default()).await?;
+    site.plain[0].set_fault(backend::Fault::Moved);
+    for _ in 0..4 {
+        is_served(&site, 0, site::SAFE).await;
+    }
+    let text = site.store.get("servers", "i-plain-0").unwrap();
+    let mut entry: serde_json::Value = serde_json::from_slice(&text)?;
+    entry["born"] = json!(2);
+    site.plain[0].set_fault(backend::Fault::None);
+    site.store.put("servers", "i-plain-0", entry.to_string());
+    tokio::time::sleep(time::Duration::from_millis(300)).await;
+    let before = site.plain[0].seen().len();
+    for _ in 0..20 {
+        assert!(is_served(&site, 0, site::SAFE).await);
+    }
+    assert!(site.plain[0].seen().len() > before, "what was known of the old process is void");
+    Ok(())
+}
--- a/crates/edge/src/directory.rs
+++ b/crates/edge/src/directory.rs
@@ -2,7 +2,7 @@
 
 use std::{collections, net, sync, time};
 
-use rhubarb_core::{engines, fleet, ids, load, pool, repeat, routing};
+use rhubarb_core::{engines, fleet, ids, load, outcome, pool, repeat, routing};
 
 use crate::rows;
 
@@ -43,6 +43,17 @@
     pool
 }
 
+/// What a refusal or failure tells of its server.
+///
+/// Whether a server leaves is the store's to say; one that another has the address of is only
+/// left out for a while, until its entry changes.
+pub(crate) fn bad_end(reason: outcome::Reason) -> pool::End {
+    match reason {
+        outcome::Reason::Leaving => pool::End::Bad(outcome::Reason::NoServer),
+        reason => pool::End::Bad(reason),
+    }
+}
+
 /// Entries that are assumed until the others are known.
 const ASSUMED_ENTRIES: u32 = 8;
 
--- a/crates/edge/src/main.rs
+++ b/crates/edge/src/main.rs
@@ -16,8 +16,8 @@
         println!("no mistakes");
         return Ok(());
     }
-    logs::start(logs::Options { format: logs::Format::Json, level: logs::Level::Info });
+    let (_guard, dropped) = logs::start_stdout(logs::Level::Info);
     // Instances have one core.
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
-    runtime.block_on(rhubarb_edge::run(settings))
+    runtime.block_on(rhubarb_edge::run(settings, dropped))
 }
--- a/crates/edge/src/metrics.rs
+++ b/crates/edge/src/metrics.rs
@@ -14,6 +14,7 @@
     pub(crate) retried: metrics::ReasonFamily,
     pub(crate) wasted: metrics::ReasonFamily,
     pub(crate) version: gauge::Gauge,
+    pub(crate) dropped_lines: gauge::Gauge,
     pub(crate) plain_time: histogram::Histogram,
     pub(crate) first_event: histogram::Histogram,
 }
@@ -28,6 +29,7 @@
             retried: registry.reasons("retried", "Attempts repeated, by reason"),
             wasted: registry.reasons("wasted_tokens", "Prompt tokens prefilled in vain, by reason"),
             version: registry.gauge("config_version", "Version of the config in force"),
+            dropped_lines: registry.gauge("log_lines_dropped", "Log lines not written in time"),
             plain_time: registry.seconds("plain_seconds", "Time to the answer of a plain call"),
             first_event: registry.seconds("first_event_seconds", "Time to a stream's first event"),
             registry,
--- a/crates/edge/src/plain.rs
+++ b/crates/edge/src/plain.rs
@@ -162,7 +162,7 @@
         let end = match attempt {
             Attempt::Whole(whole) if whole.head.status().is_server_error() => pool::End::Open,
             Attempt::Whole(_) => pool::End::Good,
-            Attempt::Failed(refusal) => pool::End::Bad(refusal.reason),
+            Attempt::Failed(refusal) => directory::bad_end(refusal.reason),
             Attempt::Gone => pool::End::Open,
         };
         let mut directory = self.call.edge.directory();
--- a/crates/edge/src/prefill.rs
+++ b/crates/edge/src/prefill.rs
@@ -134,8 +134,9 @@
         }
         reply::Waited::Event(Ok(read)) => take(call, &target, &read),
     };
-    let end =
-        result.as_ref().map_or_else(|refusal| pool::End::Bad(refusal.reason), |_| pool::End::Open);
+    let end = result
+        .as_ref()
+        .map_or_else(|refusal| directory::bad_end(refusal.reason), |_| pool::End::Open);
     note_end(call, &target.id, end);
     match result {
         Ok(prefilled) => {
--- a/crates/edge/src/run.rs
+++ b/crates/edge/src/run.rs
@@ -4,7 +4,7 @@
 
 use hyper::{Request, Response, StatusCode, body};
 
-use rhubarb_node::{answer, clock, server, stop};
+use rhubarb_node::{answer, clock, logs, server, stop};
 use rhubarb_platform::{paths, settings, store};
 
 use tokio::sync as lock;
@@ -27,7 +27,7 @@
 ///
 /// # Errors
 /// Returns an error if an address cannot be bound or signals cannot be caught.
-pub async fn run(settings: settings::Settings) -> anyhow::Result<()> {
+pub async fn run(settings: settings::Settings, dropped: logs::Dropped) -> anyhow::Result<()> {
     let callers = server::bind(settings.callers).await?;
     let ready = server::bind(settings.ready).await?;
     let metrics = server::bind((settings.ip, METRICS_PORT).into()).await?;
@@ -62,8 +62,9 @@
         ingress::handle(shared.clone(), request)
     }));
     for listener in [ready, metrics] {
-        let shared = edge.clone();
+        let (shared, dropped) = (edge.clone(), dropped.clone());
         tokio::spawn(server::serve(listener, server::Limits::default(), move |request| {
+            shared.counters.dropped_lines.set(dropped.count() as i64);
             tell(shared.clone(), request)
         }));
     }
--- a/crates/edge/src/stream.rs
+++ b/crates/edge/src/stream.rs
@@ -181,7 +181,7 @@
                 }
                 Sent::No(reason) => reason,
             };
-            prefill::note_end(&self.call, &target.id, pool::End::Bad(reason));
+            prefill::note_end(&self.call, &target.id, directory::bad_end(reason));
             tried.push(target.id.clone());
             self.room = None;
             let use_by = self.cache.as_ref().map_or(clock::now(), |cache| cache.use_by(&self.call));
@@ -232,7 +232,7 @@
         match event {
             flow::Event::Ended => prefill::note_end(&self.call, server, pool::End::Good),
             flow::Event::Failed { refusal, .. } => {
-                prefill::note_end(&self.call, server, pool::End::Bad(refusal.reason));
+                prefill::note_end(&self.call, server, directory::bad_end(refusal.reason));
             }
             _ => {}
         }
--- a/crates/edge/src/watch.rs
+++ b/crates/edge/src/watch.rs
@@ -57,8 +57,9 @@
             self.is_away = false;
             edge.away.fetch_sub(1, atomic::Ordering::Relaxed);
             tracing::info!(?table, version, "edge: store regained");
-            if table == store::Table::Servers {
-                edge.directory().fleet.registry_returned(clock::now());
+            let mut directory = edge.directory();
+            if table == store::Table::Servers && directory.is_complete() {
+                directory.fleet.registry_returned(clock::now());
             }
         }
     }
@@ -150,7 +151,7 @@
         Some(Ok(instance)) => directory.fleet.set(&row.key, instance),
         Some(Err(err)) => {
             tracing::warn!(server = row.key, %err, "edge: entry not used");
-            directory.fleet.unset(&row.key, clock::now())
+            directory.fleet.spoil(&row.key)
         }
         None => directory.fleet.unset(&row.key, clock::now()),
     };
--- /dev/null
+++ b/crates/fakes/src/backend.rs
@@ -0,0 +1,365 @@
+//! Backend servers on the users' platform, by their published calls: plain ones and engines.
+
+use std::{collections, io, net, sync, sync::atomic, time};
+
+use bytes::Bytes;
+use hyper::{HeaderMap, Method, Request, Response, StatusCode, body, header};
+use serde_json::json;
+use tokio::sync::mpsc;
+
+use rhubarb_node::{answer, locks, server};
+
+/// One backend server; clones share their state.
+#[derive(Clone, Debug)]
+pub struct Backend {
+    /// Id of its entry.
+    pub id: String,
+    inner: sync::Arc<Inner>,
+}
+
+#[derive(Debug, Default)]
+struct Inner {
+    state: sync::Mutex<State>,
+    // Requests that run now.
+    running: atomic::AtomicU64,
+    handles: Handles,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    stage: String,
+    fault: Fault,
+    // Sends of each attempt that ran here.
+    runs: collections::BTreeMap<String, u32>,
+    seen: Vec<Seen>,
+    holds: collections::BTreeSet<String>,
+    orders: u64,
+    fence: u64,
+}
+
+/// Results of prefills that all engines of a deployment keep, by handle.
+pub type Handles = sync::Arc<sync::Mutex<collections::BTreeSet<String>>>;
+
+/// What a request brought.
+#[derive(Clone, Debug)]
+pub struct Seen {
+    /// Path and query.
+    pub target: String,
+    /// Headers.
+    pub headers: HeaderMap,
+    /// Body.
+    pub body: Bytes,
+}
+
+/// What goes wrong at a server.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Fault {
+    /// Nothing.
+    #[default]
+    None,
+    /// Says that it did not run the request.
+    Sheds,
+    /// Runs the request and fails.
+    Fails,
+    /// Runs the request and never answers.
+    Mute,
+    /// Runs the request and closes the connection without an answer.
+    Resets,
+    /// Answers with another attempt's id.
+    OtherId,
+    /// Answers as another server does that has its address now.
+    Moved,
+    /// Breaks its stream off within the third event.
+    CutsStream,
+    /// Goes silent after the second event.
+    Stalls,
+    /// Leaves an event out.
+    SkipsEvent,
+    /// Has no memory to set aside.
+    Full,
+    /// Loses the results of prefills at once.
+    Forgets,
+}
+
+/// Events of each stream.
+pub const EVENTS: u64 = 6;
+/// Time between two events.
+const EVENT_PAUSE: time::Duration = time::Duration::from_millis(20);
+/// Longer than any time limit of a caller.
+const FOREVER: time::Duration = time::Duration::from_secs(600);
+
+impl Backend {
+    /// Makes a server; `stage` is empty for a plain one.
+    pub fn new(id: &str, stage: &str, handles: &Handles) -> Backend {
+        let inner = Inner { handles: handles.clone(), ..Inner::default() };
+        let backend = Backend { id: id.to_string(), inner: sync::Arc::new(inner) };
+        backend.state().stage = stage.to_string();
+        backend
+    }
+
+    /// Serves on `ip`.
+    ///
+    /// # Errors
+    /// Returns an error if no port is free.
+    pub async fn serve(&self, ip: net::IpAddr) -> anyhow::Result<net::SocketAddr> {
+        let listener = server::bind((ip, 0).into()).await?;
+        let address = listener.local_addr()?;
+        let shared = self.clone();
+        tokio::spawn(server::serve(listener, server::Limits::default(), move |request| {
+            let backend = shared.clone();
+            async move { backend.handle(request).await }
+        }));
+        Ok(address)
+    }
+
+    /// Sets what goes wrong from now on.
+    pub fn set_fault(&self, fault: Fault) {
+        self.state().fault = fault;
+    }
+
+    /// How often each attempt ran here.
+    pub fn runs(&self) -> collections::BTreeMap<String, u32> {
+        self.state().runs.clone()
+    }
+
+    /// Requests that ran here.
+    pub fn seen(&self) -> Vec<Seen> {
+        self.state().seen.clone()
+    }
+
+    /// Requests that run now.
+    pub fn running(&self) -> u64 {
+        self.inner.running.load(atomic::Ordering::Relaxed)
+    }
+
+    /// Holds that are kept now.
+    pub fn kept(&self) -> usize {
+        self.state().holds.len()
+    }
+
+    /// Stage, and orders accepted.
+    pub fn stage(&self) -> (String, u64) {
+        let state = self.state();
+        (state.stage.clone(), state.orders)
+    }
+
+    fn state(&self) -> sync::MutexGuard<'_, State> {
+        locks::lock(&self.inner.state)
+    }
+
+    async fn handle(&self, request: Request<body::Incoming>) -> Response<answer::Body> {
+        let (parts, body) = request.into_parts();
+        let content = answer::read_body(body, 1 << 23).await.unwrap_or_default();
+        let fault = self.state().fault;
+        let expected = text(&parts.headers, "x-expect-instance");
+        if fault == Fault::Moved || (!expected.is_empty() && expected != self.id) {
+            let mut moved = answer::text(StatusCode::MISDIRECTED_REQUEST, "");
+            moved.headers_mut().insert("x-instance-id", value("i-other"));
+            return moved;
+        }
+        let path = parts.uri.path().to_string();
+        match (&parts.method, path.as_str()) {
+            (&Method::POST, "/v1/hold-take") => self.take_hold(fault),
+            (&Method::GET, "/v1/report") => self.report(),
+            (&Method::POST, "/v1/order") => self.order(&content),
+            (&Method::DELETE, _) if path.starts_with("/v1/") => self.free(&path),
+            _ => {
+                let target = parts.uri.path_and_query().map_or("/", |target| target.as_str());
+                self.run(target, &parts.headers, content, fault).await
+            }
+        }
+    }
+
+    fn take_hold(&self, fault: Fault) -> Response<answer::Body> {
+        if fault == Fault::Full {
+            return shed();
+        }
+        let mut state = self.state();
+        let hold = format!("hold-{}-{}", self.id, state.holds.len() + state.seen.len());
+        state.holds.insert(hold.clone());
+        answer::json(StatusCode::OK, &json!({"hold": hold}))
+    }
+
+    fn free(&self, path: &str) -> Response<answer::Body> {
+        let name = path.rsplit('/').next().unwrap_or_default();
+        let is_known =
+            self.state().holds.remove(name) || locks::lock(&self.inner.handles).remove(name);
+        answer::text(if is_known { StatusCode::OK } else { StatusCode::NOT_FOUND }, "")
+    }
+
+    fn report(&self) -> Response<answer::Body> {
+        let state = self.state();
+        answer::json(
+            StatusCode::OK,
+            &json!({
+                "stage": state.stage, "models": [], "busy": false, "sequence": state.orders,
+                "waiting": 0, "running": self.running(), "kv_used": 0, "kv_total": 0, "handles": 0,
+            }),
+        )
+    }
+
+    fn order(&self, content: &Bytes) -> Response<answer::Body> {
+        let order: serde_json::Value = serde_json::from_slice(content).unwrap_or_default();
+        let mut state = self.state();
+        let fence = order["fence"].as_u64().unwrap_or(0);
+        if fence < state.fence {
+            return answer::text(StatusCode::PRECONDITION_FAILED, "");
+        }
+        if order["expected"].as_u64().is_some_and(|expected| expected != state.orders) {
+            return answer::text(StatusCode::CONFLICT, "");
+        }
+        state.fence = fence;
+        state.orders += 1;
+        state.stage = order["stage"].as_str().unwrap_or_default().to_string();
+        answer::text(StatusCode::ACCEPTED, "")
+    }
+
+    async fn run(
+        &self,
+        target: &str,
+        headers: &HeaderMap,
+        content: Bytes,
+        fault: Fault,
+    ) -> Response<answer::Body> {
+        if fault == Fault::Sheds {
+            return shed();
+        }
+        if text(headers, "x-stage") == "prefill" {
+            return self.prefill(headers, fault).await;
+        }
+        self.state().holds.remove(&text(headers, "x-kv-hold"));
+        let source = text(headers, "x-kv-source");
+        let handle = source.split_once('/').map(|(_, handle)| handle);
+        if handle.is_some_and(|handle| !locks::lock(&self.inner.handles).remove(handle)) {
+            return shed();
+        }
+        let attempt = text(headers, "x-attempt-id");
+        {
+            let mut state = self.state();
+            *state.runs.entry(attempt.clone()).or_default() += 1;
+            let (target, headers, body) = (target.to_string(), headers.clone(), content.clone());
+            state.seen.push(Seen { target, headers, body });
+        }
+        let echoed = if fault == Fault::OtherId { "other" } else { &attempt };
+        if self.state().stage.is_empty() {
+            return self.answer_plain(echoed, content, fault).await;
+        }
+        self.stream(echoed, headers, fault)
+    }
+
+    async fn prefill(&self, headers: &HeaderMap, fault: Fault) -> Response<answer::Body> {
+        if fault == Fault::Mute {
+            tokio::time::sleep(FOREVER).await;
+        }
+        let handle = format!("kv-{}-{}", self.id, text(headers, "x-attempt-id"));
+        if fault != Fault::Forgets {
+            locks::lock(&self.inner.handles).insert(handle.clone());
+        }
+        let reply = json!({"handle": handle, "tokens": 100, "version": 1});
+        let mut reply = answer::json(StatusCode::OK, &reply);
+        reply.headers_mut().insert("x-attempt-id", value(&text(headers, "x-attempt-id")));
+        reply
+    }
+
+    async fn answer_plain(
+        &self,
+        attempt: &str,
+        content: Bytes,
+        fault: Fault,
+    ) -> Response<answer::Body> {
+        let _running = Running::new(&self.inner);
+        let status = match fault {
+            Fault::Mute => {
+                tokio::time::sleep(FOREVER).await;
+                StatusCode::OK
+            }
+            Fault::Resets => return broken(),
+            Fault::Fails => StatusCode::INTERNAL_SERVER_ERROR,
+            _ => StatusCode::OK,
+        };
+        let mut reply = answer::text(status, content);
+        seal(reply.headers_mut(), attempt);
+        reply
+    }
+
+    fn stream(&self, attempt: &str, headers: &HeaderMap, fault: Fault) -> Response<answer::Body> {
+        let first = text(headers, "last-event-id").parse().map_or(0, |last: u64| last + 1);
+        let (sender, receiver) = mpsc::channel(1);
+        let inner = self.inner.clone();
+        tokio::spawn(async move {
+            let _running = Running::new(&inner);
+            tokio::select! {
+                () = send_events(&sender, first, fault) => {}
+                () = sender.closed() => {}
+            }
+        });
+        let mut reply = Response::new(answer::stream(receiver));
+        seal(reply.headers_mut(), attempt);
+        reply.headers_mut().insert(header::CONTENT_TYPE, value("text/event-stream"));
+        reply
+    }
+}
+
+async fn send_events(sender: &mpsc::Sender<io::Result<Bytes>>, first: u64, fault: Fault) {
+    for number in first..EVENTS {
+        tokio::time::sleep(EVENT_PAUSE).await;
+        let event = format!("id: {number}\ndata: token-{number}\n\n");
+        let piece = match fault {
+            Fault::Mute => return tokio::time::sleep(FOREVER).await,
+            Fault::Resets => return drop(sender.send(Err(io::Error::other("reset"))).await),
+            Fault::CutsStream if number == 2 => event[..9].to_string(),
+            Fault::Stalls if number == 2 => return tokio::time::sleep(FOREVER).await,
+            Fault::SkipsEvent if number == 2 => continue,
+            _ => event,
+        };
+        if sender.send(Ok(piece.into())).await.is_err() {
+            return;
+        }
+        if fault == Fault::CutsStream && number == 2 {
+            return drop(sender.send(Err(io::Error::other("crashed"))).await);
+        }
+    }
+}
+
+// Counts a request while it runs.
+struct Running(sync::Arc<Inner>);
+
+impl Running {
+    fn new(inner: &sync::Arc<Inner>) -> Running {
+        inner.running.fetch_add(1, atomic::Ordering::Relaxed);
+        Running(inner.clone())
+    }
+}
+
+impl Drop for Running {
+    fn drop(&mut self) {
+        self.0.running.fetch_sub(1, atomic::Ordering::Relaxed);
+    }
+}
+
+fn shed() -> Response<answer::Body> {
+    let mut shed = answer::text(StatusCode::SERVICE_UNAVAILABLE, "");
+    shed.headers_mut().insert("x-not-executed", value("1"));
+    shed
+}
+
+fn broken() -> Response<answer::Body> {
+    let (sender, receiver) = mpsc::channel(1);
+    let _ = sender.try_send(Err(io::Error::other("reset")));
+    Response::new(answer::stream(receiver))
+}
+
+fn seal(headers: &mut HeaderMap, attempt: &str) {
+    headers.insert("x-response-seal", value("seal"));
+    headers.insert("x-attempt-id", value(attempt));
+    headers.insert("x-server-load", value("1,0,6"));
+}
+
+fn text(headers: &HeaderMap, name: &str) -> String {
+    let found = headers.get(name).and_then(|value| value.to_str().ok());
+    found.unwrap_or_default().to_string()
+}
+
+fn value(text: &str) -> header::HeaderValue {
+    header::HeaderValue::from_str(text).unwrap_or(header::HeaderValue::from_static(""))
+}
--- a/crates/fakes/src/lib.rs
+++ b/crates/fakes/src/lib.rs
@@ -10,11 +10,13 @@
 //! assert_eq!(whole, tokens::answer("grade lot 7", 8));
 //! ```
 
+pub mod backend;
 pub mod engine;
 pub mod instances;
 pub mod objects;
 pub mod plain;
 pub mod routes;
+pub mod store;
 pub mod switch;
 pub mod table;
 pub mod tokens;
--- /dev/null
+++ b/crates/fakes/src/store.rs
@@ -0,0 +1,273 @@
+//! The users' platform's store, by its published calls: rows, transactions and feeds.
+
+use std::{collections, net, sync, time};
+
+use bytes::Bytes;
+use hyper::{Method, Request, Response, StatusCode, body};
+use serde::Deserialize;
+use serde_json::json;
+use tokio::sync as lock;
+
+use rhubarb_node::{answer, locks, server};
+
+/// Store; clones share their rows.
+#[derive(Clone, Debug, Default)]
+pub struct Store {
+    inner: sync::Arc<Inner>,
+}
+
+#[derive(Debug, Default)]
+struct Inner {
+    state: sync::Mutex<State>,
+    changed: lock::Notify,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    version: u64,
+    rows: collections::BTreeMap<Key, Row>,
+    oldest: u64,
+    mode: Mode,
+    calls: u64,
+}
+
+/// Table and key.
+type Key = (String, String);
+
+#[derive(Clone, Debug)]
+struct Row {
+    version: u64,
+    value: Option<Vec<u8>>,
+}
+
+/// How the store behaves.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Mode {
+    /// As it should.
+    #[default]
+    Up,
+    /// Calls are refused, and nothing is done.
+    Busy,
+    /// Calls get no answer, and nothing is done.
+    Silent,
+    /// Writes are done and not answered.
+    Lost,
+}
+
+#[derive(Deserialize)]
+struct Transaction {
+    #[serde(default)]
+    expected: Vec<Expected>,
+    #[serde(default)]
+    writes: Vec<Write>,
+}
+
+#[derive(Deserialize)]
+struct Expected {
+    table: String,
+    key: String,
+    ver: u64,
+}
+
+#[derive(Deserialize)]
+struct Write {
+    table: String,
+    key: String,
+    value: String,
+}
+
+/// Longer than any time limit of a caller.
+const FOREVER: time::Duration = time::Duration::from_secs(600);
+
+impl Store {
+    /// Serves on `ip`.
+    ///
+    /// # Errors
+    /// Returns an error if no port is free.
+    pub async fn serve(&self, ip: net::IpAddr) -> anyhow::Result<net::SocketAddr> {
+        let listener = server::bind((ip, 0).into()).await?;
+        let address = listener.local_addr()?;
+        let shared = self.clone();
+        tokio::spawn(server::serve(listener, server::Limits::default(), move |request| {
+            let store = shared.clone();
+            async move { store.handle(request).await }
+        }));
+        Ok(address)
+    }
+
+    /// Writes a row as the operator or a server does, whatever the mode.
+    pub fn put(&self, table: &str, key: &str, value: impl Into<Vec<u8>>) -> u64 {
+        self.set(table, key, Some(value.into()))
+    }
+
+    /// Drops a row.
+    pub fn remove(&self, table: &str, key: &str) -> u64 {
+        self.set(table, key, None)
+    }
+
+    fn set(&self, table: &str, key: &str, value: Option<Vec<u8>>) -> u64 {
+        let mut state = self.state();
+        state.version += 1;
+        let version = state.version;
+        state.rows.insert((table.to_string(), key.to_string()), Row { version, value });
+        drop(state);
+        self.inner.changed.notify_waiters();
+        version
+    }
+
+    /// Content of a row.
+    pub fn get(&self, table: &str, key: &str) -> Option<Vec<u8>> {
+        let state = self.state();
+        state.rows.get(&(table.to_string(), key.to_string()))?.value.clone()
+    }
+
+    /// Changes how the store behaves.
+    pub fn set_mode(&self, mode: Mode) {
+        self.state().mode = mode;
+        self.inner.changed.notify_waiters();
+    }
+
+    /// Forgets all history.
+    pub fn compact(&self) {
+        let mut state = self.state();
+        state.version += 1;
+        state.oldest = state.version;
+        drop(state);
+        self.inner.changed.notify_waiters();
+    }
+
+    /// Calls so far.
+    pub fn calls(&self) -> u64 {
+        self.state().calls
+    }
+
+    fn state(&self) -> sync::MutexGuard<'_, State> {
+        locks::lock(&self.inner.state)
+    }
+
+    async fn handle(&self, request: Request<body::Incoming>) -> Response<answer::Body> {
+        let (parts, body) = request.into_parts();
+        let mode = {
+            let mut state = self.state();
+            state.calls += 1;
+            state.mode
+        };
+        match mode {
+            Mode::Busy => return answer::text(StatusCode::SERVICE_UNAVAILABLE, "busy"),
+            Mode::Silent => tokio::time::sleep(FOREVER).await,
+            Mode::Up | Mode::Lost => {}
+        }
+        let query = parts.uri.query().unwrap_or_default().to_string();
+        match (&parts.method, parts.uri.path()) {
+            (&Method::GET, "/v1/rows-get") => self.read(&query),
+            (&Method::GET, "/v1/rows-feed") => self.feed(&query).await,
+            (&Method::POST, "/v1/rows-tx") => {
+                let content = answer::read_body(body, 1 << 20).await.unwrap_or_default();
+                let written = self.write(&content);
+                if mode == Mode::Lost {
+                    tokio::time::sleep(FOREVER).await;
+                }
+                written
+            }
+            _ => answer::text(StatusCode::NOT_FOUND, "no such call"),
+        }
+    }
+
+    fn read(&self, query: &str) -> Response<answer::Body> {
+        let state = self.state();
+        let table = parameter(query, "table");
+        let from = parameter(query, "from").replace("%00", "\0");
+        let in_range = |key: &Key| key.0 == table && key.1 >= from;
+        let rows = state.rows.iter().filter(|(key, row)| in_range(key) && row.value.is_some());
+        let rows: Vec<_> = rows.map(|(key, row)| show(key, row)).collect();
+        answer::json(
+            StatusCode::OK,
+            &json!({
+                "rows": rows, "has_more": false, "ver": state.version, "now_ms": 1,
+            }),
+        )
+    }
+
+    async fn feed(&self, query: &str) -> Response<answer::Body> {
+        let table = parameter(query, "table");
+        let after = parameter(query, "after").parse().unwrap_or(0);
+        let wait = parameter(query, "wait_ms").parse().unwrap_or(0);
+        let until = tokio::time::Instant::now() + time::Duration::from_millis(wait);
+        loop {
+            let changed = self.inner.changed.notified();
+            if let Some(reply) = self.news(&table, after) {
+                return reply;
+            }
+            if tokio::time::timeout_at(until, changed).await.is_err() {
+                let version = self.state().version;
+                return answer::json(StatusCode::OK, &json!({"rows": [], "ver": version}));
+            }
+        }
+    }
+
+    fn news(&self, table: &str, after: u64) -> Option<Response<answer::Body>> {
+        let state = self.state();
+        if state.mode == Mode::Busy {
+            return Some(answer::text(StatusCode::SERVICE_UNAVAILABLE, "busy"));
+        }
+        if state.mode == Mode::Silent {
+            return None;
+        }
+        if after < state.oldest {
+            return Some(answer::text(StatusCode::GONE, "the history is gone"));
+        }
+        let newer = |key: &Key, row: &Row| key.0 == table && row.version > after;
+        let mut rows: Vec<_> = state.rows.iter().filter(|(key, row)| newer(key, row)).collect();
+        rows.sort_by_key(|(_, row)| row.version);
+        let rows: Vec<_> = rows.into_iter().map(|(key, row)| show(key, row)).collect();
+        let reply = json!({"rows": rows, "ver": state.version, "now_ms": 1});
+        (!rows.is_empty()).then(|| answer::json(StatusCode::OK, &reply))
+    }
+
+    fn write(&self, content: &Bytes) -> Response<answer::Body> {
+        let transaction: Transaction = match serde_json::from_slice(content) {
+            Ok(transaction) => transaction,
+            Err(err) => return answer::text(StatusCode::BAD_REQUEST, err.to_string()),
+        };
+        let holds = |expected: &Expected| {
+            let state = self.state();
+            let row = state.rows.get(&(expected.table.clone(), expected.key.clone()));
+            let row = row.filter(|row| row.value.is_some());
+            row.map_or(0, |row| row.version) == expected.ver
+        };
+        if !transaction.expected.iter().all(holds) {
+            return answer::json(StatusCode::PRECONDITION_FAILED, &json!({"rows": [], "ver": 0}));
+        }
+        let mut version = self.state().version;
+        for write in transaction.writes {
+            if ["op", "servers"].contains(&write.table.as_str()) {
+                return answer::text(StatusCode::FORBIDDEN, "not the system's table");
+            }
+            let Some(value) = decode(&write.value) else {
+                return answer::text(StatusCode::BAD_REQUEST, "the value is not base64");
+            };
+            version = self.put(&write.table, &write.key, value);
+        }
+        answer::json(StatusCode::OK, &json!({"ver": version, "now_ms": 1}))
+    }
+}
+
+fn show(key: &Key, row: &Row) -> serde_json::Value {
+    use base64::Engine;
+    let value =
+        row.value.as_ref().map(|value| base64::engine::general_purpose::STANDARD.encode(value));
+    json!({
+        "table": key.0, "part": "", "key": key.1, "ver": row.version,
+        "value": value, "deleted": row.value.is_none(),
+    })
+}
+
+fn decode(value: &str) -> Option<Vec<u8>> {
+    use base64::Engine;
+    base64::engine::general_purpose::STANDARD.decode(value).ok()
+}
+
+fn parameter(query: &str, name: &str) -> String {
+    let mut pairs = query.split('&').filter_map(|pair| pair.split_once('='));
+    pairs.find(|(key, _)| *key == name).map(|(_, value)| value.to_string()).unwrap_or_default()
+}
--- a/crates/node/src/logs.rs
+++ b/crates/node/src/logs.rs
@@ -1,7 +1,8 @@
-//! Structured logs on standard error.
+//! Structured logs: on standard error, or on standard output without ever blocking.
 
 use std::{io, str};
 
+use tracing_appender::non_blocking;
 use tracing_subscriber::filter;
 
 /// Form of a log line.
@@ -61,14 +62,49 @@
     }
 }
 
-/// Starts logging; called once by each process.
-pub fn start(options: Options) {
-    let level = match options.level {
+/// Lines that wait to be written; more are dropped and counted.
+const MAX_LINES: usize = 4_096;
+
+/// Writes the lines that wait when it is dropped.
+#[derive(Debug)]
+pub struct Guard {
+    _worker: non_blocking::WorkerGuard,
+}
+
+/// Counts lines that were dropped since they could not be written in time.
+#[derive(Clone, Debug)]
+pub struct Dropped(non_blocking::ErrorCounter);
+
+impl Dropped {
+    /// Lines dropped so far.
+    pub fn count(&self) -> usize {
+        self.0.dropped_lines()
+    }
+}
+
+/// Starts logging as JSON on standard output; a reader that is slow or gone never blocks the
+/// process.
+pub fn start_stdout(level: Level) -> (Guard, Dropped) {
+    let builder = non_blocking::NonBlockingBuilder::default();
+    let builder = builder.lossy(true).buffered_lines_limit(MAX_LINES);
+    let (writer, worker) = builder.finish(io::stdout());
+    let dropped = Dropped(writer.error_counter());
+    tracing_subscriber::fmt().with_max_level(filter(level)).with_writer(writer).json().init();
+    (Guard { _worker: worker }, dropped)
+}
+
+fn filter(level: Level) -> filter::LevelFilter {
+    match level {
         Level::Error => filter::LevelFilter::ERROR,
         Level::Warn => filter::LevelFilter::WARN,
         Level::Info => filter::LevelFilter::INFO,
         Level::Debug => filter::LevelFilter::DEBUG,
-    };
+    }
+}
+
+/// Starts logging; called once by each process.
+pub fn start(options: Options) {
+    let level = filter(options.level);
     let builder = tracing_subscriber::fmt().with_max_level(level).with_writer(io::stderr);
     match options.format {
         Format::Text => builder.with_ansi(false).init(),
