Refuse at once what would be late everywhere

Callers of streams waited up to the last moment for memory even behind a long queue.

Change: a plain service's work is learned from answers without a queue; a server that has as many requests as can be in time takes no more, and if none takes any, the caller is told at once when to come back. The same for memory, by the pace of the last grants, with a second of doubt.

--- a/crates/core/src/engines.rs
+++ b/crates/core/src/engines.rs
@@ -61,6 +61,8 @@
     engines: collections::BTreeMap<ids::ServerName, Engine>,
     // Requests that wait for decode memory, in the order of their arrival.
     queue: collections::BTreeSet<Place>,
+    // When memory was last given to requests of this entry.
+    grants: collections::VecDeque<time::Instant>,
     usage: stages::Usage,
     peer_usage: collections::BTreeMap<String, stages::Usage>,
 }
@@ -95,6 +97,8 @@
 /// A source in another availability zone costs as much as this much waiting.
 const AWAY_PREFILL: time::Duration = time::Duration::from_millis(60);
 
+/// The pace of grants is taken over this time: about half the length of an answer.
+const PACE_TIME: time::Duration = time::Duration::from_secs(2);
 /// Shortest stay that counts as a run.
 const MIN_STAY: time::Duration = time::Duration::from_millis(100);
 
@@ -233,9 +237,12 @@
         self.queue.remove(&place);
     }
 
-    /// Requests that wait for decode memory.
-    pub fn waiting(&self) -> usize {
-        self.queue.len()
+    /// Time until a newcomer gets memory, by the pace of the last grants and the queue before it.
+    ///
+    /// Zero if nobody waits.
+    pub fn expected_wait(&self, now: time::Instant) -> time::Duration {
+        let recent = self.grants.iter().filter(|at| now <= **at + PACE_TIME).count();
+        PACE_TIME * self.queue.len() as u32 / recent.max(1) as u32
     }
 
     /// Commits memory at one of the emptiest decode engines that have room; `allowed` limits the
@@ -260,6 +267,10 @@
         let (id, _) = fitting.min_by_key(|(id, engine)| (step(engine), shuffle(id, draw)))?;
         let id = id.clone();
         self.queue.remove(&place);
+        while self.grants.front().is_some_and(|at| *at + PACE_TIME < now) {
+            self.grants.pop_front();
+        }
+        self.grants.push_back(now);
         if let Some(engine) = self.engines.get_mut(&id) {
             engine.runs.insert(place.run, Run { need, since: now });
         }
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -34,6 +34,7 @@
 pub mod pace;
 pub mod parse;
 pub mod pool;
+pub mod queueing;
 pub mod repeat;
 pub mod rooms;
 pub mod routing;
--- a/crates/core/src/pool.rs
+++ b/crates/core/src/pool.rs
@@ -225,6 +225,14 @@
         Some(if is_near { liked.clone() } else { best.clone() })
     }
 
+    /// Requests that a server is believed to have: as it last told, and what was sent since.
+    pub fn busy(&self, name: &str) -> u32 {
+        let server = self.servers.get(name);
+        server.map_or(0, |server| {
+            (server.load.held + server.load.waiting + server.sent).max(server.open)
+        })
+    }
+
     /// Servers to choose from among those that are `allowed`, in the order of [`Pool::pick`]:
     /// sound ones, else ejected ones, else those that were tried.
     pub fn candidates(
--- a/crates/core/tests/engines.rs
+++ b/crates/core/tests/engines.rs
@@ -180,3 +180,18 @@
     }
     assert_eq!(engines.usage(now + 3_000 * MILLI).runs, 5);
 }
+
+#[test]
+fn long_queue_known() {
+    // Far more requests than memory: a newcomer is told at once that its turn comes too late.
+    let now = time::Instant::now();
+    let mut engines = engines(1, 1);
+    assert_eq!(engines.expected_wait(now), time::Duration::ZERO);
+    for run in 0..5 {
+        assert!(engines.reserve(place(now, run), NEED, any, 0, now).is_some());
+    }
+    for run in 10..20 {
+        engines.join(place(now + MILLI, run));
+    }
+    assert_eq!(engines.expected_wait(now), 4_000 * MILLI, "five in two seconds, ten wait");
+}
--- a/crates/edge/src/directory.rs
+++ b/crates/edge/src/directory.rs
@@ -2,7 +2,7 @@
 
 use std::{collections, net, sync, time};
 
-use rhubarb_core::{engines, fleet, ids, load, outcome, pool, repeat, routing};
+use rhubarb_core::{engines, fleet, ids, load, outcome, pool, queueing, repeat, routing};
 
 use crate::rows;
 
@@ -12,6 +12,18 @@
     pub(crate) pool: pool::Pool,
     pub(crate) engines: engines::Engines,
     pub(crate) repeats: repeat::Repeats,
+    queueing: queueing::Queueing,
+}
+
+/// Server for a plain request.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) enum Choice {
+    /// This one.
+    Server(Target),
+    /// At every server so many wait that the answer would be late.
+    Late,
+    /// There is none.
+    None,
 }
 
 /// A server that was chosen.
@@ -152,6 +164,7 @@
             pool: new_pool(zone),
             engines: engines::Engines::default(),
             repeats: repeat::Repeats::new(allowance),
+            queueing: queueing::Queueing::default(),
         };
         self.services.entry(name.to_string()).or_insert_with(fresh)
     }
@@ -185,14 +198,34 @@
     pub(crate) fn pick(
         &mut self,
         service: &str,
+        target: time::Duration,
         tried: &[ids::ServerName],
         now: time::Instant,
-    ) -> Option<Target> {
+    ) -> Choice {
         let wish = pool::Wish { tried, affinity: None, random: rand::random(), by_work: false };
-        let pool = &mut self.service(service).pool;
-        let id = pool.pick(wish, now)?;
+        let Service { pool, queueing, .. } = self.service(service);
+        let Some(mut id) = pool.pick(wish, now) else { return Choice::None };
+        let is_late = |id: &str| {
+            let slots = pool.get(id).map_or(0, |server| server.load.rooms);
+            queueing.limit(slots, target).is_some_and(|limit| pool.busy(id) >= limit)
+        };
+        if is_late(&id) {
+            let all = pool.candidates(tried, |_| true, now);
+            let Some(least) = all.into_iter().min_by_key(|id| pool.busy(id)).cloned() else {
+                return Choice::None;
+            };
+            if is_late(&least) {
+                return Choice::Late;
+            }
+            id = least;
+        }
         pool.sent(&id, time::Duration::ZERO);
-        self.target(&id)
+        self.target(&id).map_or(Choice::None, Choice::Server)
+    }
+
+    /// Learns how long a plain service works on a request.
+    pub(crate) fn learn(&mut self, service: &str, took: time::Duration, load: load::Load) {
+        self.service(service).queueing.learn(took, load);
     }
 
     /// Takes the load that a server told with an answer.
--- a/crates/edge/src/plain.rs
+++ b/crates/edge/src/plain.rs
@@ -56,10 +56,14 @@
     /// Runs the call to its one outcome.
     pub(crate) async fn drive(mut self) {
         loop {
-            let target =
-                self.call.edge.directory().pick(&self.call.service, &self.tried, clock::now());
-            let Some(target) = target else {
-                return self.give_up(Refusal::not_run(Reason::NoServer, RETRY_SOON));
+            let target = match self.choose() {
+                directory::Choice::Server(target) => target,
+                directory::Choice::Late => {
+                    return self.give_up(Refusal::not_run(Reason::NoRoom, RETRY_SOON));
+                }
+                directory::Choice::None => {
+                    return self.give_up(Refusal::not_run(Reason::NoServer, RETRY_SOON));
+                }
             };
             let attempt = self.attempt(&target).await;
             self.judge(&target, &attempt);
@@ -85,6 +89,12 @@
         }
     }
 
+    fn choose(&self) -> directory::Choice {
+        let call = &self.call;
+        let mut directory = call.edge.directory();
+        directory.pick(&call.service, call.route.target, &self.tried, clock::now())
+    }
+
     fn may_repeat(&self, refusal: &Refusal) -> bool {
         let call = &self.call;
         repeat::is_allowed(call.route.kind, refusal.outcome)
@@ -114,6 +124,7 @@
         };
         let request = self.call.head.to_server(&send, self.call.body.clone());
         let edge = self.call.edge.clone();
+        let sent_at = clock::now();
         let whole = async {
             let answered = edge.links.send(target.address, request).await?;
             Ok(read_whole(&edge.links, answered).await)
@@ -131,13 +142,16 @@
                 tracing::info!(id = self.call.id(), server = target.id, err, "edge: broke off");
                 Attempt::Failed(Refusal::unknown(Reason::LostContact, RETRY_SOON))
             }
-            reply::Waited::Event(Ok(read)) => self.take(target, read),
+            reply::Waited::Event(Ok(read)) => self.take(target, sent_at, read),
         }
     }
 
-    fn take(&mut self, target: &directory::Target, read: Read) -> Attempt {
+    fn take(&mut self, target: &directory::Target, sent_at: time::Instant, read: Read) -> Attempt {
         if let Some(load) = forms::load(read.head.headers()) {
             let mut directory = self.call.edge.directory();
+            if read.is_success() {
+                directory.learn(&self.call.service, clock::now() - sent_at, load);
+            }
             directory.hear(&self.call.service, &target.id, load, clock::now());
         }
         match forms::judge(&read.head, self.call.head.attempt.as_ref()) {
--- a/crates/edge/src/room.rs
+++ b/crates/edge/src/room.rs
@@ -58,6 +58,8 @@
 
 /// A live engine answers in milliseconds.
 const HOLD_LIMIT: time::Duration = time::Duration::from_millis(250);
+/// The expected wait is off by about this much either way.
+const HOPE: time::Duration = time::Duration::from_millis(1_000);
 /// What peers have freed is looked at this often.
 const RECHECK: time::Duration = time::Duration::from_millis(50);
 /// Shortest and longest time after which a refused caller is asked to come back: bursts last
@@ -81,6 +83,9 @@
 ) -> Asked {
     let place = engines::Place { arrived: call.arrived, run: call.edge.next_run() };
     let _seat = Seat { call, place };
+    if is_hopeless(call, wait_by) {
+        return Asked::Refused(no_room());
+    }
     let mut tried = tried.to_vec();
     loop {
         let freed = call.edge.room_freed.notified();
@@ -161,6 +166,19 @@
     config.services.get(&call.service)?.engine.as_ref()?.hold_life
 }
 
+// Whether the queue is longer than the request can wait.
+fn is_hopeless(call: &call::Call, wait_by: time::Instant) -> bool {
+    let now = clock::now();
+    let mut directory = call.edge.directory();
+    let wait = directory.service(&call.service).engines.expected_wait(now);
+    let is_hopeless = now + wait > wait_by + HOPE;
+    if is_hopeless {
+        let wait_ms = wait.as_millis() as u64;
+        tracing::info!(id = call.id(), wait_ms, "edge: the queue for memory is too long");
+    }
+    is_hopeless
+}
+
 struct Seat<'a> {
     call: &'a call::Call,
     place: engines::Place,
