Charge runs that outgrow their hint for what they have

Change: the entry notes a run's growth every eight events. The metrics show how many peers are heard.

--- a/crates/core/src/engines.rs
+++ b/crates/core/src/engines.rs
@@ -46,6 +46,8 @@
 #[derive(Clone, Copy, Debug)]
 struct Run {
     need: Need,
+    // Tokens generated so far.
+    generated: u32,
     since: time::Instant,
 }
 
@@ -80,6 +82,8 @@
 pub const PEER_SILENCE: time::Duration = time::Duration::from_millis(1_500);
 /// Part of an expected answer that is charged: runs are at different points of their growth.
 const OUTPUT_SHARE: f64 = 0.6;
+/// Charge for the tokens of a run that has outgrown its estimate: it goes on for a while.
+const OVERRUN: f64 = 1.1;
 /// Part of the memory that is given away; the rest takes answers longer than expected.
 const MEMORY_SHARE: f64 = 0.95;
 /// An engine that was full is asked again after this; a run ends there about as often.
@@ -129,9 +133,15 @@
 }
 
 impl Run {
+    // A run that outgrows its estimate is charged for what it has, and for going on.
+    fn charge(&self) -> u32 {
+        let outgrown = (f64::from(self.generated) * OVERRUN) as u32;
+        self.need.charge().max(self.need.prompt + outgrown)
+    }
+
     // Share of the engine's memory times the time for which it was held.
     fn exposure(&self, room: u32, now: time::Instant) -> time::Duration {
-        let share = f64::from(self.need.charge()) / f64::from(room.max(1));
+        let share = f64::from(self.charge()) / f64::from(room.max(1));
         now.saturating_duration_since(self.since).mul_f64(share)
     }
 }
@@ -143,7 +153,7 @@
     }
 
     fn tokens(&self, now: time::Instant) -> u32 {
-        let own: u32 = self.runs.values().map(|run| run.need.charge()).sum();
+        let own: u32 = self.runs.values().map(Run::charge).sum();
         own + self.peers(now).map(|peer| peer.tokens).sum::<u32>()
     }
 
@@ -272,11 +282,19 @@
         }
         self.grants.push_back(now);
         if let Some(engine) = self.engines.get_mut(&id) {
-            engine.runs.insert(place.run, Run { need, since: now });
+            engine.runs.insert(place.run, Run { need, generated: 0, since: now });
         }
         Some(id)
     }
 
+    /// Notes how many tokens a run has generated.
+    pub fn progress(&mut self, id: &str, run: ids::RunId, generated: u32) {
+        let engine = self.engines.get_mut(id);
+        if let Some(run) = engine.and_then(|engine| engine.runs.get_mut(&run)) {
+            run.generated = generated;
+        }
+    }
+
     /// Notes that an engine has no room now, whatever was committed.
     pub fn set_full(&mut self, id: &str, now: time::Instant) {
         if let Some(engine) = self.engines.get_mut(id) {
@@ -386,7 +404,7 @@
     pub fn own(&self, now: time::Instant) -> collections::BTreeMap<ids::ServerName, Commitment> {
         let told = self.engines.iter().map(|(id, engine)| {
             let commitment = Commitment {
-                tokens: engine.runs.values().map(|run| run.need.charge()).sum(),
+                tokens: engine.runs.values().map(Run::charge).sum(),
                 runs: engine.runs.len() as u32,
                 prefill: engine.own_prefill(now),
             };
--- a/crates/core/src/routing.rs
+++ b/crates/core/src/routing.rs
@@ -89,6 +89,8 @@
     pub handle_life: time::Duration,
     /// Time that a change of stage takes after running work has ended.
     pub switch_time: time::Duration,
+    /// Tokens of one event of a stream.
+    pub event_tokens: u32,
     /// Longest time for which memory can be set aside, where engines do that.
     pub hold_life: Option<time::Duration>,
 }
--- a/crates/core/tests/engines.rs
+++ b/crates/core/tests/engines.rs
@@ -195,3 +195,21 @@
     }
     assert_eq!(engines.expected_wait(now), 4_000 * MILLI, "five in two seconds, ten wait");
 }
+
+#[test]
+fn outgrown_runs() {
+    // Hints are right at the median only: half of the answers are longer, some by far.
+    let now = time::Instant::now();
+    let mut engines = engines(1, 1);
+    for run in 0..8 {
+        assert!(engines.reserve(place(now, run), NEED, any, 0, now).is_some());
+    }
+    engines.progress("d-0", 0, 500);
+    let fill = engines.fill(now);
+    assert_eq!(fill, 8 * 3_600 * 1_000 / 34_200, "within the estimate");
+    for run in 0..4 {
+        engines.progress("d-0", run, 2_000);
+    }
+    assert!(engines.fill(now) > fill + 150, "four runs have outgrown theirs");
+    assert_eq!(engines.reserve(place(now, 9), NEED, any, 0, now), None);
+}
--- a/crates/edge/src/directory.rs
+++ b/crates/edge/src/directory.rs
@@ -181,11 +181,18 @@
         self.services.iter_mut()
     }
 
+    fn engine(&self, service: &str) -> Option<&routing::Engine> {
+        self.config.as_ref()?.services.get(service)?.engine.as_ref()
+    }
+
     /// Time that a change of stage takes at a service's engines.
     pub(crate) fn switch_time(&self, service: &str) -> time::Duration {
-        let service = self.config.as_ref().and_then(|config| config.services.get(service));
-        let engine = service.and_then(|service| service.engine.as_ref());
-        engine.map_or(time::Duration::ZERO, |engine| engine.switch_time)
+        self.engine(service).map_or(time::Duration::ZERO, |engine| engine.switch_time)
+    }
+
+    /// Tokens of one event of a service's streams.
+    pub(crate) fn event_tokens(&self, service: &str) -> u32 {
+        self.engine(service).map_or(1, |engine| engine.event_tokens)
     }
 
     /// Where a server is reached.
--- a/crates/edge/src/duty.rs
+++ b/crates/edge/src/duty.rs
@@ -10,7 +10,7 @@
 use rhubarb_node::clock;
 use rhubarb_platform::{engine, store};
 
-use crate::{directory, edge, links, plain};
+use crate::{boot, directory, edge, links, plain};
 
 /// Orders of this entry that are being carried out.
 #[derive(Debug, Default)]
@@ -92,18 +92,13 @@
     changes
 }
 
-fn boot_time() -> lease::BootTime {
-    let now = rustix::time::clock_gettime(rustix::time::ClockId::Boottime);
-    lease::BootTime::new(now.tv_sec.unsigned_abs(), now.tv_nsec.unsigned_abs() as u32)
-}
-
 // Fencing number of the lease, taken or renewed where it is needed.
 async fn hold(edge: &edge::Edge, lease: &mut lease::Lease, holder: &str) -> Option<lease::Fence> {
-    if let Some(fence) = lease.fence(boot_time()) {
+    if let Some(fence) = lease.fence(boot::time()) {
         return Some(fence);
     }
     match renew(edge, lease, holder).await {
-        Ok(()) => lease.fence(boot_time()),
+        Ok(()) => lease.fence(boot::time()),
         Err(err) => {
             tracing::warn!(%err, "edge: no lease to change stages");
             lease.lost();
@@ -124,11 +119,11 @@
     let value = row.and_then(|row| row.value.as_deref()).unwrap_or_default();
     let other = String::from_utf8_lossy(value);
     let seen = lease::Row { version, holder: &other };
-    if !lease.read(seen, boot_time()) {
+    if !lease.read(seen, boot::time()) {
         tracing::info!(holder = %other, version, "edge: another instance holds the lease");
         return Ok(());
     }
-    let sent_at = boot_time();
+    let sent_at = boot::time();
     let write = store::Write {
         table,
         key: store::STAGES_LEASE,
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -10,6 +10,7 @@
 //! assert!(settings::parse("").is_err());
 //! ```
 
+mod boot;
 mod call;
 mod cleanup;
 mod directory;
--- a/crates/edge/src/links.rs
+++ b/crates/edge/src/links.rs
@@ -120,6 +120,11 @@
         }
     }
 
+    /// Closes all idle connections: after a suspension nothing is known of them.
+    pub(crate) fn drop_idle(&self) {
+        locks::lock(&self.idle).clear();
+    }
+
     /// Closes connections that have been idle for too long.
     pub(crate) fn sweep(&self) {
         let now = clock::now();
--- a/crates/edge/src/peers.rs
+++ b/crates/edge/src/peers.rs
@@ -64,6 +64,7 @@
     let mut members = edge.members();
     let count = members.count(now);
     let targets = members.targets(now);
+    edge.counters.peers.set(members.alive(now).count() as i64);
     drop(members);
     edge.directory().entries = count;
     targets.into_iter().filter(|ip| *ip != edge.settings().ip).collect()
--- a/crates/edge/src/room.rs
+++ b/crates/edge/src/room.rs
@@ -23,6 +23,15 @@
 }
 
 impl Room {
+    /// Notes how much the run has generated.
+    pub(crate) fn progress(&self, events: u64) {
+        let mut directory = self.edge.directory();
+        let tokens = directory.event_tokens(&self.service);
+        let generated = u32::try_from(events).unwrap_or(u32::MAX).saturating_mul(tokens);
+        let engines = &mut directory.service(&self.service).engines;
+        engines.progress(&self.target.id, self.run, generated);
+    }
+
     /// Takes the memory that the engine set aside, to be used by one send.
     pub(crate) fn use_hold(&mut self) -> Option<String> {
         self.hold.take()
--- a/crates/edge/src/stream.rs
+++ b/crates/edge/src/stream.rs
@@ -36,6 +36,8 @@
 const STALL: time::Duration = time::Duration::from_millis(1_500);
 /// A stream that broke off waits this long for room elsewhere.
 const RESUME_WAIT: time::Duration = time::Duration::from_millis(1_000);
+/// Events after which the growth of a run is noted again: a few in a hundred of its memory.
+const PROGRESS_EVENTS: u64 = 8;
 const RETRY_SOON: time::Duration = time::Duration::from_secs(1);
 /// Need of a request that does not tell its size.
 const UNKNOWN_NEED: engines::Need = engines::Need { prompt: 1_000, output: 500 };
@@ -362,6 +364,11 @@
         }
         self.last_event = event.id.or(self.last_event);
         self.events += 1;
+        if let Some(room) = &self.room
+            && self.events.is_multiple_of(PROGRESS_EVENTS)
+        {
+            room.progress(self.events);
+        }
         None
     }
 
--- a/crates/edge/src/watch.rs
+++ b/crates/edge/src/watch.rs
@@ -7,7 +7,7 @@
 use rhubarb_platform::{config, entries, store};
 use rhubarb_wire::share;
 
-use crate::{directory, edge};
+use crate::{boot, directory, edge};
 
 /// A feed waits this long in the store; connections that have gone silent are found by probes.
 const FEED_WAIT: time::Duration = time::Duration::from_secs(20);
@@ -183,8 +183,14 @@
 
 /// Drops servers whose entries did not come back, and connections that are no longer used.
 pub(crate) async fn sweep(edge: sync::Arc<edge::Edge>) {
+    let mut suspended = boot::Suspension::new();
     loop {
         tokio::time::sleep(SWEEP_PERIOD).await;
+        if let Some(time) = suspended.look() {
+            let millis = time.as_millis() as u64;
+            tracing::warn!(millis, "edge: was suspended, idle connections dropped");
+            edge.links.drop_idle();
+        }
         edge.links.sweep();
         let mut directory = edge.directory();
         while let Some(change) = directory.fleet.next_gone(clock::now()) {
