Split the engine, the exchange and the reader from what had grown

One copy each of the connection headers (node::hop), of sending and reading a whole answer (edge::exchange); one engine apart from all of a service; the events of a stream read apart from their driver.

--- a/crates/core/src/engines.rs
+++ b/crates/core/src/engines.rs
@@ -5,62 +5,12 @@
 
 use std::{collections, time};
 
-use crate::{fleet, ids, stages};
-
-/// What a request needs of a decode engine.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Need {
-    /// Tokens of the prompt.
-    pub prompt: u32,
-    /// Tokens expected to be generated.
-    pub output: u32,
-}
-
-/// Work that one entry has given to one engine.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub struct Commitment {
-    /// Memory that is expected to be taken, in tokens.
-    pub tokens: u32,
-    /// Requests.
-    pub runs: u32,
-    /// Prefill work that is left.
-    pub prefill: time::Duration,
-}
-
-#[derive(Clone, Debug)]
-struct Engine {
-    zone: ids::ZoneName,
-    stage: fleet::Stage,
-    usable: bool,
-    slots: u32,
-    memory: u32,
-    runs: collections::BTreeMap<ids::RunId, Run>,
-    // Changing its stage; it takes no work until then.
-    changing_until: Option<time::Instant>,
-    prefill_until: Option<time::Instant>,
-    // An engine that refused to set memory aside is not asked again until then.
-    full_until: Option<time::Instant>,
-    peers: collections::BTreeMap<String, Told>,
-}
-
-#[derive(Clone, Copy, Debug)]
-struct Run {
-    need: Need,
-    // Tokens generated so far.
-    generated: u32,
-    since: time::Instant,
-}
-
-#[derive(Clone, Copy, Debug)]
-struct Told {
-    commitment: Commitment,
-    at: time::Instant,
-}
+use crate::{engine, fleet, ids, stages};
 
 /// Engines of one service.
 #[derive(Clone, Debug, Default)]
 pub struct Engines {
-    engines: collections::BTreeMap<ids::ServerName, Engine>,
+    engines: collections::BTreeMap<ids::ServerName, engine::Engine>,
     // Requests that wait for decode memory, in the order of their arrival.
     queue: collections::BTreeSet<Place>,
     // When memory was last given to requests of this entry.
@@ -78,14 +28,6 @@
     pub run: ids::RunId,
 }
 
-/// What a peer said is void after this time without news of it.
-pub const PEER_SILENCE: time::Duration = time::Duration::from_millis(1_500);
-/// Part of an expected answer that is charged: runs are at different points of their growth.
-const OUTPUT_SHARE: f64 = 0.5;
-/// Charge for the tokens of a run that has outgrown its estimate: it goes on for a while.
-const OVERRUN: f64 = 1.1;
-/// Part of the memory that is given away; the rest takes answers longer than expected.
-const MEMORY_SHARE: f64 = 0.95;
 /// An engine that was full is asked again after this; a run ends there about as often.
 const FULL_TIME: time::Duration = time::Duration::from_millis(150);
 /// Prompt tokens that an engine reads in a millisecond, until told otherwise.
@@ -120,76 +62,11 @@
     PREFILL_BASE + time::Duration::from_millis(u64::from(tokens) / TOKENS_PER_MS)
 }
 
-impl Need {
-    /// Memory that the request takes at its end, in tokens.
-    pub fn whole(&self) -> u32 {
-        self.prompt + self.output
-    }
-
-    /// Memory charged for the request, in tokens.
-    pub fn charge(&self) -> u32 {
-        self.prompt + (f64::from(self.output) * OUTPUT_SHARE) as u32
-    }
-}
-
-impl Run {
-    // A run that outgrows its estimate is charged for what it has, and for going on.
-    fn charge(&self) -> u32 {
-        let outgrown = (f64::from(self.generated) * OVERRUN) as u32;
-        self.need.charge().max(self.need.prompt + outgrown)
-    }
-
-    // Share of the engine's memory times the time for which it was held.
-    fn exposure(&self, room: u32, now: time::Instant) -> time::Duration {
-        let share = f64::from(self.charge()) / f64::from(room.max(1));
-        now.saturating_duration_since(self.since).mul_f64(share)
-    }
-}
-
-impl Engine {
-    fn peers(&self, now: time::Instant) -> impl Iterator<Item = &Commitment> {
-        let is_fresh = move |told: &&Told| now <= told.at + PEER_SILENCE;
-        self.peers.values().filter(is_fresh).map(|told| &told.commitment)
-    }
-
-    fn tokens(&self, now: time::Instant) -> u32 {
-        let own: u32 = self.runs.values().map(Run::charge).sum();
-        own + self.peers(now).map(|peer| peer.tokens).sum::<u32>()
-    }
-
-    fn running(&self, now: time::Instant) -> u32 {
-        self.runs.len() as u32 + self.peers(now).map(|peer| peer.runs).sum::<u32>()
-    }
-
-    fn is_changing(&self, now: time::Instant) -> bool {
-        self.changing_until.is_some_and(|until| now < until)
-    }
-
-    fn room(&self) -> u32 {
-        (f64::from(self.memory) * MEMORY_SHARE) as u32
-    }
-
-    fn own_prefill(&self, now: time::Instant) -> time::Duration {
-        self.prefill_until
-            .map_or(time::Duration::ZERO, |until| until.saturating_duration_since(now))
-    }
-
-    fn prefill(&self, now: time::Instant) -> time::Duration {
-        self.own_prefill(now) + self.peers(now).map(|peer| peer.prefill).sum::<time::Duration>()
-    }
-
-    fn fits(&self, charge: u32, now: time::Instant) -> bool {
-        let is_full = self.full_until.is_some_and(|until| now < until);
-        let is_free = self.running(now) < self.slots;
-        !is_full && is_free && self.tokens(now) + charge <= self.room()
-    }
-}
-
 impl Engines {
     /// Adds an engine, or updates its stage.
     pub fn set(&mut self, id: &str, instance: &fleet::Instance, slots: u32, memory: u32) {
         let Some(stage) = instance.stage else { return };
-        let fresh = || Engine {
+        let fresh = || engine::Engine {
             zone: instance.zone.clone(),
             stage,
             usable: true,
@@ -232,8 +109,8 @@
         &self,
         stage: fleet::Stage,
         now: time::Instant,
-    ) -> impl Iterator<Item = (&ids::ServerName, &Engine)> + Clone {
-        let takes_work = move |engine: &Engine| engine.usable && !engine.is_changing(now);
+    ) -> impl Iterator<Item = (&ids::ServerName, &engine::Engine)> + Clone {
+        let takes_work = move |engine: &engine::Engine| engine.usable && !engine.is_changing(now);
         self.engines.iter().filter(move |(_, engine)| engine.stage == stage && takes_work(engine))
     }
 
@@ -262,7 +139,7 @@
     pub fn reserve(
         &mut self,
         place: Place,
-        need: Need,
+        need: engine::Need,
         allowed: impl Fn(&str) -> bool,
         draw: u64,
         now: time::Instant,
@@ -273,7 +150,8 @@
         let charge = need.charge();
         let decode = self.of_stage(fleet::Stage::Decode, now);
         let fitting = decode.filter(|(id, engine)| allowed(id) && engine.fits(charge, now));
-        let step = |engine: &Engine| engine.tokens(now) / (engine.memory / MEMORY_STEPS).max(1);
+        let step =
+            |engine: &engine::Engine| engine.tokens(now) / (engine.memory / MEMORY_STEPS).max(1);
         let (id, _) = fitting.min_by_key(|(id, engine)| (step(engine), shuffle(id, draw)))?;
         let id = id.clone();
         self.queue.remove(&place);
@@ -282,7 +160,7 @@
         }
         self.grants.push_back(now);
         if let Some(engine) = self.engines.get_mut(&id) {
-            engine.runs.insert(place.run, Run { need, generated: 0, since: now });
+            engine.runs.insert(place.run, engine::Run { need, generated: 0, since: now });
         }
         Some(id)
     }
@@ -320,9 +198,9 @@
         }
     }
 
-    /// Engine time that this entry's requests have taken since its start, open ones included.
+    /// engine::Engine time that this entry's requests have taken since its start, open ones included.
     pub fn usage(&self, now: time::Instant) -> stages::Usage {
-        let open = |engine: &Engine| {
+        let open = |engine: &engine::Engine| {
             let runs = engine.runs.values();
             runs.map(|run| run.exposure(engine.room(), now)).sum::<time::Duration>()
         };
@@ -335,7 +213,7 @@
         self.peer_usage.insert(peer.to_string(), usage);
     }
 
-    /// Engine time that the requests of all entries have taken.
+    /// engine::Engine time that the requests of all entries have taken.
     pub fn total_usage(&self, now: time::Instant) -> stages::Usage {
         let all = self.peer_usage.values();
         all.fold(self.usage(now), |sum, usage| sum.plus(usage))
@@ -363,12 +241,12 @@
         draw: u64,
         now: time::Instant,
     ) -> Option<(ids::ServerName, time::Duration)> {
-        let wait = |engine: &Engine| {
+        let wait = |engine: &engine::Engine| {
             let away = if engine.zone == zone { time::Duration::ZERO } else { AWAY_PREFILL };
             engine.prefill(now) + away
         };
         let sources = self.of_stage(fleet::Stage::Prefill, now).filter(|(id, _)| allowed(id));
-        let step = |engine: &Engine| wait(engine).as_millis() / PREFILL_STEP.as_millis();
+        let step = |engine: &engine::Engine| wait(engine).as_millis() / PREFILL_STEP.as_millis();
         let (id, engine) = sources.min_by_key(|(id, engine)| (step(engine), shuffle(id, draw)))?;
         Some((id.clone(), engine.prefill(now) + prefill_work(tokens)))
     }
@@ -401,29 +279,32 @@
     }
 
     /// What this entry has given to each engine, for its peers.
-    pub fn own(&self, now: time::Instant) -> collections::BTreeMap<ids::ServerName, Commitment> {
+    pub fn own(
+        &self,
+        now: time::Instant,
+    ) -> collections::BTreeMap<ids::ServerName, engine::Commitment> {
         let told = self.engines.iter().map(|(id, engine)| {
-            let commitment = Commitment {
-                tokens: engine.runs.values().map(Run::charge).sum(),
+            let commitment = engine::Commitment {
+                tokens: engine.runs.values().map(engine::Run::charge).sum(),
                 runs: engine.runs.len() as u32,
                 prefill: engine.own_prefill(now),
             };
             (id.clone(), commitment)
         });
-        told.filter(|(_, commitment)| *commitment != Commitment::default()).collect()
+        told.filter(|(_, commitment)| *commitment != engine::Commitment::default()).collect()
     }
 
     /// Takes what a peer has given to each engine.
     pub fn hear(
         &mut self,
         peer: &str,
-        told: &collections::BTreeMap<ids::ServerName, Commitment>,
+        told: &collections::BTreeMap<ids::ServerName, engine::Commitment>,
         now: time::Instant,
     ) {
         for (id, engine) in &mut self.engines {
             match told.get(id) {
                 Some(commitment) => {
-                    let told = Told { commitment: *commitment, at: now };
+                    let told = engine::Told { commitment: *commitment, at: now };
                     engine.peers.insert(peer.to_string(), told);
                 }
                 None => {
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod change;
 pub mod edition;
 pub mod editions;
+pub mod engine;
 pub mod engines;
 pub mod events;
 pub mod fair;
--- a/crates/core/tests/engines.rs
+++ b/crates/core/tests/engines.rs
@@ -2,10 +2,10 @@
 
 use std::{collections, time};
 
-use rhubarb_core::{engines, fleet, ids};
+use rhubarb_core::{engine, engines, fleet, ids};
 
 const MILLI: time::Duration = time::Duration::from_millis(1);
-const NEED: engines::Need = engines::Need { prompt: 3_000, output: 1_000 };
+const NEED: engine::Need = engine::Need { prompt: 3_000, output: 1_000 };
 
 fn engines(prefill: usize, decode: usize) -> engines::Engines {
     let mut engines = engines::Engines::default();
@@ -51,7 +51,7 @@
 fn slots_bound_too() {
     let now = time::Instant::now();
     let mut engines = engines(1, 1);
-    let small = engines::Need { prompt: 10, output: 10 };
+    let small = engine::Need { prompt: 10, output: 10 };
     let granted =
         (0..30).filter(|run| engines.reserve(place(now, *run), small, any, 0, now).is_some());
     assert_eq!(granted.count(), 16);
@@ -104,10 +104,10 @@
 fn peers_count() {
     let now = time::Instant::now();
     let mut engines = engines(1, 1);
-    let told = engines::Commitment { tokens: 33_000, runs: 9, prefill: time::Duration::ZERO };
+    let told = engine::Commitment { tokens: 33_000, runs: 9, prefill: time::Duration::ZERO };
     engines.hear("peer", &[("d-0".to_string(), told)].into(), now);
     assert_eq!(engines.reserve(place(now, 1), NEED, any, 0, now), None);
-    let later = now + engines::PEER_SILENCE + MILLI;
+    let later = now + engine::PEER_SILENCE + MILLI;
     assert!(engines.reserve(place(now, 1), NEED, any, 0, later).is_some(), "the peer is silent");
 }
 
@@ -115,7 +115,7 @@
 fn peer_released() {
     let now = time::Instant::now();
     let mut engines = engines(1, 1);
-    let told = engines::Commitment { tokens: 33_000, runs: 9, prefill: time::Duration::ZERO };
+    let told = engine::Commitment { tokens: 33_000, runs: 9, prefill: time::Duration::ZERO };
     engines.hear("peer", &[("d-0".to_string(), told)].into(), now);
     engines.hear("peer", &collections::BTreeMap::new(), now);
     assert!(engines.reserve(place(now, 1), NEED, any, 0, now).is_some());
--- a/crates/e2e/src/lib.rs
+++ b/crates/e2e/src/lib.rs
@@ -14,5 +14,5 @@
 pub mod caller;
 pub mod process;
 pub mod relay;
-pub mod site;
 pub mod stack;
+pub mod standin;
--- a/crates/e2e/tests/platform_streams.rs
+++ b/crates/e2e/tests/platform_streams.rs
@@ -4,12 +4,12 @@
 
 use hyper::Method;
 
-use rhubarb_e2e::site;
+use rhubarb_e2e::standin;
 use rhubarb_fakes::backend;
 
 use backend::Fault;
 
-async fn settled(site: &site::Site) -> bool {
+async fn settled(site: &standin::Site) -> bool {
     for _ in 0..60 {
         if site.kept() == 0 {
             return true;
@@ -21,10 +21,10 @@
 
 #[tokio::test]
 async fn whole_streams() -> anyhow::Result<()> {
-    let site = site::Site::start(site::Sizes::default()).await?;
-    for (attempt, path) in [("a1", site::RESUMABLE), ("a2", site::STREAM)] {
+    let site = standin::Site::start(standin::Sizes::default()).await?;
+    for (attempt, path) in [("a1", standin::RESUMABLE), ("a2", standin::STREAM)] {
         let reply = site.edges[0].call(Method::POST, path, attempt, "body").await?;
-        assert_eq!((reply.status, reply.body), (200, Some(site::whole_stream())), "{path}");
+        assert_eq!((reply.status, reply.body), (200, Some(standin::whole_stream())), "{path}");
         assert_eq!(site.runs(attempt), 1);
     }
     let seen: Vec<_> = site.decode.iter().flat_map(|decode| decode.seen()).collect();
@@ -37,7 +37,7 @@
 // One decode engine has the fault; what the caller gets must be whole or visibly broken off.
 #[tokio::test]
 async fn fault_table() -> anyhow::Result<()> {
-    let site = site::Site::start(site::Sizes::default()).await?;
+    let site = standin::Site::start(standin::Sizes::default()).await?;
     let resumed = [Fault::CutsStream, Fault::Stalls, Fault::SkipsEvent, Fault::Resets];
     let refused = [Fault::Sheds, Fault::Full, Fault::Moved];
     let cases = resumed.into_iter().chain(refused);
@@ -48,12 +48,16 @@
         site.decode[0].set_fault(fault);
         for attempt in 0..4 {
             let attempt = format!("r{number}-{attempt}");
-            let reply = site.edges[0].call(Method::POST, site::RESUMABLE, &attempt, "b").await?;
-            assert_eq!((reply.status, reply.body), (200, Some(site::whole_stream())), "{fault:?}");
+            let reply = site.edges[0].call(Method::POST, standin::RESUMABLE, &attempt, "b").await?;
+            assert_eq!(
+                (reply.status, reply.body),
+                (200, Some(standin::whole_stream())),
+                "{fault:?}"
+            );
             let attempt = format!("o{attempt}");
-            let reply = site.edges[0].call(Method::POST, site::STREAM, &attempt, "b").await?;
+            let reply = site.edges[0].call(Method::POST, standin::STREAM, &attempt, "b").await?;
             assert!(site.runs(&attempt) <= 1, "{fault:?}: a request ran twice");
-            let is_whole = reply.body.as_deref() == Some(site::whole_stream().as_str());
+            let is_whole = reply.body.as_deref() == Some(standin::whole_stream().as_str());
             let is_broken = reply.body.is_none();
             let is_own = !reply.headers.contains_key("x-response-seal") && reply.status >= 500;
             assert!(is_whole || is_broken || is_own, "{fault:?}: {reply:?}");
@@ -67,11 +71,11 @@
 
 #[tokio::test]
 async fn no_memory_anywhere() -> anyhow::Result<()> {
-    let site = site::Site::start(site::Sizes::default()).await?;
+    let site = standin::Site::start(standin::Sizes::default()).await?;
     for decode in &site.decode {
         decode.set_fault(Fault::Full);
     }
-    let reply = site.edges[0].call(Method::POST, site::STREAM, "a1", "body").await?;
+    let reply = site.edges[0].call(Method::POST, standin::STREAM, "a1", "body").await?;
     assert_eq!(reply.status, 503);
     assert!(reply.headers.contains_key("retry-after"), "{reply:?}");
     assert!(reply.taken < time::Duration::from_millis(600), "{:?}", reply.taken);
@@ -82,24 +86,24 @@
 
 #[tokio::test]
 async fn prefill_fails() -> anyhow::Result<()> {
-    let sizes = site::Sizes { prefill: 2, ..site::Sizes::default() };
-    let site = site::Site::start(sizes).await?;
+    let sizes = standin::Sizes { prefill: 2, ..standin::Sizes::default() };
+    let site = standin::Site::start(sizes).await?;
     for fault in [Fault::Sheds, Fault::Mute, Fault::Moved, Fault::Forgets] {
         site.prefill[0].set_fault(fault);
         let attempt = format!("a-{fault:?}");
-        let reply = site.edges[0].call(Method::POST, site::STREAM, &attempt, "body").await?;
-        assert_eq!((reply.status, reply.body), (200, Some(site::whole_stream())), "{fault:?}");
+        let reply = site.edges[0].call(Method::POST, standin::STREAM, &attempt, "body").await?;
+        assert_eq!((reply.status, reply.body), (200, Some(standin::whole_stream())), "{fault:?}");
     }
     Ok(())
 }
 
 #[tokio::test]
 async fn caller_gone() -> anyhow::Result<()> {
-    let site = site::Site::start(site::Sizes::default()).await?;
+    let site = standin::Site::start(standin::Sizes::default()).await?;
     for decode in &site.decode {
         decode.set_fault(Fault::Stalls);
     }
-    let call = site.edges[0].call(Method::POST, site::STREAM, "a1", "body");
+    let call = site.edges[0].call(Method::POST, standin::STREAM, "a1", "body");
     assert!(tokio::time::timeout(time::Duration::from_millis(400), call).await.is_err());
     let start = time::Instant::now();
     assert!(settled(&site).await, "the engine still works for a caller that is gone");
--- a/crates/edge/src/cleanup.rs
+++ b/crates/edge/src/cleanup.rs
@@ -6,7 +6,7 @@
 use http_body_util::Full;
 use hyper::Request;
 
-use crate::{edge, links, plain};
+use crate::{edge, exchange};
 
 /// What is not freed in time lapses by itself soon after.
 const LIMIT: time::Duration = time::Duration::from_secs(1);
@@ -18,10 +18,7 @@
     request: Request<Full<Bytes>>,
 ) {
     let call = request.uri().path().to_string();
-    let sending = async {
-        let answered = edge.links.send(address, request).await?;
-        Ok::<_, links::SendError>(plain::read_whole(&edge.links, answered).await)
-    };
+    let sending = exchange::fetch(&edge.links, address, request);
     match tokio::time::timeout(LIMIT, sending).await {
         Ok(Ok(_)) => {}
         Ok(Err(err)) => tracing::info!(%address, call, %err, "edge: not freed, it will lapse"),
--- a/crates/edge/src/duty.rs
+++ b/crates/edge/src/duty.rs
@@ -10,7 +10,7 @@
 use rhubarb_node::clock;
 use rhubarb_platform::{engine, store};
 
-use crate::{boot, directory, edge, links, plain};
+use crate::{boot, directory, edge, exchange};
 
 /// Orders of this entry that are being carried out.
 #[derive(Debug, Default)]
@@ -167,7 +167,7 @@
     status != Some(StatusCode::PRECONDITION_FAILED)
 }
 
-fn read_state(id: &str, read: &plain::Read) -> Option<engine::State> {
+fn read_state(id: &str, read: &exchange::Read) -> Option<engine::State> {
     let body = read.body.as_ref().filter(|_| read.is_success())?;
     match engine::read_report(body) {
         Ok(state) => Some(state),
@@ -182,12 +182,9 @@
     edge: &edge::Edge,
     target: &directory::Target,
     request: Request<Full<Bytes>>,
-) -> Option<plain::Read> {
+) -> Option<exchange::Read> {
     let path = request.uri().path().to_string();
-    let calling = async {
-        let answered = edge.links.send(target.address, request).await?;
-        Ok::<_, links::SendError>(plain::read_whole(&edge.links, answered).await)
-    };
+    let calling = exchange::fetch(&edge.links, target.address, request);
     match tokio::time::timeout(CALL_LIMIT, calling).await {
         Ok(Ok(read)) => Some(read),
         Ok(Err(err)) => {
--- a/crates/edge/src/plain.rs
+++ b/crates/edge/src/plain.rs
@@ -3,7 +3,7 @@
 use std::time;
 
 use bytes::Bytes;
-use hyper::{Response, StatusCode};
+use hyper::Response;
 
 use rhubarb_core::{ids, outcome, pool, repeat};
 use rhubarb_node::{answer, clock, reply};
@@ -11,14 +11,12 @@
 
 use outcome::{Outcome, Reason, Refusal};
 
-use crate::{call, directory, links, refuse};
+use crate::{call, directory, exchange, links, refuse};
 
 /// Time after which a caller may try again when no server can take its request.
 const RETRY_SOON: time::Duration = time::Duration::from_secs(1);
 /// A repeatable request goes to another server after this multiple of its target.
 const PATIENCE: f64 = 1.5;
-/// Most bytes of an answer that is held until it is whole.
-const MAX_ANSWER: usize = 16 * 1024 * 1024;
 /// Most sends of one request, whatever came of them.
 const MAX_SENDS: usize = 3;
 
@@ -125,10 +123,7 @@
         let request = self.call.head.to_server(&send, self.call.body.clone());
         let edge = self.call.edge.clone();
         let sent_at = clock::now();
-        let whole = async {
-            let answered = edge.links.send(target.address, request).await?;
-            Ok(read_whole(&edge.links, answered).await)
-        };
+        let whole = exchange::fetch(&edge.links, target.address, request);
         match self.reply.wait(whole, deadline).await {
             reply::Waited::Gone => Attempt::Gone,
             reply::Waited::Expired => {
@@ -146,7 +141,12 @@
         }
     }
 
-    fn take(&mut self, target: &directory::Target, sent_at: time::Instant, read: Read) -> Attempt {
+    fn take(
+        &mut self,
+        target: &directory::Target,
+        sent_at: time::Instant,
+        read: exchange::Read,
+    ) -> Attempt {
         if let Some(load) = forms::load(read.head.headers()) {
             let mut directory = self.call.edge.directory();
             if read.is_success() {
@@ -214,28 +214,3 @@
         refuse::note(&self.call, Refusal { reason: Reason::CallerGone, outcome, retry: None });
     }
 }
-
-/// An answer that has been read; no body where it broke off.
-#[derive(Debug)]
-pub(crate) struct Read {
-    pub(crate) head: Response<()>,
-    pub(crate) body: Option<Bytes>,
-}
-
-impl Read {
-    /// Whether the server did its part.
-    pub(crate) fn is_success(&self) -> bool {
-        self.head.status() == StatusCode::OK
-    }
-}
-
-/// Reads an answer to its end and keeps its connection.
-pub(crate) async fn read_whole(links: &links::Links, answered: links::Answered) -> Read {
-    let told = links::told_limit(&answered.response);
-    let (parts, body) = answered.response.into_parts();
-    let body = answer::read_body(body, MAX_ANSWER).await;
-    if body.is_some() {
-        links.keep(answered.link, told);
-    }
-    Read { head: Response::from_parts(parts, ()), body }
-}
--- a/crates/edge/src/prefill.rs
+++ b/crates/edge/src/prefill.rs
@@ -8,7 +8,7 @@
 
 use outcome::{Reason, Refusal};
 
-use crate::{call, cleanup, directory, edge, links, plain};
+use crate::{call, cleanup, directory, edge, exchange, links};
 
 /// The KV cache of a prompt at the engine that read it; freed when dropped before it is taken.
 #[derive(Debug)]
@@ -115,10 +115,7 @@
     };
     let request = call.head.to_prefill(&send, call.body.clone());
     let started = clock::now();
-    let reading = async {
-        let answered = call.edge.links.send(target.address, request).await?;
-        Ok::<_, links::SendError>(plain::read_whole(&call.edge.links, answered).await)
-    };
+    let reading = exchange::fetch(&call.edge.links, target.address, request);
     let waited = reply.wait(reading, deadline).await;
     let result = match waited {
         reply::Waited::Gone => return Read::Gone,
@@ -192,7 +189,7 @@
 fn take(
     call: &call::Call,
     target: &directory::Target,
-    read: &plain::Read,
+    read: &exchange::Read,
 ) -> Result<engine::Prefilled, Refusal> {
     let proof = forms::judge(&read.head, call.head.attempt.as_ref());
     match proof {
--- a/crates/edge/src/room.rs
+++ b/crates/edge/src/room.rs
@@ -4,13 +4,13 @@
 
 use hyper::StatusCode;
 
-use rhubarb_core::{engines, fleet, ids, outcome, pool};
+use rhubarb_core::{engine, engines, fleet, ids, outcome, pool};
 use rhubarb_node::{clock, reply};
-use rhubarb_platform::engine;
+use rhubarb_platform::engine as calls;
 
 use outcome::{Reason, Refusal};
 
-use crate::{call, cleanup, directory, edge, links, plain, prefill};
+use crate::{call, cleanup, directory, edge, exchange, prefill};
 
 /// Memory at a decode engine.
 #[derive(Debug)]
@@ -42,7 +42,7 @@
     fn drop(&mut self) {
         if let Some(hold) = self.hold.take() {
             let (edge, address) = (self.edge.clone(), self.target.address);
-            let request = engine::drop_hold(&hold);
+            let request = calls::drop_hold(&hold);
             tokio::spawn(async move { cleanup::send(&edge, address, request).await });
         }
         let mut directory = self.edge.directory();
@@ -86,7 +86,7 @@
 pub(crate) async fn ask(
     call: &call::Call,
     reply: &mut reply::Reply,
-    need: engines::Need,
+    need: engine::Need,
     tried: &[ids::ServerName],
     wait_by: time::Instant,
 ) -> Asked {
@@ -124,14 +124,11 @@
 }
 
 // Has the engine set the memory aside, where it can.
-async fn hold(call: &call::Call, room: &mut Room, need: engines::Need) -> Held {
+async fn hold(call: &call::Call, room: &mut Room, need: engine::Need) -> Held {
     let Some(life) = hold_life(call) else { return Held::Yes };
     let id = room.target.id.clone();
-    let request = engine::take_hold(&id, need.charge(), life);
-    let asking = async {
-        let answered = call.edge.links.send(room.target.address, request).await?;
-        Ok::<_, links::SendError>(plain::read_whole(&call.edge.links, answered).await)
-    };
+    let request = calls::take_hold(&id, need.charge(), life);
+    let asking = exchange::fetch(&call.edge.links, room.target.address, request);
     let asked = tokio::time::timeout(HOLD_LIMIT, asking).await;
     let read = match asked {
         Ok(Ok(read)) => read,
@@ -147,7 +144,7 @@
         }
     };
     let body = read.body.as_ref().filter(|_| read.is_success());
-    match body.map(|body| engine::read_hold(body)) {
+    match body.map(|body| calls::read_hold(body)) {
         Some(Ok(hold)) => {
             room.hold = Some(hold);
             Held::Yes
@@ -203,7 +200,7 @@
 fn take(
     call: &call::Call,
     place: engines::Place,
-    need: engines::Need,
+    need: engine::Need,
     tried: &[ids::ServerName],
 ) -> Option<Room> {
     let now = clock::now();
--- a/crates/edge/src/stream.rs
+++ b/crates/edge/src/stream.rs
@@ -3,16 +3,15 @@
 use std::time;
 
 use bytes::Bytes;
-use http_body_util::BodyExt;
-use hyper::{Response, body};
+use hyper::Response;
 
-use rhubarb_core::{engines, events, flow, ids, outcome, pool, repeat, routing};
+use rhubarb_core::{engine, engines, events, flow, ids, outcome, pool, repeat, routing};
 use rhubarb_node::{answer, clock, reply};
 use rhubarb_platform::{answer as forms, request};
 
 use outcome::{Outcome, Reason, Refusal};
 
-use crate::{call, directory, links, plain, prefill, refuse, room};
+use crate::{call, directory, exchange, links, prefill, reader, refuse, room};
 
 /// One model request on its way.
 #[derive(Debug)]
@@ -20,7 +19,7 @@
     call: call::Call,
     reply: reply::Reply,
     flow: flow::Flow,
-    need: engines::Need,
+    need: engine::Need,
     room: Option<room::Room>,
     cache: Option<prefill::Cache>,
     // Servers at which the request may have run.
@@ -40,7 +39,7 @@
 const PROGRESS_EVENTS: u64 = 8;
 const RETRY_SOON: time::Duration = time::Duration::from_secs(1);
 /// Need of a request that does not tell its size.
-const UNKNOWN_NEED: engines::Need = engines::Need { prompt: 1_000, output: 500 };
+const UNKNOWN_NEED: engine::Need = engine::Need { prompt: 1_000, output: 500 };
 
 impl Streaming {
     pub(crate) fn new(call: call::Call, reply: reply::Reply) -> Streaming {
@@ -266,7 +265,7 @@
         server: &ids::ServerName,
         answered: links::Answered,
     ) -> flow::Event {
-        plain::read_whole(&self.call.edge.links, answered).await;
+        exchange::read_whole(&self.call.edge.links, answered).await;
         if let Some(cache) = &self.cache {
             let lapsed = pool::End::Bad(Reason::LostContact);
             prefill::note_end(&self.call, &cache.server, lapsed);
@@ -281,11 +280,11 @@
         answered: links::Answered,
     ) -> flow::Event {
         let edge = self.call.edge.clone();
-        let reading = plain::read_whole(&edge.links, answered);
+        let reading = exchange::read_whole(&edge.links, answered);
         match self.reply.wait(reading, self.call.deadline).await {
             reply::Waited::Gone => flow::Event::CallerGone,
             reply::Waited::Expired => flow::Event::Expired,
-            reply::Waited::Event(plain::Read { head, body: Some(body) })
+            reply::Waited::Event(exchange::Read { head, body: Some(body) })
                 if !self.reply.has_begun() =>
             {
                 self.reply.answer(forms::to_caller(&head).map(|()| answer::full(body)));
@@ -302,33 +301,26 @@
     ) -> flow::Event {
         let head = forms::to_caller(&answered.response);
         let told = links::told_limit(&answered.response);
-        let mut body = answered.response.into_body();
-        let mut scanner = events::Scanner::default();
+        let mut reader = reader::Reader::new(answered.response.into_body());
         loop {
-            let next = next_bytes(&mut body);
-            match self.reply.wait(next, self.silence_ends()).await {
+            let event = match self.reply.wait(reader.next(), self.silence_ends()).await {
                 reply::Waited::Gone => return flow::Event::CallerGone,
                 reply::Waited::Expired if clock::now() >= self.call.deadline => {
                     return flow::Event::Expired;
                 }
                 reply::Waited::Expired => return self.broken(server, Reason::EngineSilent),
-                reply::Waited::Event(Piece::Broken(err)) => {
+                reply::Waited::Event(reader::Piece::Broken(err)) => {
                     tracing::info!(id = self.call.id(), server, err, "edge: stream broke off");
                     return self.broken(server, Reason::LostContact);
                 }
-                reply::Waited::Event(Piece::End) if scanner.is_partial() => {
-                    return self.broken(server, Reason::EngineFailed);
-                }
-                reply::Waited::Event(Piece::End) => {
+                reply::Waited::Event(reader::Piece::End) => {
                     self.call.edge.links.keep(answered.link, told);
                     return flow::Event::Ended;
                 }
-                reply::Waited::Event(Piece::Bytes(bytes)) => scanner.push(&bytes),
-            }
-            while let Some(event) = scanner.next_event() {
-                if let Some(ended) = self.pass(server, &head, event).await {
-                    return ended;
-                }
+                reply::Waited::Event(reader::Piece::Event(event)) => event,
+            };
+            if let Some(ended) = self.pass(server, &head, event).await {
+                return ended;
             }
         }
     }
@@ -410,23 +402,3 @@
     Yes(flow::Event),
     No(Reason),
 }
-
-enum Piece {
-    Bytes(Bytes),
-    End,
-    Broken(String),
-}
-
-async fn next_bytes(body: &mut body::Incoming) -> Piece {
-    loop {
-        match body.frame().await {
-            None => return Piece::End,
-            Some(Err(err)) => return Piece::Broken(err.to_string()),
-            Some(Ok(frame)) => {
-                if let Ok(bytes) = frame.into_data() {
-                    return Piece::Bytes(bytes);
-                }
-            }
-        }
-    }
-}
--- a/crates/entry/src/plain.rs
+++ b/crates/entry/src/plain.rs
@@ -6,7 +6,7 @@
 use hyper::{HeaderMap, Method, Response, StatusCode, header};
 
 use rhubarb_core::{ids, list, outcome, pool};
-use rhubarb_node::{clock, reply};
+use rhubarb_node::{clock, hop, reply};
 use rhubarb_wire::{message, offer};
 
 use crate::{admit, completion, peer, placing, refuse};
@@ -16,20 +16,8 @@
 const RETRY_SOON: time::Duration = time::Duration::from_secs(1);
 const MAX_RETRIES: u32 = 2;
 
-/// Headers that belong to one connection (RFC 9110, section 7.6.1), and those of our own hop.
-const HOP_HEADERS: [&str; 11] = [
-    "connection",
-    "keep-alive",
-    "proxy-authenticate",
-    "proxy-authorization",
-    "proxy-connection",
-    "te",
-    "trailer",
-    "transfer-encoding",
-    "upgrade",
-    "host",
-    "authorization",
-];
+/// Headers that are for the entry itself.
+const OWN_HEADERS: [&str; 2] = ["host", "authorization"];
 
 /// A plain call that has been read.
 #[derive(Clone, Debug)]
@@ -167,7 +155,7 @@
             let name = header::HeaderName::from_bytes(copied.name.as_bytes());
             let value = header::HeaderValue::from_bytes(&copied.value);
             if let (Ok(name), Ok(value)) = (name, value)
-                && !is_hop(name.as_str(), &HeaderMap::new())
+                && is_end_to_end(name.as_str(), &HeaderMap::new())
             {
                 response.headers_mut().append(name, value);
             }
@@ -201,7 +189,7 @@
 
 /// Headers that go on to the backend server.
 fn end_to_end(headers: &HeaderMap) -> Vec<offer::Header> {
-    let kept = headers.iter().filter(|(name, _)| !is_hop(name.as_str(), headers));
+    let kept = headers.iter().filter(|(name, _)| is_end_to_end(name.as_str(), headers));
     let copied = kept.map(|(name, value)| offer::Header {
         name: name.as_str().to_string(),
         value: value.as_bytes().to_vec(),
@@ -209,10 +197,8 @@
     copied.collect()
 }
 
-fn is_hop(name: &str, headers: &HeaderMap) -> bool {
-    let named = headers.get_all(header::CONNECTION).iter().filter_map(|value| value.to_str().ok());
-    let mut named = named.flat_map(|value| value.split(','));
-    HOP_HEADERS.contains(&name) || named.any(|other| other.trim().eq_ignore_ascii_case(name))
+fn is_end_to_end(name: &str, headers: &HeaderMap) -> bool {
+    !hop::is_hop(name, headers) && !OWN_HEADERS.contains(&name)
 }
 
 /// Sets the id by which the caller can name the request.
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod command;
 pub mod control;
 pub mod editions;
+pub mod hop;
 pub mod instances;
 pub mod locks;
 pub mod logs;
--- a/crates/wire/src/share.rs
+++ b/crates/wire/src/share.rs
@@ -5,7 +5,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use rhubarb_core::{engines, ids, stages};
+use rhubarb_core::{engine, ids, stages};
 
 /// Most bytes of one datagram: what fits into one packet.
 pub const MAX_DATAGRAM: usize = 1_400;
@@ -50,7 +50,7 @@
 
 impl Given {
     /// Writes a commitment.
-    pub fn new(server: &str, commitment: &engines::Commitment) -> Given {
+    pub fn new(server: &str, commitment: &engine::Commitment) -> Given {
         Given {
             server: server.to_string(),
             tokens: commitment.tokens,
@@ -59,8 +59,8 @@
         }
     }
 
-    fn commitment(&self) -> engines::Commitment {
-        engines::Commitment {
+    fn commitment(&self) -> engine::Commitment {
+        engine::Commitment {
             tokens: self.tokens,
             runs: self.runs,
             prefill: time::Duration::from_millis(u64::from(self.prefill_ms)),
@@ -70,7 +70,7 @@
 
 impl Share {
     /// Commitments by engine.
-    pub fn commitments(&self) -> collections::BTreeMap<ids::ServerName, engines::Commitment> {
+    pub fn commitments(&self) -> collections::BTreeMap<ids::ServerName, engine::Commitment> {
         self.given.iter().map(|given| (given.server.clone(), given.commitment())).collect()
     }
 
