Leave out plain servers that fail far more often than the others

Cause: a server that failed half of its requests with good looks kept its share of them; requests that run at most once failed with it.

Ruled out: three failures in a row as the sign, since a seventh of the safe requests fail wherever they run.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -36,6 +36,7 @@
 pub mod parse;
 pub mod pool;
 pub mod queueing;
+pub mod record;
 pub mod repeat;
 pub mod rooms;
 pub mod routing;
--- a/crates/core/src/pool.rs
+++ b/crates/core/src/pool.rs
@@ -2,7 +2,7 @@
 
 use std::{collections, time};
 
-use crate::{ids, load, outcome};
+use crate::{ids, load, outcome, record};
 
 use outcome::Reason;
 
@@ -29,6 +29,8 @@
     pub ejected: Option<time::Instant>,
     /// Known to be leaving.
     pub leaving: bool,
+    /// Failures among its own answers.
+    pub record: record::Record,
 }
 
 /// How an entry judges servers.
@@ -76,6 +78,8 @@
 const MAX_DOUBLINGS: u32 = 3;
 const UNREACHABLE_FOR: time::Duration = time::Duration::from_secs(1);
 const EJECT_FOR: time::Duration = time::Duration::from_secs(5);
+/// Servers of a pool that may be left out for their failures, as a divisor.
+const MAX_OUT_DIVISOR: usize = 3;
 const STALE_AFTER: time::Duration = time::Duration::from_secs(5);
 // Scores are in thousandths of the server's rooms.
 const SCALE: u64 = 1000;
@@ -109,6 +113,7 @@
             ejections: 0,
             ejected: None,
             leaving: false,
+            record: record::Record::default(),
         };
         self.servers.entry(name.to_string()).or_insert_with(fresh).zone = zone.to_string();
     }
@@ -205,6 +210,30 @@
         }
     }
 
+    /// Notes whether a server's own answer was a failure.
+    ///
+    /// A server that fails far more often than the others is left out for a while, as long as
+    /// most of the others are not.
+    pub fn answered(&mut self, name: &str, has_failed: bool, now: time::Instant) {
+        let Some(server) = self.servers.get_mut(name) else { return };
+        server.record.note(has_failed);
+        let others: Vec<_> = self.servers.iter().filter(|(other, _)| *other != name).collect();
+        let records = others.iter().map(|(_, server)| &server.record);
+        let usual = record::median(records);
+        let is_out = |server: &Server| server.ejected.is_some_and(|until| now < until);
+        let out = others.iter().filter(|(_, server)| is_out(server)).count();
+        let growing = self.tuning.growing;
+        if out * MAX_OUT_DIVISOR >= self.servers.len() {
+            return;
+        }
+        if let (Some(server), Some(usual)) = (self.servers.get_mut(name), usual)
+            && server.record.is_outlier(usual)
+        {
+            server.record = record::Record::default();
+            server.eject(EJECT_FOR, growing, now);
+        }
+    }
+
     /// Chooses a server: the better of two random ones, or the prefix's preferred server.
     ///
     /// Ejected servers are used only when no other is left, and tried ones only after those;
--- a/crates/edge/src/plain.rs
+++ b/crates/edge/src/plain.rs
@@ -180,7 +180,11 @@
             Attempt::Gone => pool::End::Open,
         };
         let mut directory = self.call.edge.directory();
-        directory.service(&self.call.service).pool.ended(&target.id, end, clock::now());
+        let pool = &mut directory.service(&self.call.service).pool;
+        pool.ended(&target.id, end, clock::now());
+        if let Attempt::Whole(whole) = attempt {
+            pool.answered(&target.id, whole.head.status().is_server_error(), clock::now());
+        }
     }
 
     fn finish(&mut self, whole: Whole) {
