Let a stream that stands still go on unless another server can take over

Ruled out: the change of the config beside it; the log shows engine-silent with the repeat refused.

Change: memory elsewhere and the budget are taken first; without them the old stream goes on being waited for.

--- a/crates/e2e/tests/platform_streams.rs
+++ b/crates/e2e/tests/platform_streams.rs
@@ -110,3 +110,15 @@
     assert!(start.elapsed() < time::Duration::from_millis(500));
     Ok(())
 }
+
+// Found by a hunt: a stream that stood still was ended although no other server could go on.
+#[tokio::test]
+async fn pause_without_room() -> anyhow::Result<()> {
+    let sizes = standin::Sizes { decode: 1, ..standin::Sizes::default() };
+    let site = standin::Site::start(sizes).await?;
+    site.decode[0].set_fault(Fault::Pauses);
+    let reply = site.edges[0].call(Method::POST, standin::RESUMABLE, "a1", "body").await?;
+    assert_eq!((reply.status, reply.body), (200, Some(standin::whole_stream())));
+    assert_eq!(site.runs("a1"), 1);
+    Ok(())
+}
--- a/crates/edge/src/stream.rs
+++ b/crates/edge/src/stream.rs
@@ -21,6 +21,8 @@
     flow: flow::Flow,
     need: engine::Need,
     room: Option<room::Room>,
+    // Room elsewhere for a stream that is to be moved.
+    spare: Option<room::Room>,
     cache: Option<prefill::Cache>,
     // Servers at which the request may have run.
     runs: u32,
@@ -31,7 +33,8 @@
 
 /// Time from the end of a prefill to the first event: transfer, messages, one batch of steps.
 const FIRST_EVENT: time::Duration = time::Duration::from_millis(130);
-/// A stream that can go on elsewhere does so after a silence of this length.
+/// A stream that can go on elsewhere is offered to other servers after each silence of this
+/// length.
 const STALL: time::Duration = time::Duration::from_millis(1_500);
 /// A stream that broke off waits this long for room elsewhere.
 const RESUME_WAIT: time::Duration = time::Duration::from_millis(1_000);
@@ -51,6 +54,7 @@
             call,
             reply,
             room: None,
+            spare: None,
             cache: None,
             runs: 0,
             last_event,
@@ -117,6 +121,10 @@
     }
 
     async fn reserve(&mut self) -> flow::Event {
+        if let Some(room) = self.spare.take() {
+            self.room = Some(room);
+            return flow::Event::Reserved;
+        }
         let wait_by = self.wait_by();
         let tried = self.flow.tried().to_vec();
         let asked = room::ask(&self.call, &mut self.reply, self.need, &tried, wait_by).await;
@@ -308,7 +316,11 @@
                 reply::Waited::Expired if clock::now() >= self.call.deadline => {
                     return flow::Event::Expired;
                 }
-                reply::Waited::Expired => return self.broken(server, Reason::EngineSilent),
+                reply::Waited::Expired => match self.find_spare(server).await {
+                    Some(room) => return self.move_to(room, server),
+                    // A preempted run goes on later; its silence alone does not end the answer.
+                    None => continue,
+                },
                 reply::Waited::Event(reader::Piece::Broken(err)) => {
                     tracing::info!(id = self.call.id(), server, err, "edge: stream broke off");
                     return self.broken(server, Reason::LostContact);
@@ -325,6 +337,28 @@
         }
     }
 
+    // Room at another server for a stream that stands still, and the budget to go on there.
+    async fn find_spare(&mut self, server: &ids::ServerName) -> Option<room::Room> {
+        let may_run = self.runs + 1 < self.call.route.attempts;
+        if !may_run || self.flow.retries() >= flow::MAX_RETRIES {
+            return None;
+        }
+        let mut tried = self.flow.tried().to_vec();
+        tried.push(server.clone());
+        let (call, reply) = (&self.call, &mut self.reply);
+        let asked = room::ask(call, reply, self.need, &tried, clock::now()).await;
+        let room::Asked::Granted(room) = asked else { return None };
+        let is_other = room.target.id != *server;
+        (is_other && self.call.take_repeats(2, Reason::EngineSilent)).then_some(room)
+    }
+
+    fn move_to(&mut self, room: room::Room, server: &str) -> flow::Event {
+        self.spare = Some(room);
+        self.runs += 1;
+        let refusal = Refusal::unknown(Reason::EngineSilent, RETRY_SOON);
+        flow::Event::Failed { server: Some(server.to_string()), refusal, retry: true }
+    }
+
     fn silence_ends(&self) -> time::Instant {
         let is_resumable = self.call.route.kind == routing::Kind::Stream { resumable: true };
         let stall = clock::now() + STALL;
--- a/crates/fakes/src/backend.rs
+++ b/crates/fakes/src/backend.rs
@@ -73,6 +73,8 @@
     CutsStream,
     /// Goes silent after the second event.
     Stalls,
+    /// Stands still for a while after the second event, like a run that was preempted.
+    Pauses,
     /// Leaves an event out.
     SkipsEvent,
     /// Has no memory to set aside.
@@ -85,6 +87,8 @@
 pub const EVENTS: u64 = 6;
 /// Time between two events.
 const EVENT_PAUSE: time::Duration = time::Duration::from_millis(20);
+/// Pause of a preempted run.
+const LONG_PAUSE: time::Duration = time::Duration::from_millis(2_500);
 /// Longer than any time limit of a caller.
 const FOREVER: time::Duration = time::Duration::from_secs(600);
 
@@ -309,6 +313,10 @@
             Fault::Resets => return drop(sender.send(Err(io::Error::other("reset"))).await),
             Fault::CutsStream if number == 2 => event[..9].to_string(),
             Fault::Stalls if number == 2 => return tokio::time::sleep(FOREVER).await,
+            Fault::Pauses if number == 2 => {
+                tokio::time::sleep(LONG_PAUSE).await;
+                event
+            }
             Fault::SkipsEvent if number == 2 => continue,
             _ => event,
         };
