Discard what was not delivered of a request that is given up

Ruled out: a second driver of the request (its stream had ended whole 2.6 s earlier, and the log has no later line of it).

Change: connections to servers linger for no time, so closing one with bytes on their way resets it.

--- a/crates/e2e/tests/platform_plain.rs
+++ b/crates/e2e/tests/platform_plain.rs
@@ -86,3 +86,30 @@
     }
     Ok(())
 }
+
+// Found by a hunt: bytes of a request that was given up behind a cut arrived after it had healed.
+#[tokio::test]
+async fn given_up_discarded() -> anyhow::Result<()> {
+    let site = standin::Site::start(standin::Sizes::default()).await?;
+    let mute = tokio::net::TcpListener::bind("127.0.0.1:0").await?;
+    let text = site.store.get("servers", "i-plain-0").unwrap();
+    let mut entry: serde_json::Value = serde_json::from_slice(&text)?;
+    entry["address"] = serde_json::json!(mute.local_addr()?);
+    site.store.remove("servers", "i-plain-1");
+    site.store.remove("servers", "i-plain-0");
+    site.store.put("servers", "i-mute", entry.to_string());
+    tokio::time::sleep(time::Duration::from_millis(300)).await;
+    let call = site.edges[0].call(Method::POST, standin::UNSAFE, "a1", "body");
+    let silent = async {
+        let (mut stream, _) = mute.accept().await?;
+        let mut bytes = Vec::new();
+        tokio::io::AsyncReadExt::read_to_end(&mut stream, &mut bytes).await?;
+        // The end is followed by a reset; after an orderly close the first write is accepted.
+        tokio::time::sleep(time::Duration::from_millis(100)).await;
+        tokio::io::AsyncWriteExt::write_all(&mut stream, b"late").await
+    };
+    let (reply, ended) = tokio::join!(call, silent);
+    assert_eq!(reply?.status, 504);
+    assert!(ended.is_err(), "the connection was not reset");
+    Ok(())
+}
--- a/crates/edge/src/links.rs
+++ b/crates/edge/src/links.rs
@@ -155,6 +155,8 @@
     let connecting = tokio::time::timeout(CONNECT_LIMIT, tcp::TcpStream::connect(address));
     let stream = connecting.await.map_err(|_| io::Error::other("connecting took too long"))??;
     set_options(&stream)?;
+    // A request that is given up must not arrive once a cut has healed: closing discards it.
+    socket2::SockRef::from(&stream).set_linger(Some(time::Duration::ZERO))?;
     let (sender, connection) =
         http1::handshake(rt::TokioIo::new(stream)).await.map_err(io::Error::other)?;
     tokio::spawn(async move {
