Drive every request by one loop and one retry rule

Cause: four loops (entry and edge, model and plain) each kept tried servers, runs and retries of their own, and the rule on what may be sent again stood in six places: core::flow, core::repeat, completion, entry::plain, edge::stream and edge::plain. Two of them took a retry from the budget before asking whether the attempt was allowed at all.

A plain call is a path without stages. Replays are a step, and a release names its reason, so that the entry needs no special cases. Reason::is_passing replaces the list in the entry, and RETRY_SOON stands once instead of fifteen times.

Ruled out: a trait for requests (the house style takes closures), and a second flow for plain calls (it would hold the same rule).

Behaviour: a keyed request whose attempt may have run no longer takes a retry from the budget that it cannot use; a plain call whose caller leaves no longer counts as a success of its server.

--- a/crates/agent/src/decode.rs
+++ b/crates/agent/src/decode.rs
@@ -12,9 +12,8 @@
 
 use crate::{agent, engine, jobs, output};
 
-use outcome::{Reason, Refusal};
+use outcome::{RETRY_SOON, Reason, Refusal};
 
-const RETRY_SOON: time::Duration = time::Duration::from_secs(1);
 const STALL: time::Duration = time::Duration::from_secs(2);
 const START_LIMIT: time::Duration = time::Duration::from_secs(5);
 const STATUS_OK: u16 = 200;
--- a/crates/agent/src/jobs.rs
+++ b/crates/agent/src/jobs.rs
@@ -10,7 +10,7 @@
 
 use crate::{agent, decode, engine, output, plain, prefill};
 
-use outcome::{Reason, Refusal};
+use outcome::{RETRY_SOON, Reason, Refusal};
 
 /// Frames on their way to an entry.
 pub(crate) type Sender = mpsc::Sender<message::Notice>;
@@ -80,8 +80,6 @@
     Ignore,
 }
 
-const RETRY_SOON: time::Duration = time::Duration::from_secs(1);
-
 // A plain call with a key is left to end, since nothing tells how much of it was done.
 fn write_offer(agent: &Shared, job: &Job) -> gate::Offer {
     let (key, start_by_ms, cancellable) = match job {
--- a/crates/agent/src/plain.rs
+++ b/crates/agent/src/plain.rs
@@ -12,9 +12,7 @@
 
 use crate::{agent, engine, jobs, output};
 
-use outcome::{Reason, Refusal};
-
-const RETRY_SOON: time::Duration = time::Duration::from_secs(1);
+use outcome::{RETRY_SOON, Reason, Refusal};
 
 /// Header with the agent's fencing number.
 const FENCE: &str = "rhubarb-fence";
--- a/crates/agent/src/prefill.rs
+++ b/crates/agent/src/prefill.rs
@@ -12,9 +12,7 @@
 
 use crate::{agent, engine, jobs};
 
-use outcome::{Reason, Refusal};
-
-const RETRY_SOON: time::Duration = time::Duration::from_secs(1);
+use outcome::{RETRY_SOON, Reason, Refusal};
 
 #[derive(Deserialize)]
 struct Reply {
--- a/crates/bench/src/request.rs
+++ b/crates/bench/src/request.rs
@@ -41,6 +41,8 @@
 pub(crate) const MEAN_PROMPT: f64 = 3071.0;
 /// Mean of the log-uniform spread of outputs.
 pub(crate) const MEAN_OUTPUT: f64 = 78.2;
+/// Longest time of a request, as the service list sets it unless given.
+const DEADLINE: time::Duration = time::Duration::from_secs(60);
 const LEAVE_SHARE: f64 = 0.3;
 const LEAVE_WITHIN: f64 = 3.0;
 
@@ -62,7 +64,7 @@
         share: fair::Share::Within,
         arrived,
         leaves: leaves.then(|| arrived + after),
-        flow: flow::Flow::new(false),
+        flow: flow::Flow::new(flow::Path::Staged, flow::Rules::model(false, arrived + DEADLINE)),
         attempt: 0,
         decode: None,
         prefill: None,
--- a/crates/bench/src/world.rs
+++ b/crates/bench/src/world.rs
@@ -9,7 +9,7 @@
 use event::{Event, LoadKey, Tag};
 use server::{Entry, Server, least_reported, make_pool};
 
-use outcome::{Reason, Refusal};
+use outcome::{RETRY_SOON, Reason, Refusal};
 
 const REPORT_PERIOD: time::Duration = time::Duration::from_secs(1);
 const LATE_BY: time::Duration = time::Duration::from_secs(3);
@@ -23,7 +23,6 @@
 const FAULT_TIME: time::Duration = time::Duration::from_secs(10);
 /// Time after the last arrival in which requests may end.
 const TAIL: time::Duration = time::Duration::from_secs(40);
-const RETRY_SOON: time::Duration = time::Duration::from_secs(1);
 
 struct World<'a> {
     run: &'a frame::Run,
@@ -196,9 +195,11 @@
         match step {
             flow::Step::Reserve => self.reserve(number),
             flow::Step::Prefill => self.start_prefill(number),
-            flow::Step::Decode => self.start_decode(number),
-            flow::Step::Release => self.release(number),
+            flow::Step::Send => self.start_decode(number),
+            flow::Step::Release(_) => self.release(number),
             flow::Step::Finish => self.finish(number),
+            // No request here has an idempotency key.
+            flow::Step::Replay => {}
             flow::Step::Refuse(refusal) => self.close_refused(number, refusal),
         }
     }
@@ -316,7 +317,7 @@
         } else {
             Refusal::not_run(reason, RETRY_SOON)
         };
-        let is_left = request.flow.retries() < flow::MAX_RETRIES;
+        let is_left = request.flow.may_retry(server.as_ref(), &refusal, self.now);
         let entry = request.entry;
         let retry = is_left && self.entries[entry].budget.take(reason);
         self.requests[tag.request].refusal = Some(refusal);
--- a/crates/core/src/gate.rs
+++ b/crates/core/src/gate.rs
@@ -4,7 +4,7 @@
 
 use crate::{handover, ids, outcome, trust};
 
-use outcome::{Reason, Refusal};
+use outcome::{RETRY_SOON, Reason, Refusal};
 
 /// Limits of a gate.
 #[derive(Clone, Copy, Debug)]
@@ -106,8 +106,6 @@
     leaving: bool,
 }
 
-const RETRY_SOON: time::Duration = time::Duration::from_secs(1);
-
 impl Gate {
     /// Opens a gate whose memory starts at `now`: unknown keys are held back for the window.
     pub fn new(server: ids::ServerName, limits: Limits, now: time::Instant) -> Gate {
--- a/crates/core/src/outcome.rs
+++ b/crates/core/src/outcome.rs
@@ -4,6 +4,10 @@
 
 use serde::{Deserialize, Serialize};
 
+/// Time after which a caller may try again when nothing better is known: a server that restarts
+/// or a list that is late is back in about that time.
+pub const RETRY_SOON: time::Duration = time::Duration::from_secs(1);
+
 /// What is known about whether a request ran.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub enum Outcome {
@@ -127,6 +131,23 @@
         self.entry().1
     }
 
+    /// Whether another server may do better.
+    pub fn is_passing(self) -> bool {
+        matches!(
+            self,
+            Reason::NoRoom
+                | Reason::Leaving
+                | Reason::NoServer
+                | Reason::EngineFailed
+                | Reason::EngineSilent
+                | Reason::LostContact
+                | Reason::Evicted
+                | Reason::Withdrawn
+                | Reason::NotLoaded
+                | Reason::NoList
+        )
+    }
+
     fn entry(self) -> (&'static str, &'static str) {
         match self {
             Reason::BadRequest => ("bad-request", "correct the request as the message says"),
--- a/crates/core/src/trust.rs
+++ b/crates/core/src/trust.rs
@@ -4,9 +4,7 @@
 
 use crate::{home, ids, outcome};
 
-use outcome::{Reason, Refusal};
-
-const RETRY_SOON: time::Duration = time::Duration::from_secs(1);
+use outcome::{RETRY_SOON, Reason, Refusal};
 
 /// What one server knows of its own past and of the other servers of its service.
 #[derive(Clone, Debug)]
--- a/crates/edge/src/call.rs
+++ b/crates/edge/src/call.rs
@@ -5,7 +5,7 @@
 use bytes::Bytes;
 use hyper::header;
 
-use rhubarb_core::{ids, outcome, routing};
+use rhubarb_core::{flow, ids, outcome, routing};
 use rhubarb_node::{clock, metrics};
 use rhubarb_platform::request;
 
@@ -36,6 +36,12 @@
         self.deadline.saturating_duration_since(clock::now())
     }
 
+    /// What the request may cost, with at most `retries` attempts after the first.
+    pub(crate) fn rules(&self, retries: u32) -> flow::Rules {
+        let routing::Route { kind, attempts, .. } = self.route;
+        flow::Rules { kind, attempts, retries, deadline: self.deadline }
+    }
+
     /// Time since the request arrived, in milliseconds.
     pub(crate) fn age_ms(&self) -> u64 {
         (clock::now() - self.arrived).as_millis() as u64
--- a/crates/edge/src/plain.rs
+++ b/crates/edge/src/plain.rs
@@ -5,32 +5,28 @@
 use bytes::Bytes;
 use hyper::Response;
 
-use rhubarb_core::{ids, outcome, pool, repeat};
+use rhubarb_core::{flow, ids, outcome, pool};
 use rhubarb_node::{answer, clock, reply};
 use rhubarb_platform::{answer as forms, request};
 
-use outcome::{Outcome, Reason, Refusal};
+use outcome::{Outcome, RETRY_SOON, Reason, Refusal};
 
 use crate::{call, directory, exchange, links, refuse};
 
-/// Time after which a caller may try again when no server can take its request.
-const RETRY_SOON: time::Duration = time::Duration::from_secs(1);
 /// A repeatable request goes to another server after this multiple of its target.
 const PATIENCE: f64 = 1.5;
-/// Most sends of one request, whatever came of them.
-const MAX_SENDS: usize = 3;
+/// Most sends of one request after the first, whatever came of them.
+const MAX_RETRIES: u32 = 2;
 
 /// One plain request on its way.
 #[derive(Debug)]
 pub(crate) struct Plain {
     call: call::Call,
     reply: reply::Reply,
-    tried: Vec<ids::ServerName>,
-    // Servers at which the request may have run.
-    runs: u32,
-    unsure: bool,
+    flow: flow::Flow,
     // A server's own failure, which is the answer if nothing better comes.
     failure: Option<Whole>,
+    answer: Option<Whole>,
 }
 
 #[derive(Debug)]
@@ -48,66 +44,71 @@
 
 impl Plain {
     pub(crate) fn new(call: call::Call, reply: reply::Reply) -> Plain {
-        Plain { call, reply, tried: Vec::new(), runs: 0, unsure: false, failure: None }
+        let flow = flow::Flow::new(flow::Path::Direct, call.rules(MAX_RETRIES));
+        Plain { call, reply, flow, failure: None, answer: None }
     }
 
     /// Runs the call to its one outcome.
     pub(crate) async fn drive(mut self) {
-        loop {
-            let target = match self.choose() {
-                directory::Choice::Server(target) => target,
-                directory::Choice::Late => {
-                    return self.give_up(Refusal::not_run(Reason::NoRoom, RETRY_SOON));
-                }
-                directory::Choice::None => {
-                    return self.give_up(Refusal::not_run(Reason::NoServer, RETRY_SOON));
-                }
-            };
-            let attempt = self.attempt(&target).await;
-            self.judge(&target, &attempt);
-            self.tried.push(target.id.clone());
-            let refusal = match attempt {
-                Attempt::Gone => return self.note_gone(),
-                Attempt::Whole(whole) if !whole.head.status().is_server_error() => {
-                    return self.finish(whole);
-                }
-                Attempt::Whole(whole) => {
-                    self.failure = Some(whole);
-                    Refusal::unknown(Reason::EngineFailed, RETRY_SOON)
+        let take = async |request: &mut Plain, step| request.take_step(step).await;
+        flow::drive(&mut self, |request| &mut request.flow, take).await;
+    }
+
+    async fn take_step(&mut self, step: flow::Step) -> Option<flow::Event> {
+        match step {
+            flow::Step::Send => return Some(self.send().await),
+            flow::Step::Finish => {
+                if let Some(answer) = self.answer.take() {
+                    self.finish(answer);
                 }
-                Attempt::Failed(refusal) => refusal,
-            };
-            if refusal.outcome != Outcome::NotRun {
-                self.unsure = true;
-                self.runs += 1;
-            }
-            if !self.may_repeat(&refusal) {
-                return self.give_up(refusal);
             }
+            flow::Step::Refuse(refusal) => self.refuse(refusal),
+            // A plain call holds nothing and has no stages.
+            flow::Step::Release(_)
+            | flow::Step::Reserve
+            | flow::Step::Prefill
+            | flow::Step::Replay => {}
         }
+        None
     }
 
-    fn choose(&self) -> directory::Choice {
-        let call = &self.call;
-        let mut directory = call.edge.directory();
-        directory.pick(&call.service, call.route.target, &self.tried, clock::now())
+    async fn send(&mut self) -> flow::Event {
+        let target = match self.choose() {
+            directory::Choice::Server(target) => target,
+            directory::Choice::Late => return no_server(Reason::NoRoom),
+            directory::Choice::None => return no_server(Reason::NoServer),
+        };
+        let attempt = self.attempt(&target).await;
+        self.judge(&target, &attempt);
+        let refusal = match attempt {
+            Attempt::Gone => return flow::Event::CallerGone,
+            Attempt::Whole(whole) if !whole.head.status().is_server_error() => {
+                self.answer = Some(whole);
+                return flow::Event::Ended;
+            }
+            Attempt::Whole(whole) => {
+                self.failure = Some(whole);
+                Refusal::unknown(Reason::EngineFailed, RETRY_SOON)
+            }
+            Attempt::Failed(refusal) => refusal,
+        };
+        let server = Some(target.id);
+        let retry = self.flow.may_retry(server.as_ref(), &refusal, clock::now())
+            // What was not written reached no server, so it costs no budget.
+            && (refusal.reason == Reason::NoServer || self.call.take_repeats(1, refusal.reason));
+        flow::Event::Failed { server, refusal, retry }
     }
 
-    fn may_repeat(&self, refusal: &Refusal) -> bool {
+    fn choose(&self) -> directory::Choice {
         let call = &self.call;
-        repeat::is_allowed(call.route.kind, refusal.outcome)
-            && self.runs < call.route.attempts
-            && self.tried.len() < MAX_SENDS
-            && clock::now() < call.deadline
-            // What was not written reached no server, so it costs no budget.
-            && (refusal.reason == Reason::NoServer || call.take_repeats(1, refusal.reason))
+        let mut directory = call.edge.directory();
+        directory.pick(&call.service, call.route.target, self.flow.tried(), clock::now())
     }
 
     // How long this attempt may take; one that can be repeated leaves time for another server.
     fn attempt_deadline(&self) -> time::Instant {
         let call = &self.call;
-        let is_last = self.runs + 1 >= call.route.attempts || self.tried.len() + 1 >= MAX_SENDS;
-        if !call.route.kind.is_repeatable() || is_last {
+        if self.flow.is_last_run() {
             return call.deadline;
         }
         call.deadline.min(clock::now() + call.route.target.mul_f64(PATIENCE))
@@ -196,7 +197,7 @@
             route = call.route.name,
             config = call.version,
             server = whole.server,
-            sends = self.tried.len(),
+            sends = self.flow.retries() + 1,
             status = whole.head.status().as_u16(),
             age_ms = call.age_ms(),
             "edge: answered"
@@ -204,17 +205,19 @@
         self.reply.answer(whole.head.map(|()| answer::full(whole.body)));
     }
 
-    fn give_up(&mut self, refusal: Refusal) {
+    fn refuse(&mut self, refusal: Refusal) {
+        if refusal.outcome == Outcome::Cancelled {
+            return refuse::note(&self.call, refusal);
+        }
         if let Some(failure) = self.failure.take() {
             return self.finish(failure);
         }
-        let outcome = if self.unsure { Outcome::Unknown } else { refusal.outcome };
-        let response = refuse::late(&self.call, Refusal { outcome, ..refusal });
-        self.reply.answer(response);
+        self.reply.answer(refuse::late(&self.call, refusal));
     }
+}
 
-    fn note_gone(&self) {
-        let outcome = Outcome::Cancelled;
-        refuse::note(&self.call, Refusal { reason: Reason::CallerGone, outcome, retry: None });
-    }
+// Without a server there is nothing to try again.
+fn no_server(reason: Reason) -> flow::Event {
+    let refusal = Refusal::not_run(reason, RETRY_SOON);
+    flow::Event::Failed { server: None, refusal, retry: false }
 }
--- a/crates/edge/src/prefill.rs
+++ b/crates/edge/src/prefill.rs
@@ -6,7 +6,7 @@
 use rhubarb_node::{clock, metrics, reply};
 use rhubarb_platform::{answer as forms, engine, request};
 
-use outcome::{Reason, Refusal};
+use outcome::{RETRY_SOON, Reason, Refusal};
 
 use crate::{call, cleanup, directory, edge, exchange, links};
 
@@ -76,7 +76,6 @@
 const SLACK: time::Duration = time::Duration::from_millis(700);
 /// Servers that may turn out to be out of reach before a prompt is given up.
 const MAX_UNSENT: usize = 4;
-const RETRY_SOON: time::Duration = time::Duration::from_secs(1);
 
 /// Has the prompt read, near `zone` if that is as fast.
 pub(crate) async fn read(
--- a/crates/edge/src/stream.rs
+++ b/crates/edge/src/stream.rs
@@ -5,11 +5,11 @@
 use bytes::Bytes;
 use hyper::Response;
 
-use rhubarb_core::{engine, engines, events, flow, ids, outcome, pool, repeat, routing};
+use rhubarb_core::{engine, engines, events, flow, ids, outcome, pool, routing};
 use rhubarb_node::{answer, clock, reply};
 use rhubarb_platform::{answer as forms, request};
 
-use outcome::{Outcome, Reason, Refusal};
+use outcome::{Outcome, RETRY_SOON, Reason, Refusal};
 
 use crate::{call, directory, exchange, links, prefill, reader, refuse, room};
 
@@ -24,8 +24,6 @@
     // Room elsewhere for a stream that is to be moved.
     spare: Option<room::Room>,
     cache: Option<prefill::Cache>,
-    // Servers at which the request may have run.
-    runs: u32,
     last_event: Option<u64>,
     events: u64,
     first_at: Option<time::Instant>,
@@ -40,23 +38,20 @@
 const RESUME_WAIT: time::Duration = time::Duration::from_millis(1_000);
 /// Events after which the growth of a run is noted again: a few in a hundred of its memory.
 const PROGRESS_EVENTS: u64 = 8;
-const RETRY_SOON: time::Duration = time::Duration::from_secs(1);
 /// Need of a request that does not tell its size.
 const UNKNOWN_NEED: engine::Need = engine::Need { prompt: 1_000, output: 500 };
 
 impl Streaming {
     pub(crate) fn new(call: call::Call, reply: reply::Reply) -> Streaming {
-        let is_once = !call.route.kind.is_repeatable();
         let last_event = call.head.last_event;
         Streaming {
             need: call.head.need.unwrap_or(UNKNOWN_NEED),
-            flow: flow::Flow::new(is_once),
+            flow: flow::Flow::new(flow::Path::Staged, call.rules(flow::MAX_RETRIES)),
             call,
             reply,
             room: None,
             spare: None,
             cache: None,
-            runs: 0,
             last_event,
             events: 0,
             first_at: None,
@@ -65,38 +60,30 @@
 
     /// Runs the request to its one outcome.
     pub(crate) async fn drive(mut self) {
-        self.flow.handle(&flow::Event::Begin);
-        while let Some(step) = self.flow.next_step() {
-            let event = match step {
-                flow::Step::Reserve => self.reserve().await,
-                flow::Step::Prefill => self.prefill().await,
-                flow::Step::Decode => self.decode().await,
-                flow::Step::Release => {
-                    self.room = None;
-                    self.cache = None;
-                    continue;
-                }
-                flow::Step::Finish => {
-                    self.finish();
-                    continue;
-                }
-                flow::Step::Refuse(refusal) => {
-                    self.refuse(refusal).await;
-                    continue;
-                }
-            };
-            self.flow.handle(&event);
+        let take = async |request: &mut Streaming, step| request.take_step(step).await;
+        flow::drive(&mut self, |request| &mut request.flow, take).await;
+    }
+
+    async fn take_step(&mut self, step: flow::Step) -> Option<flow::Event> {
+        match step {
+            flow::Step::Reserve => return Some(self.reserve().await),
+            flow::Step::Prefill => return Some(self.prefill().await),
+            flow::Step::Send => return Some(self.decode().await),
+            flow::Step::Release(_) => {
+                self.room = None;
+                self.cache = None;
+            }
+            flow::Step::Finish => self.finish(),
+            flow::Step::Refuse(refusal) => self.refuse(refusal).await,
+            // No server of the platform keeps answers.
+            flow::Step::Replay => {}
         }
+        None
     }
 
     fn failed(&self, server: Option<ids::ServerName>, refusal: Refusal) -> flow::Event {
-        let call = &self.call;
-        let retry = server.is_some()
-            && clock::now() < call.deadline
-            && repeat::is_allowed(call.route.kind, refusal.outcome)
-            && self.runs < call.route.attempts
-            && self.flow.retries() < flow::MAX_RETRIES
-            && call.take_repeats(self.repeat_sends(), refusal.reason);
+        let retry = self.flow.may_retry(server.as_ref(), &refusal, clock::now())
+            && self.call.take_repeats(self.repeat_sends(), refusal.reason);
         flow::Event::Failed { server, refusal, retry }
     }
 
@@ -232,8 +219,7 @@
         })
     }
 
-    fn broken(&mut self, server: &str, reason: Reason) -> flow::Event {
-        self.runs += 1;
+    fn broken(&self, server: &str, reason: Reason) -> flow::Event {
         self.failed(Some(server.to_string()), Refusal::unknown(reason, RETRY_SOON))
     }
 
@@ -339,8 +325,7 @@
 
     // Room at another server for a stream that stands still, and the budget to go on there.
     async fn find_spare(&mut self, server: &ids::ServerName) -> Option<room::Room> {
-        let may_run = self.runs + 1 < self.call.route.attempts;
-        if !may_run || self.flow.retries() >= flow::MAX_RETRIES {
+        if self.flow.is_last_run() {
             return None;
         }
         let mut tried = self.flow.tried().to_vec();
@@ -354,7 +339,6 @@
 
     fn move_to(&mut self, room: room::Room, server: &str) -> flow::Event {
         self.spare = Some(room);
-        self.runs += 1;
         let refusal = Refusal::unknown(Reason::EngineSilent, RETRY_SOON);
         flow::Event::Failed { server: Some(server.to_string()), refusal, retry: true }
     }
--- a/crates/entry/src/admit.rs
+++ b/crates/entry/src/admit.rs
@@ -9,9 +9,8 @@
 
 use crate::{entry, refuse};
 
-use outcome::{Outcome, Reason, Refusal};
+use outcome::{Outcome, RETRY_SOON, Reason, Refusal};
 
-const RETRY_SOON: time::Duration = time::Duration::from_secs(1);
 const LEAVING_RETRY: time::Duration = time::Duration::from_millis(200);
 const MAX_KEY_BYTES: usize = 255;
 
--- a/crates/entry/src/api.rs
+++ b/crates/entry/src/api.rs
@@ -7,14 +7,13 @@
 use rhubarb_core::{list, outcome};
 use rhubarb_node::{answer, clock, control, reply};
 
-use crate::{admit, completion, entry, openai, plain, refuse, teller};
+use crate::{admit, completion, entry, openai, plain, refuse, tag, teller};
 
 use outcome::{Reason, Refusal};
 
 type Shared = sync::Arc<entry::Entry>;
 type Reply = Response<answer::Body>;
 
-const REQUEST_ID: &str = "x-request-id";
 /// Longest time to read the body of a request.
 const BODY_TIME: std::time::Duration = std::time::Duration::from_secs(30);
 
@@ -38,7 +37,7 @@
             refuse::answer(refusal, detail.as_deref())
         }
     };
-    plain::insert_id(response.headers_mut(), &id);
+    tag::insert(response.headers_mut(), &id);
     response
 }
 
@@ -154,7 +153,7 @@
 }
 
 fn request_id(head: &http::request::Parts) -> String {
-    let given = head.headers.get(REQUEST_ID).and_then(|id| id.to_str().ok());
+    let given = head.headers.get(tag::REQUEST_ID).and_then(|id| id.to_str().ok());
     let is_sound = |id: &&str| !id.is_empty() && id.len() <= 128;
     given
         .filter(is_sound)
--- a/crates/entry/src/completion.rs
+++ b/crates/entry/src/completion.rs
@@ -10,9 +10,7 @@
 
 use crate::{admit, openai, peer, placing, refuse, teller};
 
-use outcome::{Outcome, Reason, Refusal};
-
-const RETRY_SOON: time::Duration = time::Duration::from_secs(1);
+use outcome::{Outcome, RETRY_SOON, Reason, Refusal};
 
 /// One model request on its way.
 #[derive(Debug)]
@@ -31,7 +29,6 @@
     prompt_tokens: u64,
     first_at: Option<time::Instant>,
     last_at: Option<time::Instant>,
-    failure: Option<Reason>,
 }
 
 /// What a service wants of its answers.
@@ -73,7 +70,8 @@
         request: openai::Request,
         teller: teller::Teller,
     ) -> Completion {
-        let flow = flow::Flow::new(ticket.key.is_some());
+        let rules = flow::Rules::model(ticket.key.is_some(), ticket.deadline);
+        let flow = flow::Flow::new(flow::Path::Staged, rules);
         Completion {
             ticket,
             targets,
@@ -88,39 +86,26 @@
             prompt_tokens: 0,
             first_at: None,
             last_at: None,
-            failure: None,
         }
     }
 
     /// Runs the request to its one outcome.
     pub(crate) async fn drive(mut self) {
-        self.flow.handle(&flow::Event::Begin);
-        while let Some(step) = self.flow.next_step() {
-            let event = match step {
-                flow::Step::Reserve => self.reserve().await,
-                flow::Step::Prefill => self.prefill().await,
-                flow::Step::Decode => self.decode().await,
-                flow::Step::Release => {
-                    self.release(self.failure);
-                    continue;
-                }
-                flow::Step::Finish => {
-                    self.finish().await;
-                    continue;
-                }
-                flow::Step::Refuse(refusal) => {
-                    self.refuse(refusal).await;
-                    continue;
-                }
-            };
-            self.failure = reason_of(&event);
-            self.flow.handle(&event);
-            if matches!(event, flow::Event::Replayed) {
-                let event = self.stream().await;
-                self.failure = reason_of(&event);
-                self.flow.handle(&event);
-            }
+        let take = async |request: &mut Completion, step| request.take_step(step).await;
+        flow::drive(&mut self, |request| &mut request.flow, take).await;
+    }
+
+    async fn take_step(&mut self, step: flow::Step) -> Option<flow::Event> {
+        match step {
+            flow::Step::Reserve => return Some(self.reserve().await),
+            flow::Step::Prefill => return Some(self.prefill().await),
+            flow::Step::Send => return Some(self.decode().await),
+            flow::Step::Replay => return Some(self.stream().await),
+            flow::Step::Release(reason) => self.release(Some(reason)),
+            flow::Step::Finish => self.finish().await,
+            flow::Step::Refuse(refusal) => self.refuse(refusal).await,
         }
+        None
     }
 
     // A server that cannot be reached did not get the request; with a key, an earlier copy may
@@ -132,11 +117,7 @@
 
     fn failed(&self, server: Option<ids::ServerName>, refusal: Refusal) -> flow::Event {
         let ticket = &self.ticket;
-        // Without any server another attempt is of no use now.
-        let is_useful =
-            server.is_some() && clock::now() < ticket.deadline && is_retryable(refusal.reason);
-        let retry = is_useful
-            && self.flow.retries() < flow::MAX_RETRIES
+        let retry = self.flow.may_retry(server.as_ref(), &refusal, clock::now())
             && ticket.entry.take_retry(&ticket.service.name, &ticket.caller, refusal.reason);
         flow::Event::Failed { server, refusal, retry }
     }
@@ -386,23 +367,6 @@
     }
 }
 
-/// Whether another attempt may go better.
-pub(crate) fn is_retryable(reason: Reason) -> bool {
-    matches!(
-        reason,
-        Reason::NoRoom
-            | Reason::Leaving
-            | Reason::NoServer
-            | Reason::EngineFailed
-            | Reason::EngineSilent
-            | Reason::LostContact
-            | Reason::Evicted
-            | Reason::Withdrawn
-            | Reason::NotLoaded
-            | Reason::NoList
-    )
-}
-
 fn reason_of(event: &flow::Event) -> Option<Reason> {
     match event {
         flow::Event::Failed { refusal, .. } => Some(refusal.reason),
--- a/crates/entry/src/keeper.rs
+++ b/crates/entry/src/keeper.rs
@@ -10,13 +10,12 @@
 
 use crate::{dial, entry, link, lists, peer};
 
-use outcome::{Reason, Refusal};
+use outcome::{RETRY_SOON, Reason, Refusal};
 
 const TICK: time::Duration = time::Duration::from_millis(100);
 /// A probe that is not answered in this time breaks the link.
 const PROBE: time::Duration = time::Duration::from_millis(300);
 const BACKOFF: time::Duration = time::Duration::from_millis(100);
-const RETRY_SOON: time::Duration = time::Duration::from_secs(1);
 
 #[derive(Debug)]
 struct Open {
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -26,6 +26,7 @@
 mod plain;
 mod refuse;
 mod run;
+mod tag;
 mod teller;
 mod view;
 
--- a/crates/entry/src/peer.rs
+++ b/crates/entry/src/peer.rs
@@ -10,7 +10,7 @@
 
 use crate::{dial, entry, keeper};
 
-use outcome::{Reason, Refusal};
+use outcome::{RETRY_SOON, Reason, Refusal};
 
 /// What a run gets from its agent.
 #[derive(Clone, Debug)]
@@ -94,7 +94,6 @@
 
 /// A link on which the agent was heard in this time is used without a probe.
 const FRESH: time::Duration = time::Duration::from_secs(2);
-const RETRY_SOON: time::Duration = time::Duration::from_secs(1);
 // An answer is limited in bytes at the agent, so this many pieces are bounded too.
 const EVENTS: usize = 8192;
 
--- a/crates/entry/src/plain.rs
+++ b/crates/entry/src/plain.rs
@@ -5,15 +5,14 @@
 use bytes::Bytes;
 use hyper::{HeaderMap, Method, Response, StatusCode, header};
 
-use rhubarb_core::{ids, list, outcome, pool};
+use rhubarb_core::{flow, ids, list, outcome, pool, routing};
 use rhubarb_node::{clock, hop, reply};
 use rhubarb_wire::{message, offer};
 
-use crate::{admit, completion, peer, placing, refuse};
+use crate::{admit, peer, placing, refuse, tag};
 
-use outcome::{Outcome, Reason, Refusal};
+use outcome::{Outcome, RETRY_SOON, Reason, Refusal};
 
-const RETRY_SOON: time::Duration = time::Duration::from_secs(1);
 const MAX_RETRIES: u32 = 2;
 
 /// Headers that are for the entry itself.
@@ -36,14 +35,7 @@
     target: time::Duration,
     call: Call,
     reply: reply::Reply,
-    tried: Vec<ids::ServerName>,
-    retries: u32,
-    unsure: bool,
-}
-
-enum Step {
-    Done,
-    Failed(Option<ids::ServerName>, Refusal),
+    flow: flow::Flow,
 }
 
 impl Plain {
@@ -53,61 +45,65 @@
         call: Call,
         reply: reply::Reply,
     ) -> Plain {
-        Plain { ticket, target, call, reply, tried: Vec::new(), retries: 0, unsure: false }
+        let flow = flow::Flow::new(flow::Path::Direct, rules(&ticket, &call.method));
+        Plain { ticket, target, call, reply, flow }
     }
 
     /// Runs the call to its one outcome.
     pub(crate) async fn drive(mut self) {
-        loop {
-            let Step::Failed(server, refusal) = self.attempt().await else { return };
-            tracing::debug!("entry: attempt at {server:?} failed: {refusal}");
-            self.unsure |= refusal.outcome != Outcome::NotRun;
-            // Without any server another attempt is of no use now.
-            if server.is_none() || !self.may_retry(&refusal) {
-                return self.refuse(refusal).await;
+        let take = async |request: &mut Plain, step| request.take_step(step).await;
+        flow::drive(&mut self, |request| &mut request.flow, take).await;
+    }
+
+    async fn take_step(&mut self, step: flow::Step) -> Option<flow::Event> {
+        match step {
+            flow::Step::Send => return Some(self.attempt().await),
+            flow::Step::Finish => {
+                self.count_answer();
+                self.ticket.close(Outcome::Answered, None);
             }
-            self.retries += 1;
-            self.tried.extend(server);
+            flow::Step::Refuse(refusal) => self.refuse(refusal).await,
+            // A plain call holds nothing and has no stages.
+            flow::Step::Release(_)
+            | flow::Step::Reserve
+            | flow::Step::Prefill
+            | flow::Step::Replay => {}
         }
+        None
     }
 
-    // What may have run is repeated only if repeating it has no effect.
-    fn may_retry(&self, refusal: &Refusal) -> bool {
+    fn failed(&self, server: Option<ids::ServerName>, refusal: Refusal) -> flow::Event {
         let ticket = &self.ticket;
-        let is_safe = refusal.outcome == Outcome::NotRun
-            || (ticket.key.is_none() && self.call.method.is_idempotent());
-        let is_useful = completion::is_retryable(refusal.reason)
-            && !self.reply.has_begun()
-            && self.retries < MAX_RETRIES
-            && clock::now() < ticket.deadline;
-        is_safe
-            && is_useful
-            && ticket.entry.take_retry(&ticket.service.name, &ticket.caller, refusal.reason)
+        let retry = self.flow.may_retry(server.as_ref(), &refusal, clock::now())
+            && ticket.entry.take_retry(&ticket.service.name, &ticket.caller, refusal.reason);
+        flow::Event::Failed { server, refusal, retry }
     }
 
-    async fn attempt(&mut self) -> Step {
+    async fn attempt(&mut self) -> flow::Event {
         let keyed = self.ticket.key.is_some();
         let unreachable = refuse::own(Refusal::not_run(Reason::NoServer, RETRY_SOON), keyed);
-        let Some(server) = placing::choose(&self.ticket, list::Role::Plain, &self.tried, None)
+        let Some(server) =
+            placing::choose(&self.ticket, list::Role::Plain, self.flow.tried(), None)
         else {
             self.ticket.entry.list_wanted.notify_one();
-            return Step::Failed(None, unreachable);
+            return self.failed(None, unreachable);
         };
-        let step = self.attempt_at(&server, unreachable).await;
-        let end = match &step {
-            Step::Failed(_, refusal) => pool::End::Bad(refusal.reason),
-            Step::Done => pool::End::Good,
+        let event = self.attempt_at(&server, unreachable).await;
+        let end = match &event {
+            flow::Event::Failed { refusal, .. } => pool::End::Bad(refusal.reason),
+            flow::Event::Ended => pool::End::Good,
+            _ => pool::End::Open,
         };
         placing::note_end(&self.ticket, &server, list::Role::Plain, end);
-        step
+        event
     }
 
-    async fn attempt_at(&mut self, server: &ids::ServerName, unreachable: Refusal) -> Step {
+    async fn attempt_at(&mut self, server: &ids::ServerName, unreachable: Refusal) -> flow::Event {
         let Some(peer) = self.ticket.entry.peer(server) else {
-            return Step::Failed(Some(server.clone()), unreachable);
+            return self.failed(Some(server.clone()), unreachable);
         };
         let Some(contact) = peer.contact().await else {
-            return Step::Failed(Some(server.clone()), unreachable);
+            return self.failed(Some(server.clone()), unreachable);
         };
         let run = self.ticket.entry.next_run();
         let order = message::Order::Offer(offer::Offer {
@@ -127,23 +123,16 @@
                 reply::Waited::Event(peer::Event::Head(head)) => self.begin(&head),
                 reply::Waited::Event(peer::Event::Bytes(bytes)) => {
                     if !self.reply.send(bytes.into(), self.ticket.deadline).await {
-                        return Step::Done;
+                        return flow::Event::CallerGone;
                     }
                 }
-                reply::Waited::Event(peer::Event::End) => {
-                    self.count_answer();
-                    self.ticket.close(Outcome::Answered, None);
-                    return Step::Done;
-                }
+                reply::Waited::Event(peer::Event::End) => return flow::Event::Ended,
                 reply::Waited::Event(peer::Event::Refused(refusal)) => {
-                    return Step::Failed(Some(server.clone()), refusal);
+                    return self.failed(Some(server.clone()), refusal);
                 }
                 reply::Waited::Event(_) => {}
-                reply::Waited::Gone => return Step::Done,
-                reply::Waited::Expired => {
-                    let late = Refusal::unknown(Reason::TooLate, RETRY_SOON);
-                    return Step::Failed(Some(server.clone()), late);
-                }
+                reply::Waited::Gone => return flow::Event::CallerGone,
+                reply::Waited::Expired => return flow::Event::Expired,
             }
         }
     }
@@ -160,8 +149,9 @@
                 response.headers_mut().append(name, value);
             }
         }
-        insert_id(response.headers_mut(), &self.call.id);
+        tag::insert(response.headers_mut(), &self.call.id);
         self.reply.begin(response);
+        self.flow.handle(&flow::Event::Streamed);
     }
 
     fn count_answer(&self) {
@@ -175,14 +165,12 @@
     }
 
     async fn refuse(&mut self, refusal: Refusal) {
-        let outcome = if self.unsure { Outcome::Unknown } else { refusal.outcome };
-        let refusal = Refusal { outcome, ..refusal };
         self.ticket.close(refusal.outcome, Some(refusal.reason));
         if self.reply.has_begun() {
             return self.reply.break_off(refusal.reason.name()).await;
         }
         let mut response = refuse::answer(refusal, None);
-        insert_id(response.headers_mut(), &self.call.id);
+        tag::insert(response.headers_mut(), &self.call.id);
         self.reply.answer(response);
     }
 }
@@ -201,9 +189,10 @@
     !hop::is_hop(name, headers) && !OWN_HEADERS.contains(&name)
 }
 
-/// Sets the id by which the caller can name the request.
-pub(crate) fn insert_id(headers: &mut HeaderMap, id: &str) {
-    if let Ok(id) = header::HeaderValue::from_str(id) {
-        headers.insert("x-request-id", id);
-    }
+// What may have run is repeated only if repeating it has no effect.
+fn rules(ticket: &admit::Ticket, method: &Method) -> flow::Rules {
+    let is_free = ticket.key.is_none() && method.is_idempotent();
+    let kind = if is_free { routing::Kind::Safe } else { routing::Kind::Unsafe };
+    let attempts = MAX_RETRIES + 1;
+    flow::Rules { kind, attempts, retries: MAX_RETRIES, deadline: ticket.deadline }
 }
--- a/crates/entry/src/teller.rs
+++ b/crates/entry/src/teller.rs
@@ -8,7 +8,7 @@
 use rhubarb_core::outcome;
 use rhubarb_node::{answer, clock, reply};
 
-use crate::{openai, plain, refuse};
+use crate::{openai, refuse, tag};
 
 /// Longest time to tell a caller that its stream broke.
 const LAST_WORD: time::Duration = time::Duration::from_secs(1);
@@ -48,7 +48,7 @@
         headers.insert(header::CONTENT_TYPE, kind);
         let no_cache = header::HeaderValue::from_static("no-cache");
         headers.insert(header::CACHE_CONTROL, no_cache);
-        plain::insert_id(headers, &self.style.id);
+        tag::insert(headers, &self.style.id);
         self.reply.begin(head);
     }
 
@@ -80,7 +80,7 @@
     }
 
     fn answer(&mut self, mut response: Response<answer::Body>) {
-        plain::insert_id(response.headers_mut(), &self.style.id);
+        tag::insert(response.headers_mut(), &self.style.id);
         self.reply.answer(response);
     }
 }
