--- a/crates/agent/src/agent.rs
+++ b/crates/agent/src/agent.rs
@@ -9,7 +9,7 @@
 use rhubarb_node::{client, clock, instances, locks, metrics, objects, table};
 use rhubarb_wire::message;
 
-use crate::{converge, jobs, output, settings};
+use crate::{job, loaded, output, settings};
 
 /// One agent.
 #[derive(Debug)]
@@ -39,7 +39,7 @@
     /// Whether the backend server can serve; it may run an older model until the new one is in.
     pub(crate) loaded: bool,
     /// What the engine runs.
-    pub(crate) running: Option<converge::Loaded>,
+    pub(crate) running: Option<loaded::Loaded>,
     /// Whether the services that this one depends on serve, as an entry says.
     pub(crate) depends_ready: bool,
     /// Whether what an earlier agent left at the engine was cancelled.
@@ -53,9 +53,9 @@
     pub(crate) outputs: collections::BTreeMap<ids::RunId, sync::Arc<output::Output>>,
     /// Bytes of the answers to idempotency keys in `outputs`.
     pub(crate) kept_bytes: usize,
-    pub(crate) waiting: collections::BTreeMap<ids::RunId, jobs::Waiting>,
+    pub(crate) waiting: collections::BTreeMap<ids::RunId, job::Waiting>,
     /// Live links to entries.
-    pub(crate) links: collections::BTreeMap<u64, jobs::Sender>,
+    pub(crate) links: collections::BTreeMap<u64, job::Sender>,
     pub(crate) tasks: collections::BTreeMap<ids::RunId, task::AbortHandle>,
 }
 
--- a/crates/agent/src/converge.rs
+++ b/crates/agent/src/converge.rs
@@ -8,7 +8,7 @@
 use rhubarb_core::list;
 use rhubarb_node::clock;
 
-use crate::{agent, engine};
+use crate::{agent, engine, loaded};
 
 const LOAD_LIMIT: time::Duration = time::Duration::from_secs(300);
 const ENGINE_LIMIT: time::Duration = time::Duration::from_secs(2);
@@ -16,17 +16,9 @@
 /// Time for which services that this one depends on may come first.
 const DEPENDS_LIMIT: time::Duration = time::Duration::from_secs(10);
 
-/// A model that an engine runs, or is to run.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub(crate) struct Loaded {
-    weights: String,
-    version: u64,
-    adapters: Vec<String>,
-}
-
 #[derive(Debug)]
 struct Task {
-    wanted: Loaded,
+    wanted: loaded::Loaded,
     role: list::Role,
     fence: Option<u64>,
     depends: bool,
@@ -52,7 +44,7 @@
     let state = agent.lock();
     let (service, role) = state.duty(&agent.settings.server)?;
     let list::Kind::Model(model) = &service.kind else { return None };
-    let wanted = Loaded {
+    let wanted = loaded::Loaded {
         weights: model.weights.clone(),
         version: model.version,
         adapters: model.adapters.clone(),
--- a/crates/agent/src/decode.rs
+++ b/crates/agent/src/decode.rs
@@ -1,6 +1,6 @@
 //! Runs a decode at the engine and reads its token stream.
 
-use std::{sync, time};
+use std::time;
 
 use http_body_util::BodyExt;
 use hyper::{StatusCode, body};
@@ -10,7 +10,7 @@
 use rhubarb_node::{client, clock};
 use rhubarb_wire::message;
 
-use crate::{agent, engine, jobs, output};
+use crate::{agent, engine, output};
 
 use outcome::{RETRY_SOON, Reason, Refusal};
 
@@ -19,23 +19,18 @@
 const STATUS_OK: u16 = 200;
 const MAX_EVENT_BYTES: usize = 64 * 1024;
 
-pub(crate) async fn run(
-    agent: sync::Arc<agent::Agent>,
+/// Runs a decode and writes its events to `output`.
+pub(crate) async fn call(
+    agent: &agent::Agent,
     order: message::Decode,
-    output: sync::Arc<output::Output>,
-) {
-    let run = order.run;
+    output: &output::Output,
+) -> Result<(), Refusal> {
     let limit = time::Duration::from_millis(order.limit_ms);
     let late = Refusal::unknown(Reason::TooLate, RETRY_SOON);
-    let call = call(&agent, order, &output);
-    let result = tokio::time::timeout(limit, call).await.unwrap_or(Err(late));
-    jobs::finish(&agent, run, result);
-    if result.is_err() {
-        engine::cancel(&agent, run);
-    }
+    tokio::time::timeout(limit, decode(agent, order, output)).await.unwrap_or(Err(late))
 }
 
-async fn call(
+async fn decode(
     agent: &agent::Agent,
     order: message::Decode,
     output: &output::Output,
--- a/crates/agent/src/jobs.rs
+++ b/crates/agent/src/jobs.rs
@@ -2,55 +2,15 @@
 
 use std::{sync, time};
 
-use tokio::sync::mpsc;
-
-use rhubarb_core::{gate, ids, list, outcome, pace, rooms};
+use rhubarb_core::{gate, ids, outcome, pace, rooms};
 use rhubarb_node::clock;
-use rhubarb_wire::{message, offer};
+use rhubarb_wire::message;
 
-use crate::{agent, decode, engine, output, plain, prefill};
+use crate::{agent, decode, engine, job, output, plain, prefill};
 
+use job::{Job, Sender, Waiting};
 use outcome::{RETRY_SOON, Reason, Refusal};
 
-/// Frames on their way to an entry.
-pub(crate) type Sender = mpsc::Sender<message::Notice>;
-
-/// A job that waits for a room.
-#[derive(Debug)]
-pub(crate) struct Waiting {
-    job: Job,
-    sender: Sender,
-}
-
-/// What to do once there is room.
-#[derive(Debug)]
-pub(crate) enum Job {
-    /// Run a plain call.
-    Plain(offer::Offer),
-    /// Prefill a prompt.
-    Prefill(message::Prefill),
-    /// Hold the room for a decode.
-    Reserve(message::Reserve),
-}
-
-impl Job {
-    fn run(&self) -> ids::RunId {
-        match self {
-            Job::Plain(offer) => offer.run,
-            Job::Prefill(prefill) => prefill.run,
-            Job::Reserve(reserve) => reserve.run,
-        }
-    }
-
-    fn role(&self) -> list::Role {
-        match self {
-            Job::Plain(_) => list::Role::Plain,
-            Job::Prefill(_) => list::Role::Prefill,
-            Job::Reserve(_) => list::Role::Decode,
-        }
-    }
-}
-
 type Shared = sync::Arc<agent::Agent>;
 
 /// Offers a job to the gate and runs, queues or refuses it.
@@ -171,10 +131,19 @@
     match job {
         Job::Plain(offer) => {
             let output = open_output(agent, run, 0, sender);
-            spawn(agent, run, plain::run(agent_ref, offer, output));
+            spawn(agent, run, async move {
+                let result = plain::call(&agent_ref, offer, &output).await;
+                finish(&agent_ref, run, result);
+            });
         }
         Job::Prefill(prefill) => {
-            spawn(agent, run, prefill::run(agent_ref, prefill, sender_ref));
+            spawn(agent, run, async move {
+                let result = prefill::call(&agent_ref, prefill).await;
+                finish(&agent_ref, run, result.as_ref().map(drop).map_err(|refusal| *refusal));
+                let refused = |refusal| message::Notice::Refused(message::Refused { run, refusal });
+                let notice = result.map_or_else(refused, message::Notice::Prefilled);
+                let _ = sender_ref.send(notice).await;
+            });
         }
         Job::Reserve(_) => tell(sender, message::Notice::Reserved(run)),
     }
@@ -189,7 +158,14 @@
         return refuse(agent, run, refusal, sender);
     }
     let output = open_output(agent, run, 0, sender);
-    spawn(agent, run, decode::run(agent.clone(), order, output));
+    let agent_ref = agent.clone();
+    spawn(agent, run, async move {
+        let result = decode::call(&agent_ref, order, &output).await;
+        finish(&agent_ref, run, result);
+        if result.is_err() {
+            engine::cancel(&agent_ref, run);
+        }
+    });
 }
 
 fn spawn(agent: &Shared, run: ids::RunId, task: impl Future<Output = ()> + Send + 'static) {
--- a/crates/agent/src/link.rs
+++ b/crates/agent/src/link.rs
@@ -12,7 +12,7 @@
 use rhubarb_node::clock;
 use rhubarb_wire::{frame, message};
 
-use crate::{agent, jobs, lists};
+use crate::{agent, job, jobs, lists};
 
 /// An entry with open runs that sends nothing for this long is out of contact.
 const SILENCE: time::Duration = time::Duration::from_secs(2);
@@ -140,7 +140,7 @@
 async fn obey_all(
     agent: &Shared,
     mut orders: mpsc::Receiver<Result<message::Order, frame::FrameError>>,
-    sender: &jobs::Sender,
+    sender: &job::Sender,
     runs: &mut collections::BTreeSet<ids::RunId>,
 ) -> anyhow::Result<()> {
     let mut heard_at = clock::now();
@@ -171,22 +171,22 @@
 async fn obey(
     agent: &Shared,
     order: message::Order,
-    sender: &jobs::Sender,
+    sender: &job::Sender,
     runs: &mut collections::BTreeSet<ids::RunId>,
 ) {
     match order {
         message::Order::Hello(_) => {}
         message::Order::Offer(offer) => {
             runs.insert(offer.run);
-            jobs::accept(agent, jobs::Job::Plain(offer), sender);
+            jobs::accept(agent, job::Job::Plain(offer), sender);
         }
         message::Order::Reserve(reserve) => {
             runs.insert(reserve.run);
-            jobs::accept(agent, jobs::Job::Reserve(reserve), sender);
+            jobs::accept(agent, job::Job::Reserve(reserve), sender);
         }
         message::Order::Prefill(prefill) => {
             runs.insert(prefill.run);
-            jobs::accept(agent, jobs::Job::Prefill(prefill), sender);
+            jobs::accept(agent, job::Job::Prefill(prefill), sender);
         }
         message::Order::Decode(decode) => jobs::start_decode(agent, decode, sender),
         message::Order::Cancel(run) => {
--- a/crates/agent/src/plain.rs
+++ b/crates/agent/src/plain.rs
@@ -1,6 +1,6 @@
 //! Runs a plain call at the backend server.
 
-use std::{sync, time};
+use std::time;
 
 use bytes::Bytes;
 use http_body_util::BodyExt;
@@ -10,24 +10,15 @@
 use rhubarb_node::{client, clock};
 use rhubarb_wire::offer;
 
-use crate::{agent, engine, jobs, output};
+use crate::{agent, engine, output};
 
 use outcome::{RETRY_SOON, Reason, Refusal};
 
 /// Header with the agent's fencing number.
 const FENCE: &str = "rhubarb-fence";
 
-pub(crate) async fn run(
-    agent: sync::Arc<agent::Agent>,
-    offer: offer::Offer,
-    output: sync::Arc<output::Output>,
-) {
-    let run = offer.run;
-    let result = call(&agent, offer, &output).await;
-    jobs::finish(&agent, run, result);
-}
-
-async fn call(
+/// Makes a plain call and writes its answer to `output`.
+pub(crate) async fn call(
     agent: &agent::Agent,
     offer: offer::Offer,
     output: &output::Output,
--- a/crates/agent/src/prefill.rs
+++ b/crates/agent/src/prefill.rs
@@ -1,6 +1,6 @@
 //! Runs a prefill at the engine.
 
-use std::{sync, time};
+use std::time;
 
 use hyper::StatusCode;
 use serde::Deserialize;
@@ -10,7 +10,7 @@
 use rhubarb_node::clock;
 use rhubarb_wire::message;
 
-use crate::{agent, engine, jobs};
+use crate::{agent, engine};
 
 use outcome::{RETRY_SOON, Reason, Refusal};
 
@@ -21,22 +21,8 @@
     tokens: u32,
 }
 
-pub(crate) async fn run(
-    agent: sync::Arc<agent::Agent>,
-    order: message::Prefill,
-    sender: jobs::Sender,
-) {
-    let run = order.run;
-    let result = call(&agent, order).await;
-    let notice = match &result {
-        Ok(prefilled) => message::Notice::Prefilled(prefilled.clone()),
-        Err(refusal) => message::Notice::Refused(message::Refused { run, refusal: *refusal }),
-    };
-    jobs::finish(&agent, run, result.map(|_| ()));
-    let _ = sender.send(notice).await;
-}
-
-async fn call(
+/// Has the engine read a prompt.
+pub(crate) async fn call(
     agent: &agent::Agent,
     order: message::Prefill,
 ) -> Result<message::Prefilled, Refusal> {
--- /dev/null
+++ b/crates/core/tests/circles.rs
@@ -0,0 +1,76 @@
+//! No crate's modules import one another in a circle.
+
+use std::{collections, fs, path};
+
+type Imports = collections::BTreeMap<String, collections::BTreeSet<String>>;
+
+/// Modules that `text` names through `crate::`.
+fn scan_imports(text: &str) -> collections::BTreeSet<String> {
+    let is_part = |char: char| char.is_ascii_lowercase() || char == '_' || char.is_ascii_digit();
+    let name = |part: &str| part.trim().split(|char| !is_part(char)).next().unwrap().to_string();
+    let mut found = collections::BTreeSet::new();
+    for (at, start) in text.match_indices("crate::") {
+        let rest = &text[at + start.len()..];
+        match rest.strip_prefix('{').and_then(|rest| rest.split_once('}')) {
+            Some((group, _)) => found.extend(group.split(',').map(name)),
+            None => drop(found.insert(name(rest))),
+        }
+    }
+    found
+}
+
+/// A module that imports itself through others, if any.
+fn find_circle(imports: &Imports) -> Option<String> {
+    let reaches_itself = |start: &&String| {
+        let mut seen = collections::BTreeSet::new();
+        let mut next: Vec<&String> = vec![*start];
+        while let Some(module) = next.pop() {
+            for other in imports.get(module).into_iter().flatten() {
+                if other == *start {
+                    return true;
+                }
+                if seen.insert(other) {
+                    next.push(other);
+                }
+            }
+        }
+        false
+    };
+    imports.keys().find(reaches_itself).cloned()
+}
+
+fn read_imports(dir: &path::Path) -> Imports {
+    let files = fs::read_dir(dir).unwrap().map(|entry| entry.unwrap().path());
+    let modules = files.filter(|path| path.extension().is_some_and(|kind| kind == "rs"));
+    let read = modules.map(|path| {
+        let name = path.file_stem().unwrap().to_string_lossy().into_owned();
+        let mut imports = scan_imports(&fs::read_to_string(&path).unwrap());
+        imports.remove(&name);
+        (name, imports)
+    });
+    read.collect()
+}
+
+#[test]
+fn found_circle() {
+    let text = "use crate::{dial, entry::Entry};\nfn run(peer: &crate::peer::Peer) {}\n";
+    assert_eq!(scan_imports(text).into_iter().collect::<Vec<_>>(), ["dial", "entry", "peer"]);
+    let import = |names: &[&str]| names.iter().map(|name| name.to_string()).collect();
+    let mut imports = Imports::new();
+    imports.insert("entry".into(), import(&["peer"]));
+    imports.insert("peer".into(), import(&["dial"]));
+    assert_eq!(find_circle(&imports), None);
+    imports.insert("dial".into(), import(&["entry"]));
+    assert_eq!(find_circle(&imports).as_deref(), Some("dial"));
+}
+
+#[test]
+fn no_circles() {
+    let root = path::Path::new(env!("CARGO_MANIFEST_DIR")).join("../..");
+    let crates = fs::read_dir(root.join("crates")).unwrap();
+    let dirs = crates.map(|entry| entry.unwrap().path()).chain([root.join("platform")]);
+    for dir in dirs.map(|dir| dir.join("src")).filter(|dir| dir.is_dir()) {
+        let circle = find_circle(&read_imports(&dir));
+        assert_eq!(circle, None, "{} imports itself through others", dir.display());
+    }
+}
--- a/crates/edge/src/duty.rs
+++ b/crates/edge/src/duty.rs
@@ -12,20 +12,6 @@
 
 use crate::{boot, directory, edge, exchange};
 
-/// Orders of this entry that are being carried out.
-#[derive(Debug, Default)]
-pub(crate) struct Duty {
-    ordered: collections::BTreeMap<ids::ServerName, time::Instant>,
-}
-
-impl Duty {
-    /// Engines that are changing their stage by an order of this entry.
-    pub(crate) fn changing(&self, now: time::Instant) -> Vec<ids::ServerName> {
-        let open = self.ordered.iter().filter(|(_, until)| now < **until);
-        open.map(|(id, _)| id.clone()).collect()
-    }
-}
-
 /// The plan is looked at this often.
 const PERIOD: time::Duration = time::Duration::from_millis(500);
 /// Time for one call to the store or an engine.
@@ -205,13 +191,13 @@
     let until = now + switch + CHANGE_SLACK;
     directory.service(service).engines.set_changing(id, until);
     drop(directory);
-    let mut duty = edge.duty();
-    duty.ordered.retain(|_, until| now < *until);
-    duty.ordered.insert(id.to_string(), until);
+    let mut orders = edge.orders();
+    orders.open.retain(|_, until| now < *until);
+    orders.open.insert(id.to_string(), until);
     edge.given.notify_one();
 }
 
 fn forget_changing(edge: &edge::Edge, service: &str, id: &str) {
-    edge.duty().ordered.remove(id);
+    edge.orders().open.remove(id);
     edge.directory().service(service).engines.set_changing(id, clock::now() + CALL_LIMIT);
 }
--- a/crates/edge/src/edge.rs
+++ b/crates/edge/src/edge.rs
@@ -8,7 +8,7 @@
 use rhubarb_node::{client, clock, locks};
 use rhubarb_platform::{settings, store};
 
-use crate::{directory, duty, links, metrics};
+use crate::{directory, links, metrics, orders};
 
 /// One entry.
 #[derive(Debug)]
@@ -29,7 +29,7 @@
     pub(crate) open: atomic::AtomicU64,
     directory: sync::Mutex<directory::Directory>,
     members: sync::Mutex<members::Members>,
-    duty: sync::Mutex<duty::Duty>,
+    orders: sync::Mutex<orders::Orders>,
     // Peer that knows more.
     ahead: sync::Mutex<Option<net::IpAddr>>,
     seq: atomic::AtomicU64,
@@ -55,7 +55,7 @@
             open: atomic::AtomicU64::new(0),
             directory: sync::Mutex::new(directory),
             members: sync::Mutex::default(),
-            duty: sync::Mutex::default(),
+            orders: sync::Mutex::default(),
             ahead: sync::Mutex::default(),
             seq: atomic::AtomicU64::new(1),
             stopped_at: sync::OnceLock::new(),
@@ -82,9 +82,9 @@
         locks::lock(&self.members)
     }
 
-    /// The duty of changing engines' stages.
-    pub(crate) fn duty(&self) -> sync::MutexGuard<'_, duty::Duty> {
-        locks::lock(&self.duty)
+    /// Orders to engines that are being carried out.
+    pub(crate) fn orders(&self) -> sync::MutexGuard<'_, orders::Orders> {
+        locks::lock(&self.orders)
     }
 
     /// Peer that knows more than this entry.
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -20,6 +20,7 @@
 mod ingress;
 mod links;
 mod metrics;
+mod orders;
 mod peers;
 mod plain;
 mod prefill;
--- a/crates/edge/src/peers.rs
+++ b/crates/edge/src/peers.rs
@@ -83,7 +83,7 @@
         .map(|(name, service)| (name.clone(), service.engines.usage(now)));
     let usage = usage.filter(|(_, usage)| usage.prompts > 0).collect();
     drop(directory);
-    let changing = edge.duty().changing(now);
+    let changing = edge.orders().changing(now);
     let (name, incarnation) = (edge.settings().name.clone(), edge.incarnation);
     share::Share { name, incarnation, seq, config, servers, peers, given, usage, changing }
 }
--- a/crates/entry/src/admit.rs
+++ b/crates/entry/src/admit.rs
@@ -45,7 +45,7 @@
     entry: &entry::Entry,
     headers: &HeaderMap,
 ) -> Result<list::Caller, Refusal> {
-    let view = entry.view();
+    let view = entry.directory.view();
     if view.version() == 0 {
         return Err(Refusal::not_run(Reason::NoList, RETRY_SOON));
     }
@@ -65,7 +65,7 @@
     service: &str,
     headers: &HeaderMap,
 ) -> Result<Ticket, Refusal> {
-    let found = entry.view().list().services.get(service).cloned();
+    let found = entry.directory.view().list().services.get(service).cloned();
     let service = found.ok_or(Refusal::never(Reason::NoService))?;
     if !caller.may_use(&service.name) {
         return Err(Refusal::never(Reason::Forbidden));
@@ -81,7 +81,7 @@
     entry.open.fetch_add(1, atomic::Ordering::Relaxed);
     entry.metrics.open.inc();
     let excess = {
-        let mut view = entry.view();
+        let mut view = entry.directory.view();
         view.budget(&service.name).deposit();
         view.fair(&service.name).admit(&caller.name, arrived) == fair::Share::Excess
     };
@@ -102,7 +102,7 @@
     caller: &list::Caller,
     now: time::Instant,
 ) -> Result<(), Refusal> {
-    let entries = entry.view().entries();
+    let entries = entry.directory.view().entries();
     let mut limits = entry.limits();
     let fresh = || limit::Limit::new(caller.rate, entries, now);
     let limit = limits.entry(caller.name.clone()).or_insert_with(fresh);
--- a/crates/entry/src/completion.rs
+++ b/crates/entry/src/completion.rs
@@ -8,7 +8,7 @@
 use rhubarb_node::{clock, reply};
 use rhubarb_wire::message;
 
-use crate::{admit, openai, peer, placing, refuse, teller};
+use crate::{admit, channel, openai, peer, placing, refuse, teller};
 
 use outcome::{Outcome, RETRY_SOON, Reason, Refusal};
 
@@ -127,10 +127,10 @@
         let Some(server) =
             placing::choose(&self.ticket, list::Role::Decode, self.flow.tried(), None)
         else {
-            self.ticket.entry.list_wanted.notify_one();
+            self.ticket.entry.directory.want();
             return self.unreachable(None, keyed);
         };
-        let Some(peer) = self.ticket.entry.peer(&server) else {
+        let Some(peer) = self.ticket.entry.backend.peer(&server) else {
             return self.unreachable(Some(server), keyed);
         };
         let Some(contact) = peer.contact().await else {
@@ -143,7 +143,7 @@
             return self.unreachable(Some(server), keyed);
         };
         let wait_by = self.ticket.deadline.min(clock::now() + self.targets.max_wait);
-        let run = self.ticket.entry.next_run();
+        let run = self.ticket.entry.backend.next_run();
         let order = message::Order::Reserve(message::Reserve {
             run,
             key: self.ticket.key.as_ref().map(|key| key.hash),
@@ -155,8 +155,8 @@
         let waited = self.teller.reply.wait(run.next(), self.ticket.deadline).await;
         self.decode = Some(Placed { server: server.clone(), run });
         match waited {
-            reply::Waited::Event(peer::Event::Reserved) => flow::Event::Reserved,
-            reply::Waited::Event(peer::Event::Head(head)) => {
+            reply::Waited::Event(channel::Event::Reserved) => flow::Event::Reserved,
+            reply::Waited::Event(channel::Event::Head(head)) => {
                 self.prompt_tokens = head.prompt_tokens().unwrap_or(0).into();
                 flow::Event::Replayed
             }
@@ -167,12 +167,12 @@
     fn interrupted(
         &self,
         server: ids::ServerName,
-        waited: reply::Waited<peer::Event>,
+        waited: reply::Waited<channel::Event>,
     ) -> flow::Event {
         match waited {
             reply::Waited::Gone => flow::Event::CallerGone,
             reply::Waited::Expired => flow::Event::Expired,
-            reply::Waited::Event(peer::Event::Refused(refusal)) => {
+            reply::Waited::Event(channel::Event::Refused(refusal)) => {
                 self.failed(Some(server), refusal)
             }
             reply::Waited::Event(_) => {
@@ -198,14 +198,14 @@
     }
 
     async fn prefill_at(&mut self, server: &ids::ServerName) -> flow::Event {
-        let contact = match self.ticket.entry.peer(server) {
+        let contact = match self.ticket.entry.backend.peer(server) {
             Some(peer) => peer.contact().await.map(|contact| (peer, contact)),
             None => None,
         };
         let Some((peer, contact)) = contact else {
             return self.unreachable(Some(server.clone()), false);
         };
-        let run = self.ticket.entry.next_run();
+        let run = self.ticket.entry.backend.next_run();
         let order = message::Order::Prefill(message::Prefill {
             run,
             start_by_ms: contact.clock_at(self.ticket.deadline),
@@ -217,13 +217,13 @@
         });
         let mut run = peer.start(run, contact, order);
         match self.teller.reply.wait(run.next(), self.ticket.deadline).await {
-            reply::Waited::Event(peer::Event::Prefilled(prefilled)) => {
+            reply::Waited::Event(channel::Event::Prefilled(prefilled)) => {
                 self.count_prefill(&prefilled);
                 self.prefilled = Some(prefilled);
                 self.source = Some(server.clone());
                 flow::Event::Prefilled
             }
-            reply::Waited::Event(peer::Event::Refused(refusal)) => {
+            reply::Waited::Event(channel::Event::Refused(refusal)) => {
                 let refusal = Refusal { outcome: Outcome::NotRun, ..refusal };
                 self.failed(Some(server.clone()), refusal)
             }
@@ -236,7 +236,7 @@
         self.prompt_tokens = tokens;
         let work = time::Duration::from_micros(prefilled.work_us);
         let size = self.request.prompt.len() as u32;
-        self.ticket.entry.view().pace(&self.ticket.service.name).learn(size, work);
+        self.ticket.entry.directory.view().pace(&self.ticket.service.name).learn(size, work);
         let mut ledger = self.ticket.entry.ledger();
         let totals = ledger.totals(&self.ticket.service.name, &self.ticket.caller);
         totals.prefill_tokens += tokens;
@@ -268,13 +268,13 @@
                 return self.unreachable(None, self.ticket.key.is_some());
             };
             match self.teller.reply.wait(placed.run.next(), self.ticket.deadline).await {
-                reply::Waited::Event(peer::Event::Head(_) | peer::Event::Reserved) => {}
-                reply::Waited::Event(peer::Event::Bytes(bytes)) => {
+                reply::Waited::Event(channel::Event::Head(_) | channel::Event::Reserved) => {}
+                reply::Waited::Event(channel::Event::Bytes(bytes)) => {
                     if !self.take_bytes(&bytes).await {
                         return flow::Event::CallerGone;
                     }
                 }
-                reply::Waited::Event(peer::Event::End) => return flow::Event::Ended,
+                reply::Waited::Event(channel::Event::End) => return flow::Event::Ended,
                 waited => {
                     let server = placed.server.clone();
                     return self.interrupted(server, waited);
--- a/crates/entry/src/dial.rs
+++ b/crates/entry/src/dial.rs
@@ -1,14 +1,12 @@
 //! Opens connections to agents, and writes to them.
 
-use std::{net, sync, time};
+use std::{net, time};
 
 use tokio::{net as tcp, sync::mpsc};
 
 use rhubarb_core::ids;
 use rhubarb_node::clock;
-use rhubarb_wire::{frame, message};
-
-use crate::entry;
+use rhubarb_wire::{auth, frame, message};
 
 /// Longest time to open a connection and greet the agent.
 pub(crate) const CONNECT_LIMIT: time::Duration = time::Duration::from_secs(1);
@@ -22,6 +20,14 @@
 const PING_IDLE: time::Duration = time::Duration::from_secs(20);
 const FRAMES: usize = 1024;
 
+/// By what agents know the entry.
+#[derive(Debug)]
+pub(crate) struct Identity {
+    pub(crate) name: String,
+    pub(crate) incarnation: ids::Incarnation,
+    pub(crate) keys: auth::Keys,
+}
+
 /// A live connection.
 #[derive(Debug)]
 pub(crate) struct Wire {
@@ -70,14 +76,14 @@
 
 /// Opens a connection to the agent of `server` and greets it.
 pub(crate) async fn connect(
-    entry: &entry::Entry,
+    identity: &Identity,
     server: &str,
     address: net::SocketAddr,
 ) -> anyhow::Result<(Wire, ids::Incarnation, message::Pong)> {
     let stream = tcp::TcpStream::connect(address).await?;
     stream.set_nodelay(true)?;
     let (mut reader, mut writer) = stream.into_split();
-    let (incarnation, pong) = greet(entry, Some(server), &mut reader, &mut writer).await?;
+    let (incarnation, pong) = greet(identity, Some(server), &mut reader, &mut writer).await?;
     let (sender, notices) = mpsc::channel(FRAMES);
     tokio::spawn(read_loop(reader, sender));
     let now = clock::now();
@@ -95,13 +101,13 @@
 
 /// Asks the agent at `address` for its service list, on a connection of its own.
 pub(crate) async fn fetch_list(
-    entry: &sync::Arc<entry::Entry>,
+    identity: &Identity,
     address: net::SocketAddr,
 ) -> Option<message::ListCopy> {
     let asking = async {
         let stream = tcp::TcpStream::connect(address).await.ok()?;
         let (mut reader, mut writer) = stream.into_split();
-        greet(entry, None, &mut reader, &mut writer).await.ok()?;
+        greet(identity, None, &mut reader, &mut writer).await.ok()?;
         frame::write(&mut writer, &message::Order::WantList(0)).await.ok()?;
         loop {
             match frame::read(&mut reader, frame::MAX_FRAME_BYTES).await.ok()? {
@@ -116,12 +122,12 @@
 
 // Each side proves to the other that it holds a shared key.
 async fn greet(
-    entry: &entry::Entry,
+    identity: &Identity,
     server: Option<&str>,
     reader: &mut tcp::tcp::OwnedReadHalf,
     writer: &mut tcp::tcp::OwnedWriteHalf,
 ) -> anyhow::Result<(ids::Incarnation, message::Pong)> {
-    let settings = &entry.settings;
+    let Identity { name, incarnation, keys } = identity;
     let notice = frame::read(reader, frame::MAX_HELLO_BYTES).await?;
     let message::Notice::Challenge(challenge) = notice else {
         anyhow::bail!("the first message is no challenge; check the instance list");
@@ -130,14 +136,13 @@
         anyhow::bail!("{} is at this address; check the instance list", challenge.server);
     }
     let nonce = rand::random();
-    let hello =
-        message::Hello::sign(&settings.keys, &challenge, &settings.name, entry.incarnation, nonce);
+    let hello = message::Hello::sign(keys, &challenge, name, *incarnation, nonce);
     frame::write(writer, &message::Order::Hello(hello.clone())).await?;
     let notice = frame::read(reader, frame::MAX_HELLO_BYTES).await?;
     let message::Notice::Welcome(welcome) = notice else {
         anyhow::bail!("no welcome; check the shared keys");
     };
-    if !welcome.is_signed(&settings.keys, &hello) {
+    if !welcome.is_signed(keys, &hello) {
         anyhow::bail!("the welcome is not signed; give all processes the same shared keys");
     }
     Ok((challenge.incarnation, welcome.pong))
--- a/crates/entry/src/entry.rs
+++ b/crates/entry/src/entry.rs
@@ -1,33 +1,28 @@
 //! State shared by the parts of an entry.
 
-use std::{collections, net, sync, sync::atomic, time};
-
-use tokio::sync as lock;
+use std::{collections, sync, sync::atomic, time};
 
 use prometheus_client::metrics::{counter, gauge};
 
 use rhubarb_core::{ids, limit, outcome, usage};
 use rhubarb_node::{client, clock, locks, metrics, objects, table};
 
-use crate::{peer, settings, view};
+use crate::{backend, dial, directory, settings, view};
 
 /// One entry.
 #[derive(Debug)]
 pub(crate) struct Entry {
     pub(crate) settings: settings::Settings,
-    pub(crate) incarnation: ids::Incarnation,
     pub(crate) client: client::Client,
     pub(crate) table: table::Table,
     pub(crate) objects: objects::Objects,
     pub(crate) metrics: Counters,
-    pub(crate) list_wanted: lock::Notify,
+    pub(crate) directory: sync::Arc<directory::Directory>,
+    pub(crate) backend: backend::Backend,
     stopped_at: sync::OnceLock<time::Instant>,
     pub(crate) open: atomic::AtomicU64,
-    seq: atomic::AtomicU64,
-    view: sync::Mutex<view::View>,
     limits: sync::Mutex<collections::BTreeMap<ids::CallerName, limit::Limit>>,
     ledger: sync::Mutex<usage::Ledger>,
-    peers: sync::Mutex<collections::BTreeMap<ids::ServerName, peer::Peer>>,
 }
 
 /// Metrics of the entry.
@@ -66,29 +61,27 @@
         let client = client::Client::new();
         let incarnation = rand::random();
         let ledger = usage::Ledger::new(settings.name.clone(), incarnation, clock::unix_ms());
+        let metrics = Counters::new();
         let view = view::View::new(&settings.name, &settings.zone, settings.subset);
+        let directory = directory::Directory::new(view, metrics.version.clone());
+        let directory = sync::Arc::new(directory);
+        let (name, keys) = (settings.name.clone(), settings.keys.clone());
+        let identity = dial::Identity { name, incarnation, keys };
         Entry {
-            incarnation,
+            backend: backend::Backend::new(identity, directory.clone()),
+            directory,
             table: table::Table::new(client.clone(), &settings.platform.table),
             objects: objects::Objects::new(client.clone(), &settings.platform.objects),
             client,
-            metrics: Counters::new(),
-            list_wanted: lock::Notify::new(),
+            metrics,
             stopped_at: sync::OnceLock::new(),
             open: atomic::AtomicU64::new(0),
-            seq: atomic::AtomicU64::new(1),
-            view: sync::Mutex::new(view),
             limits: sync::Mutex::default(),
             ledger: sync::Mutex::new(ledger),
-            peers: sync::Mutex::default(),
             settings,
         }
     }
 
-    pub(crate) fn view(&self) -> sync::MutexGuard<'_, view::View> {
-        locks::lock(&self.view)
-    }
-
     pub(crate) fn limits(
         &self,
     ) -> sync::MutexGuard<'_, collections::BTreeMap<ids::CallerName, limit::Limit>> {
@@ -99,34 +92,6 @@
         locks::lock(&self.ledger)
     }
 
-    /// Id for a new attempt.
-    pub(crate) fn next_run(&self) -> ids::RunId {
-        ids::run_id(self.incarnation, self.seq.fetch_add(1, atomic::Ordering::Relaxed))
-    }
-
-    /// Connection to the agent of `server`, opened on first use.
-    pub(crate) fn peer(self: &sync::Arc<Self>, server: &str) -> Option<peer::Peer> {
-        let address = self.view().address(server)?;
-        Some(self.peer_at(server, address))
-    }
-
-    fn peer_at(self: &sync::Arc<Self>, server: &str, address: net::SocketAddr) -> peer::Peer {
-        let mut peers = locks::lock(&self.peers);
-        if let Some(peer) = peers.get(server).filter(|peer| peer.address == address) {
-            return peer.clone();
-        }
-        let peer = peer::Peer::open(self.clone(), server, address);
-        peers.insert(server.to_string(), peer.clone());
-        peer
-    }
-
-    /// Connections to the agents of servers that are no longer listed are dropped.
-    pub(crate) fn drop_old_peers(&self) {
-        let known: collections::BTreeSet<_> = self.view().instances.keys().cloned().collect();
-        let mut peers = locks::lock(&self.peers);
-        peers.retain(|name, _| known.contains(name));
-    }
-
     /// Counts a refusal.
     pub(crate) fn count_refusal(&self, reason: outcome::Reason) {
         self.metrics.refused.get_or_create(&metrics::labels(reason)).inc();
@@ -134,7 +99,7 @@
 
     /// Takes a retry from the budget of a service, and counts it.
     pub(crate) fn take_retry(&self, service: &str, caller: &str, reason: outcome::Reason) -> bool {
-        let taken = self.view().budget(service).take(reason);
+        let taken = self.directory.view().budget(service).take(reason);
         if taken {
             self.metrics.retried.get_or_create(&metrics::labels(reason)).inc();
             self.ledger().totals(service, caller).retry(reason);
--- a/crates/entry/src/follow.rs
+++ b/crates/entry/src/follow.rs
@@ -34,7 +34,7 @@
 ) {
     let now = clock::now();
     let (followed, leaving, ready, version) = {
-        let view = entry.view();
+        let view = entry.directory.view();
         (view.followed(), view.leaving(), view.depends_ready(), view.version())
     };
     let period = subset::period(followed.len());
@@ -44,7 +44,7 @@
             continue;
         }
         let follow = datagram::Follow {
-            incarnation: entry.incarnation,
+            incarnation: entry.backend.incarnation(),
             seq,
             version,
             leaving: leaving.contains(&name),
@@ -71,9 +71,9 @@
             continue;
         }
         *last = report.seq;
-        entry.view().hear(&report.server, report.load, clock::now());
-        lists::note_version(&entry, report.version);
-        if lists::is_to_push(&entry, report.version) {
+        entry.directory.view().hear(&report.server, report.load, clock::now());
+        entry.directory.note_version(report.version);
+        if entry.directory.is_to_push(report.version) {
             tokio::spawn(lists::push(entry.clone(), report.server, report.version));
         }
     }
--- a/crates/entry/src/api.rs
+++ b/crates/entry/src/ingress.rs
@@ -161,7 +161,7 @@
 }
 
 fn ready(entry: &Shared) -> Reply {
-    let view = entry.view();
+    let view = entry.directory.view();
     if entry.is_stopping() {
         answer::text(StatusCode::SERVICE_UNAVAILABLE, "leaving\n")
     } else if view.version() == 0 || !view.read_instances {
@@ -172,7 +172,7 @@
 }
 
 fn status(entry: &Shared) -> Reply {
-    let view = entry.view();
+    let view = entry.directory.view();
     let status = serde_json::json!({
         "entry": entry.settings.name,
         "version": view.version(),
--- a/crates/entry/src/keeper.rs
+++ b/crates/entry/src/keeper.rs
@@ -8,7 +8,7 @@
 use rhubarb_node::clock;
 use rhubarb_wire::{chunk, message};
 
-use crate::{dial, entry, link, lists, peer};
+use crate::{channel, dial, directory, link};
 
 use outcome::{RETRY_SOON, Reason, Refusal};
 
@@ -19,7 +19,7 @@
 
 #[derive(Debug)]
 struct Open {
-    sink: peer::Sink,
+    sink: channel::Sink,
     assembly: assembly::Assembly,
     has_head: bool,
 }
@@ -27,12 +27,13 @@
 /// Keeps the connection to one agent, and hands on what comes over it.
 #[derive(Debug)]
 pub(crate) struct Keeper {
-    entry: sync::Arc<entry::Entry>,
+    identity: sync::Arc<dial::Identity>,
+    directory: sync::Arc<directory::Directory>,
     server: ids::ServerName,
     address: net::SocketAddr,
     link: link::Link,
-    commands: mpsc::UnboundedReceiver<peer::Command>,
-    reach: watch::Sender<peer::Reach>,
+    commands: mpsc::UnboundedReceiver<channel::Command>,
+    reach: watch::Sender<channel::Reach>,
     runs: collections::BTreeMap<ids::RunId, Open>,
     // A request waits for the connection.
     wanted: bool,
@@ -41,14 +42,16 @@
 impl Keeper {
     /// Makes the keeper of the connection to the agent of `server`.
     pub(crate) fn new(
-        entry: sync::Arc<entry::Entry>,
+        identity: sync::Arc<dial::Identity>,
+        directory: sync::Arc<directory::Directory>,
         server: &str,
         address: net::SocketAddr,
-        commands: mpsc::UnboundedReceiver<peer::Command>,
-        reach: watch::Sender<peer::Reach>,
+        commands: mpsc::UnboundedReceiver<channel::Command>,
+        reach: watch::Sender<channel::Reach>,
     ) -> Keeper {
         Keeper {
-            entry,
+            identity,
+            directory,
             server: server.to_string(),
             address,
             link: link::Link::new(),
@@ -99,12 +102,12 @@
     async fn wait_wanted(&mut self) -> bool {
         loop {
             match self.commands.recv().await {
-                Some(peer::Command::Connect) => return true,
-                Some(peer::Command::Open { sink, .. }) => {
+                Some(channel::Command::Connect) => return true,
+                Some(channel::Command::Open { sink, .. }) => {
                     let refusal = Refusal::not_run(Reason::NoServer, RETRY_SOON);
-                    let _ = sink.try_send(peer::Event::Refused(refusal));
+                    let _ = sink.try_send(channel::Event::Refused(refusal));
                 }
-                Some(peer::Command::Send(_) | peer::Command::Close(_)) => {}
+                Some(channel::Command::Send(_) | channel::Command::Close(_)) => {}
                 None => return false,
             }
         }
@@ -112,7 +115,7 @@
 
     async fn connect(&mut self) -> anyhow::Result<dial::Wire> {
         let (mut wire, incarnation, pong) =
-            dial::connect(&self.entry, &self.server, self.address).await?;
+            dial::connect(&self.identity, &self.server, self.address).await?;
         self.note_pong(incarnation, &pong);
         match self.link.handle(link::Event::Welcomed(incarnation)) {
             Some(link::Step::Resume) => self.resume_all(&mut wire).await,
@@ -126,11 +129,11 @@
 
     fn note_pong(&mut self, incarnation: ids::Incarnation, pong: &message::Pong) {
         let heard_at = clock::now();
-        let contact = peer::Contact { incarnation, clock_ms: pong.clock_ms, heard_at };
+        let contact = channel::Contact { incarnation, clock_ms: pong.clock_ms, heard_at };
         self.wanted = false;
         self.reach.send_modify(|reach| reach.contact = Some(contact));
-        self.entry.view().hear(&self.server, pong.load, heard_at);
-        lists::note_version(&self.entry, pong.version);
+        self.directory.view().hear(&self.server, pong.load, heard_at);
+        self.directory.note_version(pong.version);
     }
 
     async fn resume_all(&mut self, wire: &mut dial::Wire) {
@@ -175,7 +178,7 @@
         if !wire.is_ping_due(!self.runs.is_empty(), now) {
             return true;
         }
-        let version = self.entry.view().version();
+        let version = self.directory.view().version();
         wire.ping(version, dial::SILENCE).await
     }
 
@@ -186,45 +189,45 @@
         // Runs that their requests dropped meanwhile need no connection.
         while let Ok(command) = self.commands.try_recv() {
             match command {
-                peer::Command::Open { sink, .. } => {
+                channel::Command::Open { sink, .. } => {
                     let refusal = Refusal::not_run(Reason::NoServer, RETRY_SOON);
-                    let _ = sink.try_send(peer::Event::Refused(refusal));
+                    let _ = sink.try_send(channel::Event::Refused(refusal));
                 }
-                peer::Command::Close(run) => {
+                channel::Command::Close(run) => {
                     self.runs.remove(&run);
                 }
-                peer::Command::Connect => self.wanted = true,
-                peer::Command::Send(_) => {}
+                channel::Command::Connect => self.wanted = true,
+                channel::Command::Send(_) => {}
             }
         }
     }
 
     fn fail_all(&mut self, refusal: Refusal) {
         for (_, open) in std::mem::take(&mut self.runs) {
-            let _ = open.sink.try_send(peer::Event::Refused(refusal));
+            let _ = open.sink.try_send(channel::Event::Refused(refusal));
         }
     }
 
-    async fn obey(&mut self, command: peer::Command, wire: &mut dial::Wire) -> bool {
+    async fn obey(&mut self, command: channel::Command, wire: &mut dial::Wire) -> bool {
         match command {
-            peer::Command::Connect => {
+            channel::Command::Connect => {
                 self.wanted = true;
-                let version = self.entry.view().version();
+                let version = self.directory.view().version();
                 wire.ping(version, PROBE).await
             }
-            peer::Command::Open { run, incarnation, order, sink } => {
+            channel::Command::Open { run, incarnation, order, sink } => {
                 // The order's times are on the clock of one incarnation of the agent.
                 if self.link.incarnation() != Some(incarnation) {
                     let refusal = Refusal::not_run(Reason::NoServer, RETRY_SOON);
-                    let _ = sink.try_send(peer::Event::Refused(refusal));
+                    let _ = sink.try_send(channel::Event::Refused(refusal));
                     return true;
                 }
                 let assembly = assembly::Assembly::default();
                 self.runs.insert(run, Open { sink, assembly, has_head: false });
                 wire.send(&order).await && self.keep_alive(wire).await
             }
-            peer::Command::Send(order) => wire.send(&order).await,
-            peer::Command::Close(run) => {
+            channel::Command::Send(order) => wire.send(&order).await,
+            channel::Command::Close(run) => {
                 self.runs.remove(&run);
                 wire.send(&message::Order::Cancel(run)).await
             }
@@ -234,12 +237,12 @@
     async fn take(&mut self, notice: message::Notice, wire: &mut dial::Wire) -> bool {
         match notice {
             message::Notice::Challenge(_) | message::Notice::Welcome(_) => false,
-            message::Notice::Reserved(run) => self.pass(run, peer::Event::Reserved, false),
+            message::Notice::Reserved(run) => self.pass(run, channel::Event::Reserved, false),
             message::Notice::Prefilled(prefilled) => {
-                self.pass(prefilled.run, peer::Event::Prefilled(prefilled), true)
+                self.pass(prefilled.run, channel::Event::Prefilled(prefilled), true)
             }
             message::Notice::Refused(refused) => {
-                self.pass(refused.run, peer::Event::Refused(refused.refusal), true)
+                self.pass(refused.run, channel::Event::Refused(refused.refusal), true)
             }
             message::Notice::Head(head) => self.take_head(head),
             message::Notice::Chunk(chunk) => self.take_chunk(chunk),
@@ -250,19 +253,19 @@
                 }
                 true
             }
-            message::Notice::WantList(version) => match lists::copy(&self.entry, version) {
+            message::Notice::WantList(version) => match self.directory.copy(version) {
                 Some(copy) => wire.send(&message::Order::List(copy)).await,
                 None => true,
             },
             message::Notice::List(copy) => {
-                lists::take_copy(&self.entry, &copy);
+                self.directory.take_copy(&copy);
                 true
             }
         }
     }
 
     // A run that cannot take an event any more is dropped, which cancels it at the agent.
-    fn pass(&mut self, run: ids::RunId, event: peer::Event, is_last: bool) -> bool {
+    fn pass(&mut self, run: ids::RunId, event: channel::Event, is_last: bool) -> bool {
         if let Some(open) = self.runs.get(&run) {
             let is_full = open.sink.try_send(event).is_err();
             if is_last || is_full {
@@ -278,7 +281,7 @@
             return true;
         }
         open.has_head = true;
-        self.pass(head.run, peer::Event::Head(head), false)
+        self.pass(head.run, channel::Event::Head(head), false)
     }
 
     // After a gap the connection is opened again, and every run resumed at its offset.
@@ -288,7 +291,7 @@
             Ok([]) => true,
             Ok(fresh) => {
                 let bytes = fresh.to_vec();
-                self.pass(chunk.run, peer::Event::Bytes(bytes), false)
+                self.pass(chunk.run, channel::Event::Bytes(bytes), false)
             }
             Err(gap) => {
                 tracing::warn!("entry: {gap}");
@@ -302,7 +305,7 @@
         if open.assembly.finish(end.length).is_err() {
             return false;
         }
-        self.pass(end.run, peer::Event::End, true)
+        self.pass(end.run, channel::Event::End, true)
     }
 }
 
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -11,11 +11,14 @@
 pub mod settings;
 
 mod admit;
-mod api;
+mod backend;
+mod channel;
 mod completion;
 mod dial;
+mod directory;
 mod entry;
 mod follow;
+mod ingress;
 mod keeper;
 mod ledger;
 mod link;
--- a/crates/entry/src/lists.rs
+++ b/crates/entry/src/lists.rs
@@ -6,11 +6,10 @@
 use rhubarb_node::{clock, editions, instances};
 use rhubarb_wire::message;
 
-use crate::{dial, entry};
+use crate::entry;
 
 const POLL: time::Duration = time::Duration::from_secs(2);
 const HURRY: time::Duration = time::Duration::from_millis(200);
-const PUSH_CHANCE: f64 = 0.3;
 
 type Shared = sync::Arc<entry::Entry>;
 
@@ -22,8 +21,8 @@
         let (list_read, instances_read) = tokio::join!(poll(&entry), instances.read());
         match instances_read {
             Ok(seen) => {
-                entry.view().take_instances(seen, clock::now());
-                entry.drop_old_peers();
+                entry.directory.view().take_instances(seen, clock::now());
+                entry.backend.drop_old();
             }
             Err(err) => tracing::debug!("entry: instance list not read: {err}"),
         }
@@ -31,13 +30,13 @@
             ask_peers(&entry).await;
         }
         let is_complete = {
-            let view = entry.view();
+            let view = entry.directory.view();
             view.version() > 0 && view.read_instances
         };
         let period = if is_complete { clock::jitter(POLL) } else { HURRY };
         tokio::select! {
             () = tokio::time::sleep(period) => {}
-            () = entry.list_wanted.notified() => tokio::time::sleep(clock::jitter(HURRY)).await,
+            () = entry.directory.wanted() => tokio::time::sleep(clock::jitter(HURRY)).await,
         }
     }
 }
@@ -45,9 +44,9 @@
 // Reads changes one by one until nothing is newer; false while the table is away.
 async fn poll(entry: &Shared) -> bool {
     loop {
-        let version = entry.view().version();
+        let version = entry.directory.view().version();
         match editions::read_news(&entry.table, version).await {
-            Ok(news) if take(entry, &news) => {}
+            Ok(news) if entry.directory.take(&news) => {}
             Ok(editions::News::Change(_, _)) => return take_whole(entry).await,
             Ok(_) => return true,
             Err(err) => {
@@ -62,7 +61,7 @@
 async fn take_whole(entry: &Shared) -> bool {
     match editions::read_news(&entry.table, 0).await {
         Ok(news) => {
-            take(entry, &news);
+            entry.directory.take(&news);
             true
         }
         Err(_) => false,
@@ -71,76 +70,30 @@
 
 // While the platform is away, agents pass the list on.
 async fn ask_peers(entry: &Shared) {
-    let followed = entry.view().followed();
+    let followed = entry.directory.view().followed();
     for (server, _) in followed.iter().take(1) {
-        if let Some(peer) = entry.peer(server)
+        if let Some(peer) = entry.backend.peer(server)
             && peer.contact().await.is_some()
         {
-            peer.send(message::Order::WantList(entry.view().version()));
+            peer.send(message::Order::WantList(entry.directory.view().version()));
         }
     }
     if followed.is_empty() {
         for seed in &entry.settings.seeds {
-            if let Some(copy) = dial::fetch_list(entry, *seed).await {
-                take_copy(entry, &copy);
+            if let Some(copy) = entry.backend.fetch_list(*seed).await {
+                entry.directory.take_copy(&copy);
                 return;
             }
         }
     }
 }
 
-/// Takes news; tells whether a newer list is in force now.
-fn take(entry: &Shared, news: &editions::News) -> bool {
-    let is_new = entry.view().take_news(news, clock::now());
-    if is_new {
-        let version = entry.view().version();
-        entry.metrics.version.set(version as i64);
-        tracing::info!("entry: list {version} is in force");
-    }
-    is_new
-}
-
-/// Takes a list from an agent.
-pub(crate) fn take_copy(entry: &Shared, copy: &message::ListCopy) {
-    for news in editions::read_copy(copy) {
-        take(entry, &news);
-    }
-    let mut view = entry.view();
-    if !view.read_instances
-        && let Ok(seen) = serde_json::from_str::<Vec<instances::Instance>>(&copy.instances)
-        && !seen.is_empty()
-    {
-        view.take_instances(seen, clock::now());
-    }
-}
-
-/// What an agent with `version` lacks of the list in force.
-pub(crate) fn copy(entry: &Shared, version: ids::ListVersion) -> Option<message::ListCopy> {
-    let view = entry.view();
-    let update = view.update_from(version)?;
-    let seen: Vec<_> = view.instances.values().collect();
-    Some(editions::write_copy(update, serde_json::json!(seen).to_string()))
-}
-
-/// Whether an agent that is behind is to be sent the list by this entry; of all that follow it
-/// a few are enough.
-pub(crate) fn is_to_push(entry: &entry::Entry, version: ids::ListVersion) -> bool {
-    version < entry.view().version() && rand::random::<f64>() < PUSH_CHANCE
-}
-
 /// Sends the list to the agent of `server`, which cannot read the table itself.
 pub(crate) async fn push(entry: Shared, server: ids::ServerName, version: ids::ListVersion) {
-    let Some(peer) = entry.peer(&server) else { return };
+    let Some(peer) = entry.backend.peer(&server) else { return };
     if peer.contact().await.is_some()
-        && let Some(copy) = copy(&entry, version)
+        && let Some(copy) = entry.directory.copy(version)
     {
         peer.send(message::Order::List(copy));
     }
 }
-
-/// Notes the version that an agent has; a newer one is fetched at once.
-pub(crate) fn note_version(entry: &entry::Entry, version: ids::ListVersion) {
-    if version > entry.view().version() {
-        entry.list_wanted.notify_one();
-    }
-}
--- a/crates/entry/src/placing.rs
+++ b/crates/entry/src/placing.rs
@@ -20,7 +20,7 @@
     tried: &[ids::ServerName],
     prompt: Option<&str>,
 ) -> Option<ids::ServerName> {
-    let mut view = ticket.entry.view();
+    let mut view = ticket.entry.directory.view();
     let service = &ticket.service.name;
     if let Some(key) = &ticket.key
         && role != list::Role::Prefill
@@ -47,7 +47,7 @@
 
 /// Notes the end of an attempt at `server`.
 pub(crate) fn note_end(ticket: &admit::Ticket, server: &str, role: list::Role, end: pool::End) {
-    let mut view = ticket.entry.view();
+    let mut view = ticket.entry.directory.view();
     if let Some(pool) = view.pool(&ticket.service.name, role) {
         pool.ended(server, end, clock::now());
     }
@@ -55,7 +55,7 @@
 
 /// Notes what became known later of the work of `server`.
 pub(crate) fn judge(ticket: &admit::Ticket, server: &str, role: list::Role, end: pool::End) {
-    let mut view = ticket.entry.view();
+    let mut view = ticket.entry.directory.view();
     if let Some(pool) = view.pool(&ticket.service.name, role) {
         pool.judge(server, end, clock::now());
     }
--- a/crates/entry/src/plain.rs
+++ b/crates/entry/src/plain.rs
@@ -9,7 +9,7 @@
 use rhubarb_node::{clock, hop, reply};
 use rhubarb_wire::{message, offer};
 
-use crate::{admit, peer, placing, refuse, tag};
+use crate::{admit, channel, placing, refuse, tag};
 
 use outcome::{Outcome, RETRY_SOON, Reason, Refusal};
 
@@ -85,7 +85,7 @@
         let Some(server) =
             placing::choose(&self.ticket, list::Role::Plain, self.flow.tried(), None)
         else {
-            self.ticket.entry.list_wanted.notify_one();
+            self.ticket.entry.directory.want();
             return self.failed(None, unreachable);
         };
         let event = self.attempt_at(&server, unreachable).await;
@@ -99,13 +99,13 @@
     }
 
     async fn attempt_at(&mut self, server: &ids::ServerName, unreachable: Refusal) -> flow::Event {
-        let Some(peer) = self.ticket.entry.peer(server) else {
+        let Some(peer) = self.ticket.entry.backend.peer(server) else {
             return self.failed(Some(server.clone()), unreachable);
         };
         let Some(contact) = peer.contact().await else {
             return self.failed(Some(server.clone()), unreachable);
         };
-        let run = self.ticket.entry.next_run();
+        let run = self.ticket.entry.backend.next_run();
         let order = message::Order::Offer(offer::Offer {
             run,
             key: self.ticket.key.as_ref().map(|key| key.hash),
@@ -120,14 +120,14 @@
         let mut run = peer.start(run, contact, order);
         loop {
             match self.reply.wait(run.next(), self.ticket.deadline).await {
-                reply::Waited::Event(peer::Event::Head(head)) => self.begin(&head),
-                reply::Waited::Event(peer::Event::Bytes(bytes)) => {
+                reply::Waited::Event(channel::Event::Head(head)) => self.begin(&head),
+                reply::Waited::Event(channel::Event::Bytes(bytes)) => {
                     if !self.reply.send(bytes.into(), self.ticket.deadline).await {
                         return flow::Event::CallerGone;
                     }
                 }
-                reply::Waited::Event(peer::Event::End) => return flow::Event::Ended,
-                reply::Waited::Event(peer::Event::Refused(refusal)) => {
+                reply::Waited::Event(channel::Event::End) => return flow::Event::Ended,
+                reply::Waited::Event(channel::Event::Refused(refusal)) => {
                     return self.failed(Some(server.clone()), refusal);
                 }
                 reply::Waited::Event(_) => {}
--- a/crates/entry/src/run.rs
+++ b/crates/entry/src/run.rs
@@ -6,7 +6,7 @@
 
 use rhubarb_node::{clock, server, stop};
 
-use crate::{api, entry, follow, ledger, lists, settings};
+use crate::{entry, follow, ingress, ledger, lists, settings};
 
 const DRAIN_STEP: time::Duration = time::Duration::from_millis(20);
 const LAST_STORE: time::Duration = time::Duration::from_secs(10);
@@ -27,7 +27,7 @@
     let flushing = tokio::spawn(ledger::run(entry.clone()));
     let shared = entry.clone();
     tokio::spawn(server::serve(listener, limits, move |request| {
-        api::handle(shared.clone(), request)
+        ingress::handle(shared.clone(), request)
     }));
     stop::wait().await?;
     entry.stop();
