--- /dev/null
+++ b/crates/soak/src/hands.rs
@@ -0,0 +1,145 @@
+//! Carries out the changes of a plan, and notes what they do to entries.
+
+use std::{sync, sync::atomic, time};
+
+use rustix::process::Signal;
+
+use rhubarb_e2e::{relay, standin};
+use rhubarb_fakes::{backend, store};
+
+use crate::{callers, check, plan, record};
+
+/// A deployment and what has been done to it.
+#[derive(Debug)]
+pub(crate) struct Hands {
+    pub(crate) site: standin::Site,
+    pub(crate) shared: sync::Arc<callers::Shared>,
+    pub(crate) broken: Vec<check::Broken>,
+}
+
+/// The longest that an entry may take to stop: its grace of 8 s.
+const STOP_LIMIT: time::Duration = time::Duration::from_secs(10);
+const STEP: time::Duration = time::Duration::from_millis(50);
+/// Time in which a process that was started listens.
+const START: time::Duration = time::Duration::from_secs(1);
+/// Time in which an entry that goes on again settles what came meanwhile.
+const SETTLE: time::Duration = time::Duration::from_millis(500);
+
+impl Hands {
+    /// Carries out one change.
+    pub(crate) async fn apply(&mut self, change: plan::Change) -> anyhow::Result<()> {
+        match change {
+            plan::Change::Kill(edge) => {
+                self.open(edge, record::Trouble::Killed);
+                self.site.edges[edge].kill();
+            }
+            plan::Change::Start(edge) => self.start(edge).await?,
+            plan::Change::Freeze(edge) => {
+                self.open(edge, record::Trouble::Frozen);
+                self.site.edges[edge].signal(Signal::STOP);
+            }
+            plan::Change::Thaw(edge) => {
+                self.site.edges[edge].signal(Signal::CONT);
+                self.close(edge, SETTLE);
+            }
+            plan::Change::Stop(edge) => {
+                self.open(edge, record::Trouble::Stopped);
+                self.site.edges[edge].signal(Signal::TERM);
+            }
+            plan::Change::Reload(edge) => self.site.edges[edge].signal(Signal::HUP),
+            plan::Change::Store(mode) => self.site.store.set_mode(mode),
+            plan::Change::Compact => self.site.store.compact(),
+            plan::Change::Config => self.next_config(),
+            server => self.change_server(server),
+        }
+        Ok(())
+    }
+
+    fn change_server(&self, change: plan::Change) {
+        let servers = self.site.servers();
+        let server = |number: usize| &servers[number];
+        let relay = |number: usize| &self.site.relays[&servers[number].id];
+        match change {
+            plan::Change::Server(number, fault) => server(number).set_fault(fault),
+            plan::Change::Hold(number, is_held) => {
+                let mode = if is_held { relay::Mode::Hold } else { relay::Mode::Pass };
+                relay(number).set(mode, mode);
+            }
+            plan::Change::Cut(number) => relay(number).cut(),
+            plan::Change::Silence(number) => relay(number).silence(),
+            plan::Change::Leaving(number, is_leaving) => {
+                let state = if is_leaving { "draining" } else { "ready" };
+                self.site.announce(server(number), state);
+            }
+            plan::Change::Lapse(number) => {
+                self.site.store.remove("servers", &server(number).id);
+            }
+            plan::Change::Garble(number) => {
+                self.site.store.put("servers", &server(number).id, "{\"service\":");
+            }
+            _ => {}
+        }
+    }
+
+    fn next_config(&self) {
+        let version = self.shared.version.fetch_add(1, atomic::Ordering::Relaxed) + 1;
+        self.site.store.put("op", "config", self.site.config(version).to_string());
+    }
+
+    async fn start(&mut self, edge: usize) -> anyhow::Result<()> {
+        if self.is_stopping(edge) {
+            self.wait_stop(edge).await;
+        }
+        self.site.restart_edge(edge)?;
+        self.close(edge, START);
+        Ok(())
+    }
+
+    fn is_stopping(&self, edge: usize) -> bool {
+        let log = self.shared.log();
+        let mut open = log.windows.iter().filter(|window| window.until.is_none());
+        open.any(|window| window.edge == edge && window.trouble == record::Trouble::Stopped)
+    }
+
+    async fn wait_stop(&mut self, edge: usize) {
+        let until = time::Instant::now() + STOP_LIMIT;
+        loop {
+            let seen = match self.site.edges[edge].exit_code() {
+                Some(0) => return,
+                Some(code) => format!("entry {edge} ended with {code} when told to stop"),
+                None if time::Instant::now() < until => {
+                    tokio::time::sleep(STEP).await;
+                    continue;
+                }
+                None => format!("entry {edge} did not stop"),
+            };
+            self.broken.push(check::Broken { promise: check::Promise::Stop, seen });
+            return;
+        }
+    }
+
+    fn open(&self, edge: usize, trouble: record::Trouble) {
+        let window = record::Window { edge, trouble, from: time::Instant::now(), until: None };
+        self.shared.log().windows.push(window);
+    }
+
+    fn close(&self, edge: usize, settle: time::Duration) {
+        let until = Some(time::Instant::now() + settle);
+        let mut log = self.shared.log();
+        for window in log.windows.iter_mut().filter(|window| window.edge == edge) {
+            window.until = window.until.or(until);
+        }
+    }
+
+    /// Ends all faults that are still open.
+    pub(crate) async fn heal(&mut self) -> anyhow::Result<()> {
+        self.apply(plan::Change::Store(store::Mode::Up)).await?;
+        for number in 0..self.site.servers().len() {
+            self.apply(plan::Change::Server(number, backend::Fault::None)).await?;
+            self.apply(plan::Change::Hold(number, false)).await?;
+            self.apply(plan::Change::Leaving(number, false)).await?;
+        }
+        self.next_config();
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/soak/src/soak.rs
@@ -0,0 +1,153 @@
+//! Plays a plan against a deployment of real entries.
+
+use std::{fmt, sync, sync::atomic, time};
+
+use rhubarb_e2e::standin;
+use rhubarb_node::client;
+
+use crate::{callers, check, hands, plan, record};
+
+/// What came of a soak.
+#[derive(Debug)]
+pub struct Report {
+    /// Requests.
+    pub requests: usize,
+    /// Those with a server's answer.
+    pub answered: usize,
+    /// Those that were refused as not run.
+    pub refused: usize,
+    /// Promises that were broken.
+    pub broken: Vec<check::Broken>,
+    /// Logs of the entries, if a promise was broken.
+    pub logs: Vec<String>,
+}
+
+impl fmt::Display for Report {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let Report { requests, answered, refused, broken, .. } = self;
+        write!(f, "{requests} requests, {answered} answered, {refused} refused")?;
+        write!(f, ", {} promises broken", broken.len())?;
+        broken.iter().try_for_each(|broken| write!(f, "\n  {broken}"))
+    }
+}
+
+/// Time for all to be as before after the last fault; the platform's `recover_s`.
+const RECOVER: time::Duration = time::Duration::from_secs(15);
+/// Time for engines to free what the last callers left, and what entries that were killed held.
+const FREE_LIMIT: time::Duration = time::Duration::from_secs(8);
+const STEP: time::Duration = time::Duration::from_millis(100);
+
+/// Plays `plan`.
+///
+/// # Errors
+/// Returns an error if the deployment does not start.
+pub async fn play(plan: &plan::Plan) -> anyhow::Result<Report> {
+    let site = standin::Site::start(plan.sizes).await?;
+    let shared = sync::Arc::new(callers::Shared {
+        log: sync::Mutex::default(),
+        edges: site.edges.iter().map(|edge| edge.callers).collect(),
+        version: atomic::AtomicU64::new(1),
+        stopped: atomic::AtomicBool::new(false),
+        seq: atomic::AtomicU64::new(0),
+    });
+    let mut tasks: Vec<_> =
+        (0..plan.callers).map(|_| tokio::spawn(callers::run(shared.clone()))).collect();
+    tasks.extend((0..plan.sizes.edges).map(|edge| {
+        let shared = shared.clone();
+        tokio::spawn(callers::observe(shared, edge))
+    }));
+    let mut hands = hands::Hands { site, shared: shared.clone(), broken: Vec::new() };
+    let start = tokio::time::Instant::now();
+    for step in &plan.steps {
+        tokio::time::sleep_until(start + step.at).await;
+        hands.apply(step.change).await?;
+    }
+    hands.heal().await?;
+    wait_recovered(&mut hands).await;
+    shared.stopped.store(true, atomic::Ordering::Relaxed);
+    for task in tasks {
+        task.await?;
+    }
+    wait_free(&mut hands).await;
+    Ok(report(hands))
+}
+
+async fn wait_recovered(hands: &mut hands::Hands) {
+    let until = time::Instant::now() + RECOVER;
+    for edge in 0..hands.site.edges.len() {
+        while let Err(seen) = is_well(hands, edge).await {
+            if time::Instant::now() >= until {
+                let promise = check::Promise::Recovered;
+                hands.broken.push(check::Broken { promise, seen });
+                break;
+            }
+            tokio::time::sleep(STEP).await;
+        }
+    }
+}
+
+// Whether an entry is ready, has the newest config, and serves each kind of request.
+async fn is_well(hands: &hands::Hands, edge: usize) -> Result<(), String> {
+    if !hands.site.edges[edge].is_ready().await {
+        return Err(format!("entry {edge} is not ready"));
+    }
+    let client = client::Client::new();
+    let version = hands.shared.version.load(atomic::Ordering::Relaxed);
+    let sight = callers::look(&hands.shared, &client, edge, version).await;
+    if !sight.is_some_and(|sight| sight.in_force) {
+        return Err(format!("entry {edge} does not have version {version}"));
+    }
+    for kind in record::KINDS {
+        let record = callers::call(&hands.shared, &client, edge, kind).await;
+        let is_served = match &record.end {
+            record::End::Answer(reply) => reply.status == 200,
+            record::End::Left => true,
+            _ => false,
+        };
+        let seen = format!("entry {edge} does not serve {kind:?}: {:?}", record.end);
+        hands.shared.log().records.push(record);
+        if !is_served {
+            return Err(seen);
+        }
+    }
+    Ok(())
+}
+
+async fn wait_free(hands: &mut hands::Hands) {
+    let until = time::Instant::now() + FREE_LIMIT;
+    while hands.site.kept_lastingly() > 0 {
+        if time::Instant::now() >= until {
+            let seen = format!("{} pieces of engine memory", hands.site.kept_lastingly());
+            hands.broken.push(check::Broken { promise: check::Promise::Kept, seen });
+            return;
+        }
+        tokio::time::sleep(STEP).await;
+    }
+}
+
+fn report(hands: hands::Hands) -> Report {
+    let mut runs = check::Runs::new();
+    for server in hands.site.servers() {
+        for (attempt, count) in server.runs() {
+            *runs.entry(attempt).or_default() += count;
+        }
+    }
+    let log = hands.shared.log();
+    let mut broken = hands.broken;
+    broken.extend(check::check(&log, &runs));
+    let replies = log.records.iter().filter_map(|record| match &record.end {
+        record::End::Answer(reply) => Some(reply),
+        _ => None,
+    });
+    let logs = match broken.is_empty() {
+        true => Vec::new(),
+        false => hands.site.edges.iter().map(standin::Edge::log).collect(),
+    };
+    Report {
+        requests: log.records.len(),
+        answered: replies.clone().filter(|reply| !reply.is_own()).count(),
+        refused: replies.filter(|reply| reply.is_own() && reply.status == 503).count(),
+        broken,
+        logs,
+    }
+}
