--- a/crates/core/tests/assembly.rs
+++ b/crates/core/tests/assembly.rs
@@ -1,6 +1,8 @@
 //! Whole answers from pieces that are repeated, late, lost or cut at every byte.
 
-use proptest::{prelude::*, test_runner};
+mod random;
+
+use proptest::prelude::*;
 
 use rhubarb_core::assembly;
 
@@ -30,12 +32,7 @@
 }
 
 proptest! {
-    #![proptest_config(ProptestConfig {
-        cases: 2000,
-        rng_seed: test_runner::RngSeed::Fixed(20_261_203),
-        failure_persistence: None,
-        ..ProptestConfig::default()
-    })]
+    #![proptest_config(random::config(2000))]
 
     #[test]
     fn any_order(pieces in prop::collection::vec((0..40usize, 0..20usize), 0..60)) {
--- a/crates/core/tests/editions.rs
+++ b/crates/core/tests/editions.rs
@@ -1,6 +1,8 @@
 //! Changes bring a process to the same edition as the whole list does.
 
-use proptest::{prelude::*, test_runner};
+mod random;
+
+use proptest::prelude::*;
 
 use rhubarb_core::{change, edition, editions, ids};
 
@@ -75,12 +77,7 @@
 }
 
 proptest! {
-    #![proptest_config(ProptestConfig {
-        cases: 500,
-        rng_seed: test_runner::RngSeed::Fixed(20_261_203),
-        failure_persistence: None,
-        ..ProptestConfig::default()
-    })]
+    #![proptest_config(random::config(500))]
 
     #[test]
     fn random_edits(edits in prop::collection::vec((0..2usize, 0..6usize, 0..4u32), 1..25)) {
--- a/crates/core/tests/events.rs
+++ b/crates/core/tests/events.rs
@@ -1,5 +1,7 @@
 //! Events of a stream, however the bytes arrive.
 
+mod random;
+
 use proptest::prelude::*;
 use rhubarb_core::events;
 
@@ -35,6 +37,8 @@
 }
 
 proptest! {
+    #![proptest_config(random::config(256))]
+
     #[test]
     fn any_pieces(count in 1u64..20, size in 1usize..40) {
         let text: String = (0..count).map(whole).collect();
--- a/crates/core/tests/leases.rs
+++ b/crates/core/tests/leases.rs
@@ -1,5 +1,7 @@
 //! The lease of a duty: one holder, fences that grow, and holders that were frozen.
 
+mod random;
+
 use std::time;
 
 use proptest::prelude::*;
@@ -55,6 +57,8 @@
 }
 
 proptest! {
+    #![proptest_config(random::config(256))]
+
     // Candidates act at random, freeze, and lose answers; two of them never act within the
     // length of the lease of one another, and fences only grow.
     #[test]
--- a/crates/core/tests/once.rs
+++ b/crates/core/tests/once.rs
@@ -1,8 +1,10 @@
 //! At most one run of an idempotency key, whatever fails, against the real gate and members.
 
+mod random;
+
 use std::{collections, time};
 
-use proptest::{prelude::*, test_runner};
+use proptest::prelude::*;
 
 use rhubarb_core::{gate, handover, home, ids, outcome};
 
@@ -295,17 +297,8 @@
     (count > 0).then(|| mails.remove(at % count))
 }
 
-fn config() -> ProptestConfig {
-    ProptestConfig {
-        cases: 1500,
-        rng_seed: test_runner::RngSeed::Fixed(20_261_203),
-        failure_persistence: None,
-        ..ProptestConfig::default()
-    }
-}
-
 proptest! {
-    #![proptest_config(config())]
+    #![proptest_config(random::config(1500))]
 
     #[test]
     fn random_faults(ops in prop::collection::vec(op(), 50..250)) {
--- a/crates/core/tests/repeats.rs
+++ b/crates/core/tests/repeats.rs
@@ -1,5 +1,7 @@
 //! Which requests are sent again, and the budget that all entries share.
 
+mod random;
+
 use std::time;
 
 use rhubarb_core::{outcome, repeat, routing};
@@ -43,6 +45,8 @@
 }
 
 proptest! {
+    #![proptest_config(random::config(256))]
+
     // Whatever the entries do, their repeats in any window stay within the shared bound.
     #[test]
     fn shared_bound(
--- a/crates/core/tests/rooms.rs
+++ b/crates/core/tests/rooms.rs
@@ -1,8 +1,10 @@
 //! Decode rooms: reservations, their queue, and that every room comes back.
 
+mod random;
+
 use std::{collections, time};
 
-use proptest::{prelude::*, test_runner};
+use proptest::prelude::*;
 
 use rhubarb_core::rooms;
 
@@ -86,12 +88,7 @@
 }
 
 proptest! {
-    #![proptest_config(ProptestConfig {
-        cases: 2000,
-        rng_seed: test_runner::RngSeed::Fixed(20_261_203),
-        failure_persistence: None,
-        ..ProptestConfig::default()
-    })]
+    #![proptest_config(random::config(2000))]
 
     #[test]
     fn all_come_back(ops in prop::collection::vec(op(), 1..200)) {
--- a/crates/wire/tests/frames.rs
+++ b/crates/wire/tests/frames.rs
@@ -1,6 +1,9 @@
 //! Malformed, cut, foreign and forged messages are refused without a panic.
 
-use proptest::{prelude::*, test_runner};
+#[path = "../../core/tests/random/mod.rs"]
+mod random;
+
+use proptest::prelude::*;
 
 use rhubarb_core::{ids, load, outcome};
 use rhubarb_wire::{auth, chunk, datagram, frame, message, offer};
@@ -121,12 +124,7 @@
 }
 
 proptest! {
-    #![proptest_config(ProptestConfig {
-        cases: 3000,
-        rng_seed: test_runner::RngSeed::Fixed(20_261_203),
-        failure_persistence: None,
-        ..ProptestConfig::default()
-    })]
+    #![proptest_config(random::config(3000))]
 
     #[test]
     fn random_bytes(bytes in prop::collection::vec(any::<u8>(), 0..300)) {
