Learn from peers when the store falls silent to one entry

Change: entries tell the version of the newest change of a server instead of the store's. An entry whose peer is ahead for 750 ms fetches what it lacks and asks the store again, at most every 5 s; an answer that does not come logs the store as lost.

Also: one line for each hold of engine memory with need, belief, its age and the wait.

--- a/crates/core/src/engine.rs
+++ b/crates/core/src/engine.rs
@@ -63,6 +63,15 @@
     pub(crate) at: time::Instant,
 }
 
+/// What an entry believes of an engine's memory.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Belief {
+    /// Committed share of the memory, in thousandths.
+    pub fill: u32,
+    /// Age of the oldest news from a peer that is in it.
+    pub age: time::Duration,
+}
+
 impl Need {
     /// Memory that the request takes at its end, in tokens.
     pub fn whole(&self) -> u32 {
@@ -104,6 +113,13 @@
         self.runs.len() as u32 + self.peers(now).map(|peer| peer.runs).sum::<u32>()
     }
 
+    pub(crate) fn belief(&self, now: time::Instant) -> Belief {
+        let fill = u64::from(self.tokens(now)) * 1000 / u64::from(self.room().max(1));
+        let ages = self.peers.values().map(|told| now.saturating_duration_since(told.at));
+        let age = ages.filter(|age| *age <= PEER_SILENCE).max().unwrap_or_default();
+        Belief { fill: fill as u32, age }
+    }
+
     pub(crate) fn is_changing(&self, now: time::Instant) -> bool {
         self.changing_until.is_some_and(|until| now < until)
     }
--- a/crates/core/src/engines.rs
+++ b/crates/core/src/engines.rs
@@ -314,6 +314,11 @@
         }
     }
 
+    /// What is believed of an engine's memory.
+    pub fn belief(&self, id: &str, now: time::Instant) -> Option<engine::Belief> {
+        self.engines.get(id).map(|engine| engine.belief(now))
+    }
+
     /// Share of the decode engines' memory that is committed, in thousandths.
     pub fn fill(&self, now: time::Instant) -> u32 {
         let decode = self.of_stage(fleet::Stage::Decode, now);
--- a/crates/core/tests/engines.rs
+++ b/crates/core/tests/engines.rs
@@ -213,3 +213,18 @@
     assert!(engines.fill(now) > fill + 150, "four runs have outgrown theirs");
     assert_eq!(engines.reserve(place(now, 9), NEED, any, 0, now), None);
 }
+
+#[test]
+fn belief_and_age() {
+    let mut engines = engines(0, 1);
+    let now = time::Instant::now();
+    let told = engine::Commitment { tokens: 17_100, ..engine::Commitment::default() };
+    engines.hear("old", &[("d-0".to_string(), told)].into(), now);
+    engines.hear("new", &[("d-0".to_string(), told)].into(), now + 400 * MILLI);
+    let later = now + 500 * MILLI;
+    let belief = engines.belief("d-0", later).unwrap();
+    assert_eq!(belief, engine::Belief { fill: 1_000, age: 500 * MILLI });
+    let belief = engines.belief("d-0", now + 1_600 * MILLI).unwrap();
+    assert_eq!(belief, engine::Belief { fill: 500, age: 1_200 * MILLI }, "the old one is silent");
+    assert_eq!(engines.belief("d-1", now), None);
+}
--- a/crates/e2e/src/standin.rs
+++ b/crates/e2e/src/standin.rs
@@ -219,6 +219,27 @@
         })
     }
 
+    /// Puts a relay between the store and the entries that are added from now on.
+    ///
+    /// # Errors
+    /// Returns an error if no port is free.
+    pub async fn relay_store(&mut self) -> anyhow::Result<relay::Relay> {
+        let store = self.store_address().await?;
+        let relay = relay::Relay::start(store).await?;
+        fs::write(self.dir.join("store"), relay.address.to_string())?;
+        Ok(relay)
+    }
+
+    async fn store_address(&self) -> anyhow::Result<net::SocketAddr> {
+        let file = self.dir.join("store");
+        if let Ok(address) = fs::read_to_string(&file) {
+            return Ok(address.parse()?);
+        }
+        let address = self.store.serve(self.ip(2)).await?;
+        fs::write(&file, address.to_string())?;
+        Ok(address)
+    }
+
     /// Starts one more entry.
     ///
     /// # Errors
@@ -226,11 +247,7 @@
     pub async fn add_edge(&mut self) -> anyhow::Result<()> {
         let number = self.edges.len();
         let ip = self.ip(10 + number as u8);
-        let store = match fs::read_to_string(self.dir.join("store")) {
-            Ok(address) => address.parse()?,
-            Err(_) => self.store.serve(self.ip(2)).await?,
-        };
-        fs::write(self.dir.join("store"), store.to_string())?;
+        let store = self.store_address().await?;
         let settings = self.dir.join(format!("edge-{number}.conf"));
         fs::write(&settings, self.settings(number, ip, store))?;
         let log = self.dir.join(format!("edge-{number}.log"));
--- a/crates/e2e/tests/platform_store.rs
+++ b/crates/e2e/tests/platform_store.rs
@@ -5,7 +5,7 @@
 use hyper::Method;
 use serde_json::json;
 
-use rhubarb_e2e::standin;
+use rhubarb_e2e::{relay, standin};
 use rhubarb_fakes::{backend, store};
 
 async fn is_served(site: &standin::Site, edge: usize, path: &str) -> bool {
@@ -172,3 +172,30 @@
     assert!(site.plain[0].seen().len() > before, "what was known of the old process is void");
     Ok(())
 }
+
+// Found in the logs of a run: the store fell silent to one entry, which waited on its feed for
+// seven seconds while its peers knew better.
+#[tokio::test]
+async fn silent_to_one() -> anyhow::Result<()> {
+    let mut site = standin::Site::start(standin::Sizes::default()).await?;
+    let relay = site.relay_store().await?;
+    site.add_edge().await?;
+    site.wait_ready().await?;
+    assert!(is_served(&site, 1, standin::UNSAFE).await);
+    relay.set(relay::Mode::Hold, relay::Mode::Hold);
+    site.store.remove("servers", "i-plain-1");
+    site.store.put("op", "config", longer_config(&site, 5));
+    assert!(served_within(&site, 1, "/added/x", 3_000).await, "{}", site.edges[1].log());
+    tokio::time::sleep(time::Duration::from_millis(2_000)).await;
+    assert!(site.edges[1].log().contains("store lost"), "{}", site.edges[1].log());
+    let before = site.plain[1].seen().len();
+    for _ in 0..10 {
+        assert!(is_served(&site, 1, standin::SAFE).await);
+    }
+    assert_eq!(site.plain[1].seen().len(), before, "a server that is gone is used");
+    relay.set(relay::Mode::Pass, relay::Mode::Pass);
+    site.store.put("op", "config", site.config(9).to_string());
+    tokio::time::sleep(time::Duration::from_millis(3_000)).await;
+    assert!(!is_served(&site, 1, "/added/x").await, "the store is followed again");
+    Ok(())
+}
--- a/crates/edge/src/directory.rs
+++ b/crates/edge/src/directory.rs
@@ -4,7 +4,7 @@
 
 use rhubarb_core::{engines, fleet, ids, load, outcome, pool, queueing, repeat, routing};
 
-use crate::rows;
+use crate::{ahead, rows};
 
 /// One service with its servers.
 #[derive(Debug)]
@@ -88,6 +88,12 @@
         self.config.clone()
     }
 
+    /// How much of the store is known.
+    pub(crate) fn known(&self) -> ahead::Known {
+        let config = self.config.as_ref().map_or(0, |config| config.version);
+        ahead::Known { config, servers: self.rows.version }
+    }
+
     /// Whether both the config and the servers are known.
     pub(crate) fn is_complete(&self) -> bool {
         self.config.is_some() && self.has_fleet
--- a/crates/edge/src/edge.rs
+++ b/crates/edge/src/edge.rs
@@ -1,6 +1,6 @@
 //! State shared by the parts of an entry.
 
-use std::{net, sync, sync::atomic, time};
+use std::{sync, sync::atomic, time};
 
 use tokio::sync as lock;
 
@@ -8,7 +8,7 @@
 use rhubarb_node::{client, clock, locks};
 use rhubarb_platform::{settings, store};
 
-use crate::{directory, links, metrics, orders};
+use crate::{ahead, directory, links, metrics, orders};
 
 /// One entry.
 #[derive(Debug)]
@@ -24,14 +24,15 @@
     pub(crate) given: lock::Notify,
     /// A peer knows more than this entry.
     pub(crate) behind: lock::Notify,
+    /// The store's feeds tell nothing, though something has changed.
+    pub(crate) silent: lock::Notify,
     /// Tables of the store that do not answer now.
     pub(crate) away: atomic::AtomicU64,
     pub(crate) open: atomic::AtomicU64,
     directory: sync::Mutex<directory::Directory>,
     members: sync::Mutex<members::Members>,
     orders: sync::Mutex<orders::Orders>,
-    // Peer that knows more.
-    ahead: sync::Mutex<Option<net::IpAddr>>,
+    ahead: sync::Mutex<ahead::Ahead>,
     seq: atomic::AtomicU64,
     stopped_at: sync::OnceLock<time::Instant>,
 }
@@ -51,6 +52,7 @@
             room_freed: lock::Notify::new(),
             given: lock::Notify::new(),
             behind: lock::Notify::new(),
+            silent: lock::Notify::new(),
             away: atomic::AtomicU64::new(0),
             open: atomic::AtomicU64::new(0),
             directory: sync::Mutex::new(directory),
@@ -88,7 +90,7 @@
     }
 
     /// Peer that knows more than this entry.
-    pub(crate) fn ahead(&self) -> sync::MutexGuard<'_, Option<net::IpAddr>> {
+    pub(crate) fn ahead(&self) -> sync::MutexGuard<'_, ahead::Ahead> {
         locks::lock(&self.ahead)
     }
 
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -10,6 +10,7 @@
 //! assert!(settings::parse("").is_err());
 //! ```
 
+mod ahead;
 mod boot;
 mod call;
 mod cleanup;
--- a/crates/edge/src/peers.rs
+++ b/crates/edge/src/peers.rs
@@ -8,7 +8,7 @@
 use rhubarb_platform::store;
 use rhubarb_wire::share;
 
-use crate::{edge, links, watch};
+use crate::{ahead, edge, links, watch};
 
 /// Peers are told at least this often, as a sign of life.
 const TELL_PERIOD: time::Duration = time::Duration::from_millis(300);
@@ -74,8 +74,8 @@
     let now = clock::now();
     let peers = edge.members().alive(now).collect();
     let mut directory = edge.directory();
-    let config = directory.config().map_or(0, |config| config.version);
-    let servers = directory.rows.version;
+    let config = directory.known().config;
+    let servers = directory.rows.newest;
     let own = directory.services().flat_map(|service| service.engines.own(now));
     let given = own.map(|(id, commitment)| share::Given::new(&id, &commitment)).collect();
     let usage = directory
@@ -134,11 +134,11 @@
     for (name, usage) in &share.usage {
         directory.service(name).engines.hear_usage(&share.name, *usage);
     }
-    let config = directory.config().map_or(0, |config| config.version);
-    let is_behind = share.config > config || share.servers > directory.rows.version;
+    let own = directory.known();
     drop(directory);
-    if is_behind {
-        *edge.ahead() = Some(from);
+    let known = ahead::Known { config: share.config, servers: share.servers };
+    if own.lacks(&known) {
+        edge.ahead().note(from, known, &own, now);
         edge.behind.notify_one();
     }
     edge.room_freed.notify_waiters();
@@ -182,7 +182,14 @@
         edge.behind.notified().await;
         // The store's own feed comes first where it works.
         tokio::time::sleep(FETCH_PERIOD).await;
-        let Some(ip) = edge.ahead().take().filter(|_| is_turned_away(&edge)) else { continue };
+        let own = edge.directory().known();
+        let Some(ip) = edge.ahead().address(&own) else { continue };
+        if !is_turned_away(&edge) {
+            if !edge.ahead().is_overdue(clock::now()) {
+                continue;
+            }
+            edge.silent.notify_waiters();
+        }
         let fetching = fetch(address(&edge, ip));
         match tokio::time::timeout(FETCH_LIMIT, fetching).await {
             Ok(Ok(snapshot)) => watch::learn_from_peer(&edge, ip, snapshot),
--- a/crates/edge/src/room.rs
+++ b/crates/edge/src/room.rs
@@ -100,7 +100,10 @@
         let freed = call.edge.room_freed.notified();
         while let Some(mut room) = take(call, place, need, &tried) {
             match reply.wait(hold(call, &mut room, need), call.deadline).await {
-                reply::Waited::Event(Held::Yes) => return Asked::Granted(room),
+                reply::Waited::Event(Held::Yes) => {
+                    note_belief(call, &room.target.id, need, "edge: memory set aside");
+                    return Asked::Granted(room);
+                }
                 reply::Waited::Event(Held::Full) => {}
                 reply::Waited::Event(Held::Unreachable) => tried.push(room.target.id.clone()),
                 reply::Waited::Gone => return Asked::Gone,
@@ -154,9 +157,9 @@
             Held::Unreachable
         }
         None if read.head.status() == StatusCode::SERVICE_UNAVAILABLE => {
+            note_belief(call, &id, need, "edge: engine is full");
             let mut directory = call.edge.directory();
             directory.service(&call.service).engines.set_full(&id, clock::now());
-            tracing::info!(id = call.id(), server = id, "edge: engine is full");
             Held::Full
         }
         None => {
@@ -167,6 +170,22 @@
     }
 }
 
+// Logs what was believed of an engine that was asked for memory.
+fn note_belief(call: &call::Call, server: &str, need: engine::Need, message: &str) {
+    let mut directory = call.edge.directory();
+    let belief = directory.service(&call.service).engines.belief(server, clock::now());
+    drop(directory);
+    tracing::info!(
+        id = call.id(),
+        server,
+        need = need.charge(),
+        fill = belief.map(|belief| belief.fill),
+        news_ms = belief.map(|belief| belief.age.as_millis() as u64),
+        age_ms = call.age_ms(),
+        "{message}"
+    );
+}
+
 fn hold_life(call: &call::Call) -> Option<time::Duration> {
     let config = call.edge.directory().config()?;
     config.services.get(&call.service)?.engine.as_ref()?.hold_life
--- a/crates/edge/src/rows.rs
+++ b/crates/edge/src/rows.rs
@@ -14,6 +14,9 @@
     gone: collections::BTreeMap<String, store::Version>,
     /// Store version up to which the servers are known.
     pub(crate) version: store::Version,
+    /// Version of the newest change of a server that was seen. Unlike `version` it grows only with
+    /// the servers, so peers can tell by it whether they missed one.
+    pub(crate) newest: store::Version,
 }
 
 impl Rows {
@@ -42,6 +45,7 @@
             return false;
         }
         self.version = self.version.max(row.version);
+        self.newest = self.newest.max(row.version);
         self.gone.remove(&row.key);
         let value = row.value.clone().unwrap_or_default();
         if row.value.is_some() {
--- a/crates/edge/src/watch.rs
+++ b/crates/edge/src/watch.rs
@@ -1,6 +1,6 @@
 //! Follows the operator's config and the servers' entries in the platform's store.
 
-use std::{convert, net, sync, sync::atomic, time};
+use std::{net, sync, sync::atomic, time};
 
 use rhubarb_core::fleet;
 use rhubarb_node::clock;
@@ -26,7 +26,10 @@
     let mut contact = Contact { is_away: true, pause: PAUSE };
     edge.away.fetch_add(1, atomic::Ordering::Relaxed);
     loop {
-        let Err(err) = follow_once(&edge, table, &mut contact).await;
+        let err = match follow_once(&edge, table, &mut contact).await {
+            Ok(()) => continue,
+            Err(err) => err,
+        };
         if matches!(err, store::StoreError::HistoryGone) {
             tracing::info!(?table, "edge: history of the store is gone, reading all");
             continue;
@@ -65,11 +68,12 @@
     }
 }
 
+// Reads the table and follows its changes until it is to be read again.
 async fn follow_once(
     edge: &edge::Edge,
     table: store::Table,
     contact: &mut Contact,
-) -> Result<convert::Infallible, store::StoreError> {
+) -> Result<(), store::StoreError> {
     let all = read_all(edge, table).await?;
     contact.regain(edge, table, all.version);
     let mut version = all.version;
@@ -78,7 +82,13 @@
         keep_only(edge, &all.rows, all.version);
     }
     loop {
-        let news = edge.store.feed(table, version, FEED_WAIT).await?;
+        let news = tokio::select! {
+            news = edge.store.feed(table, version, FEED_WAIT) => news?,
+            () = edge.silent.notified() => {
+                tracing::info!(?table, version, "edge: peers know more, the store is asked again");
+                return Ok(());
+            }
+        };
         version = version.max(news.version);
         apply(edge, table, &news.rows);
         if table == store::Table::Servers {
