--- a/crates/e2e/benches/exchange.rs
+++ b/crates/e2e/benches/exchange.rs
@@ -6,7 +6,7 @@
 
 use hyper::Method;
 
-use rhubarb_e2e::standin;
+use rhubarb_e2e::{call, standin};
 
 /// Entries of a deployment.
 const COUNTS: [usize; 3] = [5, 24, 200];
@@ -63,7 +63,7 @@
             while time::Instant::now() < until {
                 let attempt = format!("a{number}");
                 let path = standin::RESUMABLE;
-                let call = standin::Call { path, attempt: &attempt, body: "body", headers: &[] };
+                let call = call::Call { path, attempt: &attempt, body: "body", headers: &[] };
                 let sent = call.send(&client, Method::POST, edges[number % edges.len()]).await;
                 whole += usize::from(sent.is_ok_and(|reply| reply.status == 200));
                 number += STREAMS;
--- a/crates/e2e/src/lib.rs
+++ b/crates/e2e/src/lib.rs
@@ -11,6 +11,7 @@
 //! # }
 //! ```
 
+pub mod call;
 pub mod caller;
 pub mod process;
 pub mod relay;
--- a/crates/e2e/src/standin.rs
+++ b/crates/e2e/src/standin.rs
@@ -2,15 +2,14 @@
 
 use std::{collections, env, fs, net, path, process, sync::atomic, time};
 
-use bytes::Bytes;
-use hyper::{HeaderMap, Method, header};
+use hyper::Method;
 use rustix::process as signals;
 use serde_json::json;
 
 use rhubarb_fakes::{backend, store};
 use rhubarb_node::client;
 
-use crate::{process as programs, relay};
+use crate::{call, process as programs, relay};
 
 /// A running deployment.
 #[derive(Debug)]
@@ -64,21 +63,6 @@
     }
 }
 
-/// A whole answer, or how much of it came.
-#[derive(Clone, Debug)]
-pub struct Reply {
-    /// Status.
-    pub status: u16,
-    /// Headers.
-    pub headers: HeaderMap,
-    /// Body; `None` where it broke off.
-    pub body: Option<String>,
-    /// Time from the call to its end.
-    pub taken: time::Duration,
-}
-
-/// Host of the routes in [`Site::config`].
-const HOST: &str = "x.example";
 /// Most servers at which one request may run.
 pub const MAX_ATTEMPTS: u32 = 2;
 /// Longest time of a plain call.
@@ -99,7 +83,6 @@
 
 const METRICS_PORT: u16 = 9464;
 const START_LIMIT: time::Duration = time::Duration::from_secs(20);
-const CALL_LIMIT: time::Duration = time::Duration::from_secs(20);
 const STEP: time::Duration = time::Duration::from_millis(20);
 
 impl Site {
@@ -202,7 +185,7 @@
             let is_stream = kind == "streaming";
             let limit = if is_stream { STREAM_LIMIT } else { PLAIN_LIMIT };
             json!({
-                "name": name, "host": HOST, "prefix": format!("/{name}/"), "kind": kind,
+                "name": name, "host": call::HOST, "prefix": format!("/{name}/"), "kind": kind,
                 "timeout_ms": limit.as_millis() as u64, "target_latency_ms": 300,
                 "priority": 1, "service": service, "max_attempts": MAX_ATTEMPTS, "resumable": resumable,
                 "sticky": is_stream,
@@ -358,7 +341,7 @@
     /// Returns an error if the entry does not answer or has no such counter.
     pub async fn counter(&self, name: &str) -> anyhow::Result<u64> {
         let url = format!("http://{}:{METRICS_PORT}/metrics", self.callers.ip());
-        let reply = client::Client::new().get(&url, CALL_LIMIT).await?;
+        let reply = client::Client::new().get(&url, call::CALL_LIMIT).await?;
         let text = String::from_utf8_lossy(&reply.body).into_owned();
         let mut values = text.lines().filter_map(|line| line.strip_prefix(name));
         let value = values.find_map(|rest| rest.strip_prefix(' '));
@@ -410,7 +393,7 @@
         path: &str,
         attempt: &str,
         body: &str,
-    ) -> anyhow::Result<Reply> {
+    ) -> anyhow::Result<call::Reply> {
         self.call_with(method, path, attempt, body, &[]).await
     }
 
@@ -425,65 +408,12 @@
         attempt: &str,
         body: &str,
         headers: &[(&str, &str)],
-    ) -> anyhow::Result<Reply> {
-        let call = Call { path, attempt, body, headers };
+    ) -> anyhow::Result<call::Reply> {
+        let call = call::Call { path, attempt, body, headers };
         Ok(call.send(&client::Client::new(), method, self.callers).await?)
     }
 }
 
-/// A request to an entry.
-#[derive(Clone, Copy, Debug)]
-pub struct Call<'a> {
-    /// Path and query.
-    pub path: &'a str,
-    /// Id of the request.
-    pub attempt: &'a str,
-    /// Body.
-    pub body: &'a str,
-    /// Headers beside the usual ones, or in their place.
-    pub headers: &'a [(&'a str, &'a str)],
-}
-
-impl Call<'_> {
-    /// Sends the request to `address` and reads its answer.
-    ///
-    /// # Errors
-    /// Returns an error if there is no answer.
-    pub async fn send(
-        &self,
-        client: &client::Client,
-        method: Method,
-        address: net::SocketAddr,
-    ) -> Result<Reply, client::CallError> {
-        let start = time::Instant::now();
-        let url = format!("http://{address}{}", self.path);
-        let mut request = client::request(method, &url, Bytes::from(self.body.to_string()))?;
-        let usual = [("host", HOST), ("x-attempt-id", self.attempt), ("x-token-usage", "100,60")];
-        for (name, value) in usual.iter().chain(self.headers) {
-            let name: header::HeaderName = name.parse().expect("tests name headers well");
-            let value = value.parse().expect("tests write headers well");
-            request.headers_mut().insert(name, value);
-        }
-        let answer = client.send(request, CALL_LIMIT).await?;
-        let (head, body) = answer.into_parts();
-        let reading = rhubarb_node::answer::read_body(body, 1 << 20);
-        let body = tokio::time::timeout(CALL_LIMIT, reading).await.unwrap_or(None);
-        Ok(Reply {
-            status: head.status.as_u16(),
-            headers: head.headers,
-            body: body.map(|body| String::from_utf8_lossy(&body).into_owned()),
-            taken: start.elapsed(),
-        })
-    }
-}
-
-impl Reply {
-    /// Whether the entry itself gave the answer, and no server.
-    pub fn is_own(&self) -> bool {
-        !self.headers.contains_key("x-response-seal")
-    }
-}
-
 impl Drop for Edge {
     fn drop(&mut self) {
         self.kill();
--- a/crates/soak/src/callers.rs
+++ b/crates/soak/src/callers.rs
@@ -5,7 +5,7 @@
 use hyper::Method;
 use rand::RngExt;
 
-use rhubarb_e2e::standin;
+use rhubarb_e2e::{call, standin};
 use rhubarb_node::{client, locks};
 
 use crate::record;
@@ -62,7 +62,7 @@
 ) -> record::Record {
     let attempt = format!("s{}", shared.seq.fetch_add(1, atomic::Ordering::Relaxed));
     let body = format!("body of {attempt}");
-    let call = standin::Call { path: kind.path(), attempt: &attempt, body: &body, headers: &[] };
+    let call = call::Call { path: kind.path(), attempt: &attempt, body: &body, headers: &[] };
     let began = time::Instant::now();
     let leaves = rand::random_bool(LEAVE_SHARE);
     let after = time::Duration::from_millis(rand::rng().random_range(LEAVE_AFTER));
@@ -100,7 +100,7 @@
     let host = standin::version_host(version);
     let attempt = format!("look{}", shared.seq.fetch_add(1, atomic::Ordering::Relaxed));
     let headers = [("host", host.as_str())];
-    let call = standin::Call { path: "/", attempt: &attempt, body: "", headers: &headers };
+    let call = call::Call { path: "/", attempt: &attempt, body: "", headers: &headers };
     let reply = call.send(client, Method::GET, shared.edges[edge]).await.ok()?;
     let in_force = match reply.status {
         200 => true,
--- a/crates/soak/src/check.rs
+++ b/crates/soak/src/check.rs
@@ -2,6 +2,8 @@
 
 use std::{collections, fmt, time};
 
+use rhubarb_e2e::call;
+
 use crate::record;
 
 /// A promise.
@@ -89,7 +91,7 @@
 fn check_answer(
     log: &record::Log,
     record: &record::Record,
-    reply: &rhubarb_e2e::standin::Reply,
+    reply: &call::Reply,
     runs: &Runs,
 ) -> Vec<Broken> {
     let mut broken = Vec::new();
--- a/crates/soak/src/record.rs
+++ b/crates/soak/src/record.rs
@@ -2,7 +2,7 @@
 
 use std::time;
 
-use rhubarb_e2e::standin;
+use rhubarb_e2e::{call, standin};
 
 /// What a request asks for.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -60,7 +60,7 @@
 #[derive(Clone, Debug)]
 pub enum End {
     /// An answer came, whole or broken off.
-    Answer(standin::Reply),
+    Answer(call::Reply),
     /// No connection could be made.
     Unreachable,
     /// The connection ended without an answer.
--- a/crates/soak/tests/checks.rs
+++ b/crates/soak/tests/checks.rs
@@ -4,22 +4,22 @@
 
 use hyper::{HeaderMap, header};
 
-use rhubarb_e2e::standin;
+use rhubarb_e2e::{call, standin};
 use rhubarb_soak::{check, record};
 
 use check::Promise;
 use record::{End, Kind, Trouble};
 
-fn reply(status: u16, is_own: bool, body: Option<&str>) -> standin::Reply {
+fn reply(status: u16, is_own: bool, body: Option<&str>) -> call::Reply {
     let mut headers = HeaderMap::new();
     if !is_own {
         headers.insert("x-response-seal", header::HeaderValue::from_static("seal"));
     }
     let body = body.map(str::to_string);
-    standin::Reply { status, headers, body, taken: time::Duration::from_millis(80) }
+    call::Reply { status, headers, body, taken: time::Duration::from_millis(80) }
 }
 
-fn refusal() -> standin::Reply {
+fn refusal() -> call::Reply {
     let mut refusal = reply(503, true, Some("busy\n"));
     refusal.headers.insert(header::RETRY_AFTER, header::HeaderValue::from_static("1"));
     refusal
