Look at both halves of resuming a stream by themselves

Cause: with the check for repeated events off, or with the last event not told to the next server, all tests passed: each makes up for the other while servers obey.

Change: a stand-in that begins a resumed stream from its start, and streams::resumed_once, which also looks at the header. The soak draws it too.

--- a/crates/e2e/tests/platform_streams.rs
+++ b/crates/e2e/tests/platform_streams.rs
@@ -132,3 +132,22 @@
     assert_eq!(site.runs("a1"), 1);
     Ok(())
 }
+
+// Either half keeps events from coming twice, so each is looked at by itself.
+#[tokio::test]
+async fn resumed_once() -> anyhow::Result<()> {
+    let site = standin::Site::start(standin::Sizes::default()).await?;
+    site.decode[0].set_fault(Fault::CutsStream);
+    site.decode[1].set_fault(Fault::StartsOver);
+    for number in 0..MOST_CALLS {
+        let attempt = format!("a{number}");
+        let reply = site.edges[0].call(Method::POST, standin::RESUMABLE, &attempt, "b").await?;
+        assert_eq!((reply.status, reply.body), (200, Some(standin::whole_stream())));
+        if site.runs(&attempt) == 2 {
+            let seen = site.decode[1].seen();
+            assert_eq!(seen.last().unwrap().headers["last-event-id"], "1");
+            return Ok(());
+        }
+    }
+    anyhow::bail!("no stream was resumed in {MOST_CALLS} calls")
+}
--- a/crates/fakes/src/backend.rs
+++ b/crates/fakes/src/backend.rs
@@ -86,6 +86,8 @@
     Pauses,
     /// Leaves an event out.
     SkipsEvent,
+    /// Begins a stream that is resumed from its start.
+    StartsOver,
     /// Has no memory to set aside.
     Full,
     /// Loses the results of prefills at once.
@@ -330,7 +332,9 @@
     }
 
     fn stream(&self, attempt: &str, headers: &HeaderMap, fault: Fault) -> Response<answer::Body> {
-        let first = text(headers, "last-event-id").parse().map_or(0, |last: u64| last + 1);
+        let last = text(headers, "last-event-id").parse().ok();
+        let last: Option<u64> = last.filter(|_| fault != Fault::StartsOver);
+        let first = last.map_or(0, |last| last + 1);
         let (sender, receiver) = mpsc::channel(1);
         let inner = self.inner.clone();
         tokio::spawn(async move {
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -80,7 +80,7 @@
 const STOP_SPAN: time::Duration = time::Duration::from_secs(9);
 const STORE_MODES: [store::Mode; 4] =
     [store::Mode::Busy, store::Mode::Silent, store::Mode::Lost, store::Mode::Slow];
-const SERVER_FAULTS: [backend::Fault; 13] = [
+const SERVER_FAULTS: [backend::Fault; 14] = [
     backend::Fault::Sheds,
     backend::Fault::Fails,
     backend::Fault::Mute,
@@ -92,6 +92,7 @@
     backend::Fault::Stalls,
     backend::Fault::Pauses,
     backend::Fault::SkipsEvent,
+    backend::Fault::StartsOver,
     backend::Fault::Full,
     backend::Fault::Forgets,
 ];
