Count requests by one set of metrics, and keep platform names in the stand-ins

Change: node::metrics::Requests, prefill::Prompt, fakes::caller, and the entry's process in e2e::edge. Names of metrics are as before.

Ruled out: one dispatch for the steps of entry::completion and edge::stream; they match the same steps to different parts, and their loop is shared already.

--- a/crates/e2e/src/call.rs
+++ b/crates/e2e/src/call.rs
@@ -5,6 +5,7 @@
 use bytes::Bytes;
 use hyper::{HeaderMap, Method, header};
 
+use rhubarb_fakes::caller;
 use rhubarb_node::{answer, client};
 
 /// Host of the routes of a stand-in's config.
@@ -39,8 +40,8 @@
         let start = time::Instant::now();
         let url = format!("http://{address}{}", self.path);
         let mut request = client::request(method, &url, Bytes::from(self.body.to_string()))?;
-        let usual = [("host", HOST), ("x-attempt-id", self.attempt), ("x-token-usage", "100,60")];
-        for (name, value) in usual.iter().chain(self.headers) {
+        let [id, usage] = caller::headers(self.attempt);
+        for (name, value) in [("host", HOST), id, usage].iter().chain(self.headers) {
             let name: header::HeaderName = name.parse().expect("tests name headers well");
             let value = value.parse().expect("tests write headers well");
             request.headers_mut().insert(name, value);
@@ -73,6 +74,6 @@
 impl Reply {
     /// Whether the entry itself gave the answer, and no server.
     pub fn is_own(&self) -> bool {
-        !self.headers.contains_key("x-response-seal")
+        !caller::is_servers(&self.headers)
     }
 }
--- a/crates/e2e/src/lib.rs
+++ b/crates/e2e/src/lib.rs
@@ -13,6 +13,7 @@
 
 pub mod call;
 pub mod caller;
+pub mod edge;
 pub mod process;
 pub mod relay;
 pub mod stack;
--- a/crates/edge/src/call.rs
+++ b/crates/edge/src/call.rs
@@ -51,7 +51,7 @@
     pub(crate) fn take_repeats(&self, sends: u32, reason: outcome::Reason) -> bool {
         let taken = self.edge.directory().take_repeats(&self.service, sends, clock::now());
         if taken {
-            self.edge.counters.retried.get_or_create(&metrics::labels(reason)).inc();
+            self.edge.counters.requests.retried.get_or_create(&metrics::labels(reason)).inc();
         }
         tracing::info!(
             id = self.id(),
--- a/crates/edge/src/ingress.rs
+++ b/crates/edge/src/ingress.rs
@@ -36,7 +36,7 @@
     request: Request<body::Incoming>,
 ) -> Response<answer::Body> {
     let arrived = clock::now();
-    edge.counters.requests.inc();
+    edge.counters.requests.received.inc();
     let (parts, body) = request.into_parts();
     let head = request::Head::read(&parts);
     let attempt = head.attempt.clone();
--- a/crates/edge/src/metrics.rs
+++ b/crates/edge/src/metrics.rs
@@ -8,11 +8,7 @@
 #[derive(Debug)]
 pub(crate) struct Counters {
     pub(crate) registry: metrics::Metrics,
-    pub(crate) requests: counter::Counter,
-    pub(crate) answered: counter::Counter,
-    pub(crate) refused: metrics::ReasonFamily,
-    pub(crate) retried: metrics::ReasonFamily,
-    pub(crate) wasted: metrics::ReasonFamily,
+    pub(crate) requests: metrics::Requests,
     pub(crate) version: gauge::Gauge,
     pub(crate) peers: gauge::Gauge,
     pub(crate) shares: counter::Counter,
@@ -26,11 +22,7 @@
     pub(crate) fn new() -> Counters {
         let registry = metrics::Metrics::new("rhubarb_edge");
         Counters {
-            requests: registry.counter("requests", "Requests received"),
-            answered: registry.counter("answered", "Requests answered whole by a server"),
-            refused: registry.reasons("refused", "Requests refused or failed, by reason"),
-            retried: registry.reasons("retried", "Attempts repeated, by reason"),
-            wasted: registry.reasons("wasted_tokens", "Prompt tokens prefilled in vain, by reason"),
+            requests: registry.requests(),
             version: registry.gauge("config_version", "Version of the config in force"),
             peers: registry.gauge("peers", "Other entries that are heard"),
             shares: registry.counter("shares_sent", "Datagrams sent to other entries"),
--- a/crates/edge/src/plain.rs
+++ b/crates/edge/src/plain.rs
@@ -190,7 +190,7 @@
 
     fn finish(&mut self, whole: Whole) {
         let call = &self.call;
-        call.edge.counters.answered.inc();
+        call.edge.counters.requests.answered.inc();
         call.edge.counters.plain_time.observe((clock::now() - call.arrived).as_secs_f64());
         tracing::info!(
             id = call.id(),
--- a/crates/edge/src/prefill.rs
+++ b/crates/edge/src/prefill.rs
@@ -49,7 +49,7 @@
             return;
         }
         let reason = metrics::labels(Reason::Withdrawn);
-        self.edge.counters.wasted.get_or_create(&reason).inc_by(u64::from(self.tokens));
+        self.edge.counters.requests.wasted.get_or_create(&reason).inc_by(u64::from(self.tokens));
         let (edge, address) = (self.edge.clone(), self.target.address);
         let request = engine::free_handle(&self.handle);
         tokio::spawn(async move { cleanup::send(&edge, address, request).await });
@@ -77,17 +77,24 @@
 /// Servers that may turn out to be out of reach before a prompt is given up.
 const MAX_UNSENT: usize = 4;
 
-/// Has the prompt read, near `zone` if that is as fast.
+/// A prompt that is to be read.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Prompt<'a> {
+    pub(crate) call: &'a call::Call,
+    /// Zone of the engine that decodes; one there is taken if that is as fast.
+    pub(crate) zone: &'a str,
+    pub(crate) tokens: u32,
+}
+
+/// Has the prompt read at a server that has not been `tried`.
 pub(crate) async fn read(
-    call: &call::Call,
+    prompt: Prompt<'_>,
     reply: &mut reply::Reply,
-    zone: &str,
-    tokens: u32,
     tried: &[ids::ServerName],
 ) -> Read {
     let mut tried = tried.to_vec();
     for _ in 0..MAX_UNSENT {
-        match read_once(call, reply, zone, tokens, &tried).await {
+        match read_once(prompt, reply, &tried).await {
             Read::Unsent(server) => tried.push(server),
             read => return read,
         }
@@ -96,13 +103,12 @@
 }
 
 async fn read_once(
-    call: &call::Call,
+    prompt: Prompt<'_>,
     reply: &mut reply::Reply,
-    zone: &str,
-    tokens: u32,
     tried: &[ids::ServerName],
 ) -> Read {
-    let chosen = choose(call, zone, tokens, tried);
+    let call = prompt.call;
+    let chosen = choose(prompt, tried);
     let Some((target, expected)) = chosen else {
         return Read::Failed(None, Refusal::not_run(Reason::NoServer, RETRY_SOON));
     };
@@ -167,11 +173,10 @@
 }
 
 fn choose(
-    call: &call::Call,
-    zone: &str,
-    tokens: u32,
+    prompt: Prompt<'_>,
     tried: &[ids::ServerName],
 ) -> Option<(directory::Target, time::Duration)> {
+    let Prompt { call, zone, tokens } = prompt;
     let now = clock::now();
     let mut directory = call.edge.directory();
     let service = directory.service(&call.service);
--- a/crates/edge/src/stream.rs
+++ b/crates/edge/src/stream.rs
@@ -132,8 +132,8 @@
         }
         let zone = self.decode_zone();
         let tried = self.flow.tried().to_vec();
-        let (call, reply) = (&self.call, &mut self.reply);
-        match prefill::read(call, reply, &zone, self.need.prompt, &tried).await {
+        let prompt = prefill::Prompt { call: &self.call, zone: &zone, tokens: self.need.prompt };
+        match prefill::read(prompt, &mut self.reply, &tried).await {
             prefill::Read::Done(cache) => {
                 self.cache = Some(cache);
                 flow::Event::Prefilled
@@ -386,7 +386,7 @@
 
     fn finish(&self) {
         let call = &self.call;
-        call.edge.counters.answered.inc();
+        call.edge.counters.requests.answered.inc();
         let first = self.first_at.map(|at| at - call.arrived);
         if let Some(first) = first {
             call.edge.counters.first_event.observe(first.as_secs_f64());
--- a/crates/entry/src/admit.rs
+++ b/crates/entry/src/admit.rs
@@ -150,7 +150,7 @@
         match reason {
             Some(reason) => self.entry.count_refusal(reason),
             None => {
-                self.entry.metrics.answered.inc();
+                self.entry.metrics.requests.answered.inc();
             }
         }
         let mut ledger = self.entry.ledger();
--- a/crates/entry/src/entry.rs
+++ b/crates/entry/src/entry.rs
@@ -2,7 +2,7 @@
 
 use std::{collections, sync, sync::atomic, time};
 
-use prometheus_client::metrics::{counter, gauge};
+use prometheus_client::metrics::gauge;
 
 use rhubarb_core::{ids, limit, outcome, usage};
 use rhubarb_node::{client, clock, locks, metrics, objects, table};
@@ -29,11 +29,7 @@
 #[derive(Debug)]
 pub(crate) struct Counters {
     pub(crate) registry: metrics::Metrics,
-    pub(crate) requests: counter::Counter,
-    pub(crate) answered: counter::Counter,
-    pub(crate) refused: metrics::ReasonFamily,
-    pub(crate) retried: metrics::ReasonFamily,
-    pub(crate) wasted: metrics::ReasonFamily,
+    pub(crate) requests: metrics::Requests,
     pub(crate) open: gauge::Gauge,
     pub(crate) version: gauge::Gauge,
     pub(crate) pending: gauge::Gauge,
@@ -43,11 +39,7 @@
     fn new() -> Counters {
         let registry = metrics::Metrics::new("rhubarb_entry");
         Counters {
-            requests: registry.counter("requests", "Requests received"),
-            answered: registry.counter("answered", "Requests answered whole"),
-            refused: registry.reasons("refused", "Requests refused or failed, by reason"),
-            retried: registry.reasons("retried", "Attempts repeated, by reason"),
-            wasted: registry.reasons("wasted_tokens", "Prompt tokens prefilled in vain, by reason"),
+            requests: registry.requests(),
             open: registry.gauge("open", "Requests in flight"),
             version: registry.gauge("list_version", "Version of the service list in force"),
             pending: registry.gauge("usage_pending", "Usage records not yet stored"),
@@ -94,14 +86,14 @@
 
     /// Counts a refusal.
     pub(crate) fn count_refusal(&self, reason: outcome::Reason) {
-        self.metrics.refused.get_or_create(&metrics::labels(reason)).inc();
+        self.metrics.requests.refused.get_or_create(&metrics::labels(reason)).inc();
     }
 
     /// Takes a retry from the budget of a service, and counts it.
     pub(crate) fn take_retry(&self, service: &str, caller: &str, reason: outcome::Reason) -> bool {
         let taken = self.directory.view().budget(service).take(reason);
         if taken {
-            self.metrics.retried.get_or_create(&metrics::labels(reason)).inc();
+            self.metrics.requests.retried.get_or_create(&metrics::labels(reason)).inc();
             self.ledger().totals(service, caller).retry(reason);
         }
         taken
@@ -115,7 +107,7 @@
         reason: outcome::Reason,
         tokens: u64,
     ) {
-        self.metrics.wasted.get_or_create(&metrics::labels(reason)).inc_by(tokens);
+        self.metrics.requests.wasted.get_or_create(&metrics::labels(reason)).inc_by(tokens);
         self.ledger().totals(service, caller).waste(reason, tokens);
     }
 
--- a/crates/entry/src/ingress.rs
+++ b/crates/entry/src/ingress.rs
@@ -28,7 +28,7 @@
         (&Method::POST, "/drain") => return drain(&entry, &head),
         _ => {}
     }
-    entry.metrics.requests.inc();
+    entry.metrics.requests.received.inc();
     let id = request_id(&head);
     let mut response = match serve(&entry, &head, content, &id).await {
         Ok(response) => response,
--- a/crates/fakes/src/lib.rs
+++ b/crates/fakes/src/lib.rs
@@ -11,6 +11,7 @@
 //! ```
 
 pub mod backend;
+pub mod caller;
 pub mod engine;
 pub mod instances;
 pub mod objects;
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -21,6 +21,21 @@
 /// Counter by reason.
 pub type ReasonFamily = family::Family<ReasonLabels, counter::Counter>;
 
+/// What every entry counts of requests.
+#[derive(Debug)]
+pub struct Requests {
+    /// Requests received.
+    pub received: counter::Counter,
+    /// Requests answered whole by a server.
+    pub answered: counter::Counter,
+    /// Requests refused or failed.
+    pub refused: ReasonFamily,
+    /// Attempts repeated.
+    pub retried: ReasonFamily,
+    /// Prompt tokens prefilled in vain.
+    pub wasted: ReasonFamily,
+}
+
 /// Upper bounds of the buckets of latency histograms, in seconds.
 const SECONDS_BOUNDS: [f64; 10] = [0.025, 0.05, 0.1, 0.15, 0.3, 0.5, 0.9, 2.0, 5.0, 15.0];
 
@@ -37,6 +52,17 @@
         Metrics { registry: sync::Mutex::new(registry) }
     }
 
+    /// Registers what every entry counts of requests.
+    pub fn requests(&self) -> Requests {
+        Requests {
+            received: self.counter("requests", "Requests received"),
+            answered: self.counter("answered", "Requests answered whole by a server"),
+            refused: self.reasons("refused", "Requests refused or failed, by reason"),
+            retried: self.reasons("retried", "Attempts repeated, by reason"),
+            wasted: self.reasons("wasted_tokens", "Prompt tokens prefilled in vain, by reason"),
+        }
+    }
+
     /// Registers a counter by reason; every reason is shown from the start.
     pub fn reasons(&self, name: &str, help: &str) -> ReasonFamily {
         let family = ReasonFamily::default();
--- a/crates/soak/src/soak.rs
+++ b/crates/soak/src/soak.rs
@@ -2,7 +2,7 @@
 
 use std::{fmt, sync, sync::atomic, time};
 
-use rhubarb_e2e::standin;
+use rhubarb_e2e::{edge, standin};
 use rhubarb_node::client;
 
 use crate::{callers, check, hands, plan, record};
@@ -141,7 +141,7 @@
     });
     let logs = match broken.is_empty() {
         true => Vec::new(),
-        false => hands.site.edges.iter().map(standin::Edge::log).collect(),
+        false => hands.site.edges.iter().map(edge::Edge::log).collect(),
     };
     Report {
         requests: log.records.len(),
