Wait for lapsed servers that a peer waits for

Cause: after an outage an entry gives lapsed entries 1.8 s to return, from its own regain of the store on.

--- a/crates/core/src/fleet.rs
+++ b/crates/core/src/fleet.rs
@@ -112,12 +112,27 @@
             return None;
         }
         if let Some(until) = self.lenient_until.filter(|until| now < *until) {
-            self.missing.entry(id.to_string()).or_insert(until);
+            self.await_return(id, until);
             return None;
         }
         self.drop(id)
     }
 
+    /// Takes the news that a server has no entry, but may have one again until `until`.
+    pub fn await_return(&mut self, id: &str, until: time::Instant) {
+        if self.instances.contains_key(id) {
+            self.missing.entry(id.to_string()).or_insert(until);
+        }
+    }
+
+    /// Servers whose entries vanished around an outage, and how long they are still waited for.
+    pub fn awaited(
+        &self,
+        now: time::Instant,
+    ) -> impl Iterator<Item = (&ids::ServerName, time::Duration)> {
+        self.missing.iter().map(move |(id, until)| (id, until.saturating_duration_since(now)))
+    }
+
     /// Drops the next server whose entry did not come back in time.
     pub fn next_gone(&mut self, now: time::Instant) -> Option<Change> {
         let due = self.missing.iter().find(|(_, until)| **until <= now);
--- a/crates/core/tests/fleet.rs
+++ b/crates/core/tests/fleet.rs
@@ -83,3 +83,16 @@
     fleet.registry_returned(time::Instant::now());
     assert_eq!(fleet.spoil("i-1"), Some(Change::Gone("i-1".into())));
 }
+
+#[test]
+fn awaited_by_peer() {
+    let mut fleet = fleet::Fleet::default();
+    fleet.set("i-1", instance(1, false));
+    let now = time::Instant::now();
+    fleet.await_return("i-1", now + 500 * MILLI);
+    fleet.await_return("i-2", now + 500 * MILLI);
+    let awaited: Vec<_> = fleet.awaited(now + 100 * MILLI).collect();
+    assert_eq!(awaited, [(&"i-1".to_string(), 400 * MILLI)], "only servers that are known");
+    assert_eq!(fleet.next_gone(now + 400 * MILLI), None);
+    assert_eq!(fleet.next_gone(now + 600 * MILLI), Some(Change::Gone("i-1".into())));
+}
--- a/crates/e2e/tests/platform_store.rs
+++ b/crates/e2e/tests/platform_store.rs
@@ -199,3 +199,50 @@
     assert!(!is_served(&site, 1, "/added/x").await, "the store is followed again");
     Ok(())
 }
+
+// Found in an incident: after an outage of the store an entry that learned from a peer dropped
+// servers whose lapsed entries the peer still waited for.
+#[tokio::test]
+async fn lapsed_at_peer() -> anyhow::Result<()> {
+    let mut site = standin::Site::start(standin::Sizes::default()).await?;
+    let relay = site.relay_store().await?;
+    site.add_edge().await?;
+    site.wait_ready().await?;
+    relay.set(relay::Mode::Hold, relay::Mode::Hold);
+    site.store.put("op", "config", longer_config(&site, 5));
+    assert!(served_within(&site, 1, "/added/x", 3_000).await, "{}", site.edges[1].log());
+
+    site.store.set_mode(store::Mode::Busy);
+    let entry = site.store.get("servers", "i-plain-1").unwrap();
+    site.store.remove("servers", "i-plain-1");
+    tokio::time::sleep(time::Duration::from_millis(2_000)).await;
+    assert!(site.edges[1].log().contains("store lost"), "{}", site.edges[1].log());
+    site.store.set_mode(store::Mode::Up);
+    wait_log(&site, 0, r#"store regained","table":"Servers""#, 2).await?;
+    site.store.put("op", "config", site.config(9).to_string());
+    wait_log(&site, 1, r#""version":9"#, 1).await?;
+
+    let entry = String::from_utf8(entry)?;
+    site.store.put("servers", "i-plain-1", entry);
+    tokio::time::sleep(time::Duration::from_millis(2_500)).await;
+    let log = site.edges[1].log();
+    assert!(log.contains("server waited for"), "{log}");
+    assert!(!log.contains(r#"Gone(\"i-plain-1\")"#), "{log}");
+    Ok(())
+}
+
+// Waits until the log of an entry has `text` on `count` lines.
+async fn wait_log(
+    site: &standin::Site,
+    edge: usize,
+    text: &str,
+    count: usize,
+) -> anyhow::Result<()> {
+    for _ in 0..100 {
+        if site.edges[edge].log().matches(text).count() >= count {
+            return Ok(());
+        }
+        tokio::time::sleep(time::Duration::from_millis(20)).await;
+    }
+    anyhow::bail!("no {text} in {}", site.edges[edge].log())
+}
--- a/crates/edge/src/directory.rs
+++ b/crates/edge/src/directory.rs
@@ -3,6 +3,7 @@
 use std::{collections, net, sync, time};
 
 use rhubarb_core::{engines, fleet, ids, load, outcome, pool, queueing, repeat, routing};
+use rhubarb_wire::share;
 
 use crate::{ahead, rows};
 
@@ -94,6 +95,13 @@
         ahead::Known { config, servers: self.rows.version }
     }
 
+    /// What the store said, for a peer.
+    pub(crate) fn snapshot(&self, now: time::Instant) -> share::Snapshot {
+        let awaited =
+            self.fleet.awaited(now).map(|(key, left)| share::Awaited { key: key.clone(), left });
+        self.rows.snapshot(awaited.collect())
+    }
+
     /// Whether both the config and the servers are known.
     pub(crate) fn is_complete(&self) -> bool {
         self.config.is_some() && self.has_fleet
--- a/crates/edge/src/peers.rs
+++ b/crates/edge/src/peers.rs
@@ -157,7 +157,7 @@
             tokio::time::sleep(FETCH_PERIOD).await;
             continue;
         };
-        let snapshot = edge.directory().rows.snapshot();
+        let snapshot = edge.directory().snapshot(clock::now());
         tokio::spawn(async move {
             let _slot = slot;
             let sending = send_snapshot(&mut stream, &snapshot);
--- a/crates/edge/src/rows.rs
+++ b/crates/edge/src/rows.rs
@@ -71,11 +71,12 @@
         self.servers.values().filter(is_absent).map(|row| row.key.clone()).collect()
     }
 
-    /// All that is known, for a peer.
-    pub(crate) fn snapshot(&self) -> share::Snapshot {
+    /// All that is known, for a peer, with the servers that are waited for.
+    pub(crate) fn snapshot(&self, awaited: Vec<share::Awaited>) -> share::Snapshot {
         share::Snapshot {
             config: self.config.clone(),
             servers: self.servers.values().cloned().collect(),
+            awaited,
             version: self.version,
         }
     }
--- a/crates/edge/src/watch.rs
+++ b/crates/edge/src/watch.rs
@@ -79,7 +79,7 @@
     let mut version = all.version;
     apply(edge, table, &all.rows);
     if table == store::Table::Servers {
-        keep_only(edge, &all.rows, all.version);
+        keep_only(edge, &all.rows, all.version, &[]);
     }
     loop {
         let news = tokio::select! {
@@ -123,7 +123,7 @@
     let servers: Vec<_> = snapshot.servers.into_iter().map(to_row).collect();
     apply(edge, store::Table::Servers, &servers);
     if !servers.is_empty() {
-        keep_only(edge, &servers, version);
+        keep_only(edge, &servers, version, &snapshot.awaited);
     }
 }
 
@@ -179,12 +179,23 @@
     }
 }
 
-// Servers without an entry as of `version` are gone.
-fn keep_only(edge: &edge::Edge, rows: &[store::Row], version: store::Version) {
+// Servers without an entry as of `version` are gone, unless a peer waits for their return.
+fn keep_only(
+    edge: &edge::Edge,
+    rows: &[store::Row],
+    version: store::Version,
+    awaited: &[share::Awaited],
+) {
+    let now = clock::now();
     let mut directory = edge.directory();
     for key in directory.rows.absent(rows, version) {
         directory.rows.drop_server(&key, version);
-        let change = directory.fleet.unset(&key, clock::now());
+        if let Some(server) = awaited.iter().find(|server| server.key == key) {
+            directory.fleet.await_return(&key, now + server.left);
+            tracing::info!(server = key, left = ?server.left, version, "edge: server waited for");
+            continue;
+        }
+        let change = directory.fleet.unset(&key, now);
         note_change(&mut directory, change, version);
     }
     directory.rows.version = directory.rows.version.max(version);
--- a/crates/wire/src/share.rs
+++ b/crates/wire/src/share.rs
@@ -111,10 +111,21 @@
     pub config: Option<Row>,
     /// All servers' entries.
     pub servers: Vec<Row>,
+    /// Servers without an entry that the sender still counts on.
+    pub awaited: Vec<Awaited>,
     /// Store version up to which the servers are known.
     pub version: u64,
 }
 
+/// A server whose entry vanished around an outage of the store.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Awaited {
+    /// Key of its entry.
+    pub key: ids::ServerName,
+    /// Time for which the entry may still return.
+    pub left: time::Duration,
+}
+
 impl Snapshot {
     /// Writes the snapshot.
     pub fn write(&self) -> Result<Vec<u8>, postcard::Error> {
