Serve requests that can be in time before callers that came back

Ruled out: reserving by what a run has generated and will generate next instead of by a fixed part of its answer.

Change: callers that came back are known by the time that they give, beside the longest given on their route (core::returns). They wait behind those that can be in time, for up to 2 s, and take memory only where another request of usual size would still fit, since entries do not see each other's queues.

--- a/crates/core/src/engines.rs
+++ b/crates/core/src/engines.rs
@@ -15,6 +15,8 @@
     queue: collections::BTreeSet<Place>,
     // When memory was last given to requests of this entry.
     grants: collections::VecDeque<time::Instant>,
+    // Mean charge of the last requests, in tokens.
+    typical: Option<f64>,
     usage: stages::Usage,
     peer_usage: collections::BTreeMap<String, stages::Usage>,
 }
@@ -22,6 +24,8 @@
 /// Place of a request in the queue for decode memory.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub struct Place {
+    /// Whether it can no longer be in time, and comes after all that can.
+    pub late: bool,
     /// When the request arrived.
     pub arrived: time::Instant,
     /// Its run.
@@ -45,8 +49,11 @@
 
 /// The pace of grants is taken over this time: about half the length of an answer.
 const PACE_TIME: time::Duration = time::Duration::from_secs(2);
+
 /// Shortest stay that counts as a run.
 const MIN_STAY: time::Duration = time::Duration::from_millis(100);
+/// Weight of one request in the mean charge: the last twenty or so count.
+const TYPICAL_WEIGHT: f64 = 0.05;
 
 // Order of engines that are alike: a hash of both, by the finisher of MurmurHash3.
 fn shuffle(id: &str, draw: u64) -> u64 {
@@ -135,7 +142,8 @@
     /// Commits memory at one of the emptiest decode engines that have room; `allowed` limits the
     /// choice, and `draw` spreads entries that see the same state over engines that are alike.
     ///
-    /// Requests get memory in the order of the queue.
+    /// Requests get memory in the order of the queue; late ones only where another request would
+    /// still fit, since entries do not see each other's queues.
     pub fn reserve(
         &mut self,
         place: Place,
@@ -149,7 +157,9 @@
         }
         let charge = need.charge();
         let decode = self.of_stage(fleet::Stage::Decode, now);
-        let fitting = decode.filter(|(id, engine)| allowed(id) && engine.fits(charge, now));
+        // A late request leaves room for one that can be in time.
+        let left = self.typical.filter(|_| place.late).map_or(0, |tokens| tokens as u32);
+        let fitting = decode.filter(|(id, engine)| allowed(id) && engine.fits(charge + left, now));
         let step =
             |engine: &engine::Engine| engine.tokens(now) / (engine.memory / MEMORY_STEPS).max(1);
         let (id, _) = fitting.min_by_key(|(id, engine)| (step(engine), shuffle(id, draw)))?;
@@ -159,6 +169,8 @@
             self.grants.pop_front();
         }
         self.grants.push_back(now);
+        let typical = self.typical.unwrap_or(f64::from(charge));
+        self.typical = Some(typical + TYPICAL_WEIGHT * (f64::from(charge) - typical));
         if let Some(engine) = self.engines.get_mut(&id) {
             engine.runs.insert(place.run, engine::Run { need, generated: 0, since: now });
         }
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -38,6 +38,7 @@
 pub mod queueing;
 pub mod record;
 pub mod repeat;
+pub mod returns;
 pub mod rooms;
 pub mod routing;
 pub mod section;
--- a/crates/core/tests/engines.rs
+++ b/crates/core/tests/engines.rs
@@ -30,7 +30,11 @@
 }
 
 fn place(arrived: time::Instant, run: ids::RunId) -> engines::Place {
-    engines::Place { arrived, run }
+    engines::Place { late: false, arrived, run }
+}
+
+fn late(arrived: time::Instant, run: ids::RunId) -> engines::Place {
+    engines::Place { late: true, arrived, run }
 }
 
 fn any(_: &str) -> bool {
@@ -181,6 +185,30 @@
     assert_eq!(engines.usage(now + 3_000 * MILLI).runs, 5);
 }
 
+#[test]
+fn late_goes_last() {
+    // A caller that was refused and came back is late anyway; one that can be in time goes first.
+    let now = time::Instant::now();
+    let mut engines = engines(1, 2);
+    engines.join(late(now, 1));
+    engines.join(place(now + MILLI, 2));
+    assert_eq!(engines.reserve(late(now, 1), NEED, any, 0, now), None);
+    assert!(engines.reserve(place(now + MILLI, 2), NEED, any, 0, now).is_some());
+    assert!(engines.reserve(late(now, 1), NEED, any, 0, now).is_some());
+}
+
+#[test]
+fn late_leaves_room() {
+    // Entries do not see each other's queues, so a late request leaves room for another one.
+    let now = time::Instant::now();
+    let mut engines = engines(1, 1);
+    for run in 0..8 {
+        assert!(engines.reserve(place(now, run), NEED, any, 0, now).is_some());
+    }
+    assert_eq!(engines.reserve(late(now, 8), NEED, any, 0, now), None, "room for one is left");
+    assert!(engines.reserve(place(now, 9), NEED, any, 0, now).is_some());
+}
+
 #[test]
 fn long_queue_known() {
     // Far more requests than memory: a newcomer is told at once that its turn comes too late.
--- a/crates/edge/src/call.rs
+++ b/crates/edge/src/call.rs
@@ -21,6 +21,8 @@
     pub(crate) service: ids::ServiceName,
     pub(crate) version: ids::ListVersion,
     pub(crate) arrived: time::Instant,
+    /// Whether its caller was refused before, so that it can no longer be in time.
+    pub(crate) returned: bool,
     /// When the final answer is due.
     pub(crate) deadline: time::Instant,
 }
--- a/crates/edge/src/directory.rs
+++ b/crates/edge/src/directory.rs
@@ -2,7 +2,7 @@
 
 use std::{collections, net, sync, time};
 
-use rhubarb_core::{engines, fleet, ids, load, outcome, pool, queueing, repeat, routing};
+use rhubarb_core::{engines, fleet, ids, load, outcome, pool, queueing, repeat, returns, routing};
 use rhubarb_wire::share;
 
 use crate::{ahead, rows};
@@ -14,6 +14,7 @@
     pub(crate) engines: engines::Engines,
     pub(crate) repeats: repeat::Repeats,
     queueing: queueing::Queueing,
+    returns: collections::BTreeMap<routing::RouteName, returns::Returns>,
 }
 
 /// Server for a plain request.
@@ -112,6 +113,9 @@
         if self.config.as_ref().is_some_and(|old| old.version >= config.version) {
             return false;
         }
+        for service in self.services.values_mut() {
+            service.returns.retain(|name, _| config.routes.iter().any(|route| route.name == *name));
+        }
         self.config = Some(sync::Arc::new(config));
         let ids: Vec<_> = self.fleet.instances().keys().cloned().collect();
         for id in ids {
@@ -179,6 +183,7 @@
             engines: engines::Engines::default(),
             repeats: repeat::Repeats::new(allowance),
             queueing: queueing::Queueing::default(),
+            returns: collections::BTreeMap::new(),
         };
         self.services.entry(name.to_string()).or_insert_with(fresh)
     }
@@ -244,6 +249,12 @@
         self.target(&id).map_or(Choice::None, Choice::Server)
     }
 
+    /// Notes a request, and whether its caller, who waits for `left`, has asked before.
+    pub(crate) fn note_asked(&mut self, service: &str, route: &str, left: time::Duration) -> bool {
+        let returns = &mut self.service(service).returns;
+        returns.entry(route.to_string()).or_default().note(left)
+    }
+
     /// Learns how long a plain service works on a request.
     pub(crate) fn learn(&mut self, service: &str, took: time::Duration, load: load::Load) {
         self.service(service).queueing.learn(took, load);
--- a/crates/edge/src/ingress.rs
+++ b/crates/edge/src/ingress.rs
@@ -61,7 +61,9 @@
         return early(Refusal::never(Reason::BadRequest));
     };
     let patience = head.patience.unwrap_or(route.timeout).min(route.timeout);
+    let returned = edge.directory().note_asked(&service, &route.name, patience);
     start(call::Call {
+        returned,
         edge: edge.clone(),
         deadline: arrived + patience,
         head,
--- a/crates/edge/src/refuse.rs
+++ b/crates/edge/src/refuse.rs
@@ -39,6 +39,7 @@
         config = call.version,
         reason = refusal.reason.name(),
         outcome = refusal.outcome.name(),
+        returned = call.returned,
         age_ms = call.age_ms(),
         retry_ms,
         "edge: refused"
--- a/crates/edge/src/room.rs
+++ b/crates/edge/src/room.rs
@@ -59,6 +59,22 @@
     }
 }
 
+/// How a request waits for room.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Wait {
+    /// Whether it can no longer be in time, and lets those go first that can.
+    pub(crate) late: bool,
+    /// When room is of no more use.
+    pub(crate) until: time::Instant,
+}
+
+impl Wait {
+    /// The wait of a request that can be in time.
+    pub(crate) fn until(until: time::Instant) -> Wait {
+        Wait { late: false, until }
+    }
+}
+
 /// What became of the wait for room.
 #[derive(Debug)]
 pub(crate) enum Asked {
@@ -93,9 +109,10 @@
     reply: &mut reply::Reply,
     need: engine::Need,
     tried: &[ids::ServerName],
-    wait_by: time::Instant,
+    wait: Wait,
 ) -> Asked {
-    let place = engines::Place { arrived: call.arrived, run: call.edge.next_run() };
+    let Wait { late, until: wait_by } = wait;
+    let place = engines::Place { late, arrived: call.arrived, run: call.edge.next_run() };
     let _seat = Seat { call, place };
     if is_hopeless(call, wait_by) {
         return Asked::Refused(no_room());
@@ -186,6 +203,7 @@
         need = need.charge(),
         fill = belief.map(|belief| belief.fill),
         news_ms = belief.map(|belief| belief.age.as_millis() as u64),
+        returned = call.returned,
         age_ms = call.age_ms(),
         "{message}"
     );
@@ -204,7 +222,8 @@
     let is_hopeless = now + wait > wait_by + HOPE;
     if is_hopeless {
         let wait_ms = wait.as_millis() as u64;
-        tracing::info!(id = call.id(), wait_ms, "edge: the queue for memory is too long");
+        let returned = call.returned;
+        tracing::info!(id = call.id(), wait_ms, returned, "edge: the queue for memory is too long");
     }
     is_hopeless
 }
--- a/crates/edge/src/stream.rs
+++ b/crates/edge/src/stream.rs
@@ -31,6 +31,9 @@
 
 /// Time from the end of a prefill to the first event: transfer, messages, one batch of steps.
 const FIRST_EVENT: time::Duration = time::Duration::from_millis(130);
+/// A request that can no longer be in time waits this long: any caller bears so long a silence
+/// before the first event, by the platform's pages.
+const LATE_WAIT: time::Duration = time::Duration::from_secs(2);
 /// A stream that can go on elsewhere is offered to other servers after each silence of this
 /// length.
 const STALL: time::Duration = time::Duration::from_millis(1_500);
@@ -92,19 +95,24 @@
         if self.cache.is_some() { 2 } else { 1 }
     }
 
-    // Room is of use while the first event can still be in time.
-    fn wait_by(&self) -> time::Instant {
+    // Room is of use while the first event can still be in time, or, where it cannot any more,
+    // while the caller waits for it.
+    fn wait(&self) -> room::Wait {
         let now = clock::now();
         if self.events > 0 {
-            return self.call.deadline.min(now + RESUME_WAIT);
+            return room::Wait::until(self.call.deadline.min(now + RESUME_WAIT));
         }
+        let late = self.call.returned;
         let mut directory = self.call.edge.directory();
         let engines = &directory.service(&self.call.service).engines;
         let own = engines::Engines::own_prefill(self.need.prompt);
         let prefill =
             engines.prefill_wait(self.need.prompt, now).map_or(own, |apart| apart.min(own));
-        let due = self.call.arrived + self.call.route.target;
-        due.checked_sub(prefill + FIRST_EVENT).unwrap_or(now).min(self.call.deadline)
+        let target = self.call.route.target;
+        let patience = if late { target.max(LATE_WAIT) } else { target };
+        let due = self.call.arrived + patience;
+        let until = due.checked_sub(prefill + FIRST_EVENT).unwrap_or(now).min(self.call.deadline);
+        room::Wait { late, until }
     }
 
     async fn reserve(&mut self) -> flow::Event {
@@ -112,9 +120,9 @@
             self.room = Some(room);
             return flow::Event::Reserved;
         }
-        let wait_by = self.wait_by();
+        let wait = self.wait();
         let tried = self.flow.tried().to_vec();
-        let asked = room::ask(&self.call, &mut self.reply, self.need, &tried, wait_by).await;
+        let asked = room::ask(&self.call, &mut self.reply, self.need, &tried, wait).await;
         match asked {
             room::Asked::Granted(room) => {
                 self.room = Some(room);
@@ -181,7 +189,14 @@
             tried.push(target.id.clone());
             self.room = None;
             let use_by = self.cache.as_ref().map_or(clock::now(), |cache| cache.use_by(&self.call));
-            let asked = room::ask(&self.call, &mut self.reply, self.need, &tried, use_by).await;
+            let asked = room::ask(
+                &self.call,
+                &mut self.reply,
+                self.need,
+                &tried,
+                room::Wait::until(use_by),
+            )
+            .await;
             match asked {
                 room::Asked::Granted(room) => self.room = Some(room),
                 room::Asked::Refused(refusal) => return self.failed(Some(target.id), refusal),
@@ -333,7 +348,8 @@
         let mut tried = self.flow.tried().to_vec();
         tried.push(server.clone());
         let (call, reply) = (&self.call, &mut self.reply);
-        let asked = room::ask(call, reply, self.need, &tried, clock::now()).await;
+        let asked =
+            room::ask(call, reply, self.need, &tried, room::Wait::until(clock::now())).await;
         let room::Asked::Granted(room) = asked else { return None };
         let is_other = room.target.id != *server;
         (is_other && self.call.take_repeats(2, Reason::EngineSilent)).then_some(room)
