Count only runs that generated something in the cost of a run

The holder of the lease planned seven engines back to prefill.

Change: what has generated nothing is no run, however long it held memory; the time that it held counts as before. The first event is noted at once, so that short runs count. engines::refusals_are_no_runs failed before (7 runs for 5).

--- a/crates/core/src/engines.rs
+++ b/crates/core/src/engines.rs
@@ -50,8 +50,6 @@
 /// The pace of grants is taken over this time: about half the length of an answer.
 const PACE_TIME: time::Duration = time::Duration::from_secs(2);
 
-/// Shortest stay that counts as a run.
-const MIN_STAY: time::Duration = time::Duration::from_millis(100);
 /// Weight of one request in the mean charge: the last twenty or so count.
 const TYPICAL_WEIGHT: f64 = 0.05;
 
@@ -196,8 +194,8 @@
     pub fn release(&mut self, id: &str, run: ids::RunId, now: time::Instant) {
         let Some(engine) = self.engines.get_mut(id) else { return };
         let Some(run) = engine.runs.remove(&run) else { return };
-        // What was refused or broke off soon was no run.
-        if now.saturating_duration_since(run.since) >= MIN_STAY {
+        // What was refused, or given up before its first token, was no run.
+        if run.generated > 0 {
             self.usage.runs += 1;
         }
         self.usage.decode += run.exposure(engine.room(), now);
--- a/crates/core/tests/engines.rs
+++ b/crates/core/tests/engines.rs
@@ -179,7 +179,11 @@
     let mut engines = engines(1, 1);
     for run in 0..9 {
         let id = engines.reserve(place(now, run), NEED, any, 0, now).unwrap();
-        let stay = if run < 4 { 10 * MILLI } else { 3_000 * MILLI };
+        // Of those that stay long, some wait for their prompt to be read, in vain.
+        let stay = if run < 2 { 10 * MILLI } else { 3_000 * MILLI };
+        if run >= 4 {
+            engines.progress(&id, run, 1);
+        }
         engines.release(&id, run, now + stay);
     }
     assert_eq!(engines.usage(now + 3_000 * MILLI).runs, 5);
--- a/crates/edge/src/stream.rs
+++ b/crates/edge/src/stream.rs
@@ -39,7 +39,8 @@
 const STALL: time::Duration = time::Duration::from_millis(1_500);
 /// A stream that broke off waits this long for room elsewhere.
 const RESUME_WAIT: time::Duration = time::Duration::from_millis(1_000);
-/// Events after which the growth of a run is noted again: a few in a hundred of its memory.
+/// Events after which the growth of a run is noted again, from the first one on: a few in a
+/// hundred of its memory.
 const PROGRESS_EVENTS: u64 = 8;
 /// Need of a request that does not tell its size.
 const UNKNOWN_NEED: engine::Need = engine::Need { prompt: 1_000, output: 500 };
@@ -393,7 +394,7 @@
         self.last_event = event.id.or(self.last_event);
         self.events += 1;
         if let Some(room) = &self.room
-            && self.events.is_multiple_of(PROGRESS_EVENTS)
+            && self.events % PROGRESS_EVENTS == 1
         {
             room.progress(self.events);
         }
