--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -44,5 +44,6 @@
 pub mod section;
 pub mod stages;
 pub mod subset;
+pub mod suspension;
 pub mod trust;
 pub mod usage;
--- a/crates/core/src/pool.rs
+++ b/crates/core/src/pool.rs
@@ -53,6 +53,15 @@
     Bad(Reason),
 }
 
+/// What an entry believes of a server's load.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Belief {
+    /// Requests that it has, running and waiting.
+    pub busy: u32,
+    /// Age of its last word on that.
+    pub age: time::Duration,
+}
+
 /// Pool of servers.
 #[derive(Clone, Debug)]
 pub struct Pool {
@@ -262,6 +271,12 @@
         })
     }
 
+    /// What is believed of a server's load.
+    pub fn belief(&self, name: &str, now: time::Instant) -> Option<Belief> {
+        let heard = self.servers.get(name)?.heard_at?;
+        Some(Belief { busy: self.busy(name), age: now.saturating_duration_since(heard) })
+    }
+
     /// Servers to choose from among those that are `allowed`, in the order of [`Pool::pick`]:
     /// sound ones, else ejected ones, else those that were tried.
     pub fn candidates(
--- a/crates/core/tests/choice.rs
+++ b/crates/core/tests/choice.rs
@@ -158,3 +158,14 @@
         assert!(bytes <= 4_001.0, "{followed} servers: {bytes} bytes a second");
     }
 }
+
+#[test]
+fn belief_told() {
+    let now = time::Instant::now();
+    let mut pool = pool(1, now);
+    pool.hear("s-0", load(3), now);
+    pool.sent("s-0", time::Duration::ZERO);
+    let belief = pool.belief("s-0", now + SECOND).unwrap();
+    assert_eq!((belief.busy, belief.age), (4, SECOND), "as it told, and what was sent since");
+    assert_eq!(pool.belief("s-9", now), None);
+}
--- a/crates/edge/src/call.rs
+++ b/crates/edge/src/call.rs
@@ -49,14 +49,20 @@
         (clock::now() - self.arrived).as_millis() as u64
     }
 
-    /// Takes `sends` repeats from the shared budget, and notes it.
-    pub(crate) fn take_repeats(&self, sends: u32, reason: outcome::Reason) -> bool {
+    /// Takes `sends` repeats from the shared budget after an attempt at `server`, and notes it.
+    pub(crate) fn take_repeats(
+        &self,
+        server: Option<&ids::ServerName>,
+        sends: u32,
+        reason: outcome::Reason,
+    ) -> bool {
         let taken = self.edge.directory().take_repeats(&self.service, sends, clock::now());
         if taken {
             self.edge.counters.requests.retried.get_or_create(&metrics::labels(reason)).inc();
         }
         tracing::info!(
             id = self.id(),
+            server,
             reason = reason.name(),
             sends,
             taken,
--- a/crates/edge/src/metrics.rs
+++ b/crates/edge/src/metrics.rs
@@ -13,6 +13,7 @@
     pub(crate) peers: gauge::Gauge,
     pub(crate) shares: counter::Counter,
     pub(crate) share_bytes: counter::Counter,
+    pub(crate) engine_full: counter::Counter,
     pub(crate) dropped_lines: gauge::Gauge,
     pub(crate) plain_time: histogram::Histogram,
     pub(crate) first_event: histogram::Histogram,
@@ -27,6 +28,8 @@
             peers: registry.gauge("peers", "Other entries that are heard"),
             shares: registry.counter("shares_sent", "Datagrams sent to other entries"),
             share_bytes: registry.counter("share_bytes_sent", "Bytes of these datagrams"),
+            engine_full: registry
+                .counter("engine_full", "Times that an engine had no memory to set aside"),
             dropped_lines: registry.gauge("log_lines_dropped", "Log lines not written in time"),
             plain_time: registry.seconds("plain_seconds", "Time to the answer of a plain call"),
             first_event: registry.seconds("first_event_seconds", "Time to a stream's first event"),
--- a/crates/edge/src/plain.rs
+++ b/crates/edge/src/plain.rs
@@ -27,6 +27,8 @@
     // A server's own failure, which is the answer if nothing better comes.
     failure: Option<Whole>,
     answer: Option<Whole>,
+    // What was believed of the server that was chosen last.
+    belief: Option<pool::Belief>,
 }
 
 #[derive(Debug)]
@@ -45,7 +47,7 @@
 impl Plain {
     pub(crate) fn new(call: call::Call, reply: reply::Reply) -> Plain {
         let flow = flow::Flow::new(flow::Path::Direct, call.rules(MAX_RETRIES));
-        Plain { call, reply, flow, failure: None, answer: None }
+        Plain { call, reply, flow, failure: None, answer: None, belief: None }
     }
 
     /// Runs the call to its one outcome.
@@ -95,14 +97,18 @@
         let server = Some(target.id);
         let retry = self.flow.may_retry(server.as_ref(), &refusal, clock::now())
             // What was not written reached no server, so it costs no budget.
-            && (refusal.reason == Reason::NoServer || self.call.take_repeats(1, refusal.reason));
+            && (refusal.reason == Reason::NoServer || self.call.take_repeats(server.as_ref(), 1, refusal.reason));
         flow::Event::Failed { server, refusal, retry }
     }
 
-    fn choose(&self) -> directory::Choice {
-        let call = &self.call;
+    fn choose(&mut self) -> directory::Choice {
+        let (call, now) = (&self.call, clock::now());
         let mut directory = call.edge.directory();
-        directory.pick(&call.service, call.route.target, self.flow.tried(), clock::now())
+        let choice = directory.pick(&call.service, call.route.target, self.flow.tried(), now);
+        if let directory::Choice::Server(target) = &choice {
+            self.belief = directory.service(&call.service).pool.belief(&target.id, now);
+        }
+        choice
     }
 
     // How long this attempt may take; one that can be repeated leaves time for another server.
@@ -197,6 +203,8 @@
             route = call.route.name,
             config = call.version,
             server = whole.server,
+            busy = self.belief.map(|belief| belief.busy),
+            news_ms = self.belief.map(|belief| belief.age.as_millis() as u64),
             sends = self.flow.retries() + 1,
             status = whole.head.status().as_u16(),
             age_ms = call.age_ms(),
--- a/crates/edge/src/room.rs
+++ b/crates/edge/src/room.rs
@@ -180,6 +180,7 @@
         }
         None if read.head.status() == StatusCode::SERVICE_UNAVAILABLE => {
             note_belief(call, &id, need, "edge: engine is full");
+            call.edge.counters.engine_full.inc();
             let mut directory = call.edge.directory();
             directory.service(&call.service).engines.set_full(&id, clock::now());
             Held::Full
--- a/crates/edge/src/stream.rs
+++ b/crates/edge/src/stream.rs
@@ -87,7 +87,7 @@
 
     fn failed(&self, server: Option<ids::ServerName>, refusal: Refusal) -> flow::Event {
         let retry = self.flow.may_retry(server.as_ref(), &refusal, clock::now())
-            && self.call.take_repeats(self.repeat_sends(), refusal.reason);
+            && self.call.take_repeats(server.as_ref(), self.repeat_sends(), refusal.reason);
         flow::Event::Failed { server, refusal, retry }
     }
 
@@ -353,7 +353,7 @@
             room::ask(call, reply, self.need, &tried, room::Wait::until(clock::now())).await;
         let room::Asked::Granted(room) = asked else { return None };
         let is_other = room.target.id != *server;
-        (is_other && self.call.take_repeats(2, Reason::EngineSilent)).then_some(room)
+        (is_other && self.call.take_repeats(Some(server), 2, Reason::EngineSilent)).then_some(room)
     }
 
     fn move_to(&mut self, room: room::Room, server: &str) -> flow::Event {
--- a/crates/edge/src/watch.rs
+++ b/crates/edge/src/watch.rs
@@ -2,7 +2,7 @@
 
 use std::{net, sync, sync::atomic, time};
 
-use rhubarb_core::fleet;
+use rhubarb_core::{fleet, suspension};
 use rhubarb_node::clock;
 use rhubarb_platform::{config, entries, store};
 use rhubarb_wire::share;
@@ -204,10 +204,10 @@
 
 /// Drops servers whose entries did not come back, and connections that are no longer used.
 pub(crate) async fn sweep(edge: sync::Arc<edge::Edge>) {
-    let mut suspended = boot::Suspension::new();
+    let mut suspended = suspension::Suspension::new(clock::now(), boot::time());
     loop {
         tokio::time::sleep(SWEEP_PERIOD).await;
-        if let Some(time) = suspended.look() {
+        if let Some(time) = suspended.look(clock::now(), boot::time()) {
             let millis = time.as_millis() as u64;
             tracing::warn!(millis, "edge: was suspended, idle connections dropped");
             edge.links.drop_idle();
