Show operators what is in force on the users' platform

Cause: rhubarb-ctl knew the product's own table only; which version was in force at which instance could be seen only from the logs.

Change: `show` and `status` take `--store`: config, servers by service, stage and zone, entries that cannot be read, leases, and the version in force at each instance by its metrics address. Reading all pages of a table is the store client's, used by the entry too; the entry read only the first 500 instances' rows before.

--- a/crates/ctl/src/main.rs
+++ b/crates/ctl/src/main.rs
@@ -1,11 +1,11 @@
 //! Operator command.
 
-use std::{fs, process};
+use std::{fs, net, process};
 
 use bpaf::Parser;
 
 use rhubarb_core::ids;
-use rhubarb_ctl::{checks, commands, settings};
+use rhubarb_ctl::{checks, commands, settings, survey};
 
 use commands::{CommandError, Output};
 
@@ -13,12 +13,21 @@
 enum Command {
     Check { file: String },
     Apply { settings: String, expect: u64, file: String },
-    Show { settings: String },
-    Status { settings: String },
+    Show { source: Source },
+    Status { source: Source },
     Drain { settings: String, at: Option<String>, name: String },
     Digest { key: String },
 }
 
+// Where a deployment keeps what is in force.
+#[derive(Clone, Debug)]
+enum Source {
+    // The platform that a settings file names.
+    Settings(String),
+    // The users' platform's store.
+    Store(net::SocketAddr),
+}
+
 #[derive(Clone, Debug)]
 struct Options {
     json: bool,
@@ -29,6 +38,15 @@
     bpaf::long("settings").help("Settings file").argument::<String>("FILE")
 }
 
+fn source() -> impl Parser<Source> {
+    let settings = settings_option().map(Source::Settings);
+    let store = bpaf::long("store")
+        .help("Address of the users' platform's store, as an IP number and a port")
+        .argument::<net::SocketAddr>("ADDRESS")
+        .map(Source::Store);
+    bpaf::construct!([settings, store])
+}
+
 fn list_file() -> impl Parser<String> {
     bpaf::positional::<String>("LIST").help("Service list")
 }
@@ -69,13 +87,13 @@
 }
 
 fn show() -> impl Parser<Command> {
-    let settings = settings_option();
-    bpaf::construct!(Command::Show { settings })
+    let source = source();
+    bpaf::construct!(Command::Show { source })
 }
 
 fn status() -> impl Parser<Command> {
-    let settings = settings_option();
-    bpaf::construct!(Command::Status { settings })
+    let source = source();
+    bpaf::construct!(Command::Status { source })
 }
 
 fn drain() -> impl Parser<Command> {
@@ -138,8 +156,10 @@
             let text = read(&file)?;
             connect(&settings)?.apply(&file, &text, expect).await
         }
-        Command::Show { settings } => connect(&settings)?.show().await,
-        Command::Status { settings } => connect(&settings)?.status().await,
+        Command::Show { source: Source::Settings(path) } => connect(&path)?.show().await,
+        Command::Show { source: Source::Store(at) } => survey::Survey::new(at).show().await,
+        Command::Status { source: Source::Settings(path) } => connect(&path)?.status().await,
+        Command::Status { source: Source::Store(at) } => survey::Survey::new(at).status().await,
         Command::Drain { settings, at: Some(url), name } => {
             connect(&settings)?.drain_at(&name, url.trim_end_matches('/')).await
         }
--- a/crates/e2e/src/edge.rs
+++ b/crates/e2e/src/edge.rs
@@ -5,7 +5,7 @@
 use hyper::Method;
 use rustix::process as signals;
 
-use rhubarb_node::client;
+use rhubarb_node::{client, metrics};
 
 use crate::{call, process as programs};
 
@@ -20,8 +20,6 @@
     pub(crate) log: path::PathBuf,
 }
 
-const METRICS_PORT: u16 = 9464;
-
 impl Edge {
     /// Whether the balancer may send new connections.
     pub async fn is_ready(&self) -> bool {
@@ -48,7 +46,7 @@
     /// # Errors
     /// Returns an error if the entry does not answer or has no such counter.
     pub async fn counter(&self, name: &str) -> anyhow::Result<u64> {
-        let url = format!("http://{}:{METRICS_PORT}/metrics", self.callers.ip());
+        let url = format!("http://{}:{}/metrics", self.callers.ip(), metrics::PLATFORM_PORT);
         let reply = client::Client::new().get(&url, call::CALL_LIMIT).await?;
         let text = String::from_utf8_lossy(&reply.body).into_owned();
         let mut values = text.lines().filter_map(|line| line.strip_prefix(name));
--- a/crates/edge/src/peers.rs
+++ b/crates/edge/src/peers.rs
@@ -255,7 +255,7 @@
         value: ip.as_bytes(),
     };
     edge.store.write(write, STORE_LIMIT).await?;
-    let rows = edge.store.read(store::Table::Members, None, STORE_LIMIT).await?;
+    let rows = edge.store.read_all(store::Table::Members, STORE_LIMIT).await?;
     let now = clock::now();
     let mut members = edge.members();
     for row in rows.rows {
--- a/crates/edge/src/run.rs
+++ b/crates/edge/src/run.rs
@@ -4,7 +4,7 @@
 
 use hyper::{Request, Response, StatusCode, body};
 
-use rhubarb_node::{answer, clock, logs, server, stop};
+use rhubarb_node::{answer, clock, logs, metrics, server, stop};
 use rhubarb_platform::{paths, settings, store};
 
 use tokio::sync as lock;
@@ -20,8 +20,6 @@
 /// Time before the platform's kill that is left to end.
 const LAST: time::Duration = time::Duration::from_millis(300);
 const DRAIN_STEP: time::Duration = time::Duration::from_millis(20);
-/// Port of the metrics, named in the deploy file.
-const METRICS_PORT: u16 = 9464;
 
 /// Runs an entry until a stop signal, then drains it.
 ///
@@ -30,7 +28,7 @@
 pub async fn run(settings: settings::Settings, dropped: logs::Dropped) -> anyhow::Result<()> {
     let callers = server::bind(settings.callers).await?;
     let ready = server::bind(settings.ready).await?;
-    let metrics = server::bind((settings.ip, METRICS_PORT).into()).await?;
+    let scrapes = server::bind((settings.ip, metrics::PLATFORM_PORT).into()).await?;
     let edge = sync::Arc::new(edge::Edge::new(settings));
     tracing::info!(
         name = edge.settings().name,
@@ -62,7 +60,7 @@
     tokio::spawn(server::serve_until(callers, limits, closing, move |request| {
         ingress::handle(shared.clone(), request)
     }));
-    for listener in [ready, metrics] {
+    for listener in [ready, scrapes] {
         let (shared, dropped) = (edge.clone(), dropped.clone());
         tokio::spawn(server::serve(listener, server::Limits::default(), move |request| {
             shared.counters.dropped_lines.set(dropped.count() as i64);
--- a/crates/edge/src/watch.rs
+++ b/crates/edge/src/watch.rs
@@ -74,7 +74,7 @@
     table: store::Table,
     contact: &mut Contact,
 ) -> Result<(), store::StoreError> {
-    let all = read_all(edge, table).await?;
+    let all = edge.store.read_all(table, READ_LIMIT).await?;
     contact.regain(edge, table, all.version);
     let mut version = all.version;
     apply(edge, table, &all.rows);
@@ -98,20 +98,6 @@
     }
 }
 
-async fn read_all(
-    edge: &edge::Edge,
-    table: store::Table,
-) -> Result<store::Rows, store::StoreError> {
-    let mut all = edge.store.read(table, None, READ_LIMIT).await?;
-    while all.is_partial {
-        let after = all.rows.last().map(|row| row.key.clone());
-        let more = edge.store.read(table, after.as_deref(), READ_LIMIT).await?;
-        all.is_partial = more.is_partial && !more.rows.is_empty();
-        all.rows.extend(more.rows);
-    }
-    Ok(all)
-}
-
 /// Takes what a peer knows from the store.
 pub(crate) fn learn_from_peer(edge: &edge::Edge, from: net::IpAddr, snapshot: share::Snapshot) {
     let version = snapshot.version;
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -11,6 +11,9 @@
 
 use crate::{answer, locks};
 
+/// Port of the metrics of an entry on the users' platform, named in the deploy file.
+pub const PLATFORM_PORT: u16 = 9464;
+
 /// Labels of a counter by reason.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
 pub struct ReasonLabels {
