Take no connection while the last usage record is written

The entry had drained (`stopped`, open 0) and was writing its last usage record, with its listener still open.

Change: after the drain the listener is closed, and what was taken just before is answered; then the record is written. A caller that comes then is refused a connection, as after the end.

--- a/crates/e2e/tests/platform_stops.rs
+++ b/crates/e2e/tests/platform_stops.rs
@@ -6,7 +6,7 @@
 use rustix::process::Signal;
 
 use rhubarb_e2e::standin;
-use rhubarb_fakes::backend;
+use rhubarb_fakes::{backend, store};
 
 #[tokio::test]
 async fn nothing_cut() -> anyhow::Result<()> {
@@ -36,6 +36,31 @@
     Ok(())
 }
 
+// Found by a hunt (brokerage, mix, seed 107079775830): a request that came while the entry, already
+// drained, wrote its last usage record was run and cut off.
+#[tokio::test]
+async fn taken_last() -> anyhow::Result<()> {
+    let site = standin::Site::start(standin::Sizes::default()).await?;
+    // The last record takes as long as it may, and so do answers.
+    site.store.set_mode(store::Mode::Silent);
+    for plain in &site.plain {
+        plain.set_fault(backend::Fault::Mute);
+    }
+    let edge = &site.edges[0];
+    edge.signal(Signal::TERM);
+    while !edge.log().contains("edge: stopped") {
+        tokio::time::sleep(time::Duration::from_millis(2)).await;
+    }
+    let check = async |id: &str| {
+        let reply = edge.call(Method::POST, standin::UNSAFE, id, "b").await;
+        assert!(reply.is_ok() || site.runs(id) == 0, "{id} ran and was cut off: {reply:?}");
+    };
+    let ids: Vec<_> = (0..6).map(|number| format!("a{number}")).collect();
+    let [a, b, c, d, e, f] = [0, 1, 2, 3, 4, 5].map(|number: usize| check(&ids[number]));
+    tokio::join!(a, b, c, d, e, f);
+    Ok(())
+}
+
 #[tokio::test]
 async fn settings_again() -> anyhow::Result<()> {
     let mut site = standin::Site::start(standin::Sizes::default()).await?;
--- a/crates/edge/src/run.rs
+++ b/crates/edge/src/run.rs
@@ -7,7 +7,7 @@
 use rhubarb_node::{answer, clock, logs, metrics, server, stop};
 use rhubarb_platform::{paths, settings, store};
 
-use tokio::sync as lock;
+use tokio::{sync as lock, task};
 
 use crate::{duty, edge, ingress, ledger, peers, reload, watch};
 
@@ -57,7 +57,7 @@
     };
     let shared = edge.clone();
     let (close, closing) = lock::watch::channel(false);
-    tokio::spawn(server::serve_until(callers, limits, closing, move |request| {
+    let serving = tokio::spawn(server::serve_until(callers, limits, closing, move |request| {
         ingress::handle(shared.clone(), request)
     }));
     for listener in [ready, scrapes] {
@@ -69,7 +69,7 @@
     }
     stop::wait().await?;
     edge.stop();
-    drain(&edge, &close).await;
+    drain(&edge, &close, serving).await;
     // A record that is being written must not come after the last one.
     writing.abort();
     ledger::finish(&edge).await;
@@ -89,17 +89,28 @@
 }
 
 // New requests are served until the balancer has noticed. Then connections end with the request
-// in flight, and idle ones at once.
-async fn drain(edge: &edge::Edge, close: &lock::watch::Sender<bool>) {
+// in flight, and idle ones at once. At last no connection is taken any more, so that what comes
+// while the last record is written is not cut off.
+async fn drain(
+    edge: &edge::Edge,
+    close: &lock::watch::Sender<bool>,
+    serving: task::JoinHandle<()>,
+) {
     let open = || edge.open.load(atomic::Ordering::Relaxed);
     let start = clock::now();
     let most = edge.settings().grace.saturating_sub(LAST);
     tracing::info!(open = open(), "edge: stopping");
     tokio::time::sleep(edge::NOTICE).await;
     close.send_replace(true);
-    while clock::now() - start < most && (open() > 0 || close.receiver_count() > 1) {
-        tokio::time::sleep(DRAIN_STEP).await;
-    }
+    let wait = async |taking: usize| {
+        while clock::now() - start < most && (open() > 0 || close.receiver_count() > taking) {
+            tokio::time::sleep(DRAIN_STEP).await;
+        }
+    };
+    // The listener counts as a receiver.
+    wait(1).await;
+    serving.abort();
+    wait(0).await;
     let waited_ms = (clock::now() - start).as_millis() as u64;
     tracing::info!(open = open(), waited_ms, "edge: stopped");
 }
