Begin no stream whose caller leaves in its midst

Cause: a caller that comes back late in its time limit was served like any other.

Change: an entry learns the time for a token from whole answers, their longest pause left out, and refuses a request at once as not run if less than 0.8 of the expected time is left.

Ruled out: learning with pauses; one stalled stream of few events made the next request look hopeless (streams::fault_table).

Result: engines::answers_timed; e2e streams::no_time_left failed before (200 for 503).

--- a/crates/core/src/engines.rs
+++ b/crates/core/src/engines.rs
@@ -17,6 +17,8 @@
     grants: collections::VecDeque<time::Instant>,
     // Mean charge of the last requests, in tokens.
     typical: Option<f64>,
+    // Mean time for one token of an answer, in seconds.
+    token_time: Option<f64>,
     usage: stages::Usage,
     peer_usage: collections::BTreeMap<String, stages::Usage>,
 }
@@ -53,6 +55,9 @@
 /// Weight of one request in the mean charge: the last twenty or so count.
 const TYPICAL_WEIGHT: f64 = 0.05;
 
+/// Weight of one answer in the mean time for a token.
+const ANSWER_WEIGHT: f64 = 0.05;
+
 // Order of engines that are alike: a hash of both, by the finisher of MurmurHash3.
 fn shuffle(id: &str, draw: u64) -> u64 {
     let mix = |hash: u64, byte: u8| (hash ^ u64::from(byte)).wrapping_mul(0x0100_0000_01b3);
@@ -283,6 +288,23 @@
         wait.map(|wait| wait + prefill_work(tokens))
     }
 
+    /// Learns that an answer of `tokens` took `took` from its first token to its last, its longest
+    /// pause left out.
+    pub fn learn_answer(&mut self, tokens: u64, took: time::Duration) {
+        if tokens == 0 {
+            return;
+        }
+        let time = took.as_secs_f64() / tokens as f64;
+        let mean = self.token_time.unwrap_or(time);
+        self.token_time = Some(mean + ANSWER_WEIGHT * (time - mean));
+    }
+
+    /// Time that an answer of `tokens` is expected to take; zero until something is known.
+    pub fn answer_time(&self, tokens: u32) -> time::Duration {
+        let seconds = self.token_time.unwrap_or(0.0) * f64::from(tokens);
+        time::Duration::from_secs_f64(seconds)
+    }
+
     /// Availability zone of an engine.
     pub fn zone(&self, id: &str) -> Option<&ids::ZoneName> {
         self.engines.get(id).map(|engine| &engine.zone)
--- a/crates/core/tests/engines.rs
+++ b/crates/core/tests/engines.rs
@@ -213,6 +213,22 @@
     assert!(engines.reserve(place(now, 9), NEED, any, 0, now).is_some());
 }
 
+#[test]
+fn answers_timed() {
+    // How long an answer takes is known from others, so that none is begun for a caller who leaves
+    // in its midst.
+    let mut engines = engines(1, 1);
+    assert_eq!(engines.answer_time(700), time::Duration::ZERO, "nothing is known yet");
+    engines.learn_answer(1_000, 5_000 * MILLI);
+    assert_eq!(engines.answer_time(700), 3_500 * MILLI);
+    engines.learn_answer(0, MILLI);
+    for _ in 0..200 {
+        engines.learn_answer(500, 5_000 * MILLI);
+    }
+    let slower = engines.answer_time(700);
+    assert!(slower > 6_990 * MILLI && slower < 7_010 * MILLI, "{slower:?}");
+}
+
 #[test]
 fn long_queue_known() {
     // Far more requests than memory: a newcomer is told at once that its turn comes too late.
--- a/crates/e2e/tests/platform_streams.rs
+++ b/crates/e2e/tests/platform_streams.rs
@@ -151,3 +151,23 @@
     }
     anyhow::bail!("no stream was resumed in {MOST_CALLS} calls")
 }
+
+// A caller that leaves before its answer can be whole is told so at once, and nothing runs.
+#[tokio::test]
+async fn no_time_left() -> anyhow::Result<()> {
+    let site = standin::Site::start(standin::Sizes::default()).await?;
+    let edge = &site.edges[0];
+    let size = ("x-token-usage", "100,6");
+    for number in 0..3 {
+        let id = format!("a{number}");
+        let reply = edge.call_with(Method::POST, standin::STREAM, &id, "b", &[size]).await?;
+        assert_eq!(reply.body, Some(standin::whole_stream()));
+    }
+    // Six events take 80 ms from the first to the last, without one pause.
+    let headers = [size, ("x-length-hint", "6"), ("x-deadline-ms", "45")];
+    let reply = edge.call_with(Method::POST, standin::STREAM, "late", "b", &headers).await?;
+    assert_eq!(reply.status, 503);
+    assert!(reply.headers.contains_key("retry-after"));
+    assert_eq!(site.runs("late"), 0);
+    Ok(())
+}
--- a/crates/edge/src/stream.rs
+++ b/crates/edge/src/stream.rs
@@ -36,6 +36,9 @@
 /// A request that can no longer be in time waits this long: any caller bears so long a silence
 /// before the first event, by the platform's pages.
 const LATE_WAIT: time::Duration = time::Duration::from_secs(2);
+/// Part of the expected time of an answer that must be left: what callers say of its length is
+/// often off.
+const LEAST_SHARE: f64 = 0.8;
 /// A stream that can go on elsewhere is offered to other servers after each silence of this
 /// length.
 const STALL: time::Duration = time::Duration::from_millis(1_500);
@@ -120,11 +123,25 @@
         room::Wait { late, until }
     }
 
+    // Whether the caller will have left long before its answer is whole.
+    fn is_in_vain(&self) -> bool {
+        if self.events > 0 {
+            return false;
+        }
+        let mut directory = self.call.edge.directory();
+        let engines = &directory.service(&self.call.service).engines;
+        let expected = engines.answer_time(self.need.output);
+        self.call.time_left() < expected.mul_f64(LEAST_SHARE)
+    }
+
     async fn reserve(&mut self) -> flow::Event {
         if let Some(room) = self.spare.take() {
             self.room = Some(room);
             return flow::Event::Reserved;
         }
+        if self.is_in_vain() {
+            return self.failed(None, Refusal::not_run(Reason::TooLate, RETRY_SOON));
+        }
         let wait = self.wait();
         let tried = self.flow.tried().to_vec();
         let asked = room::ask(&self.call, &mut self.reply, self.need, &tried, wait).await;
@@ -436,6 +453,12 @@
         let call = &self.call;
         let tokens = self.events * u64::from(call.edge.directory().event_tokens(&call.service));
         let times = self.first_at.zip(self.last_at);
+        if let Some((first, last)) = times {
+            // A pause says more of a fault than of the engines' pace.
+            let took = (last - first).saturating_sub(self.longest_pause);
+            let mut directory = call.edge.directory();
+            directory.service(&call.service).engines.learn_answer(tokens, took);
+        }
         call.account().add(|totals| {
             totals.count(Outcome::Answered, None);
             let Some((first, last)) = times else { return };
