--- a/demo.sh
+++ b/demo.sh
@@ -162,7 +162,8 @@
   "$BIN/rhubarb-report" --settings "$WORK/ctl.ini" \
     --from "$(((TODAY - 3600) * 1000))" --to "$(((TODAY + 3600) * 1000))"
 }
-both_shown() { [ "$(report | grep -c '^\(clip-models\|yard-app\) .*broker-south')" -ge 2 ]; }
+# A record may end between a prompt and its answer.
+both_shown() { [ "$(report | grep -c '^\(clip-models\|yard-app\) .*broker-south *[1-9]')" -ge 2 ]; }
 wait_for "the report" both_shown
 echo "== report"
 report
