--- a/crates/e2e/tests/platform_stops.rs
+++ b/crates/e2e/tests/platform_stops.rs
@@ -51,13 +51,20 @@
     while !edge.log().contains("edge: stopped") {
         tokio::time::sleep(time::Duration::from_millis(2)).await;
     }
-    let check = async |id: &str| {
-        let reply = edge.call(Method::POST, standin::UNSAFE, id, "b").await;
-        assert!(reply.is_ok() || site.runs(id) == 0, "{id} ran and was cut off: {reply:?}");
+    // Calls on new connections, for longer than the record takes.
+    let until = time::Instant::now() + time::Duration::from_millis(400);
+    let caller = async |name: &str| {
+        for number in 0.. {
+            if time::Instant::now() > until {
+                break;
+            }
+            let id = format!("{name}-{number}");
+            let reply = edge.call(Method::POST, standin::UNSAFE, &id, "b").await;
+            assert!(reply.is_ok() || site.runs(&id) == 0, "{id} ran and was cut off: {reply:?}");
+            tokio::time::sleep(time::Duration::from_millis(1)).await;
+        }
     };
-    let ids: Vec<_> = (0..6).map(|number| format!("a{number}")).collect();
-    let [a, b, c, d, e, f] = [0, 1, 2, 3, 4, 5].map(|number: usize| check(&ids[number]));
-    tokio::join!(a, b, c, d, e, f);
+    tokio::join!(caller("a"), caller("b"), caller("c"), caller("d"), caller("e"), caller("f"));
     Ok(())
 }
 
