Log answers with a wrong id, and how a change of the servers was learned

For the incident: an answer that does not echo the id of its request had no line, and «servers changed» did not say whether the change came from the store, a peer or the end of a grace period. Now one warning names both ids, the server and how many requests the connection has carried; «prefill completed» names the handle; the start of a grace period has a line. No logic is changed.

--- a/crates/edge/src/connections.rs
+++ b/crates/edge/src/connections.rs
@@ -9,7 +9,7 @@
 use tokio::net as tokio_net;
 
 use rhubarb_node::{clock, locks};
-use rhubarb_platform::response;
+use rhubarb_platform::{request, response};
 
 /// Idle connections by server address.
 #[derive(Debug, Default)]
@@ -23,6 +23,8 @@
     sender: http1::SendRequest<Full<Bytes>>,
     address: net::SocketAddr,
     idle_until: time::Instant,
+    // Number of requests sent on it.
+    requests: u64,
 }
 
 /// Response whose body has not been read yet, and its connection.
@@ -79,9 +81,13 @@
         {
             request.headers_mut().insert(header::HOST, host);
         }
+        let attempt_id = request::attempt_id(request.headers()).cloned();
         while let Some(mut connection) = self.checkout(address) {
             match connection.send(request).await {
-                Ok(response) => return Ok(PendingResponse { response, connection }),
+                Ok(response) => {
+                    log_stray(&response, attempt_id.as_ref(), &connection);
+                    return Ok(PendingResponse { response, connection });
+                }
                 Err((Some(unsent), _)) => request = unsent,
                 Err((None, err)) => return Err(SendError::ConnectionLost(err)),
             }
@@ -89,7 +95,10 @@
         let mut connection =
             connect(address).await.map_err(|err| SendError::Unsent(err.to_string()))?;
         match connection.send(request).await {
-            Ok(response) => Ok(PendingResponse { response, connection }),
+            Ok(response) => {
+                log_stray(&response, attempt_id.as_ref(), &connection);
+                Ok(PendingResponse { response, connection })
+            }
             Err((Some(_), err)) => Err(SendError::Unsent(err)),
             Err((None, err)) => Err(SendError::ConnectionLost(err)),
         }
@@ -153,6 +162,7 @@
         if let Err(err) = self.sender.ready().await {
             return Err((Some(request), err.to_string()));
         }
+        self.requests += 1;
         self.sender.try_send_request(request).await.map_err(|mut err| {
             let unsent = err.take_message();
             (unsent, err.into_error().to_string())
@@ -160,6 +170,26 @@
     }
 }
 
+// Logs a response that does not echo the id of the request on which it was received.
+fn log_stray(
+    response: &Response<body::Incoming>,
+    attempt_id: Option<&header::HeaderValue>,
+    connection: &Connection,
+) {
+    let echoed = request::attempt_id(response.headers());
+    if echoed == attempt_id {
+        return;
+    }
+    tracing::warn!(
+        id = ?attempt_id,
+        echoed = ?echoed,
+        status = response.status().as_u16(),
+        address = %connection.address,
+        requests = connection.requests,
+        "edge: response does not belong to the request"
+    );
+}
+
 async fn connect(address: net::SocketAddr) -> io::Result<Connection> {
     let connecting = tokio::time::timeout(CONNECT_TIMEOUT, tokio_net::TcpStream::connect(address));
     let stream =
@@ -175,7 +205,7 @@
             tracing::debug!("edge: connection to {address} ended: {err}");
         }
     });
-    Ok(Connection { sender, address, idle_until: clock::now() })
+    Ok(Connection { sender, address, idle_until: clock::now(), requests: 0 })
 }
 
 /// Sets options that make a connection to an unresponsive peer fail instead of hang.
--- a/crates/edge/src/prefill.rs
+++ b/crates/edge/src/prefill.rs
@@ -153,6 +153,7 @@
             tracing::info!(
                 id = call.id(),
                 server = target.id,
+                handle = prefilled.handle,
                 tokens = prefilled.tokens,
                 expected_ms = expected.as_millis() as u64,
                 took_ms = took.as_millis() as u64,
--- a/crates/edge/src/watch.rs
+++ b/crates/edge/src/watch.rs
@@ -124,6 +124,7 @@
             let mut directory = edge.directory();
             if table == store::Table::Servers && directory.is_complete() {
                 directory.fleet.registry_recovered(clock::now());
+                tracing::info!("edge: missing servers are kept for a grace period");
             }
         }
     }
@@ -138,9 +139,9 @@
     let all = edge.store.read_all(table, READ_TIMEOUT).await?;
     state.record_success(edge, table, all.version);
     let mut version = all.version;
-    apply(edge, table, &all.rows);
+    apply(edge, table, &all.rows, Source::Store);
     if table == store::Table::Servers {
-        remove_missing(edge, &all.rows, all.version, &[]);
+        remove_missing(edge, &all.rows, all.version, &[], Source::Store);
     }
     loop {
         if !edge.follows_store() {
@@ -157,7 +158,7 @@
         version = version.max(changes.version);
         state.record_feed();
         let has_changes = !changes.rows.is_empty();
-        apply(edge, table, &changes.rows);
+        apply(edge, table, &changes.rows, Source::Store);
         if table == store::Table::Servers {
             let mut directory = edge.directory();
             directory.rows.version = directory.rows.version.max(version);
@@ -180,27 +181,38 @@
     let to_row =
         |row: share::Row| store::Row { key: row.key, version: row.version, value: Some(row.value) };
     let config: Vec<_> = snapshot.config.into_iter().map(to_row).collect();
-    apply(edge, store::Table::Operator, &config);
+    apply(edge, store::Table::Operator, &config, Source::Peer);
     let servers: Vec<_> = snapshot.servers.into_iter().map(to_row).collect();
-    apply(edge, store::Table::Servers, &servers);
+    apply(edge, store::Table::Servers, &servers, Source::Peer);
     if snapshot.after == 0 && !servers.is_empty() {
-        return remove_missing(edge, &servers, version, &snapshot.awaited);
+        return remove_missing(edge, &servers, version, &snapshot.awaited, Source::Peer);
     }
     for (key, removed) in snapshot.removed {
-        remove_server(edge, &key, removed, &snapshot.awaited);
+        remove_server(edge, &key, removed, &snapshot.awaited, Source::Peer);
     }
     let mut directory = edge.directory();
     directory.rows.version = directory.rows.version.max(version);
 }
 
-fn apply(edge: &edge::Edge, table: store::Table, rows: &[store::Row]) {
+// Where a change of the servers was learned.
+#[derive(Clone, Copy, Debug)]
+enum Source {
+    // Read from the store.
+    Store,
+    // Received from a peer.
+    Peer,
+    // The grace period of a server without a row has expired.
+    Grace,
+}
+
+fn apply(edge: &edge::Edge, table: store::Table, rows: &[store::Row], source: Source) {
     for row in rows {
         if !edge.directory().rows.update(table, row) {
             continue;
         }
         match (table, &row.value) {
             (store::Table::Operator, Some(value)) => set_config(edge, value),
-            (store::Table::Servers, _) => set_server(edge, row),
+            (store::Table::Servers, _) => set_server(edge, row, source),
             _ => {}
         }
     }
@@ -220,7 +232,7 @@
     }
 }
 
-fn set_server(edge: &edge::Edge, row: &store::Row) {
+fn set_server(edge: &edge::Edge, row: &store::Row, source: Source) {
     let parsed = row.value.as_ref().map(|value| registration::read(value));
     let mut directory = edge.directory();
     let change = match parsed {
@@ -231,16 +243,17 @@
         }
         None => directory.fleet.remove(&row.key, clock::now()),
     };
-    apply_change(&mut directory, change, row.version);
+    apply_change(&mut directory, change, row.version, source);
 }
 
 fn apply_change(
     directory: &mut directory::Directory,
     change: Option<fleet::Change>,
     version: store::Version,
+    source: Source,
 ) {
     if let Some(change) = change {
-        tracing::info!(?change, version, "edge: servers changed");
+        tracing::info!(?change, version, ?source, "edge: servers changed");
         directory.apply(&change);
     }
 }
@@ -252,10 +265,11 @@
     rows: &[store::Row],
     version: store::Version,
     awaited: &[share::AwaitedServer],
+    source: Source,
 ) {
     let missing = edge.directory().rows.missing_from(rows, version);
     for key in missing {
-        remove_server(edge, &key, version, awaited);
+        remove_server(edge, &key, version, awaited, source);
     }
     let mut directory = edge.directory();
     directory.rows.version = directory.rows.version.max(version);
@@ -269,6 +283,7 @@
     key: &ids::ServerName,
     version: store::Version,
     awaited: &[share::AwaitedServer],
+    source: Source,
 ) {
     let now = clock::now();
     let mut directory = edge.directory();
@@ -286,7 +301,7 @@
         return;
     }
     let change = directory.fleet.remove(key, now);
-    apply_change(&mut directory, change, version);
+    apply_change(&mut directory, change, version, source);
 }
 
 /// Removes servers whose rows did not return within the grace period, and closes expired idle
@@ -303,7 +318,7 @@
         edge.connections.sweep();
         let mut directory = edge.directory();
         while let Some(change) = directory.fleet.next_expired(clock::now()) {
-            apply_change(&mut directory, Some(change), 0);
+            apply_change(&mut directory, Some(change), 0, Source::Grace);
         }
     }
 }
