--- a/crates/e2e/src/relay.rs
+++ b/crates/e2e/src/relay.rs
@@ -9,10 +9,10 @@
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
     net as tcp,
-    sync::watch,
+    sync::{mpsc, watch},
 };
 
-use rhubarb_node::server;
+use rhubarb_node::{locks, server};
 
 /// What a relay does with the TCP bytes of one direction.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -35,8 +35,12 @@
     blackholes: u64,
     // Likewise for `Relay::disconnect`.
     disconnects: u64,
+    doubles: bool,
 }
 
+// Bytes sent to the entry on one connection since its last request, which are its last response.
+type Response = sync::Arc<sync::Mutex<Vec<u8>>>;
+
 /// A relay that listens on its own port.
 #[derive(Clone, Debug)]
 pub struct Relay {
@@ -82,6 +86,12 @@
         self.modes.send_modify(|modes| modes.blackholes += 1);
     }
 
+    /// Sets whether the last response of a connection is sent a second time when the next request is
+    /// on its way, ahead of that request's own response.
+    pub fn set_doubles(&self, doubles: bool) {
+        self.modes.send_modify(|modes| modes.doubles = doubles);
+    }
+
     /// Closes all open connections.
     pub fn disconnect(&self) {
         self.modes.send_modify(|modes| modes.disconnects += 1);
@@ -128,17 +138,38 @@
     let _ = upstream.set_nodelay(true);
     let (entry_in, entry_out) = entry.into_split();
     let (upstream_in, upstream_out) = upstream.into_split();
-    tokio::spawn(forward_stream(entry_in, upstream_out, modes.subscribe(), |modes| {
-        modes.to_target
-    }));
-    tokio::spawn(forward_stream(upstream_in, entry_out, modes.subscribe(), |modes| modes.to_entry));
+    let last = Response::default();
+    let (doubles, doubled) = mpsc::unbounded_channel();
+    // Never written to: the target gets nothing but the entry's bytes.
+    let (_, nothing) = mpsc::unbounded_channel();
+    let (last_response, shared) = (last.clone(), modes.clone());
+    let at_request = move |_: &[u8]| {
+        let response = std::mem::take(&mut *locks::lock(&last_response));
+        if shared.borrow().doubles && !response.is_empty() {
+            let _ = doubles.send(response);
+        }
+    };
+    let at_response = move |bytes: &[u8]| locks::lock(&last).extend_from_slice(bytes);
+    let to_target = Direction { mode_of: |modes| modes.to_target, inserted: nothing };
+    let to_entry = Direction { mode_of: |modes| modes.to_entry, inserted: doubled };
+    let (modes, other) = (modes.subscribe(), modes.subscribe());
+    tokio::spawn(forward_stream(entry_in, upstream_out, modes, to_target, at_request));
+    tokio::spawn(forward_stream(upstream_in, entry_out, other, to_entry, at_response));
+}
+
+// One direction of a connection.
+struct Direction {
+    mode_of: fn(&Modes) -> Mode,
+    // Bytes to send besides those received.
+    inserted: mpsc::UnboundedReceiver<Vec<u8>>,
 }
 
 async fn forward_stream(
     mut from: tcp::tcp::OwnedReadHalf,
     mut to: tcp::tcp::OwnedWriteHalf,
     mut modes: watch::Receiver<Modes>,
-    mode_of: fn(&Modes) -> Mode,
+    mut direction: Direction,
+    mut on_read: impl FnMut(&[u8]),
 ) {
     let start = *modes.borrow_and_update();
     let mut buffer = vec![0; BUFFER_BYTES];
@@ -149,21 +180,24 @@
             return;
         }
         let is_blackholed = now.blackholes > start.blackholes;
-        let may_forward = mode_of(&now) == Mode::Forward && !is_blackholed;
+        let may_forward = (direction.mode_of)(&now) == Mode::Forward && !is_blackholed;
         if may_forward && to.write_all(&std::mem::take(&mut buffered)).await.is_err() {
             return;
         }
         tokio::select! {
+            biased;
             changed = modes.changed() => {
                 if changed.is_err() {
                     return;
                 }
             }
+            Some(bytes) = direction.inserted.recv() => buffered.extend_from_slice(&bytes),
             read = from.read(&mut buffer) => {
                 let length = read.unwrap_or(0);
                 if length == 0 {
                     return;
                 }
+                on_read(&buffer[..length]);
                 buffered.extend_from_slice(&buffer[..length]);
             }
         }
