Use no answer that is not shown to belong to its request

Callers got streams that went on from the prefill of another request. Cause: a server may answer twice, the second time when the next request is already on the kept connection. A prefill's answer was used whatever id it echoed, a rejection (421, or 503 that was not run) also without an id, and the connection went back to the pool before anything was checked. Answers to holds and orders have no id at all, so a late one could not be told from the next.

Now the connection itself checks that the answer echoes the id of the request, or that both have none, before anyone sees it; otherwise the connection is closed and the request counts as one that may have run. The id does not tell two answers to one attempt apart, nor two without an id, so such a request takes another connection than the one that carried the last such exchange. A success without a seal has a class of its own, which only prefills accept.

--- a/crates/e2e/tests/platform_stray.rs
+++ b/crates/e2e/tests/platform_stray.rs
@@ -1,5 +1,7 @@
 //! Servers that answer twice, the second time when the next request is on its way.
 
+use std::collections;
+
 use hyper::Method;
 
 use rhubarb_e2e::{call, site};
@@ -64,9 +66,24 @@
         }
     }
     assert_eq!(foreign_results(&site), Vec::<String>::new());
+    assert_eq!(shared_holds(&site), Vec::<String>::new());
     Ok(())
 }
 
+// Holds that requests of several attempts used.
+fn shared_holds(site: &site::Site) -> Vec<String> {
+    let mut users: collections::BTreeMap<String, collections::BTreeSet<String>> =
+        collections::BTreeMap::new();
+    for request in site.decode.iter().flat_map(|decode| decode.requests()) {
+        let text = |name: &str| request.headers.get(name).map(|value| format!("{value:?}"));
+        if let (Some(hold), Some(attempt)) = (text("x-kv-hold"), text("x-attempt-id")) {
+            users.entry(hold).or_default().insert(attempt);
+        }
+    }
+    let shared = users.into_iter().filter(|(_, attempts)| attempts.len() > 1);
+    shared.map(|(hold, attempts)| format!("{hold}: {attempts:?}")).collect()
+}
+
 // Guards against answers that belong to another request on the same connection, whatever the kinds
 // of the two requests.
 #[tokio::test]
@@ -78,5 +95,6 @@
         }
     }
     assert_eq!(foreign_results(&site), Vec::<String>::new());
+    assert_eq!(shared_holds(&site), Vec::<String>::new());
     Ok(())
 }
--- a/crates/edge/src/connections.rs
+++ b/crates/edge/src/connections.rs
@@ -4,7 +4,7 @@
 
 use bytes::Bytes;
 use http_body_util::Full;
-use hyper::{Request, Response, body, client::conn::http1, header};
+use hyper::{HeaderMap, Request, Response, body, client::conn::http1, header};
 use hyper_util::rt;
 use tokio::net as tokio_net;
 
@@ -25,6 +25,18 @@
     idle_until: time::Instant,
     // Number of requests sent on it.
     requests: u64,
+    last: LastExchange,
+}
+
+// What a late second response on a connection would look like: that of its last exchange.
+#[derive(Clone, Debug, PartialEq, Eq)]
+enum LastExchange {
+    // None yet, so nothing can be late.
+    New,
+    // Its response echoed this id.
+    Identified(header::HeaderValue),
+    // Its response had no id.
+    Anonymous,
 }
 
 /// Response whose body has not been read yet, and its connection.
@@ -39,7 +51,8 @@
 pub(crate) enum SendError {
     /// No byte of the request was written.
     Unsent(String),
-    /// The connection was lost after the request may have reached the server.
+    /// The connection was lost, or carried the response to another request, after the request may
+    /// have reached the server.
     ConnectionLost(String),
 }
 
@@ -81,40 +94,32 @@
         {
             request.headers_mut().insert(header::HOST, host);
         }
-        let attempt_id = request::attempt_id(request.headers()).cloned();
-        while let Some(mut connection) = self.checkout(address) {
+        while let Some(mut connection) = self.checkout(address, request.headers()) {
             match connection.send(request).await {
-                Ok(response) => {
-                    log_stray(&response, attempt_id.as_ref(), &connection);
-                    return Ok(PendingResponse { response, connection });
-                }
-                Err((Some(unsent), _)) => request = unsent,
-                Err((None, err)) => return Err(SendError::ConnectionLost(err)),
+                Ok(response) => return Ok(PendingResponse { response, connection }),
+                Err(SendFailure::Unsent(unsent, _)) => request = *unsent,
+                Err(SendFailure::Sent(err)) => return Err(SendError::ConnectionLost(err)),
             }
         }
         let mut connection =
             connect(address).await.map_err(|err| SendError::Unsent(err.to_string()))?;
         match connection.send(request).await {
-            Ok(response) => {
-                log_stray(&response, attempt_id.as_ref(), &connection);
-                Ok(PendingResponse { response, connection })
-            }
-            Err((Some(_), err)) => Err(SendError::Unsent(err)),
-            Err((None, err)) => Err(SendError::ConnectionLost(err)),
+            Ok(response) => Ok(PendingResponse { response, connection }),
+            Err(SendFailure::Unsent(_, err)) => Err(SendError::Unsent(err)),
+            Err(SendFailure::Sent(err)) => Err(SendError::ConnectionLost(err)),
         }
     }
 
-    fn checkout(&self, address: net::SocketAddr) -> Option<Connection> {
+    // Takes the most recently used connection that is fit for a request with these headers, so that
+    // surplus connections expire.
+    fn checkout(&self, address: net::SocketAddr, headers: &HeaderMap) -> Option<Connection> {
         let mut idle = locks::lock(&self.idle);
         let connections = idle.get_mut(&address)?;
         let now = clock::now();
-        // The most recently used first, so that surplus connections expire.
-        while let Some(connection) = connections.pop() {
-            if connection.idle_until > now && connection.sender.is_ready() {
-                return Some(connection);
-            }
-        }
-        None
+        connections
+            .retain(|connection| connection.idle_until > now && connection.sender.is_ready());
+        let fit = connections.iter().rposition(|connection| connection.is_fit(headers))?;
+        Some(connections.remove(fit))
     }
 
     /// Returns a connection to the pool after its response was read to the end.
@@ -154,40 +159,71 @@
     }
 }
 
+// Why a request got no response on a connection.
+enum SendFailure {
+    // No byte was written; the request can be sent on another connection.
+    Unsent(Box<Request<Full<Bytes>>>, String),
+    // The request may have reached the server.
+    Sent(String),
+}
+
 impl Connection {
+    // Whether a late second response to the last request would be told from the response to a
+    // request with these headers. The id does not tell responses to the same attempt apart, nor
+    // those without an id.
+    fn is_fit(&self, headers: &HeaderMap) -> bool {
+        match (&self.last, request::attempt_id(headers)) {
+            (LastExchange::New, _) => true,
+            (LastExchange::Identified(last), Some(id)) => last != id,
+            (LastExchange::Identified(_), None) | (LastExchange::Anonymous, Some(_)) => true,
+            (LastExchange::Anonymous, None) => false,
+        }
+    }
+
+    // Sends a request and returns its response, which is shown to belong to it: it echoes the
+    // request's id, or both have none.
     async fn send(
         &mut self,
         request: Request<Full<Bytes>>,
-    ) -> Result<Response<body::Incoming>, (Option<Request<Full<Bytes>>>, String)> {
+    ) -> Result<Response<body::Incoming>, SendFailure> {
         if let Err(err) = self.sender.ready().await {
-            return Err((Some(request), err.to_string()));
+            return Err(SendFailure::Unsent(Box::new(request), err.to_string()));
         }
         self.requests += 1;
-        self.sender.try_send_request(request).await.map_err(|mut err| {
+        let attempt_id = request::attempt_id(request.headers()).cloned();
+        let sending = self.sender.try_send_request(request);
+        let response = sending.await.map_err(|mut err| {
             let unsent = err.take_message();
-            (unsent, err.into_error().to_string())
-        })
+            let text = err.into_error().to_string();
+            match unsent {
+                Some(request) => SendFailure::Unsent(Box::new(request), text),
+                None => SendFailure::Sent(text),
+            }
+        })?;
+        self.check(&response, attempt_id)?;
+        Ok(response)
     }
-}
 
-// Logs a response that does not echo the id of the request on which it was received.
-fn log_stray(
-    response: &Response<body::Incoming>,
-    attempt_id: Option<&header::HeaderValue>,
-    connection: &Connection,
-) {
-    let echoed = request::attempt_id(response.headers());
-    if echoed == attempt_id {
-        return;
+    fn check(
+        &mut self,
+        response: &Response<body::Incoming>,
+        attempt_id: Option<header::HeaderValue>,
+    ) -> Result<(), SendFailure> {
+        let echoed = request::attempt_id(response.headers());
+        if echoed != attempt_id.as_ref() {
+            tracing::warn!(
+                id = ?attempt_id,
+                echoed = ?echoed,
+                status = response.status().as_u16(),
+                address = %self.address,
+                requests = self.requests,
+                "edge: response does not belong to the request, connection closed"
+            );
+            return Err(SendFailure::Sent("the response belongs to another request".to_string()));
+        }
+        self.last = attempt_id.map_or(LastExchange::Anonymous, LastExchange::Identified);
+        Ok(())
     }
-    tracing::warn!(
-        id = ?attempt_id,
-        echoed = ?echoed,
-        status = response.status().as_u16(),
-        address = %connection.address,
-        requests = connection.requests,
-        "edge: response does not belong to the request"
-    );
 }
 
 async fn connect(address: net::SocketAddr) -> io::Result<Connection> {
@@ -205,7 +241,13 @@
             tracing::debug!("edge: connection to {address} ended: {err}");
         }
     });
-    Ok(Connection { sender, address, idle_until: clock::now(), requests: 0 })
+    Ok(Connection {
+        sender,
+        address,
+        idle_until: clock::now(),
+        requests: 0,
+        last: LastExchange::New,
+    })
 }
 
 /// Sets options that make a connection to an unresponsive peer fail instead of hang.
--- a/crates/edge/src/plain.rs
+++ b/crates/edge/src/plain.rs
@@ -181,7 +181,7 @@
             platform_response::HeadClass::OtherServer => {
                 Attempt::Failed(Refusal::not_run(Reason::Leaving, RETRY_SOON))
             }
-            platform_response::HeadClass::Invalid => {
+            platform_response::HeadClass::Unsealed | platform_response::HeadClass::Invalid => {
                 Attempt::Failed(Refusal::unknown(Reason::LostContact, RETRY_SOON))
             }
             platform_response::HeadClass::Valid => match response.body {
--- a/crates/edge/src/prefill.rs
+++ b/crates/edge/src/prefill.rs
@@ -211,7 +211,10 @@
             Err(Refusal::not_run(Reason::Leaving, RETRY_SOON))
         }
         platform_response::HeadClass::NotRun => Err(Refusal::not_run(Reason::NoRoom, RETRY_SOON)),
-        platform_response::HeadClass::Valid | platform_response::HeadClass::Invalid => {
+        platform_response::HeadClass::Invalid => {
+            Err(Refusal::not_run(Reason::LostContact, RETRY_SOON))
+        }
+        platform_response::HeadClass::Valid | platform_response::HeadClass::Unsealed => {
             let body = response.body.as_ref().filter(|_| response.is_success());
             match body.map(|body| engine::read_prefilled(body)) {
                 Some(Ok(prefilled)) => Ok(prefilled),
--- a/crates/edge/src/stream.rs
+++ b/crates/edge/src/stream.rs
@@ -320,7 +320,7 @@
             platform_response::HeadClass::NotRun => {
                 return self.handle_not_run(server, pending).await;
             }
-            platform_response::HeadClass::Invalid => {
+            platform_response::HeadClass::Unsealed | platform_response::HeadClass::Invalid => {
                 return self.interrupted(server, Reason::LostContact);
             }
             platform_response::HeadClass::Valid => {}
--- a/crates/fakes/src/backend.rs
+++ b/crates/fakes/src/backend.rs
@@ -34,6 +34,8 @@
     runs: collections::BTreeMap<String, u32>,
     requests: Vec<ReceivedRequest>,
     holds: CreationTimes,
+    // Number of holds created.
+    hold_seq: u64,
     // Number of accepted orders.
     orders: u64,
     // Highest fencing number of an accepted order.
@@ -204,7 +206,9 @@
         let expected = header_text(&parts.headers, "x-expect-instance");
         if fault == Fault::Moved || (!expected.is_empty() && expected != self.id) {
             let mut reply = response::text(StatusCode::MISDIRECTED_REQUEST, "");
+            reply.headers_mut().insert("x-not-executed", header_value("1"));
             reply.headers_mut().insert("x-instance-id", header_value("i-other"));
+            echo_attempt(reply.headers_mut(), &parts.headers);
             return reply;
         }
         let path = parts.uri.path().to_string();
@@ -222,10 +226,11 @@
 
     fn create_hold(&self, fault: Fault) -> Response<response::Body> {
         if fault == Fault::Full {
-            return shed_response();
+            return shed_response(&HeaderMap::new());
         }
         let mut state = self.state();
-        let hold = format!("hold-{}-{}", self.id, state.holds.len() + state.requests.len());
+        state.hold_seq += 1;
+        let hold = format!("hold-{}-{}", self.id, state.hold_seq);
         state.holds.insert(hold.clone(), time::Instant::now());
         response::json(StatusCode::OK, &json!({"hold": hold}))
     }
@@ -275,7 +280,7 @@
         fault: Fault,
     ) -> Response<response::Body> {
         if fault == Fault::Sheds {
-            return shed_response();
+            return shed_response(headers);
         }
         if header_text(headers, "x-stage") == "prefill" {
             return self.prefill(headers, fault).await;
@@ -284,7 +289,7 @@
         let source = header_text(headers, "x-kv-source");
         let handle = source.split_once('/').map(|(_, handle)| handle);
         if handle.is_some_and(|handle| !self.remove_handle(handle)) {
-            return shed_response();
+            return shed_response(headers);
         }
         let attempt = header_text(headers, "x-attempt-id");
         {
@@ -407,12 +412,21 @@
     }
 }
 
-fn shed_response() -> Response<response::Body> {
+// Rejects the request with these headers.
+fn shed_response(headers: &HeaderMap) -> Response<response::Body> {
     let mut reply = response::text(StatusCode::SERVICE_UNAVAILABLE, "");
     reply.headers_mut().insert("x-not-executed", header_value("1"));
+    echo_attempt(reply.headers_mut(), headers);
     reply
 }
 
+// Responses echo the id of the attempt, if the request has one.
+fn echo_attempt(reply: &mut HeaderMap, headers: &HeaderMap) {
+    if let Some(attempt) = headers.get("x-attempt-id") {
+        reply.insert("x-attempt-id", attempt.clone());
+    }
+}
+
 fn reset_response() -> Response<response::Body> {
     let (sender, receiver) = mpsc::channel(1);
     let _ = sender.try_send(Err(io::Error::other("reset")));
