Stop sending to a server that has announced that it leaves, at every step

Requests reached servers that had said that they leave. A server's word counted only as its row in the store said it, the row could take it back, and the check was made where a server is chosen: holds, orders and everything that waits for a connection were sent without another look.

Now an announcement in any answer counts as well. It holds for the lifetime of the process, whatever its row says later, also after the row was gone for up to an hour. The check is made in one place, when a connection is open and before a byte is written, for runs, prefills, holds, reports and orders; only what frees memory is still sent. A request that is withheld goes to another server without a charge to the retry budget. If no server of a service stays, the request is rejected at once, with a Retry-After spread over 1.0 to 2.5 s. «servers changed» names source and open requests, and leaving_servers counts by source.

--- a/crates/core/src/fleet.rs
+++ b/crates/core/src/fleet.rs
@@ -64,10 +64,23 @@
     missing: collections::BTreeMap<ids::ServerName, time::Instant>,
     // End of the grace period after the registry's last recovery.
     grace_until: Option<time::Instant>,
+    // Servers that have announced that they are leaving.
+    departing: collections::BTreeMap<ids::ServerName, Departure>,
+}
+
+// Announcement of one process of a server, which the process does not take back.
+#[derive(Clone, Copy, Debug)]
+struct Departure {
+    started_ms: Option<u64>,
+    // When the server was found to be removed.
+    gone_at: Option<time::Instant>,
 }
 
 /// Time after the registry has recovered within which live servers renew expired registrations.
 const RECOVERY_GRACE: time::Duration = time::Duration::from_millis(1_800);
+/// Time for which the announcement of a removed server is kept. Its registration may return after an
+/// outage of the registry, while the process still serves the last requests.
+const DEPARTURE_TTL: time::Duration = time::Duration::from_secs(3_600);
 
 impl Fleet {
     /// All servers by id.
@@ -86,7 +99,18 @@
     }
 
     /// Sets the newest registration of a server.
-    pub fn set(&mut self, id: &str, instance: Instance) -> Option<Change> {
+    ///
+    /// A process that has announced that it is leaving stays so, whatever its registration says.
+    pub fn set(&mut self, id: &str, mut instance: Instance) -> Option<Change> {
+        let started_ms = instance.started_ms;
+        match self.departing.get(id) {
+            Some(departure) if departure.started_ms == started_ms => instance.leaving = true,
+            Some(_) => drop(self.departing.remove(id)),
+            None => {}
+        }
+        if instance.leaving {
+            self.departing.insert(id.to_string(), Departure { started_ms, gone_at: None });
+        }
         let was_missing = self.missing.remove(id).is_some();
         let old = self.instances.insert(id.to_string(), instance.clone());
         let id = id.to_string();
@@ -97,12 +121,18 @@
         if instance.leaving {
             return (!old.leaving).then_some(Change::Leaving(id));
         }
-        if old.leaving {
-            return Some(Change::Joined(id));
-        }
         (old != instance || was_missing).then_some(Change::Updated(id))
     }
 
+    /// Records that a server has announced that it is leaving, other than by its registration.
+    pub fn set_leaving(&mut self, id: &str) -> Option<Change> {
+        let instance = self.instances.get_mut(id).filter(|instance| !instance.leaving)?;
+        instance.leaving = true;
+        let departure = Departure { started_ms: instance.started_ms, gone_at: None };
+        self.departing.insert(id.to_string(), departure);
+        Some(Change::Leaving(id.to_string()))
+    }
+
     /// Removes a server whose registration is invalid.
     pub fn set_invalid(&mut self, id: &str) -> Option<Change> {
         self.drop(id)
@@ -138,6 +168,13 @@
 
     /// Removes the next server whose grace period has expired.
     pub fn next_expired(&mut self, now: time::Instant) -> Option<Change> {
+        let instances = &self.instances;
+        self.departing.retain(|id, departure| {
+            if instances.contains_key(id) {
+                return true;
+            }
+            now < *departure.gone_at.get_or_insert(now) + DEPARTURE_TTL
+        });
         let due = self.missing.iter().find(|(_, until)| **until <= now);
         let id = due.map(|(id, _)| id.clone())?;
         self.drop(&id)
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -28,6 +28,7 @@
 pub mod limit;
 pub mod list;
 pub mod load;
+pub mod log_limit;
 pub mod members;
 pub mod outcome;
 pub mod outlier;
--- a/crates/core/tests/fleet.rs
+++ b/crates/core/tests/fleet.rs
@@ -36,6 +36,44 @@
     assert_eq!(fleet.set("i-1", instance(1, true)), None);
 }
 
+// Guards against work for a process that has announced that it is leaving and is registered as ready
+// again, for example from an old copy of the registry.
+#[test]
+fn leaving_kept() {
+    let mut fleet = fleet::Fleet::default();
+    fleet.set("i-1", instance(1, false));
+    assert_eq!(fleet.set_leaving("i-1"), Some(Change::Leaving("i-1".into())));
+    assert_eq!(fleet.set_leaving("i-1"), None);
+    assert_eq!(fleet.set("i-1", instance(1, false)), None);
+    assert!(fleet.get("i-1").unwrap().leaving);
+    let now = time::Instant::now();
+    fleet.remove("i-1", now);
+    assert_eq!(fleet.next_expired(now), None);
+    assert_eq!(fleet.set("i-1", instance(1, false)), Some(Change::Joined("i-1".into())));
+    assert!(fleet.get("i-1").unwrap().leaving, "its registration came back");
+}
+
+#[test]
+fn leaving_ends() {
+    let mut fleet = fleet::Fleet::default();
+    fleet.set("i-1", instance(1, true));
+    assert_eq!(fleet.set("i-1", instance(2, false)), Some(Change::Joined("i-1".into())));
+    assert!(!fleet.get("i-1").unwrap().leaving, "another process has its id");
+    assert_eq!(fleet.set_leaving("i-2"), None, "it is not registered");
+}
+
+#[test]
+fn departures_forgotten() {
+    let mut fleet = fleet::Fleet::default();
+    fleet.set("i-1", instance(1, true));
+    let now = time::Instant::now();
+    fleet.remove("i-1", now);
+    fleet.next_expired(now);
+    fleet.next_expired(now + time::Duration::from_secs(3_601));
+    fleet.set("i-1", instance(1, false));
+    assert!(!fleet.get("i-1").unwrap().leaving);
+}
+
 #[test]
 fn service_changed() {
     let mut fleet = fleet::Fleet::default();
--- a/crates/edge/src/connections.rs
+++ b/crates/edge/src/connections.rs
@@ -6,14 +6,17 @@
 use http_body_util::Full;
 use hyper::{HeaderMap, Request, Response, body, client::conn::http1, header};
 use hyper_util::rt;
+use prometheus_client::metrics::counter;
 use tokio::net as tokio_net;
 
 use rhubarb_node::{clock, locks};
 use rhubarb_platform::{request, response};
 
 /// Idle connections by server address.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(crate) struct ConnectionPool {
+    // Counts responses that belong to another request than the one they were received for.
+    strays: counter::Counter,
     idle: sync::Mutex<collections::BTreeMap<net::SocketAddr, Vec<Connection>>>,
 }
 
@@ -51,6 +54,8 @@
 pub(crate) enum SendError {
     /// No byte of the request was written.
     Unsent(String),
+    /// No byte was written, since the server is leaving.
+    Leaving,
     /// The connection was lost, or carried the response to another request, after the request may
     /// have reached the server.
     ConnectionLost(String),
@@ -60,6 +65,7 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
             SendError::Unsent(err) => write!(f, "not sent: {err}"),
+            SendError::Leaving => f.write_str("not sent: the server is leaving"),
             SendError::ConnectionLost(err) => write!(f, "connection lost: {err}"),
         }
     }
@@ -83,11 +89,19 @@
 const MAX_IDLE: usize = 16;
 
 impl ConnectionPool {
+    /// Creates an empty pool, which counts responses to other requests with `strays`.
+    pub(crate) fn new(strays: counter::Counter) -> ConnectionPool {
+        ConnectionPool { strays, idle: sync::Mutex::default() }
+    }
+
     /// Sends `request` on an idle or a new connection and waits for the head of the response.
+    ///
+    /// `may_send` is asked when a connection is open, just before the request is written.
     pub(crate) async fn send(
         &self,
         address: net::SocketAddr,
         mut request: Request<Full<Bytes>>,
+        may_send: impl Fn() -> bool,
     ) -> Result<PendingResponse, SendError> {
         if !request.headers().contains_key(header::HOST)
             && let Ok(host) = header::HeaderValue::from_str(&address.to_string())
@@ -95,18 +109,35 @@
             request.headers_mut().insert(header::HOST, host);
         }
         while let Some(mut connection) = self.checkout(address, request.headers()) {
+            if !may_send() {
+                self.put_back(connection, None);
+                return Err(SendError::Leaving);
+            }
             match connection.send(request).await {
                 Ok(response) => return Ok(PendingResponse { response, connection }),
                 Err(SendFailure::Unsent(unsent, _)) => request = *unsent,
-                Err(SendFailure::Sent(err)) => return Err(SendError::ConnectionLost(err)),
+                Err(failure) => return Err(self.lost(failure)),
             }
         }
         let mut connection =
             connect(address).await.map_err(|err| SendError::Unsent(err.to_string()))?;
+        if !may_send() {
+            return Err(SendError::Leaving);
+        }
         match connection.send(request).await {
             Ok(response) => Ok(PendingResponse { response, connection }),
-            Err(SendFailure::Unsent(_, err)) => Err(SendError::Unsent(err)),
-            Err(SendFailure::Sent(err)) => Err(SendError::ConnectionLost(err)),
+            Err(failure) => Err(self.lost(failure)),
+        }
+    }
+
+    fn lost(&self, failure: SendFailure) -> SendError {
+        match failure {
+            SendFailure::Unsent(_, err) => SendError::Unsent(err),
+            SendFailure::Sent(err) => SendError::ConnectionLost(err),
+            SendFailure::Stray => {
+                self.strays.inc();
+                SendError::ConnectionLost("the response belongs to another request".to_string())
+            }
         }
     }
 
@@ -165,6 +196,8 @@
     Unsent(Box<Request<Full<Bytes>>>, String),
     // The request may have reached the server.
     Sent(String),
+    // Likewise, and the response to another request was received in its place.
+    Stray,
 }
 
 impl Connection {
@@ -219,7 +252,7 @@
                 requests = self.requests,
                 "edge: response does not belong to the request, connection closed"
             );
-            return Err(SendFailure::Sent("the response belongs to another request".to_string()));
+            return Err(SendFailure::Stray);
         }
         self.last = attempt_id.map_or(LastExchange::Anonymous, LastExchange::Identified);
         Ok(())
--- a/crates/edge/src/directory.rs
+++ b/crates/edge/src/directory.rs
@@ -7,7 +7,7 @@
 };
 use rhubarb_wire::share;
 
-use crate::{lag, rows};
+use crate::{lag, metrics, rows};
 
 /// State of one service.
 #[derive(Debug)]
@@ -52,6 +52,32 @@
     pub(crate) entry_count: Option<u32>,
     partition: cells::Partition,
     own_cell: cells::CellId,
+    // Counts the servers that were found to be leaving.
+    leaving: metrics::SourceFamily,
+}
+
+/// Where an entry learned a change of the servers.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) enum Source {
+    /// Read from the store.
+    Store,
+    /// Received from a peer.
+    Peer,
+    /// The server's own answer.
+    Answer,
+    /// The grace period of a server without a row has expired.
+    Grace,
+}
+
+impl Source {
+    fn name(self) -> &'static str {
+        match self {
+            Source::Store => "store",
+            Source::Peer => "peer",
+            Source::Answer => "answer",
+            Source::Grace => "grace",
+        }
+    }
 }
 
 /// Makes a pool in which consecutive ejections of a server get longer.
@@ -63,9 +89,9 @@
 
 /// Outcome to record for a server that refused a request or failed.
 ///
-/// Only the store decides whether a server is leaving. A server that refuses requests as leaving,
-/// perhaps because another server has its address now, is ejected for a while; its row is expected
-/// to change meanwhile.
+/// A server that another server has replaced at its address is ejected for a while; its row is
+/// expected to change meanwhile. That a server itself is leaving is not told by its refusals but by
+/// its row and its announcements.
 pub(crate) fn failure_outcome(reason: outcome::Reason) -> pool::ServerOutcome {
     match reason {
         outcome::Reason::Leaving => pool::ServerOutcome::Failure(outcome::Reason::NoServer),
@@ -74,7 +100,13 @@
 }
 
 impl Directory {
-    pub(crate) fn new(zone: &str, retry_limits: retry::BudgetLimits) -> Directory {
+    /// Creates a directory that knows nothing, for an entry in `zone`. `leaving` counts the servers
+    /// that are found to be leaving.
+    pub(crate) fn new(
+        zone: &str,
+        retry_limits: retry::BudgetLimits,
+        leaving: metrics::SourceFamily,
+    ) -> Directory {
         Directory {
             zone: zone.to_string(),
             retry_limits,
@@ -86,6 +118,7 @@
             entry_count: None,
             partition: cells::Partition::default(),
             own_cell: cells::CellId::default(),
+            leaving,
         }
     }
 
@@ -141,8 +174,8 @@
         self.fleet_known = true;
     }
 
-    /// Applies a change of the registered servers to the services.
-    pub(crate) fn apply(&mut self, change: &fleet::Change) {
+    // Applies a change of the registered servers to the services.
+    fn apply(&mut self, change: &fleet::Change) {
         match change {
             fleet::Change::Joined(id) => {
                 self.remove_server(id);
@@ -159,6 +192,34 @@
         }
     }
 
+    /// Records that a server has announced that it is leaving.
+    pub(crate) fn record_leaving(&mut self, id: &str, source: Source) {
+        if let Some(change) = self.fleet.set_leaving(id) {
+            self.record_change(&change, self.rows.version, source);
+        }
+    }
+
+    /// Logs a change of the servers as of `version` of the store, and applies it to the services.
+    pub(crate) fn record_change(&mut self, change: &fleet::Change, version: u64, source: Source) {
+        if matches!(change, fleet::Change::Leaving(_)) {
+            let labels = metrics::SourceLabels { source: source.name().to_string() };
+            self.leaving.get_or_create(&labels).inc();
+        }
+        let open = self.open_requests(change);
+        tracing::info!(?change, version, source = source.name(), open, "edge: servers changed");
+        self.apply(change);
+    }
+
+    // Requests of this entry in flight at the plain server that a change is about.
+    fn open_requests(&self, change: &fleet::Change) -> u32 {
+        let (fleet::Change::Joined(id)
+        | fleet::Change::Updated(id)
+        | fleet::Change::Leaving(id)
+        | fleet::Change::Gone(id)) = change;
+        let servers = self.services.values().filter_map(|service| service.pool.get(id));
+        servers.map(|server| server.open).sum()
+    }
+
     fn remove_server(&mut self, id: &str) {
         for service in self.services.values_mut() {
             service.pool.remove(id);
@@ -305,7 +366,7 @@
         load: load::Load,
         now: time::Instant,
     ) {
-        // Only the store decides whether a server is leaving.
+        // The load does not tell whether the server is leaving.
         let leaving = self.fleet.get(id).is_none_or(|instance| instance.leaving);
         self.service(service).pool.update_load(id, load::Load { leaving, ..load }, now);
     }
--- a/crates/edge/src/edge.rs
+++ b/crates/edge/src/edge.rs
@@ -4,7 +4,7 @@
 
 use tokio::sync as tokio_sync;
 
-use rhubarb_core::{ids, members, usage};
+use rhubarb_core::{ids, log_limit, members, usage};
 use rhubarb_node::{client, clock, locks};
 use rhubarb_platform::{settings, store};
 
@@ -40,6 +40,7 @@
     members: sync::Mutex<members::Members>,
     orders: sync::Mutex<orders::Orders>,
     lag: sync::Mutex<lag::Lag>,
+    log_limit: sync::Mutex<log_limit::LogLimit>,
     run_seq: atomic::AtomicU64,
     stopping_since: sync::OnceLock<time::Instant>,
 }
@@ -50,7 +51,9 @@
 
 impl Edge {
     pub(crate) fn new(settings: settings::Settings) -> Edge {
-        let directory = directory::Directory::new(&settings.zone, settings.retry_limits);
+        let counters = metrics::Counters::new();
+        let leaving = counters.leaving.clone();
+        let directory = directory::Directory::new(&settings.zone, settings.retry_limits, leaving);
         let store = store::Store::new(client::Client::new(), settings.store_addr);
         let (incarnation, dates) = (rand::random(), dates::Dates::new());
         let members =
@@ -61,8 +64,8 @@
             dates,
             ledger: sync::Mutex::new(ledger),
             store,
-            connections: connections::ConnectionPool::default(),
-            counters: metrics::Counters::new(),
+            connections: connections::ConnectionPool::new(counters.stray_responses.clone()),
+            counters,
             slot_freed: tokio_sync::Notify::new(),
             commitments_changed: tokio_sync::Notify::new(),
             memory_freed: tokio_sync::Notify::new(),
@@ -75,6 +78,7 @@
             members: sync::Mutex::new(members),
             orders: sync::Mutex::default(),
             lag: sync::Mutex::default(),
+            log_limit: sync::Mutex::default(),
             run_seq: atomic::AtomicU64::new(1),
             stopping_since: sync::OnceLock::new(),
             settings: sync::Mutex::new(sync::Arc::new(settings)),
@@ -101,6 +105,11 @@
         locks::lock(&self.ledger)
     }
 
+    /// Limits log lines that servers can cause with every answer.
+    pub(crate) fn log_limit(&self) -> sync::MutexGuard<'_, log_limit::LogLimit> {
+        locks::lock(&self.log_limit)
+    }
+
     pub(crate) fn members(&self) -> sync::MutexGuard<'_, members::Members> {
         locks::lock(&self.members)
     }
--- a/crates/edge/src/leader.rs
+++ b/crates/edge/src/leader.rs
@@ -176,7 +176,7 @@
     request: Request<Full<Bytes>>,
 ) -> Option<exchange::BufferedResponse> {
     let path = request.uri().path().to_string();
-    let sending = exchange::fetch(&edge.connections, target.address, request);
+    let sending = exchange::fetch(edge, target, request);
     match tokio::time::timeout(CALL_TIMEOUT, sending).await {
         Ok(Ok(response)) => Some(response),
         Ok(Err(err)) => {
--- a/crates/edge/src/metrics.rs
+++ b/crates/edge/src/metrics.rs
@@ -1,9 +1,20 @@
 //! Metrics of the entry.
 
-use prometheus_client::metrics::{counter, gauge, histogram};
+use prometheus_client::encoding::EncodeLabelSet;
+use prometheus_client::metrics::{counter, family, gauge, histogram};
 
 use rhubarb_node::metrics;
 
+/// Label set of a counter by the source of an entry's knowledge.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub(crate) struct SourceLabels {
+    /// Name of the source.
+    pub(crate) source: String,
+}
+
+/// Counter with one series per source.
+pub(crate) type SourceFamily = family::Family<SourceLabels, counter::Counter>;
+
 /// Registry and the metrics in it.
 #[derive(Debug)]
 pub(crate) struct Counters {
@@ -14,6 +25,8 @@
     pub(crate) shares_sent: counter::Counter,
     pub(crate) bytes_sent: counter::Counter,
     pub(crate) engine_full: counter::Counter,
+    pub(crate) stray_responses: counter::Counter,
+    pub(crate) leaving: SourceFamily,
     pub(crate) dropped_lines: gauge::Gauge,
     pub(crate) plain_time: histogram::Histogram,
     pub(crate) first_event: histogram::Histogram,
@@ -30,6 +43,10 @@
             bytes_sent: registry.counter("share_bytes_sent", "Bytes of these datagrams"),
             engine_full: registry
                 .counter("engine_full", "Times that an engine had no memory to set aside"),
+            stray_responses: registry
+                .counter("stray_responses", "Answers of servers that belonged to another request"),
+            leaving: registry
+                .family("leaving_servers", "Servers found to be leaving, by how it was learned"),
             dropped_lines: registry.gauge("log_lines_dropped", "Log lines not written in time"),
             plain_time: registry
                 .seconds_histogram("plain_seconds", "Time to the answer of a plain call"),
--- a/crates/edge/src/plain.rs
+++ b/crates/edge/src/plain.rs
@@ -11,7 +11,7 @@
 
 use outcome::{Outcome, RETRY_SOON, Reason, Refusal};
 
-use crate::{call, connections, directory, exchange, refuse};
+use crate::{call, connections, directory, exchange, refuse, reservation};
 
 /// Timeout of an attempt that may be followed by another, as a multiple of the latency target.
 const ATTEMPT_TIMEOUT_FACTOR: f64 = 1.5;
@@ -41,6 +41,8 @@
 enum Attempt {
     Completed(ServerResponse),
     Failed(Refusal),
+    // The request reached no server.
+    Unsent(Reason),
     Disconnected,
 }
 
@@ -77,11 +79,15 @@
     async fn send(&mut self) -> flow::Event {
         let target = match self.choose() {
             directory::Choice::Server(target) => target,
-            directory::Choice::Saturated => return no_server(Reason::NoRoom),
-            directory::Choice::NoServer => return no_server(Reason::NoServer),
+            directory::Choice::Saturated => return no_server(Reason::NoRoom, RETRY_SOON),
+            directory::Choice::NoServer => {
+                return no_server(Reason::NoServer, reservation::no_server_retry());
+            }
         };
         let attempt = self.attempt(&target).await;
         self.record_outcome(&target, &attempt);
+        // The retry of a request that reached no server is not charged to the budget.
+        let is_charged = !matches!(attempt, Attempt::Unsent(_));
         let refusal = match attempt {
             Attempt::Disconnected => return flow::Event::CallerGone,
             Attempt::Completed(response) if !response.head.status().is_server_error() => {
@@ -93,12 +99,11 @@
                 Refusal::unknown(Reason::EngineFailed, RETRY_SOON)
             }
             Attempt::Failed(refusal) => refusal,
+            Attempt::Unsent(reason) => Refusal::not_run(reason, RETRY_SOON),
         };
         let server = Some(target.id);
         let retry = self.flow.may_retry(server.as_ref(), &refusal, clock::now())
-            // An unsent request reached no server, so its retry is not charged to the budget.
-            && (refusal.reason == Reason::NoServer
-                || self.call.withdraw_retry(server.as_ref(), 1, refusal.reason));
+            && (!is_charged || self.call.withdraw_retry(server.as_ref(), 1, refusal.reason));
         flow::Event::Failed { server, refusal, retry }
     }
 
@@ -131,7 +136,7 @@
         let request = self.call.head.to_server(&headers, self.call.body.clone());
         let edge = self.call.edge.clone();
         let sent_at = clock::now();
-        let sending = exchange::fetch(&edge.connections, target.address, request);
+        let sending = exchange::fetch(&edge, target, request);
         match self.responder.wait(sending, deadline).await {
             responder::WaitOutcome::Disconnected => Attempt::Disconnected,
             responder::WaitOutcome::Expired => {
@@ -144,7 +149,15 @@
                     err,
                     "edge: request not sent"
                 );
-                Attempt::Failed(Refusal::not_run(Reason::NoServer, RETRY_SOON))
+                Attempt::Unsent(Reason::NoServer)
+            }
+            responder::WaitOutcome::Event(Err(connections::SendError::Leaving)) => {
+                tracing::info!(
+                    id = self.call.id(),
+                    server = target.id,
+                    "edge: request not sent to a leaving server"
+                );
+                Attempt::Unsent(Reason::Leaving)
             }
             responder::WaitOutcome::Event(Err(connections::SendError::ConnectionLost(err))) => {
                 tracing::info!(
@@ -201,6 +214,8 @@
             }
             Attempt::Completed(_) => pool::ServerOutcome::Success,
             Attempt::Failed(refusal) => directory::failure_outcome(refusal.reason),
+            Attempt::Unsent(Reason::Leaving) => pool::ServerOutcome::Unknown,
+            Attempt::Unsent(reason) => pool::ServerOutcome::Failure(*reason),
             Attempt::Disconnected => pool::ServerOutcome::Unknown,
         };
         let mut directory = self.call.edge.directory();
@@ -249,7 +264,7 @@
 }
 
 // Failure without an available server, which is not retried.
-fn no_server(reason: Reason) -> flow::Event {
-    let refusal = Refusal::not_run(reason, RETRY_SOON);
+fn no_server(reason: Reason, retry: time::Duration) -> flow::Event {
+    let refusal = Refusal::not_run(reason, retry);
     flow::Event::Failed { server: None, refusal, retry: false }
 }
--- a/crates/edge/src/prefill.rs
+++ b/crates/edge/src/prefill.rs
@@ -52,9 +52,9 @@
         let reason = metrics::reason_labels(Reason::Withdrawn);
         self.edge.counters.requests.wasted.get_or_create(&reason).inc_by(u64::from(self.tokens));
         self.account.update(|totals| totals.count_waste(Reason::Withdrawn, u64::from(self.tokens)));
-        let (edge, address) = (self.edge.clone(), self.target.address);
+        let (edge, target) = (self.edge.clone(), self.target.clone());
         let request = engine::free_handle(&self.handle);
-        tokio::spawn(async move { cleanup::send(&edge, address, request).await });
+        tokio::spawn(async move { cleanup::send(&edge, &target, request).await });
     }
 }
 
@@ -122,7 +122,7 @@
     };
     let request = call.head.to_prefill(&headers, call.body.clone());
     let started = clock::now();
-    let sending = exchange::fetch(&call.edge.connections, target.address, request);
+    let sending = exchange::fetch(&call.edge, &target, request);
     let result = match responder.wait(sending, deadline).await {
         responder::WaitOutcome::Disconnected => return PrefillResult::Disconnected,
         responder::WaitOutcome::Expired => Err(Refusal::not_run(Reason::EngineSilent, RETRY_SOON)),
@@ -131,6 +131,14 @@
             record_outcome(call, &target.id, pool::ServerOutcome::Failure(Reason::NoServer));
             return PrefillResult::Unsent(target.id);
         }
+        responder::WaitOutcome::Event(Err(connections::SendError::Leaving)) => {
+            tracing::info!(
+                id = call.id(),
+                server = target.id,
+                "edge: prefill not sent to a leaving server"
+            );
+            return PrefillResult::Unsent(target.id);
+        }
         responder::WaitOutcome::Event(Err(connections::SendError::ConnectionLost(err))) => {
             tracing::info!(
                 id = call.id(),
--- a/crates/edge/src/reservation.rs
+++ b/crates/edge/src/reservation.rs
@@ -46,9 +46,9 @@
 impl Drop for Reservation {
     fn drop(&mut self) {
         if let Some(hold) = self.hold.take() {
-            let (edge, address) = (self.edge.clone(), self.target.address);
+            let (edge, target) = (self.edge.clone(), self.target.clone());
             let request = platform_engine::release_hold(&hold);
-            tokio::spawn(async move { cleanup::send(&edge, address, request).await });
+            tokio::spawn(async move { cleanup::send(&edge, &target, request).await });
         }
         let mut directory = self.edge.directory();
         let engines = &mut directory.service(&self.service).engines;
@@ -99,6 +99,10 @@
 /// the retries of callers that are refused together are spread over as long.
 const RETRY_RANGE_S: (f64, f64) = (2.0, 4.5);
 
+/// Shortest and longest delay before a caller retries that found no server, in seconds. A server
+/// that starts is registered within a heartbeat, about a second.
+const NO_SERVER_RETRY_S: (f64, f64) = (1.0, 2.5);
+
 /// Refusal of a request that gets no slot.
 pub(crate) fn no_slot() -> Refusal {
     let (min, max) = RETRY_RANGE_S;
@@ -118,6 +122,9 @@
     let WaitLimit { overdue, until } = limit;
     let position = engines::Position { overdue, arrived: call.arrived, run: call.edge.next_run() };
     let _ticket = QueueTicket { call, position };
+    if !has_server(call) {
+        return ReserveResult::Refused(Refusal::not_run(Reason::NoServer, no_server_retry()));
+    }
     if is_queue_too_long(call, until) {
         return ReserveResult::Refused(no_slot());
     }
@@ -141,6 +148,9 @@
         if clock::now() >= until {
             return ReserveResult::Refused(no_slot());
         }
+        if !has_server(call) {
+            return ReserveResult::Refused(Refusal::not_run(Reason::NoServer, no_server_retry()));
+        }
         let wake_at = until.min(clock::now() + RECHECK_INTERVAL);
         if let responder::WaitOutcome::Disconnected = responder.wait(slot_freed, wake_at).await {
             return ReserveResult::Disconnected;
@@ -148,6 +158,20 @@
     }
 }
 
+// Whether any server of the service stays, so that waiting makes sense.
+fn has_server(call: &call::Call) -> bool {
+    let mut directory = call.edge.directory();
+    let pool = &directory.service(&call.service).pool;
+    !pool.candidates(&[], |_| true, clock::now()).is_empty()
+}
+
+/// Delay before the callers of a service without a server retry. Its servers are replaced within
+/// seconds; the retries are spread, so that the first new server is not met by all of them at once.
+pub(crate) fn no_server_retry() -> time::Duration {
+    let (min, max) = NO_SERVER_RETRY_S;
+    time::Duration::from_secs_f64(min + (max - min) * rand::random::<f64>())
+}
+
 enum HoldResult {
     Held,
     Full,
@@ -163,7 +187,7 @@
     let Some(ttl) = hold_ttl(call) else { return HoldResult::Held };
     let id = reservation.target.id.clone();
     let request = platform_engine::create_hold(&id, need.charge(), ttl);
-    let sending = exchange::fetch(&call.edge.connections, reservation.target.address, request);
+    let sending = exchange::fetch(&call.edge, &reservation.target, request);
     let response = match tokio::time::timeout(HOLD_TIMEOUT, sending).await {
         Ok(Ok(response)) => response,
         Ok(Err(err)) => {
--- a/crates/edge/src/stream.rs
+++ b/crates/edge/src/stream.rs
@@ -209,19 +209,19 @@
             else {
                 return self.failed(None, reservation::no_slot());
             };
-            let is_leaving = self.call.edge.directory().is_leaving(&target.id);
-            let result = if is_leaving {
-                SendResult::NotSent(Reason::Leaving)
-            } else {
-                self.send(&target).await
-            };
-            let reason = match result {
+            let reason = match self.send(&target).await {
                 SendResult::Sent(event) => {
                     self.record_outcome(&target.id, &event);
                     return event;
                 }
                 SendResult::NotSent(reason) => reason,
             };
+            tracing::info!(
+                id = self.call.id(),
+                server = target.id,
+                reason = reason.name(),
+                "edge: request not sent, another server is chosen"
+            );
             prefill::record_outcome(&self.call, &target.id, directory::failure_outcome(reason));
             tried.push(target.id.clone());
             self.reservation = None;
@@ -259,7 +259,7 @@
         };
         let request = self.call.head.to_server(&headers, self.call.body.clone());
         let edge = self.call.edge.clone();
-        let sending = edge.connections.send(target.address, request);
+        let sending = exchange::send(&edge, target, request);
         SendResult::Sent(match self.responder.wait(sending, self.call.deadline).await {
             responder::WaitOutcome::Disconnected => flow::Event::CallerGone,
             responder::WaitOutcome::Expired => flow::Event::Expired,
@@ -268,10 +268,13 @@
                     id = self.call.id(),
                     server = target.id,
                     err,
-                    "edge: request not sent"
+                    "edge: server not reached"
                 );
                 return SendResult::NotSent(Reason::NoServer);
             }
+            responder::WaitOutcome::Event(Err(connections::SendError::Leaving)) => {
+                return SendResult::NotSent(Reason::Leaving);
+            }
             responder::WaitOutcome::Event(Err(connections::SendError::ConnectionLost(err))) => {
                 tracing::info!(
                     id = self.call.id(),
--- a/crates/edge/src/watch.rs
+++ b/crates/edge/src/watch.rs
@@ -139,9 +139,9 @@
     let all = edge.store.read_all(table, READ_TIMEOUT).await?;
     state.record_success(edge, table, all.version);
     let mut version = all.version;
-    apply(edge, table, &all.rows, Source::Store);
+    apply(edge, table, &all.rows, directory::Source::Store);
     if table == store::Table::Servers {
-        remove_missing(edge, &all.rows, all.version, &[], Source::Store);
+        remove_missing(edge, &all.rows, all.version, &[], directory::Source::Store);
     }
     loop {
         if !edge.follows_store() {
@@ -158,7 +158,7 @@
         version = version.max(changes.version);
         state.record_feed();
         let has_changes = !changes.rows.is_empty();
-        apply(edge, table, &changes.rows, Source::Store);
+        apply(edge, table, &changes.rows, directory::Source::Store);
         if table == store::Table::Servers {
             let mut directory = edge.directory();
             directory.rows.version = directory.rows.version.max(version);
@@ -181,31 +181,20 @@
     let to_row =
         |row: share::Row| store::Row { key: row.key, version: row.version, value: Some(row.value) };
     let config: Vec<_> = snapshot.config.into_iter().map(to_row).collect();
-    apply(edge, store::Table::Operator, &config, Source::Peer);
+    apply(edge, store::Table::Operator, &config, directory::Source::Peer);
     let servers: Vec<_> = snapshot.servers.into_iter().map(to_row).collect();
-    apply(edge, store::Table::Servers, &servers, Source::Peer);
+    apply(edge, store::Table::Servers, &servers, directory::Source::Peer);
     if snapshot.after == 0 && !servers.is_empty() {
-        return remove_missing(edge, &servers, version, &snapshot.awaited, Source::Peer);
+        return remove_missing(edge, &servers, version, &snapshot.awaited, directory::Source::Peer);
     }
     for (key, removed) in snapshot.removed {
-        remove_server(edge, &key, removed, &snapshot.awaited, Source::Peer);
+        remove_server(edge, &key, removed, &snapshot.awaited, directory::Source::Peer);
     }
     let mut directory = edge.directory();
     directory.rows.version = directory.rows.version.max(version);
 }
 
-// Where a change of the servers was learned.
-#[derive(Clone, Copy, Debug)]
-enum Source {
-    // Read from the store.
-    Store,
-    // Received from a peer.
-    Peer,
-    // The grace period of a server without a row has expired.
-    Grace,
-}
-
-fn apply(edge: &edge::Edge, table: store::Table, rows: &[store::Row], source: Source) {
+fn apply(edge: &edge::Edge, table: store::Table, rows: &[store::Row], source: directory::Source) {
     for row in rows {
         if !edge.directory().rows.update(table, row) {
             continue;
@@ -232,7 +221,7 @@
     }
 }
 
-fn set_server(edge: &edge::Edge, row: &store::Row, source: Source) {
+fn set_server(edge: &edge::Edge, row: &store::Row, source: directory::Source) {
     let parsed = row.value.as_ref().map(|value| registration::read(value));
     let mut directory = edge.directory();
     let change = match parsed {
@@ -250,11 +239,10 @@
     directory: &mut directory::Directory,
     change: Option<fleet::Change>,
     version: store::Version,
-    source: Source,
+    source: directory::Source,
 ) {
     if let Some(change) = change {
-        tracing::info!(?change, version, ?source, "edge: servers changed");
-        directory.apply(&change);
+        directory.record_change(&change, version, source);
     }
 }
 
@@ -265,7 +253,7 @@
     rows: &[store::Row],
     version: store::Version,
     awaited: &[share::AwaitedServer],
-    source: Source,
+    source: directory::Source,
 ) {
     let missing = edge.directory().rows.missing_from(rows, version);
     for key in missing {
@@ -283,7 +271,7 @@
     key: &ids::ServerName,
     version: store::Version,
     awaited: &[share::AwaitedServer],
-    source: Source,
+    source: directory::Source,
 ) {
     let now = clock::now();
     let mut directory = edge.directory();
@@ -318,7 +306,7 @@
         edge.connections.sweep();
         let mut directory = edge.directory();
         while let Some(change) = directory.fleet.next_expired(clock::now()) {
-            apply_change(&mut directory, Some(change), 0, Source::Grace);
+            apply_change(&mut directory, Some(change), 0, directory::Source::Grace);
         }
     }
 }
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -1,6 +1,6 @@
 //! Metrics registry and the metric families that several processes share.
 
-use std::sync;
+use std::{fmt, sync};
 
 use hyper::{Response, StatusCode};
 use prometheus_client::encoding::{EncodeLabelSet, text};
@@ -84,6 +84,16 @@
         counter
     }
 
+    /// Registers a counter with one series per label set.
+    pub fn family<L>(&self, name: &str, help: &str) -> family::Family<L, counter::Counter>
+    where
+        L: EncodeLabelSet + Clone + Eq + std::hash::Hash + fmt::Debug + Send + Sync + 'static,
+    {
+        let family = family::Family::default();
+        self.lock().register(name, help, family.clone());
+        family
+    }
+
     /// Registers a gauge.
     pub fn gauge(&self, name: &str, help: &str) -> gauge::Gauge {
         let gauge = gauge::Gauge::default();
