Echo attempt ids in all answers of the fake servers; record foreign handles

The fake servers echoed the attempt id only where a run or a prefill succeeded, so that an entry could not be tested against answers that carry the id of another request. They now echo it whatever the status, 421 and 503 included, and 421 says that the request was not executed; holds, released holds, reports and orders echo none. A handle belongs to the attempt that it was made for. Engines run a request that names the handle of another attempt, and the deployment records the pair.

Names of holds are counted: a name could be given out again while the first hold was open.

--- a/crates/e2e/src/site.rs
+++ b/crates/e2e/src/site.rs
@@ -5,7 +5,7 @@
 
 use serde_json::json;
 
-use rhubarb_fakes::{backend, store};
+use rhubarb_fakes::{backend, handles, store};
 
 use crate::{call, edge, relay};
 
@@ -24,7 +24,7 @@
     pub relays: collections::BTreeMap<String, relay::Relay>,
     /// Entry processes.
     pub edges: Vec<edge::Edge>,
-    handles: backend::Handles,
+    handles: handles::Handles,
     dir: path::PathBuf,
     subnet: [u8; 2],
 }
@@ -95,7 +95,7 @@
             [(process::id() % 120 + 2) as u8, COUNT.fetch_add(1, atomic::Ordering::Relaxed)];
         let dir = env::temp_dir().join(format!("rhubarb-site-{}-{}", process::id(), subnet[1]));
         fs::create_dir_all(&dir)?;
-        let handles = backend::Handles::default();
+        let handles = handles::Handles::default();
         let backends = |name: &str, stage: &str, count: usize| {
             let ids = (0..count).map(|number| format!("i-{name}-{number}"));
             ids.map(|id| backend::Backend::new(&id, stage, &handles)).collect::<Vec<_>>()
@@ -300,8 +300,7 @@
         let engines = self.prefill.iter().chain(&self.decode);
         let on_engines =
             engines.map(|engine| engine.hold_count(oldest) + engine.running() as usize);
-        let handles = rhubarb_node::locks::lock(&self.handles);
-        on_engines.sum::<usize>() + backend::count_since(&handles, oldest)
+        on_engines.sum::<usize>() + self.handles.count(oldest)
     }
 }
 
--- a/crates/fakes/src/backend.rs
+++ b/crates/fakes/src/backend.rs
@@ -1,13 +1,15 @@
 //! Backend servers on the users' platform, plain servers and engines, with their published API.
 
-use std::{collections, io, net, sync, sync::atomic, time};
+use std::{collections, net, sync, sync::atomic, time};
 
 use bytes::Bytes;
 use hyper::{HeaderMap, Method, Request, Response, StatusCode, body, header};
 use serde_json::json;
 use tokio::sync::mpsc;
 
-use rhubarb_node::{locks, response, server};
+use rhubarb_node::{clock, locks, response, server};
+
+use crate::{events, handles, replies};
 
 /// One backend server; clones share their state.
 #[derive(Clone, Debug)]
@@ -22,7 +24,7 @@
     state: sync::Mutex<State>,
     // Number of requests being executed.
     running: atomic::AtomicU64,
-    handles: Handles,
+    handles: handles::Handles,
 }
 
 #[derive(Debug, Default)]
@@ -33,7 +35,10 @@
     // Number of runs by attempt id.
     runs: collections::BTreeMap<String, u32>,
     requests: Vec<ReceivedRequest>,
-    holds: CreationTimes,
+    // Creation times of holds, by name.
+    holds: collections::BTreeMap<String, time::Instant>,
+    // Number of holds ever created.
+    holds_taken: u64,
     // Number of accepted orders.
     orders: u64,
     // Highest fencing number of an accepted order.
@@ -44,11 +49,6 @@
     fault_hits: u64,
 }
 
-/// Creation times of holds or prefill results, by name.
-pub type CreationTimes = collections::BTreeMap<String, time::Instant>;
-/// Prefill results of all engines of a deployment, by handle.
-pub type Handles = sync::Arc<sync::Mutex<CreationTimes>>;
-
 /// An executed request, as the server received it.
 #[derive(Clone, Debug)]
 pub struct ReceivedRequest {
@@ -96,20 +96,18 @@
     EvictsResults,
 }
 
+/// Header with the id of the caller's attempt.
+const ATTEMPT_ID: &str = "x-attempt-id";
 /// Number of events in each stream.
 pub const EVENTS: u64 = 6;
-/// Interval between two events.
-const EVENT_INTERVAL: time::Duration = time::Duration::from_millis(20);
-/// Duration of [`Fault::Pauses`].
-const PREEMPTION_PAUSE: time::Duration = time::Duration::from_millis(2_500);
 /// Maximum size of a request body in bytes; a longer body is read as empty.
 const MAX_BODY_BYTES: usize = 8 << 20;
 /// Exceeds every timeout of an entry.
-const HANG_TIME: time::Duration = time::Duration::from_secs(600);
+pub(crate) const HANG_TIME: time::Duration = time::Duration::from_secs(600);
 
 impl Backend {
     /// Creates a server; `stage` is empty for a plain server.
-    pub fn new(id: &str, stage: &str, handles: &Handles) -> Backend {
+    pub fn new(id: &str, stage: &str, handles: &handles::Handles) -> Backend {
         let inner = Inner { handles: handles.clone(), ..Inner::default() };
         let backend = Backend { id: id.to_string(), inner: sync::Arc::new(inner) };
         backend.state().stage = stage.to_string();
@@ -173,6 +171,12 @@
         self.state().requests.clone()
     }
 
+    /// Requests to any engine of the deployment that named the handle of another attempt. Engines run
+    /// them all the same.
+    pub fn foreign_handles(&self) -> Vec<handles::Foreign> {
+        self.inner.handles.foreign()
+    }
+
     /// Number of requests being executed.
     pub fn running(&self) -> u64 {
         self.inner.running.load(atomic::Ordering::Relaxed)
@@ -180,7 +184,8 @@
 
     /// Number of open holds created at or after `oldest`, or of all open holds.
     pub fn hold_count(&self, oldest: Option<time::Instant>) -> usize {
-        count_since(&self.state().holds, oldest)
+        let state = self.state();
+        state.holds.values().filter(|at| oldest.is_none_or(|oldest| **at >= oldest)).count()
     }
 
     /// Current stage and the number of accepted orders.
@@ -193,7 +198,18 @@
         locks::lock(&self.inner.state)
     }
 
+    // Echoes the attempt id of a request, whatever the status; calls under `/v1/` carry none back.
     async fn handle(&self, request: Request<body::Incoming>) -> Response<response::Body> {
+        let attempt = request.headers().get(ATTEMPT_ID).cloned();
+        let echoed = attempt.filter(|_| !request.uri().path().starts_with("/v1/"));
+        let mut reply = self.answer(request).await;
+        if let Some(echoed) = echoed {
+            reply.headers_mut().entry(ATTEMPT_ID).or_insert(echoed);
+        }
+        reply
+    }
+
+    async fn answer(&self, request: Request<body::Incoming>) -> Response<response::Body> {
         let (parts, body) = request.into_parts();
         let content = response::read_body(body, MAX_BODY_BYTES).await.unwrap_or_default();
         let fault = {
@@ -201,11 +217,9 @@
             state.fault_hits += u64::from(state.fault != Fault::None);
             state.fault
         };
-        let expected = header_text(&parts.headers, "x-expect-instance");
+        let expected = replies::header_text(&parts.headers, "x-expect-instance");
         if fault == Fault::Moved || (!expected.is_empty() && expected != self.id) {
-            let mut reply = response::text(StatusCode::MISDIRECTED_REQUEST, "");
-            reply.headers_mut().insert("x-instance-id", header_value("i-other"));
-            return reply;
+            return replies::misdirected();
         }
         let path = parts.uri.path().to_string();
         match (&parts.method, path.as_str()) {
@@ -222,24 +236,21 @@
 
     fn create_hold(&self, fault: Fault) -> Response<response::Body> {
         if fault == Fault::Full {
-            return shed_response();
+            return replies::shed();
         }
         let mut state = self.state();
-        let hold = format!("hold-{}-{}", self.id, state.holds.len() + state.requests.len());
-        state.holds.insert(hold.clone(), time::Instant::now());
+        state.holds_taken += 1;
+        let hold = format!("hold-{}-{}", self.id, state.holds_taken);
+        state.holds.insert(hold.clone(), clock::now());
         response::json(StatusCode::OK, &json!({"hold": hold}))
     }
 
     fn release(&self, path: &str) -> Response<response::Body> {
         let name = path.rsplit('/').next().unwrap_or_default();
-        let is_known = self.state().holds.remove(name).is_some() || self.remove_handle(name);
+        let is_known = self.state().holds.remove(name).is_some() || self.inner.handles.free(name);
         response::text(if is_known { StatusCode::OK } else { StatusCode::NOT_FOUND }, "")
     }
 
-    fn remove_handle(&self, handle: &str) -> bool {
-        locks::lock(&self.inner.handles).remove(handle).is_some()
-    }
-
     fn report(&self) -> Response<response::Body> {
         let state = self.state();
         response::json(
@@ -275,70 +286,63 @@
         fault: Fault,
     ) -> Response<response::Body> {
         if fault == Fault::Sheds {
-            return shed_response();
+            return replies::shed();
         }
-        if header_text(headers, "x-stage") == "prefill" {
+        if replies::header_text(headers, "x-stage") == "prefill" {
             return self.prefill(headers, fault).await;
         }
-        self.state().holds.remove(&header_text(headers, "x-kv-hold"));
-        let source = header_text(headers, "x-kv-source");
+        self.state().holds.remove(&replies::header_text(headers, "x-kv-hold"));
+        let source = replies::header_text(headers, "x-kv-source");
         let handle = source.split_once('/').map(|(_, handle)| handle);
-        if handle.is_some_and(|handle| !self.remove_handle(handle)) {
-            return shed_response();
+        let attempt = replies::header_text(headers, ATTEMPT_ID);
+        if handle.is_some_and(|handle| !self.inner.handles.take(handle, &attempt)) {
+            return replies::shed();
         }
-        let attempt = header_text(headers, "x-attempt-id");
         {
             let mut state = self.state();
             *state.runs.entry(attempt.clone()).or_default() += 1;
             let (target, headers, body) = (target.to_string(), headers.clone(), content.clone());
             state.requests.push(ReceivedRequest { target, headers, body });
         }
-        let echoed = if fault == Fault::OtherId { "other" } else { &attempt };
-        if self.state().stage.is_empty() {
-            return self.answer_plain(echoed, content, fault).await;
+        let is_plain = self.state().stage.is_empty();
+        let mut reply = match is_plain {
+            true => self.answer_plain(content, fault).await,
+            false => self.stream(headers, fault),
+        };
+        if fault == Fault::OtherId {
+            reply.headers_mut().insert(ATTEMPT_ID, replies::header_value("other"));
         }
-        self.stream(echoed, headers, fault)
+        reply
     }
 
     async fn prefill(&self, headers: &HeaderMap, fault: Fault) -> Response<response::Body> {
         if fault == Fault::Hangs {
             tokio::time::sleep(HANG_TIME).await;
         }
-        let handle = format!("kv-{}-{}", self.id, header_text(headers, "x-attempt-id"));
-        if fault != Fault::EvictsResults {
-            locks::lock(&self.inner.handles).insert(handle.clone(), time::Instant::now());
-        }
-        let reply = json!({"handle": handle, "tokens": 100, "version": 1});
-        let mut reply = response::json(StatusCode::OK, &reply);
-        reply
-            .headers_mut()
-            .insert("x-attempt-id", header_value(&header_text(headers, "x-attempt-id")));
-        reply
+        let attempt = replies::header_text(headers, ATTEMPT_ID);
+        let handle = format!("kv-{}-{attempt}", self.id);
+        self.inner.handles.open(&handle, &attempt, fault == Fault::EvictsResults);
+        response::json(StatusCode::OK, &json!({"handle": handle, "tokens": 100, "version": 1}))
     }
 
-    async fn answer_plain(
-        &self,
-        attempt: &str,
-        content: Bytes,
-        fault: Fault,
-    ) -> Response<response::Body> {
+    async fn answer_plain(&self, content: Bytes, fault: Fault) -> Response<response::Body> {
         let _running = Running::new(&self.inner);
         let status = match fault {
             Fault::Hangs => {
                 tokio::time::sleep(HANG_TIME).await;
                 StatusCode::OK
             }
-            Fault::Resets => return reset_response(),
+            Fault::Resets => return replies::reset(),
             Fault::Fails => StatusCode::INTERNAL_SERVER_ERROR,
             _ => StatusCode::OK,
         };
         let mut reply = response::text(status, content);
-        seal(reply.headers_mut(), attempt);
+        replies::seal(reply.headers_mut());
         reply
     }
 
-    fn stream(&self, attempt: &str, headers: &HeaderMap, fault: Fault) -> Response<response::Body> {
-        let last = header_text(headers, "last-event-id").parse().ok();
+    fn stream(&self, headers: &HeaderMap, fault: Fault) -> Response<response::Body> {
+        let last = replies::header_text(headers, "last-event-id").parse().ok();
         let last: Option<u64> = last.filter(|_| fault != Fault::StartsOver);
         let first = last.map_or(0, |last| last + 1);
         let (sender, receiver) = mpsc::channel(1);
@@ -346,48 +350,16 @@
         tokio::spawn(async move {
             let _running = Running::new(&inner);
             tokio::select! {
-                () = send_events(&sender, first, fault) => {}
+                () = events::send(&sender, first, fault) => {}
                 () = sender.closed() => {}
             }
         });
         let mut reply = Response::new(response::stream(receiver));
-        seal(reply.headers_mut(), attempt);
-        reply.headers_mut().insert(header::CONTENT_TYPE, header_value("text/event-stream"));
+        replies::seal(reply.headers_mut());
+        reply
+            .headers_mut()
+            .insert(header::CONTENT_TYPE, replies::header_value("text/event-stream"));
         reply
-    }
-}
-
-/// Number of items created at or after `oldest`, or of all items.
-pub fn count_since(created: &CreationTimes, oldest: Option<time::Instant>) -> usize {
-    created.values().filter(|at| oldest.is_none_or(|oldest| **at >= oldest)).count()
-}
-
-async fn send_events(sender: &mpsc::Sender<io::Result<Bytes>>, first: u64, fault: Fault) {
-    for number in first..EVENTS {
-        tokio::time::sleep(EVENT_INTERVAL).await;
-        let event = format!("id: {number}\ndata: token-{number}\n\n");
-        let chunk = match fault {
-            Fault::Hangs => return tokio::time::sleep(HANG_TIME).await,
-            Fault::Resets => return drop(sender.send(Err(io::Error::other("reset"))).await),
-            Fault::AbortsStream | Fault::TruncatesStream if number == 2 => event[..9].to_string(),
-            Fault::Stalls if number == 2 => return tokio::time::sleep(HANG_TIME).await,
-            Fault::Pauses if number == 2 => {
-                tokio::time::sleep(PREEMPTION_PAUSE).await;
-                event
-            }
-            Fault::SkipsEvent if number == 2 => continue,
-            _ => event,
-        };
-        if sender.send(Ok(chunk.into())).await.is_err() {
-            return;
-        }
-        match fault {
-            Fault::AbortsStream if number == 2 => {
-                return drop(sender.send(Err(io::Error::other("crashed"))).await);
-            }
-            Fault::TruncatesStream if number == 2 => return,
-            _ => {}
-        }
     }
 }
 
@@ -406,30 +378,3 @@
         self.0.running.fetch_sub(1, atomic::Ordering::Relaxed);
     }
 }
-
-fn shed_response() -> Response<response::Body> {
-    let mut reply = response::text(StatusCode::SERVICE_UNAVAILABLE, "");
-    reply.headers_mut().insert("x-not-executed", header_value("1"));
-    reply
-}
-
-fn reset_response() -> Response<response::Body> {
-    let (sender, receiver) = mpsc::channel(1);
-    let _ = sender.try_send(Err(io::Error::other("reset")));
-    Response::new(response::stream(receiver))
-}
-
-fn seal(headers: &mut HeaderMap, attempt: &str) {
-    headers.insert("x-response-seal", header_value("seal"));
-    headers.insert("x-attempt-id", header_value(attempt));
-    headers.insert("x-server-load", header_value("1,0,6"));
-}
-
-fn header_text(headers: &HeaderMap, name: &str) -> String {
-    let value = headers.get(name).and_then(|value| value.to_str().ok());
-    value.unwrap_or_default().to_string()
-}
-
-fn header_value(text: &str) -> header::HeaderValue {
-    header::HeaderValue::from_str(text).unwrap_or(header::HeaderValue::from_static(""))
-}
--- /dev/null
+++ b/crates/fakes/src/events.rs
@@ -0,0 +1,45 @@
+//! Event streams of the fake engines.
+
+use std::{io, time};
+
+use bytes::Bytes;
+use tokio::sync::mpsc;
+
+use crate::backend;
+
+use backend::Fault;
+
+/// Interval between two events.
+const EVENT_INTERVAL: time::Duration = time::Duration::from_millis(20);
+/// Duration of [`Fault::Pauses`].
+const PREEMPTION_PAUSE: time::Duration = time::Duration::from_millis(2_500);
+
+/// Sends the events from number `first` on, as `fault` allows.
+pub(crate) async fn send(sender: &mpsc::Sender<io::Result<Bytes>>, first: u64, fault: Fault) {
+    for number in first..backend::EVENTS {
+        tokio::time::sleep(EVENT_INTERVAL).await;
+        let event = format!("id: {number}\ndata: token-{number}\n\n");
+        let chunk = match fault {
+            Fault::Hangs => return tokio::time::sleep(backend::HANG_TIME).await,
+            Fault::Resets => return drop(sender.send(Err(io::Error::other("reset"))).await),
+            Fault::AbortsStream | Fault::TruncatesStream if number == 2 => event[..9].to_string(),
+            Fault::Stalls if number == 2 => return tokio::time::sleep(backend::HANG_TIME).await,
+            Fault::Pauses if number == 2 => {
+                tokio::time::sleep(PREEMPTION_PAUSE).await;
+                event
+            }
+            Fault::SkipsEvent if number == 2 => continue,
+            _ => event,
+        };
+        if sender.send(Ok(chunk.into())).await.is_err() {
+            return;
+        }
+        match fault {
+            Fault::AbortsStream if number == 2 => {
+                return drop(sender.send(Err(io::Error::other("crashed"))).await);
+            }
+            Fault::TruncatesStream if number == 2 => return,
+            _ => {}
+        }
+    }
+}
--- a/crates/fakes/src/lib.rs
+++ b/crates/fakes/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod backend;
 pub mod caller;
 pub mod engine;
+pub mod handles;
 pub mod instances;
 pub mod objects;
 pub mod plain;
@@ -22,3 +23,6 @@
 pub mod switch;
 pub mod table;
 pub mod tokens;
+
+mod events;
+mod replies;
--- /dev/null
+++ b/crates/fakes/src/replies.rs
@@ -0,0 +1,51 @@
+//! Responses that fake backend servers share.
+
+use std::io;
+
+use hyper::{HeaderMap, Response, StatusCode, header};
+use tokio::sync::mpsc;
+
+use rhubarb_node::response;
+
+/// Rejection that reports that the request was not executed.
+pub(crate) fn not_run(status: StatusCode) -> Response<response::Body> {
+    let mut reply = response::text(status, "");
+    reply.headers_mut().insert("x-not-executed", header_value("1"));
+    reply
+}
+
+/// Rejection by a server that is full.
+pub(crate) fn shed() -> Response<response::Body> {
+    not_run(StatusCode::SERVICE_UNAVAILABLE)
+}
+
+/// Rejection by another server that now has the address.
+pub(crate) fn misdirected() -> Response<response::Body> {
+    let mut reply = not_run(StatusCode::MISDIRECTED_REQUEST);
+    reply.headers_mut().insert("x-instance-id", header_value("i-other"));
+    reply
+}
+
+/// Response whose connection is aborted before its body.
+pub(crate) fn reset() -> Response<response::Body> {
+    let (sender, receiver) = mpsc::channel(1);
+    let _ = sender.try_send(Err(io::Error::other("reset")));
+    Response::new(response::stream(receiver))
+}
+
+/// Marks a response as made by a server that ran the request.
+pub(crate) fn seal(headers: &mut HeaderMap) {
+    headers.insert("x-response-seal", header_value("seal"));
+    headers.insert("x-server-load", header_value("1,0,6"));
+}
+
+/// Text of a header; empty if it is missing.
+pub(crate) fn header_text(headers: &HeaderMap, name: &str) -> String {
+    let value = headers.get(name).and_then(|value| value.to_str().ok());
+    value.unwrap_or_default().to_string()
+}
+
+/// Header value of `text`; empty if it is no valid value.
+pub(crate) fn header_value(text: &str) -> header::HeaderValue {
+    header::HeaderValue::from_str(text).unwrap_or(header::HeaderValue::from_static(""))
+}
--- /dev/null
+++ b/crates/fakes/tests/backend.rs
@@ -0,0 +1,103 @@
+//! Answers of the fake backend servers.
+
+use std::{net, time};
+
+use bytes::Bytes;
+use hyper::{Method, header};
+
+use rhubarb_fakes::{backend, handles};
+use rhubarb_node::client;
+
+use backend::Fault;
+
+/// Names and values of request headers.
+type Headers<'a> = &'a [(&'a str, &'a str)];
+
+const TIMEOUT: time::Duration = time::Duration::from_secs(5);
+
+async fn start(stage: &str) -> anyhow::Result<(backend::Backend, net::SocketAddr)> {
+    let server = backend::Backend::new("i-1", stage, &handles::Handles::default());
+    let address = server.serve(net::Ipv4Addr::LOCALHOST.into()).await?;
+    Ok((server, address))
+}
+
+async fn call(
+    address: net::SocketAddr,
+    method: Method,
+    path: &str,
+    headers: Headers<'_>,
+) -> anyhow::Result<client::FullResponse> {
+    let url = format!("http://{address}{path}");
+    let mut request = client::request(method, &url, Bytes::from("{}"))?;
+    for (name, value) in headers {
+        request.headers_mut().insert(name.parse::<header::HeaderName>()?, value.parse()?);
+    }
+    Ok(client::Client::new().fetch(request, TIMEOUT).await?)
+}
+
+fn text<'a>(reply: &'a client::FullResponse, name: &str) -> &'a str {
+    reply.headers.get(name).and_then(|value| value.to_str().ok()).unwrap_or_default()
+}
+
+#[tokio::test]
+async fn echoed_ids() -> anyhow::Result<()> {
+    let (server, address) = start("decode").await?;
+    let id = ("x-attempt-id", "a1");
+    let run = [id];
+    let prefill = [id, ("x-stage", "prefill")];
+    let gone = [id, ("x-kv-source", "127.0.0.1:1/none")];
+    let cases: [(Fault, Headers<'_>, u16, &str); 6] = [
+        (Fault::None, &run, 200, ""),
+        (Fault::None, &prefill, 200, ""),
+        (Fault::None, &gone, 503, "1"),
+        (Fault::Sheds, &run, 503, "1"),
+        (Fault::Sheds, &prefill, 503, "1"),
+        (Fault::Moved, &run, 421, "1"),
+    ];
+    for (fault, headers, status, not_run) in cases {
+        server.set_fault(fault);
+        let reply = call(address, Method::POST, "/x", headers).await?;
+        assert_eq!(reply.status.as_u16(), status, "{fault:?}");
+        assert_eq!(text(&reply, "x-attempt-id"), "a1", "{fault:?} {status}");
+        assert_eq!(text(&reply, "x-not-executed"), not_run, "{fault:?} {status}");
+        let instance = if status == 421 { "i-other" } else { "" };
+        assert_eq!(text(&reply, "x-instance-id"), instance, "{fault:?}");
+    }
+    server.set_fault(Fault::None);
+    let calls = [
+        (Method::POST, "/v1/hold-take"),
+        (Method::DELETE, "/v1/hold/none"),
+        (Method::GET, "/v1/report"),
+        (Method::POST, "/v1/order"),
+    ];
+    for (method, path) in calls {
+        let reply = call(address, method, path, &run).await?;
+        assert!(!reply.headers.contains_key("x-attempt-id"), "{path}");
+    }
+    Ok(())
+}
+
+#[tokio::test]
+async fn foreign_handles() -> anyhow::Result<()> {
+    let (server, address) = start("decode").await?;
+    for attempt in ["a1", "a2"] {
+        let headers = [("x-attempt-id", attempt), ("x-stage", "prefill")];
+        call(address, Method::POST, "/x", &headers).await?;
+    }
+    for (attempt, handle, status) in
+        [("a1", "kv-i-1-a1", 200), ("a3", "kv-i-1-a2", 200), ("a4", "kv-i-1-a1", 503)]
+    {
+        let source = format!("127.0.0.1:1/{handle}");
+        let headers = [("x-attempt-id", attempt), ("x-kv-source", source.as_str())];
+        let reply = call(address, Method::POST, "/x", &headers).await?;
+        assert_eq!(reply.status.as_u16(), status, "{attempt}");
+    }
+    let foreign = |handle_attempt: &str, attempt: &str, ran| handles::Foreign {
+        handle_attempt: handle_attempt.to_string(),
+        attempt: attempt.to_string(),
+        ran,
+    };
+    assert_eq!(server.foreign_handles(), [foreign("a2", "a3", true), foreign("a1", "a4", false)]);
+    assert_eq!(server.runs().len(), 2, "engines do not check whose handle it is");
+    Ok(())
+}
