Let fake servers say in their answers that they leave, and record what arrives

A server that leaves says so in each answer: plain, stream, prefill, hold, rejection, report, order and freed handle. Each arrival is recorded with its time, attempt id, method and target and whether it was rejected with 421, so that a check can tell who sent what when.

The types of arrivals and the stage with its orders have files of their own.

--- /dev/null
+++ b/crates/fakes/src/arrivals.rs
@@ -0,0 +1,52 @@
+//! What arrived at a fake backend server, and when.
+
+use std::time;
+
+use bytes::Bytes;
+use hyper::{HeaderMap, Method, Request};
+
+use rhubarb_node::clock;
+
+use crate::replies;
+
+/// A request of any kind that reached a server.
+#[derive(Clone, Debug)]
+pub struct Arrival {
+    /// When it arrived.
+    pub at: time::Instant,
+    /// Start of the server that it reached, counted as in `Backend::born`.
+    pub born: u64,
+    /// Attempt id; empty if the request carries none, like those for holds and orders.
+    pub attempt: String,
+    /// Method.
+    pub method: Method,
+    /// Path and query.
+    pub target: String,
+    /// Whether it was rejected with status 421.
+    pub misdirected: bool,
+}
+
+impl Arrival {
+    /// Arrival of `request` now, at a server in its start `born`.
+    pub(crate) fn new<B>(request: &Request<B>, born: u64) -> Arrival {
+        Arrival {
+            at: clock::now(),
+            born,
+            attempt: replies::header_text(request.headers(), replies::ATTEMPT_ID),
+            method: request.method().clone(),
+            target: request.uri().to_string(),
+            misdirected: false,
+        }
+    }
+}
+
+/// An executed request, as the server received it.
+#[derive(Clone, Debug)]
+pub struct ReceivedRequest {
+    /// Path and query.
+    pub target: String,
+    /// Headers.
+    pub headers: HeaderMap,
+    /// Body.
+    pub body: Bytes,
+}
--- a/crates/fakes/src/backend.rs
+++ b/crates/fakes/src/backend.rs
@@ -9,7 +9,7 @@
 
 use rhubarb_node::{clock, locks, response, server};
 
-use crate::{events, handles, replies};
+use crate::{arrivals, events, handles, replies, stage};
 
 /// One backend server; clones share their state.
 #[derive(Clone, Debug)]
@@ -29,35 +29,23 @@
 
 #[derive(Debug, Default)]
 struct State {
-    stage: String,
+    stage: stage::Stage,
     address: Option<net::SocketAddr>,
     fault: Fault,
     // Number of runs by attempt id.
     runs: collections::BTreeMap<String, u32>,
-    requests: Vec<ReceivedRequest>,
+    requests: Vec<arrivals::ReceivedRequest>,
     // Creation times of holds, by name.
     holds: collections::BTreeMap<String, time::Instant>,
     // Number of holds ever created.
     holds_taken: u64,
-    // Number of accepted orders.
-    orders: u64,
-    // Highest fencing number of an accepted order.
-    fence: u64,
     // Number of restarts.
     restarts: u64,
     // Number of requests received while a fault was set.
     fault_hits: u64,
-}
-
-/// An executed request, as the server received it.
-#[derive(Clone, Debug)]
-pub struct ReceivedRequest {
-    /// Path and query.
-    pub target: String,
-    /// Headers.
-    pub headers: HeaderMap,
-    /// Body.
-    pub body: Bytes,
+    arrivals: Vec<arrivals::Arrival>,
+    // Whether all answers say that the server leaves.
+    is_leaving: bool,
 }
 
 /// Fault of a server.
@@ -96,8 +84,6 @@
     EvictsResults,
 }
 
-/// Header with the id of the caller's attempt.
-const ATTEMPT_ID: &str = "x-attempt-id";
 /// Number of events in each stream.
 pub const EVENTS: u64 = 6;
 /// Maximum size of a request body in bytes; a longer body is read as empty.
@@ -110,7 +96,7 @@
     pub fn new(id: &str, stage: &str, handles: &handles::Handles) -> Backend {
         let inner = Inner { handles: handles.clone(), ..Inner::default() };
         let backend = Backend { id: id.to_string(), inner: sync::Arc::new(inner) };
-        backend.state().stage = stage.to_string();
+        backend.state().stage.name = stage.to_string();
         backend
     }
 
@@ -135,15 +121,16 @@
         self.state().address
     }
 
-    /// Simulates a restart under the same id: drops all holds and resets the order counter.
+    /// Simulates a restart under the same id: drops all holds, resets the order counter, and no
+    /// longer leaves.
     ///
     /// Open connections stay open, and [`Backend::address`] does not change.
     pub fn restart(&self) {
         let mut state = self.state();
         state.holds.clear();
-        state.orders = 0;
-        state.fence = 0;
+        state.stage.restart();
         state.restarts += 1;
+        state.is_leaving = false;
     }
 
     /// Number of starts including the current one, published in the server's row as `born`.
@@ -156,6 +143,16 @@
         self.state().fault = fault;
     }
 
+    /// Sets whether all answers from now on say that the server leaves.
+    pub fn set_leaving(&self, is_leaving: bool) {
+        self.state().is_leaving = is_leaving;
+    }
+
+    /// Everything that arrived, in order of time.
+    pub fn arrivals(&self) -> Vec<arrivals::Arrival> {
+        self.state().arrivals.clone()
+    }
+
     /// Number of requests received while a fault was set.
     pub fn fault_hits(&self) -> u64 {
         self.state().fault_hits
@@ -167,7 +164,7 @@
     }
 
     /// Requests executed here, without prefills.
-    pub fn requests(&self) -> Vec<ReceivedRequest> {
+    pub fn requests(&self) -> Vec<arrivals::ReceivedRequest> {
         self.state().requests.clone()
     }
 
@@ -188,24 +185,43 @@
         state.holds.values().filter(|at| oldest.is_none_or(|oldest| **at >= oldest)).count()
     }
 
+    /// Seal of the answers to executed requests; differs between the starts of a server.
+    pub fn seal(&self) -> String {
+        format!("{}.{}", self.id, self.born())
+    }
+
     /// Current stage and the number of accepted orders.
     pub fn stage(&self) -> (String, u64) {
         let state = self.state();
-        (state.stage.clone(), state.orders)
+        (state.stage.name.clone(), state.stage.orders)
     }
 
     fn state(&self) -> sync::MutexGuard<'_, State> {
         locks::lock(&self.inner.state)
     }
 
-    // Echoes the attempt id of a request, whatever the status; calls under `/v1/` carry none back.
+    // Adds to each answer what it has whatever the status: the attempt id, except to calls under
+    // `/v1/`, and whether the server leaves.
     async fn handle(&self, request: Request<body::Incoming>) -> Response<response::Body> {
-        let attempt = request.headers().get(ATTEMPT_ID).cloned();
+        let number = {
+            let mut state = self.state();
+            let arrival = arrivals::Arrival::new(&request, state.restarts + 1);
+            state.arrivals.push(arrival);
+            state.arrivals.len() - 1
+        };
+        let attempt = request.headers().get(replies::ATTEMPT_ID).cloned();
         let echoed = attempt.filter(|_| !request.uri().path().starts_with("/v1/"));
         let mut reply = self.answer(request).await;
+        let headers = reply.headers_mut();
         if let Some(echoed) = echoed {
-            reply.headers_mut().entry(ATTEMPT_ID).or_insert(echoed);
+            headers.entry(replies::ATTEMPT_ID).or_insert(echoed);
+        }
+        let mut state = self.state();
+        if state.is_leaving {
+            headers.insert("server-leaving", replies::header_value("1"));
         }
+        state.arrivals[number].misdirected = reply.status() == StatusCode::MISDIRECTED_REQUEST;
+        drop(state);
         reply
     }
 
@@ -256,26 +272,14 @@
         response::json(
             StatusCode::OK,
             &json!({
-                "stage": state.stage, "models": [], "busy": false, "sequence": state.orders,
+                "stage": state.stage.name, "models": [], "busy": false, "sequence": state.stage.orders,
                 "waiting": 0, "running": self.running(), "kv_used": 0, "kv_total": 0, "handles": 0,
             }),
         )
     }
 
     fn order(&self, content: &Bytes) -> Response<response::Body> {
-        let order: serde_json::Value = serde_json::from_slice(content).unwrap_or_default();
-        let mut state = self.state();
-        let fence = order["fence"].as_u64().unwrap_or(0);
-        if fence < state.fence {
-            return response::text(StatusCode::PRECONDITION_FAILED, "");
-        }
-        if order["expected"].as_u64().is_some_and(|expected| expected != state.orders) {
-            return response::text(StatusCode::CONFLICT, "");
-        }
-        state.fence = fence;
-        state.orders += 1;
-        state.stage = order["stage"].as_str().unwrap_or_default().to_string();
-        response::text(StatusCode::ACCEPTED, "")
+        response::text(self.state().stage.order(content), "")
     }
 
     async fn run(
@@ -294,7 +298,7 @@
         self.state().holds.remove(&replies::header_text(headers, "x-kv-hold"));
         let source = replies::header_text(headers, "x-kv-source");
         let handle = source.split_once('/').map(|(_, handle)| handle);
-        let attempt = replies::header_text(headers, ATTEMPT_ID);
+        let attempt = replies::header_text(headers, replies::ATTEMPT_ID);
         if handle.is_some_and(|handle| !self.inner.handles.take(handle, &attempt)) {
             return replies::shed();
         }
@@ -302,15 +306,15 @@
             let mut state = self.state();
             *state.runs.entry(attempt.clone()).or_default() += 1;
             let (target, headers, body) = (target.to_string(), headers.clone(), content.clone());
-            state.requests.push(ReceivedRequest { target, headers, body });
+            state.requests.push(arrivals::ReceivedRequest { target, headers, body });
         }
-        let is_plain = self.state().stage.is_empty();
+        let is_plain = self.state().stage.name.is_empty();
         let mut reply = match is_plain {
             true => self.answer_plain(content, fault).await,
             false => self.stream(headers, fault),
         };
         if fault == Fault::OtherId {
-            reply.headers_mut().insert(ATTEMPT_ID, replies::header_value("other"));
+            reply.headers_mut().insert(replies::ATTEMPT_ID, replies::header_value("other"));
         }
         reply
     }
@@ -319,7 +323,7 @@
         if fault == Fault::Hangs {
             tokio::time::sleep(HANG_TIME).await;
         }
-        let attempt = replies::header_text(headers, ATTEMPT_ID);
+        let attempt = replies::header_text(headers, replies::ATTEMPT_ID);
         let handle = format!("kv-{}-{attempt}", self.id);
         self.inner.handles.open(&handle, &attempt, fault == Fault::EvictsResults);
         response::json(StatusCode::OK, &json!({"handle": handle, "tokens": 100, "version": 1}))
@@ -337,7 +341,7 @@
             _ => StatusCode::OK,
         };
         let mut reply = response::text(status, content);
-        replies::seal(reply.headers_mut());
+        replies::seal(reply.headers_mut(), &self.seal());
         reply
     }
 
@@ -355,7 +359,7 @@
             }
         });
         let mut reply = Response::new(response::stream(receiver));
-        replies::seal(reply.headers_mut());
+        replies::seal(reply.headers_mut(), &self.seal());
         reply
             .headers_mut()
             .insert(header::CONTENT_TYPE, replies::header_value("text/event-stream"));
--- a/crates/fakes/src/lib.rs
+++ b/crates/fakes/src/lib.rs
@@ -11,6 +11,7 @@
 //! assert_eq!(answer, tokens::answer("grade lot 7", 8));
 //! ```
 
+pub mod arrivals;
 pub mod backend;
 pub mod caller;
 pub mod engine;
@@ -26,3 +27,4 @@
 
 mod events;
 mod replies;
+mod stage;
--- a/crates/fakes/src/replies.rs
+++ b/crates/fakes/src/replies.rs
@@ -7,6 +7,9 @@
 
 use rhubarb_node::response;
 
+/// Header with the id of the caller's attempt.
+pub(crate) const ATTEMPT_ID: &str = "x-attempt-id";
+
 /// Rejection that reports that the request was not executed.
 pub(crate) fn not_run(status: StatusCode) -> Response<response::Body> {
     let mut reply = response::text(status, "");
@@ -33,9 +36,9 @@
     Response::new(response::stream(receiver))
 }
 
-/// Marks a response as made by a server that ran the request.
-pub(crate) fn seal(headers: &mut HeaderMap) {
-    headers.insert("x-response-seal", header_value("seal"));
+/// Marks a response as made by the server with this seal, which ran the request.
+pub(crate) fn seal(headers: &mut HeaderMap, seal: &str) {
+    headers.insert("x-response-seal", header_value(seal));
     headers.insert("x-server-load", header_value("1,0,6"));
 }
 
--- /dev/null
+++ b/crates/fakes/src/stage.rs
@@ -0,0 +1,39 @@
+//! Stage of a fake engine, which orders change.
+
+use bytes::Bytes;
+use hyper::StatusCode;
+
+/// Stage and accepted orders.
+#[derive(Debug, Default)]
+pub(crate) struct Stage {
+    /// Name of the stage; empty at a plain server.
+    pub(crate) name: String,
+    /// Number of accepted orders since the start.
+    pub(crate) orders: u64,
+    // Highest fencing number of an accepted order.
+    fence: u64,
+}
+
+impl Stage {
+    /// Executes an order and returns the status of its answer.
+    pub(crate) fn order(&mut self, content: &Bytes) -> StatusCode {
+        let order: serde_json::Value = serde_json::from_slice(content).unwrap_or_default();
+        let fence = order["fence"].as_u64().unwrap_or(0);
+        if fence < self.fence {
+            return StatusCode::PRECONDITION_FAILED;
+        }
+        if order["expected"].as_u64().is_some_and(|expected| expected != self.orders) {
+            return StatusCode::CONFLICT;
+        }
+        self.fence = fence;
+        self.orders += 1;
+        self.name = order["stage"].as_str().unwrap_or_default().to_string();
+        StatusCode::ACCEPTED
+    }
+
+    /// Forgets all orders, as a restart does.
+    pub(crate) fn restart(&mut self) {
+        self.orders = 0;
+        self.fence = 0;
+    }
+}
--- a/crates/fakes/tests/backend.rs
+++ b/crates/fakes/tests/backend.rs
@@ -101,3 +101,48 @@
     assert_eq!(server.runs().len(), 2, "engines do not check whose handle it is");
     Ok(())
 }
+
+#[tokio::test]
+async fn leaving_answers() -> anyhow::Result<()> {
+    let (server, address) = start("decode").await?;
+    let run: Headers<'_> = &[("x-attempt-id", "a1")];
+    let prefill: Headers<'_> = &[("x-attempt-id", "a2"), ("x-stage", "prefill")];
+    let post = Method::POST;
+    let cases = [
+        (Fault::None, post.clone(), "/x", run),
+        (Fault::None, post.clone(), "/x", prefill),
+        (Fault::Sheds, post.clone(), "/x", run),
+        (Fault::Moved, post.clone(), "/x", run),
+        (Fault::None, post.clone(), "/v1/hold-take", &[]),
+        (Fault::Full, post.clone(), "/v1/hold-take", &[]),
+        (Fault::None, Method::GET, "/v1/report", &[]),
+        (Fault::None, post, "/v1/order", &[]),
+        (Fault::None, Method::DELETE, "/v1/kv-handle/kv-i-1-a2", &[]),
+    ];
+    for is_leaving in [false, true] {
+        server.set_leaving(is_leaving);
+        for (fault, method, path, headers) in cases.clone() {
+            server.set_fault(fault);
+            let reply = call(address, method, path, headers).await?;
+            let expected = if is_leaving { "1" } else { "" };
+            assert_eq!(text(&reply, "server-leaving"), expected, "{fault:?} {path}");
+        }
+    }
+    server.set_fault(Fault::None);
+    server.restart();
+    let reply = call(address, Method::POST, "/x", run).await?;
+    assert_eq!(text(&reply, "server-leaving"), "", "another lifetime");
+    let arrivals = server.arrivals();
+    assert_eq!(arrivals.len(), 2 * cases.len() + 1);
+    assert!(arrivals.is_sorted_by_key(|arrival| arrival.at));
+    for (arrival, (fault, method, path, headers)) in arrivals.iter().zip(&cases) {
+        let attempt = headers.first().map_or("", |(_, attempt)| attempt);
+        let expected = (method, *path, attempt, 1, *fault == Fault::Moved);
+        let target = arrival.target.as_str();
+        let seen =
+            (&arrival.method, target, arrival.attempt.as_str(), arrival.born, arrival.misdirected);
+        assert_eq!(seen, expected);
+    }
+    assert_eq!(arrivals.last().map(|arrival| arrival.born), Some(2));
+    Ok(())
+}
