Let fake servers pause: reject with Retry-After for a span of time

Runs, prefills, holds and orders are rejected alike, and arrivals between half a second after such an answer and the end of the time it gives are counted; each arrival keeps the time until which its own answer asked for a pause. A given header value is sent as it is, so that values that are no time can be played.

--- a/crates/fakes/src/arrivals.rs
+++ b/crates/fakes/src/arrivals.rs
@@ -24,6 +24,8 @@
     pub target: String,
     /// Whether it was rejected with status 421.
     pub misdirected: bool,
+    /// Time until which the answer asked for a pause, if it was a rejection with `Retry-After`.
+    pub paused_until: Option<time::Instant>,
 }
 
 impl Arrival {
@@ -36,6 +38,7 @@
             method: request.method().clone(),
             target: request.uri().to_string(),
             misdirected: false,
+            paused_until: None,
         }
     }
 }
--- a/crates/fakes/src/backend.rs
+++ b/crates/fakes/src/backend.rs
@@ -1,6 +1,6 @@
 //! Backend servers on the users' platform, plain servers and engines, with their published API.
 
-use std::{collections, net, sync, sync::atomic, time};
+use std::{collections, net, sync, time};
 
 use bytes::Bytes;
 use hyper::{HeaderMap, Method, Request, Response, StatusCode, body, header};
@@ -9,7 +9,7 @@
 
 use rhubarb_node::{clock, locks, response, server};
 
-use crate::{arrivals, events, handles, replies, stage};
+use crate::{arrivals, events, handles, pause, replies, running, stage};
 
 /// One backend server; clones share their state.
 #[derive(Clone, Debug)]
@@ -22,8 +22,7 @@
 #[derive(Debug, Default)]
 struct Inner {
     state: sync::Mutex<State>,
-    // Number of requests being executed.
-    running: atomic::AtomicU64,
+    running: running::Count,
     handles: handles::Handles,
 }
 
@@ -46,6 +45,7 @@
     arrivals: Vec<arrivals::Arrival>,
     // Whether all answers say that the server leaves.
     is_leaving: bool,
+    pause: pause::Pause,
 }
 
 /// Fault of a server.
@@ -122,7 +122,7 @@
     }
 
     /// Simulates a restart under the same id: drops all holds, resets the order counter, and no
-    /// longer leaves.
+    /// longer leaves or pauses.
     ///
     /// Open connections stay open, and [`Backend::address`] does not change.
     pub fn restart(&self) {
@@ -131,6 +131,7 @@
         state.stage.restart();
         state.restarts += 1;
         state.is_leaving = false;
+        state.pause = pause::Pause::default();
     }
 
     /// Number of starts including the current one, published in the server's row as `born`.
@@ -148,6 +149,19 @@
         self.state().is_leaving = is_leaving;
     }
 
+    /// Rejects runs, prefills, holds and orders with 503 and `Retry-After` for `length` from now on.
+    /// The header has the value `retry`, or else the seconds left.
+    pub fn set_pause(&self, length: time::Duration, retry: Option<&str>) {
+        self.state().pause.start(length, retry);
+    }
+
+    /// Number of arrivals that come more than [`pause::PAUSE_GRACE`] after an answer with
+    /// `Retry-After` and before the end of the time that it asks for. Freed handles and holds and
+    /// reports do not count.
+    pub fn late_arrivals(&self) -> u64 {
+        self.state().pause.late
+    }
+
     /// Everything that arrived, in order of time.
     pub fn arrivals(&self) -> Vec<arrivals::Arrival> {
         self.state().arrivals.clone()
@@ -176,7 +190,7 @@
 
     /// Number of requests being executed.
     pub fn running(&self) -> u64 {
-        self.inner.running.load(atomic::Ordering::Relaxed)
+        self.inner.running.get()
     }
 
     /// Number of open holds created at or after `oldest`, or of all open holds.
@@ -211,7 +225,7 @@
         };
         let attempt = request.headers().get(replies::ATTEMPT_ID).cloned();
         let echoed = attempt.filter(|_| !request.uri().path().starts_with("/v1/"));
-        let mut reply = self.answer(request).await;
+        let mut reply = self.answer(request, number).await;
         let headers = reply.headers_mut();
         if let Some(echoed) = echoed {
             headers.entry(replies::ATTEMPT_ID).or_insert(echoed);
@@ -225,7 +239,12 @@
         reply
     }
 
-    async fn answer(&self, request: Request<body::Incoming>) -> Response<response::Body> {
+    // Answers the arrival with index `number`.
+    async fn answer(
+        &self,
+        request: Request<body::Incoming>,
+        number: usize,
+    ) -> Response<response::Body> {
         let (parts, body) = request.into_parts();
         let content = response::read_body(body, MAX_BODY_BYTES).await.unwrap_or_default();
         let fault = {
@@ -238,6 +257,10 @@
             return replies::misdirected();
         }
         let path = parts.uri.path().to_string();
+        let may_pause = parts.method != Method::DELETE && path != "/v1/report";
+        if let Some(rejection) = may_pause.then(|| self.pause(number)).flatten() {
+            return rejection;
+        }
         match (&parts.method, path.as_str()) {
             (&Method::POST, "/v1/hold-take") => self.create_hold(fault),
             (&Method::GET, "/v1/report") => self.report(),
@@ -250,6 +273,15 @@
         }
     }
 
+    // Rejection of an arrival during a pause.
+    fn pause(&self, number: usize) -> Option<Response<response::Body>> {
+        let mut state = self.state();
+        state.pause.count();
+        let (rejection, until) = state.pause.reject()?;
+        state.arrivals[number].paused_until = Some(until);
+        Some(rejection)
+    }
+
     fn create_hold(&self, fault: Fault) -> Response<response::Body> {
         if fault == Fault::Full {
             return replies::shed();
@@ -330,7 +362,7 @@
     }
 
     async fn answer_plain(&self, content: Bytes, fault: Fault) -> Response<response::Body> {
-        let _running = Running::new(&self.inner);
+        let _running = self.inner.running.start();
         let status = match fault {
             Fault::Hangs => {
                 tokio::time::sleep(HANG_TIME).await;
@@ -350,9 +382,9 @@
         let last: Option<u64> = last.filter(|_| fault != Fault::StartsOver);
         let first = last.map_or(0, |last| last + 1);
         let (sender, receiver) = mpsc::channel(1);
-        let inner = self.inner.clone();
+        let running = self.inner.running.clone();
         tokio::spawn(async move {
-            let _running = Running::new(&inner);
+            let _running = running.start();
             tokio::select! {
                 () = events::send(&sender, first, fault) => {}
                 () = sender.closed() => {}
@@ -366,19 +398,3 @@
         reply
     }
 }
-
-// Counts a request as running until dropped.
-struct Running(sync::Arc<Inner>);
-
-impl Running {
-    fn new(inner: &sync::Arc<Inner>) -> Running {
-        inner.running.fetch_add(1, atomic::Ordering::Relaxed);
-        Running(inner.clone())
-    }
-}
-
-impl Drop for Running {
-    fn drop(&mut self) {
-        self.0.running.fetch_sub(1, atomic::Ordering::Relaxed);
-    }
-}
--- a/crates/fakes/src/lib.rs
+++ b/crates/fakes/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod handles;
 pub mod instances;
 pub mod objects;
+pub mod pause;
 pub mod plain;
 pub mod routes;
 pub mod store;
@@ -27,4 +28,5 @@
 
 mod events;
 mod replies;
+mod running;
 mod stage;
--- a/crates/fakes/tests/backend.rs
+++ b/crates/fakes/tests/backend.rs
@@ -5,7 +5,7 @@
 use bytes::Bytes;
 use hyper::{Method, header};
 
-use rhubarb_fakes::{backend, handles};
+use rhubarb_fakes::{backend, handles, pause};
 use rhubarb_node::client;
 
 use backend::Fault;
@@ -146,3 +146,42 @@
     assert_eq!(arrivals.last().map(|arrival| arrival.born), Some(2));
     Ok(())
 }
+
+#[tokio::test]
+async fn pauses() -> anyhow::Result<()> {
+    let (server, address) = start("decode").await?;
+    let run: Headers<'_> = &[("x-attempt-id", "a1")];
+    let prefill: Headers<'_> = &[("x-attempt-id", "a2"), ("x-stage", "prefill")];
+    let length = time::Duration::from_millis(1_000);
+    server.set_pause(length, None);
+    for (path, headers) in
+        [("/x", run), ("/x", prefill), ("/v1/hold-take", &[]), ("/v1/order", &[])]
+    {
+        let reply = call(address, Method::POST, path, headers).await?;
+        assert_eq!(reply.status.as_u16(), 503, "{path}");
+        assert_eq!(text(&reply, "x-not-executed"), "1", "{path}");
+        let seconds: f64 = text(&reply, "retry-after").parse()?;
+        assert!(seconds > 0.0 && seconds <= 1.0, "{path}: {seconds}");
+    }
+    let report = call(address, Method::GET, "/v1/report", &[]).await?;
+    assert_eq!(report.status.as_u16(), 200);
+    assert_eq!(server.late_arrivals(), 0, "sent before the answer can have been heeded");
+    let arrivals = server.arrivals();
+    assert_eq!(arrivals.iter().filter(|arrival| arrival.paused_until.is_some()).count(), 4);
+    tokio::time::sleep(pause::PAUSE_GRACE + time::Duration::from_millis(50)).await;
+    call(address, Method::POST, "/x", run).await?;
+    call(address, Method::DELETE, "/v1/hold/none", &[]).await?;
+    assert_eq!(server.late_arrivals(), 1);
+    tokio::time::sleep(length).await;
+    let reply = call(address, Method::POST, "/x", run).await?;
+    assert_eq!(reply.status.as_u16(), 200);
+    assert_eq!((server.late_arrivals(), server.runs().len()), (1, 1));
+    // Values that are no time ask for no pause.
+    server.set_pause(length, Some("soon"));
+    let reply = call(address, Method::POST, "/x", run).await?;
+    assert_eq!((reply.status.as_u16(), text(&reply, "retry-after")), (503, "soon"));
+    tokio::time::sleep(pause::PAUSE_GRACE + time::Duration::from_millis(50)).await;
+    call(address, Method::POST, "/x", run).await?;
+    assert_eq!(server.late_arrivals(), 1);
+    Ok(())
+}
