--- a/crates/fakes/src/lib.rs
+++ b/crates/fakes/src/lib.rs
@@ -11,14 +11,22 @@
 //! assert_eq!(answer, tokens::answer("grade lot 7", 8));
 //! ```
 
+pub mod arrivals;
 pub mod backend;
 pub mod caller;
 pub mod engine;
+pub mod handles;
 pub mod instances;
 pub mod objects;
+pub mod pause;
 pub mod plain;
 pub mod routes;
 pub mod store;
 pub mod switch;
 pub mod table;
 pub mod tokens;
+
+mod events;
+mod replies;
+mod running;
+mod stage;
