Learn that servers leave while the feeds of all entries are silent

Requests reached servers that leave while the open connections of all entries to the store had gone silent without a reset. Nobody lagged behind anybody, and a feed was given up after 21.5 s. Then the table was read on another kept connection, which was silent as well, so the store counted as unavailable; on its return servers without a row were kept for 1.8 s, though it had not been away.

Now the leader waits 1 s at a time for changes of the servers and takes a response that is 1 s late for a lost feed; the other entries learn from it what they missed, and read the tables themselves if their own feed has not delivered it by then. A lost feed no longer says that the store is unavailable: only a refused call or a failed read on a new connection does, and only then are servers without a row kept. After a call without a response all kept connections to the store are dropped.

The call is one more a second for the fleet.

--- a/crates/e2e/tests/platform_leaving.rs
+++ b/crates/e2e/tests/platform_leaving.rs
@@ -42,7 +42,8 @@
         tokio::time::sleep(time::Duration::from_millis(20)).await;
     }
     let late = site.plain[0].requests().len() - before;
-    assert_eq!(late, 0, "of {} requests", CALLS * sizes.edges);
+    let logs: Vec<_> = site.edges.iter().map(rhubarb_e2e::edge::Edge::log).collect();
+    assert_eq!(late, 0, "of {} requests: {}", CALLS * sizes.edges, logs.join("\n\n"));
     Ok(())
 }
 
--- a/crates/edge/src/edge.rs
+++ b/crates/edge/src/edge.rs
@@ -28,6 +28,8 @@
     pub(crate) lag_detected: tokio_sync::Notify,
     /// Notifies the followers of the store that its feed does not deliver changes.
     pub(crate) feed_stalled: tokio_sync::Notify,
+    /// Number of responses of the store's feeds that had changes.
+    pub(crate) feed_changes: atomic::AtomicU64,
     /// Number of tables that cannot be read from the store.
     pub(crate) unavailable_tables: atomic::AtomicU64,
     /// Whether this entry follows the store itself; otherwise a peer passes the changes on.
@@ -71,6 +73,7 @@
             memory_freed: tokio_sync::Notify::new(),
             lag_detected: tokio_sync::Notify::new(),
             feed_stalled: tokio_sync::Notify::new(),
+            feed_changes: atomic::AtomicU64::new(0),
             unavailable_tables: atomic::AtomicU64::new(0),
             following: atomic::AtomicBool::new(true),
             open_requests: atomic::AtomicU64::new(0),
--- a/crates/edge/src/lag.rs
+++ b/crates/edge/src/lag.rs
@@ -26,33 +26,23 @@
 struct Peer {
     ip: net::IpAddr,
     versions: Versions,
-    since: time::Instant,
 }
 
 /// How far this entry lags behind its peers.
 #[derive(Debug, Default)]
 pub(crate) struct Lag {
     peer: Option<Peer>,
+    // When the tables may be read again because the feed is stalled.
+    reread_at: Option<time::Instant>,
 }
 
-/// Lag behind a peer after which the store's feed counts as stalled. The feed delivers a change to
-/// all entries within milliseconds, and a config change is due within 3 s.
-const STALL_TIMEOUT: time::Duration = time::Duration::from_millis(750);
 /// Interval between reads of the whole tables while the feed stays stalled.
 const REREAD_INTERVAL: time::Duration = time::Duration::from_secs(5);
 
 impl Lag {
-    /// Records the versions of a peer behind which `own` lags.
-    pub(crate) fn record(
-        &mut self,
-        ip: net::IpAddr,
-        versions: Versions,
-        own: &Versions,
-        now: time::Instant,
-    ) {
-        let current = self.peer.filter(|peer| own.lags_behind(&peer.versions));
-        let since = current.map_or(now, |peer| peer.since);
-        self.peer = Some(Peer { ip, versions, since });
+    /// Records the versions of a peer behind which this entry lags.
+    pub(crate) fn record(&mut self, ip: net::IpAddr, versions: Versions) {
+        self.peer = Some(Peer { ip, versions });
     }
 
     /// Address of the peer, while `own` lags behind it.
@@ -61,13 +51,13 @@
         self.peer.map(|peer| peer.ip)
     }
 
-    /// Whether the store's feed counts as stalled and the tables are to be read again; true once
-    /// per [`REREAD_INTERVAL`] while the same lag lasts.
-    pub(crate) fn check_stall(&mut self, now: time::Instant) -> bool {
-        let Some(peer) = self.peer.as_mut().filter(|peer| now >= peer.since + STALL_TIMEOUT) else {
-            return false;
-        };
-        peer.since = now + REREAD_INTERVAL - STALL_TIMEOUT;
-        true
+    /// Whether the tables are to be read again, since the feed is stalled; true once per
+    /// [`REREAD_INTERVAL`].
+    pub(crate) fn check_reread(&mut self, now: time::Instant) -> bool {
+        let is_due = self.reread_at.is_none_or(|at| now >= at);
+        if is_due {
+            self.reread_at = Some(now + REREAD_INTERVAL);
+        }
+        is_due
     }
 }
--- a/crates/edge/src/peers.rs
+++ b/crates/edge/src/peers.rs
@@ -262,7 +262,7 @@
     let own = edge.directory().versions();
     let versions = lag::Versions { config: share.config, servers: share.servers };
     if own.lags_behind(&versions) {
-        edge.lag().record(from, versions, &own, now);
+        edge.lag().record(from, versions);
         edge.lag_detected.notify_one();
     }
 }
--- a/crates/edge/src/snapshots.rs
+++ b/crates/edge/src/snapshots.rs
@@ -1,6 +1,6 @@
 //! Snapshots of the store that entries pass on to one another, by TCP.
 
-use std::{net, sync, time};
+use std::{net, sync, sync::atomic, time};
 
 use tokio::{io, net as tokio_net, sync as tokio_sync};
 
@@ -9,10 +9,14 @@
 
 use crate::{connections, edge, lag, watch};
 
-/// Delay before changes are fetched from a peer that follows the store for this entry.
+/// Delay before changes are fetched from a peer by an entry without a feed of the store.
 const RELAY_DELAY: time::Duration = time::Duration::from_millis(50);
-/// Minimum interval between fetches of snapshots.
-const FETCH_INTERVAL: time::Duration = time::Duration::from_millis(250);
+/// Delay before changes are fetched from a peer by an entry with a feed of the store. Longer than the
+/// pause of a feed after changes, in which an entry lags behind others.
+const FETCH_INTERVAL: time::Duration = time::Duration::from_millis(400);
+/// Time after the fetch of a snapshot within which the store's own feed delivers the change as well,
+/// unless it is stalled.
+const STALL_MARGIN: time::Duration = time::Duration::from_millis(150);
 /// Timeout of the transfer of a snapshot.
 const FETCH_TIMEOUT: time::Duration = time::Duration::from_secs(1);
 /// Maximum number of snapshots that are sent at once.
@@ -60,18 +64,14 @@
     loop {
         edge.lag_detected.notified().await;
         let relies_on_peers = !edge.follows_store();
+        let delivered = edge.feed_changes.load(atomic::Ordering::Relaxed);
         // Gives the feed of the store time to deliver the change; changes that peers pass on are
         // read together.
-        let delay = if relies_on_peers { RELAY_DELAY } else { FETCH_INTERVAL };
+        let has_feed = !relies_on_peers && !edge.is_disconnected();
+        let delay = if has_feed { FETCH_INTERVAL } else { RELAY_DELAY };
         tokio::time::sleep(delay).await;
         let (own, known) = known_versions(&edge);
         let Some(ip) = edge.lag().address(&own) else { continue };
-        if !relies_on_peers && !edge.is_disconnected() {
-            if !edge.lag().check_stall(clock::now()) {
-                continue;
-            }
-            edge.feed_stalled.notify_waiters();
-        }
         let transfer = fetch(edge.peer_address(ip), known);
         match tokio::time::timeout(FETCH_TIMEOUT, transfer).await {
             Ok(Ok(snapshot)) => watch::apply_snapshot(&edge, ip, snapshot),
@@ -80,6 +80,14 @@
             }
             Err(_) => tracing::info!(%ip, "edge: fetching a snapshot from a peer timed out"),
         }
+        if has_feed && !edge.is_disconnected() {
+            tokio::time::sleep(STALL_MARGIN).await;
+            if edge.feed_changes.load(atomic::Ordering::Relaxed) == delivered
+                && edge.lag().check_reread(clock::now())
+            {
+                edge.feed_stalled.notify_waiters();
+            }
+        }
     }
 }
 
--- a/crates/edge/src/watch.rs
+++ b/crates/edge/src/watch.rs
@@ -1,6 +1,6 @@
 //! Follows the operator's config and the servers' rows in the platform's store.
 
-use std::{net, sync, sync::atomic, time};
+use std::{fmt, net, sync, sync::atomic, time};
 
 use rhubarb_core::{backoff, fleet, ids, suspension};
 use rhubarb_node::clock;
@@ -12,6 +12,13 @@
 /// Time that the store holds a feed request open without changes. A feed that stalls is detected
 /// earlier, by the newer versions of the peers.
 const FEED_WAIT: time::Duration = time::Duration::from_secs(20);
+/// The same for the servers' table at the leader of the fleet. Connections may go silent without a
+/// reset, at all entries at once, so one of them checks often that its feed works.
+const LEADER_WAIT: time::Duration = time::Duration::from_millis(1_000);
+/// Time after which a feed's response is late. With the wait it is the time after which the leader
+/// reads the store again; the others then have a second of the 3 s (`contact_ms`) in which old
+/// information may be used.
+const FEED_SLACK: time::Duration = time::Duration::from_millis(1_000);
 /// Pause after changes were read, so that one call returns the changes of that time together. A
 /// config is due within 2 s, and a server that leaves stops after 2 s.
 const FEED_PAUSE: time::Duration = time::Duration::from_millis(300);
@@ -35,7 +42,7 @@
     // peers.
     let backoff = backoff::Backoff::new(RETRY_DELAY, MAX_RETRY_DELAY);
     let mut state =
-        TableState { is_unavailable: true, lost_history: false, is_first_read: true, backoff };
+        TableState { is_unavailable: true, lost_feed: false, is_first_read: true, backoff };
     edge.unavailable_tables.fetch_add(1, atomic::Ordering::Relaxed);
     loop {
         if !state.is_first_read {
@@ -46,10 +53,15 @@
             Ok(()) => continue,
             Err(err) => err,
         };
-        if matches!(err, store::StoreError::HistoryGone) {
-            tracing::info!(?table, "edge: change history is gone; reading the whole table");
+        if err.is_silent() {
+            edge.store.reconnect();
+        }
+        if let FollowError::Feed(err) = err {
+            tracing::info!(?table, %err, "edge: feed lost; reading the tables again");
+            // The other table's feed may have gone silent as well.
+            edge.feed_stalled.notify_waiters();
             // The first time the table is read at once, so that no change is delayed.
-            if std::mem::replace(&mut state.lost_history, true) {
+            if std::mem::replace(&mut state.lost_feed, true) {
                 tokio::time::sleep(clock::jitter(state.backoff.next_delay())).await;
             }
             continue;
@@ -78,8 +90,8 @@
 }
 
 fn is_covered(edge: &edge::Edge) -> bool {
-    let members = edge.members();
-    !members.is_follower() && members.has_source(clock::now())
+    let (members, now) = (edge.members(), clock::now());
+    !members.is_follower() && members.leader(now).is_some() && members.has_source(now)
 }
 
 // Waits while a peer follows the store for this entry.
@@ -92,14 +104,14 @@
 // Availability of one table in the store.
 struct TableState {
     is_unavailable: bool,
-    // Whether the last feed ended because the store had lost its history.
-    lost_history: bool,
+    // Whether the last feed was lost, though the store may be available.
+    lost_feed: bool,
     is_first_read: bool,
     backoff: backoff::Backoff,
 }
 
 impl TableState {
-    fn record_failure(&mut self, edge: &edge::Edge, table: store::Table, err: &store::StoreError) {
+    fn record_failure(&mut self, edge: &edge::Edge, table: store::Table, err: &FollowError) {
         if !self.is_unavailable {
             self.is_unavailable = true;
             edge.unavailable_tables.fetch_add(1, atomic::Ordering::Relaxed);
@@ -109,12 +121,12 @@
 
     // A read of the table alone does not show that its feed works.
     fn record_feed(&mut self) {
-        self.lost_history = false;
+        self.lost_feed = false;
         self.backoff.reset();
     }
 
     fn record_success(&mut self, edge: &edge::Edge, table: store::Table, version: store::Version) {
-        if !self.lost_history {
+        if !self.lost_feed {
             self.backoff.reset();
         }
         if self.is_unavailable {
@@ -130,13 +142,47 @@
     }
 }
 
+// Why the changes of a table could not be followed.
+enum FollowError {
+    // The store refused a call, or could not be read.
+    Unavailable(store::StoreError),
+    // The feed broke off, went silent or has lost its history, which says nothing about the store:
+    // only a read on a new connection does.
+    Feed(store::StoreError),
+}
+
+impl fmt::Display for FollowError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let (FollowError::Unavailable(err) | FollowError::Feed(err)) = self;
+        write!(f, "{err}")
+    }
+}
+
+impl FollowError {
+    // Whether a call got no response, so that other connections to the store may be silent too.
+    fn is_silent(&self) -> bool {
+        let (FollowError::Unavailable(err) | FollowError::Feed(err)) = self;
+        matches!(err, store::StoreError::Call(_))
+    }
+}
+
+fn feed_error(err: store::StoreError) -> FollowError {
+    match err {
+        store::StoreError::Refused(_) => FollowError::Unavailable(err),
+        store::StoreError::Call(_)
+        | store::StoreError::HistoryGone
+        | store::StoreError::Malformed(_) => FollowError::Feed(err),
+    }
+}
+
 // Reads the whole table and follows its changes. Returns when the table is to be read again.
 async fn follow_once(
     edge: &edge::Edge,
     table: store::Table,
     state: &mut TableState,
-) -> Result<(), store::StoreError> {
-    let all = edge.store.read_all(table, READ_TIMEOUT).await?;
+) -> Result<(), FollowError> {
+    let reading = edge.store.read_all(table, READ_TIMEOUT);
+    let all = reading.await.map_err(FollowError::Unavailable)?;
     state.record_success(edge, table, all.version);
     let mut version = all.version;
     apply(edge, table, &all.rows, directory::Source::Store);
@@ -148,8 +194,14 @@
             wait_for_source_loss(edge).await;
             version = version.max(edge.directory().rows.known_version(table));
         }
+        let is_checked = table == store::Table::Servers;
+        let is_leader = is_leader(edge);
+        let wait = if is_checked && is_leader { LEADER_WAIT } else { FEED_WAIT };
         let changes = tokio::select! {
-            changes = edge.store.feed(table, version, FEED_WAIT) => changes?,
+            changes = edge.store.feed(table, version, wait, FEED_SLACK) => {
+                changes.map_err(feed_error)?
+            }
+            () = wait_until_leader(edge), if is_checked && !is_leader => continue,
             () = edge.feed_stalled.notified() => {
                 tracing::info!(?table, version, "edge: feed stalled; reading the whole table");
                 return Ok(());
@@ -164,11 +216,23 @@
             directory.rows.version = directory.rows.version.max(version);
         }
         if has_changes {
+            edge.feed_changes.fetch_add(1, atomic::Ordering::Relaxed);
             tokio::time::sleep(FEED_PAUSE).await;
         }
     }
 }
 
+// Whether this entry leads the fleet, or is alone.
+fn is_leader(edge: &edge::Edge) -> bool {
+    edge.members().leader(clock::now()).is_none()
+}
+
+async fn wait_until_leader(edge: &edge::Edge) {
+    while !is_leader(edge) {
+        tokio::time::sleep(SOURCE_CHECK).await;
+    }
+}
+
 /// Applies the snapshot of a peer.
 pub(crate) fn apply_snapshot(edge: &edge::Edge, from: net::IpAddr, snapshot: share::Snapshot) {
     let version = snapshot.version;
