Notice connections that go silent while data is on its way

The HTTP client's keepalive probes find an idle connection that went silent, but the kernel sends none while data is unacknowledged: a call then waited for its whole timeout. TCP_USER_TIMEOUT ends the connection after 2.5 s, about when unanswered probes would.

client::silent_peer failed before: the call to a peer that takes no data timed out after 30 s; it fails after 2.8 s now, in 3 of 3 runs.

--- a/crates/node/src/client.rs
+++ b/crates/node/src/client.rs
@@ -60,6 +60,9 @@
 const PROBE_INTERVAL: time::Duration = time::Duration::from_secs(1);
 /// Consecutive unanswered probes after which a connection fails.
 const MAX_PROBES: u32 = 2;
+/// A connection fails when sent data stays unacknowledged, or the peer takes no data, for this long:
+/// shortly before the last unanswered probe of an idle connection would fail it.
+const UNACKED_TIMEOUT: time::Duration = time::Duration::from_millis(2_500);
 const MAX_RESPONSE_BYTES: usize = 64 * 1024 * 1024;
 
 impl Default for Client {
@@ -78,6 +81,8 @@
         connector.set_keepalive(Some(PROBE_INTERVAL));
         connector.set_keepalive_interval(Some(PROBE_INTERVAL));
         connector.set_keepalive_retries(Some(MAX_PROBES));
+        // No probes are sent while data is unacknowledged.
+        connector.set_tcp_user_timeout(Some(UNACKED_TIMEOUT));
         // By default the client resends a request only if its pooled connection closed before any
         // byte was written, so a request runs at most once.
         let builder = legacy::Client::builder(rt::TokioExecutor::new());
