Give each call to a server or the platform its own connection

Callers could get the answer to another request, and an agent could take a write for committed that was refused: agents, entries and commands kept HTTP/1.1 connections open, and a server that answers twice, the second time when the next request is on the connection, gave that answer to the next request. Nothing in an answer says whose it is. The servers' answers, prefill handles, confirmed cancellations, keyed answers (stored and replayed), rows, writes, objects and lists were all read this way.

Agents now open a connection for each call to their server, and the clients of table, object store and instance list, rhubarb-ctl and rhubarb-report one for each request.

--- a/crates/agent/src/agent.rs
+++ b/crates/agent/src/agent.rs
@@ -19,6 +19,7 @@
     pub(crate) incarnation: ids::Incarnation,
     /// Start of this process, the zero of the agent's clock.
     pub(crate) started: time::Instant,
+    /// Client of the backend server.
     pub(crate) client: client::Client,
     pub(crate) table: table::Table,
     pub(crate) objects: objects::Objects,
@@ -109,7 +110,6 @@
 impl Agent {
     pub(crate) fn new(settings: settings::Settings) -> Agent {
         let now = clock::now();
-        let client = client::Client::new();
         let limits = gate::Limits {
             window: INITIAL_WINDOW,
             max_keys: settings.max_keys,
@@ -139,9 +139,9 @@
         Agent {
             incarnation: rand::random(),
             started: now,
-            table: table::Table::new(client.clone(), &settings.platform.table),
-            objects: objects::Objects::new(client.clone(), &settings.platform.objects),
-            client,
+            table: table::Table::new(&settings.platform.table),
+            objects: objects::Objects::new(&settings.platform.objects),
+            client: client::Client::for_local(),
             metrics: AgentMetrics::new(),
             poll_requested: lock::Notify::new(),
             list_applied: lock::Notify::new(),
--- a/crates/agent/src/lists.rs
+++ b/crates/agent/src/lists.rs
@@ -113,8 +113,7 @@
 
 /// Polls the table and the instance list, until the task is dropped.
 pub(crate) async fn follow(agent: Shared) {
-    let instances =
-        instances::Instances::new(agent.client.clone(), &agent.settings.platform.instances);
+    let instances = instances::Instances::new(&agent.settings.platform.instances);
     loop {
         poll(&agent).await;
         if let Ok(found) = instances.read().await {
--- a/crates/ctl/src/commands.rs
+++ b/crates/ctl/src/commands.rs
@@ -75,8 +75,8 @@
 impl Commands {
     /// Makes the commands for the platform in `settings`.
     pub fn new(settings: settings::Settings) -> Commands {
-        let client = client::Client::new();
-        let table = table::Table::new(client.clone(), &settings.platform.table);
+        let client = client::Client::single_use();
+        let table = table::Table::new(&settings.platform.table);
         Commands { settings, client, table }
     }
 
@@ -206,7 +206,7 @@
 
     async fn instances(&self) -> Result<Vec<instances::Instance>, CommandError> {
         let url = &self.settings.platform.instances;
-        Ok(instances::Instances::new(self.client.clone(), url).read().await?)
+        Ok(instances::Instances::new(url).read().await?)
     }
 }
 
--- a/crates/ctl/src/store_commands.rs
+++ b/crates/ctl/src/store_commands.rs
@@ -56,7 +56,7 @@
 impl StoreCommands {
     /// Makes the commands for the store at `address`.
     pub fn new(address: net::SocketAddr) -> StoreCommands {
-        let client = client::Client::new();
+        let client = client::Client::single_use();
         StoreCommands { store: store::Store::new(client.clone(), address), client }
     }
 
--- a/crates/e2e/src/process.rs
+++ b/crates/e2e/src/process.rs
@@ -61,6 +61,11 @@
         Ok(Process { child, pid, http, peer: find_address("peer=") })
     }
 
+    /// Process id.
+    pub fn id(&self) -> String {
+        self.child.id().to_string()
+    }
+
     fn signal(&self, signal: signals::Signal) {
         signals::kill_process(self.pid, signal).expect("the process is running");
     }
--- a/crates/e2e/src/stack.rs
+++ b/crates/e2e/src/stack.rs
@@ -6,6 +6,7 @@
 use hyper::Method;
 use serde_json::json;
 
+use rhubarb_fakes::stutter;
 use rhubarb_node::client;
 
 use crate::{caller, process, relay};
@@ -19,6 +20,9 @@
     pub list: String,
     /// Whether entries reach the agents through relays.
     pub relays: bool,
+    /// Whether agents reach their servers, and all processes the platform, through a proxy that can
+    /// answer twice.
+    pub stutters: bool,
     /// Interval between usage records, as a setting.
     pub flush_interval: String,
     /// Maximum total size in bytes of the responses that an agent stores.
@@ -33,6 +37,7 @@
             entries: 2,
             list: service_list("10m", "60s"),
             relays: false,
+            stutters: false,
             flush_interval: "1s".to_string(),
             answer_bytes: 1 << 20,
             drain: "120s".to_string(),
@@ -57,6 +62,8 @@
     pub agents: collections::BTreeMap<String, process::Process>,
     /// Relays in front of the agents, by server name.
     pub relays: collections::BTreeMap<String, relay::Relay>,
+    /// Proxy in front of the fakes that can answer twice.
+    pub stutter: stutter::Stutter,
     plan: Plan,
     dir: path::PathBuf,
     client: client::Client,
@@ -92,8 +99,10 @@
         let dir = env::temp_dir().join(name);
         fs::create_dir_all(&dir)?;
         let fakes = process::Process::start("rhubarb-fakes", &[], &dir.join("fakes.log"))?;
+        let stutter = stutter::Stutter::start(fakes.http).await?;
         let mut stack = Stack {
             fakes,
+            stutter,
             entries: Vec::new(),
             agents: collections::BTreeMap::new(),
             relays: collections::BTreeMap::new(),
@@ -163,7 +172,7 @@
         self.agents.remove(server);
         let kind = if server.starts_with("yard") { "plain" } else { "engine" };
         let zone = zone_of(server);
-        let engine = format!("http://{}/{kind}/{server}", self.fakes.http);
+        let engine = format!("http://{}/{kind}/{server}", self.fakes_address());
         let answer_bytes = self.plan.answer_bytes.to_string();
         let settings = self.render_settings(
             include_str!("../../../examples/agent.ini"),
@@ -221,8 +230,13 @@
         Ok(())
     }
 
+    // Address at which the processes reach the fakes.
+    fn fakes_address(&self) -> net::SocketAddr {
+        if self.plan.stutters { self.stutter.address } else { self.fakes.http }
+    }
+
     fn render_settings(&self, example: &str, fields: &[(&str, &str)]) -> String {
-        let platform = self.fakes.http.to_string();
+        let platform = self.fakes_address().to_string();
         let mut text = String::new();
         for line in example.replace("127.0.0.1:9000", &platform).lines() {
             let key = line.split(" = ").next().unwrap_or_default();
--- a/crates/entry/src/entry.rs
+++ b/crates/entry/src/entry.rs
@@ -5,7 +5,7 @@
 use prometheus_client::metrics::gauge;
 
 use rhubarb_core::{ids, limit, outcome, usage};
-use rhubarb_node::{client, clock, locks, metrics, objects, table};
+use rhubarb_node::{clock, locks, metrics, objects, table};
 
 use crate::{connector, directory, peers, settings, view};
 
@@ -13,7 +13,6 @@
 #[derive(Debug)]
 pub(crate) struct Entry {
     pub(crate) settings: settings::Settings,
-    pub(crate) client: client::Client,
     pub(crate) table: table::Table,
     pub(crate) objects: objects::Objects,
     pub(crate) metrics: EntryMetrics,
@@ -51,7 +50,6 @@
 
 impl Entry {
     pub(crate) fn new(settings: settings::Settings) -> Entry {
-        let client = client::Client::new();
         let incarnation = rand::random();
         let ledger = usage::Ledger::new(settings.name.clone(), incarnation, clock::unix_ms());
         let metrics = EntryMetrics::new();
@@ -63,9 +61,8 @@
         Entry {
             peers: peers::Peers::new(identity, directory.clone()),
             directory,
-            table: table::Table::new(client.clone(), &settings.platform.table),
-            objects: objects::Objects::new(client.clone(), &settings.platform.objects),
-            client,
+            table: table::Table::new(&settings.platform.table),
+            objects: objects::Objects::new(&settings.platform.objects),
             metrics,
             stopping_since: sync::OnceLock::new(),
             open: atomic::AtomicU64::new(0),
--- a/crates/entry/src/lists.rs
+++ b/crates/entry/src/lists.rs
@@ -17,8 +17,7 @@
 
 /// Polls until the task is dropped.
 pub(crate) async fn run(entry: Shared) {
-    let instances =
-        instances::Instances::new(entry.client.clone(), &entry.settings.platform.instances);
+    let instances = instances::Instances::new(&entry.settings.platform.instances);
     loop {
         let (list_read, instances_read) = tokio::join!(read_list(&entry), instances.read());
         match instances_read {
--- a/crates/fakes/src/lib.rs
+++ b/crates/fakes/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod plain;
 pub mod routes;
 pub mod store;
+pub mod stutter;
 pub mod switch;
 pub mod table;
 pub mod tokens;
--- a/crates/node/src/client.rs
+++ b/crates/node/src/client.rs
@@ -38,10 +38,18 @@
 
 impl std::error::Error for CallError {}
 
-/// HTTP client with a connection pool.
+/// HTTP client, with or without a connection pool.
+///
+/// HTTP/1.1 has no request ids: an answer on a kept connection belongs to a request only if the
+/// server answers each request once. A server that answers one twice, the second time late, gives
+/// that answer to the next request on the connection. Where answers carry nothing that shows whose
+/// they are, use a client that sends one request on each connection.
 #[derive(Clone, Debug)]
 pub struct Client {
     inner: legacy::Client<legacy::connect::HttpConnector, Full<Bytes>>,
+    // Whether servers are asked to close the connection after their answer, so that its port is
+    // kept by the server for a while, not here.
+    server_closes: bool,
 }
 
 /// Response with its whole body.
@@ -72,21 +80,26 @@
 }
 
 impl Client {
-    /// Creates a client.
+    /// Creates a client that keeps connections open for further requests.
     pub fn new() -> Client {
-        let mut connector = legacy::connect::HttpConnector::new();
-        connector.set_nodelay(true);
-        connector.set_connect_timeout(Some(CONNECT_TIMEOUT));
-        // Detects connections that went silent without a reset, also while a response is awaited.
-        connector.set_keepalive(Some(PROBE_INTERVAL));
-        connector.set_keepalive_interval(Some(PROBE_INTERVAL));
-        connector.set_keepalive_retries(Some(MAX_PROBES));
-        // No probes are sent while data is unacknowledged.
-        connector.set_tcp_user_timeout(Some(UNACKED_TIMEOUT));
         // By default the client resends a request only if its pooled connection closed before any
         // byte was written, so a request runs at most once.
         let builder = legacy::Client::builder(rt::TokioExecutor::new());
-        Client { inner: builder.build(connector) }
+        Client { inner: builder.build(probed_connector()), server_closes: false }
+    }
+
+    /// Creates a client that opens a connection for each request, so that no answer to one request
+    /// is taken for that to another.
+    pub fn single_use() -> Client {
+        Client { inner: single_use_builder().build(probed_connector()), server_closes: true }
+    }
+
+    /// Creates a client for a server on the same machine, which opens a connection for each request.
+    ///
+    /// Such a connection does not go silent unless the server pauses, and a server may leave a
+    /// request unread for a while, so only the timeout of a request ends it.
+    pub fn for_local() -> Client {
+        Client { inner: single_use_builder().build(connector()), server_closes: false }
     }
 
     /// Sends `request` and returns the response once its head has arrived, within `timeout`.
@@ -95,9 +108,13 @@
     /// Returns an error that says whether the request can have reached the server.
     pub async fn send(
         &self,
-        request: Request<Full<Bytes>>,
+        mut request: Request<Full<Bytes>>,
         timeout: time::Duration,
     ) -> Result<Response<body::Incoming>, CallError> {
+        if self.server_closes {
+            let close = header::HeaderValue::from_static("close");
+            request.headers_mut().insert(header::CONNECTION, close);
+        }
         match tokio::time::timeout(timeout, self.inner.request(request)).await {
             Err(_) => Err(CallError::TimedOut(timeout)),
             Ok(Err(err)) if err.is_connect() => Err(CallError::Unreachable(describe(&err))),
@@ -147,6 +164,30 @@
     }
 }
 
+fn connector() -> legacy::connect::HttpConnector {
+    let mut connector = legacy::connect::HttpConnector::new();
+    connector.set_nodelay(true);
+    connector.set_connect_timeout(Some(CONNECT_TIMEOUT));
+    // Detects connections that went silent without a reset, also while a response is awaited.
+    connector.set_keepalive(Some(PROBE_INTERVAL));
+    connector.set_keepalive_interval(Some(PROBE_INTERVAL));
+    connector.set_keepalive_retries(Some(MAX_PROBES));
+    connector
+}
+
+// No probes are sent while data is unacknowledged, so that time is limited too.
+fn probed_connector() -> legacy::connect::HttpConnector {
+    let mut connector = connector();
+    connector.set_tcp_user_timeout(Some(UNACKED_TIMEOUT));
+    connector
+}
+
+fn single_use_builder() -> legacy::Builder {
+    let mut builder = legacy::Client::builder(rt::TokioExecutor::new());
+    builder.pool_max_idle_per_host(0);
+    builder
+}
+
 /// Builds a request.
 ///
 /// # Errors
--- a/crates/node/src/instances.rs
+++ b/crates/node/src/instances.rs
@@ -59,8 +59,8 @@
 
 impl Instances {
     /// Creates a client for the service at `url`.
-    pub fn new(client: client::Client, url: &str) -> Instances {
-        Instances { client, url: url.to_string() }
+    pub fn new(url: &str) -> Instances {
+        Instances { client: client::Client::single_use(), url: url.to_string() }
     }
 
     /// Reads the list.
--- a/crates/node/src/objects.rs
+++ b/crates/node/src/objects.rs
@@ -19,8 +19,8 @@
 
 impl Objects {
     /// Creates a client for the service at `url`.
-    pub fn new(client: client::Client, url: &str) -> Objects {
-        Objects { client, url: url.to_string() }
+    pub fn new(url: &str) -> Objects {
+        Objects { client: client::Client::single_use(), url: url.to_string() }
     }
 
     /// Stores an object; storing the same object again has no effect.
--- a/crates/node/src/table.rs
+++ b/crates/node/src/table.rs
@@ -53,8 +53,8 @@
 
 impl Table {
     /// Creates a client for the service at `url`.
-    pub fn new(client: client::Client, url: &str) -> Table {
-        Table { client, url: url.to_string() }
+    pub fn new(url: &str) -> Table {
+        Table { client: client::Client::single_use(), url: url.to_string() }
     }
 
     /// Reads a row; `None` if it is absent.
--- a/crates/report/src/main.rs
+++ b/crates/report/src/main.rs
@@ -87,7 +87,7 @@
         );
         return Ok(());
     };
-    let store = store::Store::new(client::Client::new(), *address);
+    let store = store::Store::new(client::Client::single_use(), *address);
     for name in names {
         store.remove_object(name, REQUEST_TIMEOUT).await?;
     }
@@ -104,7 +104,7 @@
     // reported as unknown.
     drop(file.section("ctl"));
     file.finish()?;
-    let objects = objects::Objects::new(client::Client::new(), &platform.objects);
+    let objects = objects::Objects::new(&platform.objects);
     let mut records = Vec::new();
     for name in objects.names("usage/").await? {
         let Some(content) = objects.get(&name).await? else { continue };
@@ -114,7 +114,7 @@
 }
 
 async fn read_store(address: net::SocketAddr) -> anyhow::Result<Vec<StoredRecord>> {
-    let store = store::Store::new(client::Client::new(), address);
+    let store = store::Store::new(client::Client::single_use(), address);
     let mut records = Vec::new();
     for name in store.list_objects(store::USAGE, REQUEST_TIMEOUT).await? {
         // A record that disappeared after the listing was removed on purpose.
