Keep what is known about leaving servers until its source says otherwise

A server that the platform's list names as leaving got requests again after the next load report or pong of its agent, which did not know it yet: both set one flag. The agent's own answer to the datagram that told it still said that it stays. Where no datagram reached the agent, its server got requests for as long as it lived.

A pool now keeps the list's word and the agent's apart; the agent's holds for its process, so that a late report does not undo it, and an agent reports after it has taken in what the entry says. The server of a pool has its own file.

--- a/crates/agent/src/heartbeats.rs
+++ b/crates/agent/src/heartbeats.rs
@@ -19,13 +19,14 @@
             agent.metrics.bad_peers.inc();
             continue;
         };
-        let report = datagram::Heartbeat::Report(report(&agent, &follow));
-        let bytes = datagram::encode(&agent.settings.keys, &report);
-        let _ = socket.send_to(&bytes, peer).await;
-        agent.lock().depends_ready |= follow.depends_ready;
+        // Recorded first, so that the report says it.
         if follow.leaving {
             lists::record_leaving(&agent);
         }
+        agent.lock().depends_ready |= follow.depends_ready;
+        let report = datagram::Heartbeat::Report(report(&agent, &follow));
+        let bytes = datagram::encode(&agent.settings.keys, &report);
+        let _ = socket.send_to(&bytes, peer).await;
         if lists::is_behind(&agent, follow.version) {
             lists::request_list(&agent);
         }
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -44,6 +44,7 @@
 pub mod revisions;
 pub mod routing;
 pub mod section;
+pub mod server;
 pub mod slots;
 pub mod sse;
 pub mod stages;
--- a/crates/core/src/pool.rs
+++ b/crates/core/src/pool.rs
@@ -2,37 +2,10 @@
 
 use std::{collections, time};
 
-use crate::{ids, load, outcome, outlier};
+use crate::{ids, load, outcome, outlier, server};
 
 use outcome::Reason;
 
-/// One server, as an entry knows it.
-#[derive(Clone, Debug)]
-pub struct Server {
-    /// Availability zone of the server.
-    pub zone: ids::ZoneName,
-    /// Last reported load.
-    pub load: load::Load,
-    /// When the load report was received.
-    pub reported_at: Option<time::Instant>,
-    /// Requests sent since the load report, which does not count them yet.
-    pub sent: u32,
-    /// Work sent since the load report.
-    pub sent_work: time::Duration,
-    /// Requests of this entry in flight.
-    pub open: u32,
-    /// Consecutive failures.
-    pub failures: u32,
-    /// Consecutive ejections.
-    pub ejections: u32,
-    /// End of its ejection; not chosen before, unless all servers are ejected.
-    pub ejected_until: Option<time::Instant>,
-    /// Whether it is leaving.
-    pub leaving: bool,
-    /// Rate of failures among its own answers to requests.
-    pub failure_rate: outlier::FailureRate,
-}
-
 /// Parameters of the health checks.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Tuning {
@@ -67,7 +40,7 @@
 pub struct Pool {
     zone: ids::ZoneName,
     tuning: Tuning,
-    servers: collections::BTreeMap<ids::ServerName, Server>,
+    servers: collections::BTreeMap<ids::ServerName, server::Server>,
 }
 
 /// Criteria for the choice of a server.
@@ -86,8 +59,6 @@
 
 /// Consecutive failures that eject a server.
 const EJECT_AFTER: u32 = 3;
-/// Maximum number of times that the length of an ejection doubles.
-const MAX_DOUBLINGS: u32 = 3;
 /// Length of the first ejection of a server that cannot be reached.
 const UNREACHABLE_EJECTION: time::Duration = time::Duration::from_secs(1);
 /// Length of the first ejection of a server that fails.
@@ -96,11 +67,7 @@
 const MAX_EJECTED_DIVISOR: usize = 3;
 /// Age above which a load report is stale.
 const STALE_AFTER: time::Duration = time::Duration::from_secs(5);
-/// Score of a server whose slots are all taken; the penalties below are in the same unit.
-const SCALE: u64 = 1000;
-/// Pending work that scores as much as a server whose slots are all taken.
-const WORK_SCALE_MS: u64 = 1000;
-/// Penalty of a server in another availability zone.
+/// Penalty of a server in another availability zone, like those below in units of a score.
 const REMOTE_PENALTY: u64 = 150;
 /// Margin by which the score of a prefix's preferred server may be worse than the best.
 const AFFINITY_MARGIN: u64 = 250;
@@ -121,19 +88,7 @@
 
     /// Adds a server or updates its availability zone.
     pub fn add(&mut self, name: &str, zone: &str) {
-        let new = || Server {
-            zone: zone.to_string(),
-            load: load::Load::default(),
-            reported_at: None,
-            sent: 0,
-            sent_work: time::Duration::ZERO,
-            open: 0,
-            failures: 0,
-            ejections: 0,
-            ejected_until: None,
-            leaving: false,
-            failure_rate: outlier::FailureRate::default(),
-        };
+        let new = || server::Server::new(zone);
         self.servers.entry(name.to_string()).or_insert_with(new).zone = zone.to_string();
     }
 
@@ -153,13 +108,13 @@
         let usable = self.servers.values().filter(|server| {
             let is_fresh = server.reported_at.is_some_and(|at| now <= at + STALE_AFTER);
             let is_ejected = server.ejected_until.is_some_and(|until| now < until);
-            is_fresh && server.load.slots > 0 && !server.leaving && !is_ejected
+            is_fresh && server.load.slots > 0 && !server.is_leaving() && !is_ejected
         });
         usable.count()
     }
 
     /// Looks a server up.
-    pub fn get(&self, name: &str) -> Option<&Server> {
+    pub fn get(&self, name: &str) -> Option<&server::Server> {
         self.servers.get(name)
     }
 
@@ -179,6 +134,43 @@
         }
     }
 
+    /// Updates a server with the newest load report of a process of its agent.
+    pub fn update_report(
+        &mut self,
+        name: &str,
+        incarnation: ids::Incarnation,
+        load: load::Load,
+        now: time::Instant,
+    ) {
+        let Some(server) = self.servers.get_mut(name) else { return };
+        if load.leaving {
+            server.leaver = Some(incarnation);
+        }
+        // A report that was written before the process left may come after one that says so.
+        let leaving = server.leaver == Some(incarnation);
+        self.update_load(name, load::Load { leaving, ..load }, now);
+    }
+
+    /// Records that a process of a server's agent said that it is leaving.
+    pub fn record_leaving(&mut self, name: &str, incarnation: ids::Incarnation) {
+        if let Some(server) = self.servers.get_mut(name) {
+            server.leaver = Some(incarnation);
+            server.leaving = true;
+        }
+    }
+
+    /// Sets whether the platform's list says that a server is leaving.
+    pub fn set_listed_leaving(&mut self, name: &str, leaving: bool) {
+        if let Some(server) = self.servers.get_mut(name) {
+            server.listed_leaving = leaving;
+        }
+    }
+
+    /// Whether a server is leaving; false for an unknown one.
+    pub fn is_leaving(&self, name: &str) -> bool {
+        self.servers.get(name).is_some_and(server::Server::is_leaving)
+    }
+
     /// Sets whether a server is leaving, as the platform reports.
     pub fn set_leaving(&mut self, name: &str, leaving: bool) {
         if let Some(server) = self.servers.get_mut(name) {
@@ -243,7 +235,8 @@
         let others: Vec<_> = self.servers.iter().filter(|(other, _)| *other != name).collect();
         let rates = others.iter().map(|(_, server)| &server.failure_rate);
         let median = outlier::median(rates);
-        let is_ejected = |server: &Server| server.ejected_until.is_some_and(|until| now < until);
+        let is_ejected =
+            |server: &server::Server| server.ejected_until.is_some_and(|until| now < until);
         let ejected = others.iter().filter(|(_, server)| is_ejected(server)).count();
         let backoff = self.tuning.backoff;
         if ejected * MAX_EJECTED_DIVISOR >= self.servers.len() {
@@ -300,8 +293,8 @@
         now: time::Instant,
     ) -> Vec<&ids::ServerName> {
         let staying =
-            || self.servers.iter().filter(|(name, server)| !server.leaving && allowed(name));
-        let is_healthy = |server: &Server| {
+            || self.servers.iter().filter(|(name, server)| !server.is_leaving() && allowed(name));
+        let is_healthy = |server: &server::Server| {
             server.ejected_until.is_none_or(|until| until <= now) && !self.is_suspect(server, now)
         };
         let is_tried = |name: &ids::ServerName| tried.iter().any(|other| other == name);
@@ -317,7 +310,7 @@
         (0..3).map(by_rank).find(|names| !names.is_empty()).unwrap_or_default()
     }
 
-    fn is_suspect(&self, server: &Server, now: time::Instant) -> bool {
+    fn is_suspect(&self, server: &server::Server, now: time::Instant) -> bool {
         let (Some(after), Some(at)) = (self.tuning.suspect_after, server.reported_at) else {
             return false;
         };
@@ -326,7 +319,7 @@
 
     fn score(&self, name: &ids::ServerName, by_work: bool, now: time::Instant) -> u64 {
         let server = &self.servers[name];
-        let mut score = if by_work { work_score(server, now) } else { busy_score(server) };
+        let mut score = if by_work { server.work_score(now) } else { server.busy_score() };
         if server.zone != self.zone {
             score += REMOTE_PENALTY;
         }
@@ -337,30 +330,6 @@
     }
 }
 
-impl Server {
-    fn eject(&mut self, length: time::Duration, backoff: bool, now: time::Instant) {
-        let factor = if backoff { 1 << self.ejections.min(MAX_DOUBLINGS) } else { 1 };
-        // Requests that fail at the same time eject the server once.
-        if self.ejected_until.is_none_or(|until| until <= now) {
-            self.ejections += 1;
-            self.ejected_until = Some(now + length * factor);
-        }
-    }
-}
-
 fn is_fault(reason: Reason) -> bool {
     matches!(reason, Reason::EngineFailed | Reason::EngineSilent | Reason::LostContact)
 }
-
-fn busy_score(server: &Server) -> u64 {
-    let busy = u64::from(server.load.held + 2 * server.load.waiting + server.sent);
-    busy.max(u64::from(server.open)) * SCALE / u64::from(server.load.slots.max(1))
-}
-
-// Score by pending work; the server works it off from the time of its report.
-fn work_score(server: &Server, now: time::Instant) -> u64 {
-    let reported = time::Duration::from_millis(u64::from(server.load.queue_ms));
-    let since = server.reported_at.map_or(time::Duration::ZERO, |at| now - at);
-    let left = (reported + server.sent_work).saturating_sub(since);
-    left.as_millis() as u64 * SCALE / WORK_SCALE_MS
-}
--- /dev/null
+++ b/crates/core/src/server.rs
@@ -0,0 +1,93 @@
+//! One server of a pool, as an entry knows it.
+
+use std::time;
+
+use crate::{ids, load, outlier};
+
+/// One server, as an entry knows it.
+#[derive(Clone, Debug)]
+pub struct Server {
+    /// Availability zone of the server.
+    pub zone: ids::ZoneName,
+    /// Last reported load.
+    pub load: load::Load,
+    /// When the load report was received.
+    pub reported_at: Option<time::Instant>,
+    /// Requests sent since the load report, which does not count them yet.
+    pub sent: u32,
+    /// Work sent since the load report.
+    pub sent_work: time::Duration,
+    /// Requests of this entry in flight.
+    pub open: u32,
+    /// Consecutive failures.
+    pub failures: u32,
+    /// Consecutive ejections.
+    pub ejections: u32,
+    /// End of its ejection; not chosen before, unless all servers are ejected.
+    pub ejected_until: Option<time::Instant>,
+    /// Whether it is leaving, as last reported.
+    pub leaving: bool,
+    /// Whether the platform's list says that it is leaving; load reports do not change it.
+    pub listed_leaving: bool,
+    /// Process of its agent that said that it is leaving, which that process never takes back.
+    pub leaver: Option<ids::Incarnation>,
+    /// Rate of failures among its own answers to requests.
+    pub failure_rate: outlier::FailureRate,
+}
+
+/// Maximum number of times that the length of an ejection doubles.
+const MAX_DOUBLINGS: u32 = 3;
+/// Score of a server whose slots are all taken.
+const SCALE: u64 = 1000;
+/// Pending work that scores as much as a server whose slots are all taken.
+const WORK_SCALE_MS: u64 = 1000;
+
+impl Server {
+    /// Creates a server in `zone` of which nothing is known yet.
+    pub(crate) fn new(zone: &str) -> Server {
+        Server {
+            zone: zone.to_string(),
+            load: load::Load::default(),
+            reported_at: None,
+            sent: 0,
+            sent_work: time::Duration::ZERO,
+            open: 0,
+            failures: 0,
+            ejections: 0,
+            ejected_until: None,
+            leaving: false,
+            listed_leaving: false,
+            leaver: None,
+            failure_rate: outlier::FailureRate::default(),
+        }
+    }
+
+    /// Whether the server is leaving, as its agent or the platform says.
+    pub fn is_leaving(&self) -> bool {
+        self.leaving || self.listed_leaving
+    }
+
+    /// Ejects the server for `length`, or longer after earlier ejections if `backoff` is set.
+    pub(crate) fn eject(&mut self, length: time::Duration, backoff: bool, now: time::Instant) {
+        let factor = if backoff { 1 << self.ejections.min(MAX_DOUBLINGS) } else { 1 };
+        // Requests that fail at the same time eject the server once.
+        if self.ejected_until.is_none_or(|until| until <= now) {
+            self.ejections += 1;
+            self.ejected_until = Some(now + length * factor);
+        }
+    }
+
+    /// Score by the number of requests; lower is better.
+    pub(crate) fn busy_score(&self) -> u64 {
+        let busy = u64::from(self.load.held + 2 * self.load.waiting + self.sent);
+        busy.max(u64::from(self.open)) * SCALE / u64::from(self.load.slots.max(1))
+    }
+
+    /// Score by pending work, which the server works off from the time of its report.
+    pub(crate) fn work_score(&self, now: time::Instant) -> u64 {
+        let reported = time::Duration::from_millis(u64::from(self.load.queue_ms));
+        let since = self.reported_at.map_or(time::Duration::ZERO, |at| now - at);
+        let left = (reported + self.sent_work).saturating_sub(since);
+        left.as_millis() as u64 * SCALE / WORK_SCALE_MS
+    }
+}
--- a/crates/e2e/src/relay.rs
+++ b/crates/e2e/src/relay.rs
@@ -31,6 +31,8 @@
     pub to_target: Mode,
     /// Mode from the target to the entry.
     pub to_entry: Mode,
+    /// Whether datagrams from the entry are lost.
+    pub datagrams_lost: bool,
     // Number of calls of `Relay::blackhole`; a connection compares it with the number at its start.
     blackholes: u64,
     // Likewise for `Relay::disconnect`.
@@ -65,7 +67,7 @@
                 relay_connection(entry, upstream, &shared);
             }
         });
-        tokio::spawn(forward_datagrams(udp, target));
+        tokio::spawn(forward_datagrams(udp, target, modes.subscribe()));
         Ok(Relay { address, modes })
     }
 
@@ -77,6 +79,11 @@
         });
     }
 
+    /// Loses all datagrams from entries from now on.
+    pub fn lose_datagrams(&self) {
+        self.modes.send_modify(|modes| modes.datagrams_lost = true);
+    }
+
     /// Stops forwarding on all open connections without closing them; new connections work.
     pub fn blackhole(&self) {
         self.modes.send_modify(|modes| modes.blackholes += 1);
@@ -88,12 +95,19 @@
     }
 }
 
-// Datagrams are forwarded regardless of the modes.
-async fn forward_datagrams(socket: tcp::UdpSocket, target: net::SocketAddr) {
+// Datagrams are forwarded regardless of the modes of TCP.
+async fn forward_datagrams(
+    socket: tcp::UdpSocket,
+    target: net::SocketAddr,
+    modes: watch::Receiver<Modes>,
+) {
     let socket = sync::Arc::new(socket);
     let mut entries = collections::BTreeMap::new();
     let mut buffer = vec![0; BUFFER_BYTES];
     while let Ok((length, entry)) = socket.recv_from(&mut buffer).await {
+        if modes.borrow().datagrams_lost {
+            continue;
+        }
         let upstream = match entries.entry(entry) {
             btree_map::Entry::Occupied(known) => known.into_mut(),
             btree_map::Entry::Vacant(vacant) => {
--- /dev/null
+++ b/crates/e2e/tests/leaving.rs
@@ -0,0 +1,66 @@
+//! Each way in which an entry or an agent learns that a server leaves, what could undo it, and the
+//! steps that send to the server afterwards.
+
+use std::time;
+
+use hyper::Method;
+
+use rhubarb_e2e::stack;
+
+/// Time between calls, which keeps the caller below its rate limit.
+const CALL_INTERVAL: time::Duration = time::Duration::from_millis(10);
+/// Time within which a leaving server gets its last new request.
+const NOTICE_LIMIT: time::Duration = time::Duration::from_secs(5);
+
+async fn start() -> stack::Stack {
+    let plan = stack::Plan { entries: 1, relays: true, ..stack::Plan::default() };
+    let stack = stack::Stack::start(plan).await.unwrap();
+    stack.wait_usable().await;
+    stack
+}
+
+// Sends plain calls for a while and returns how many reached the backend server.
+async fn calls_at(stack: &stack::Stack, server: &str, length: time::Duration) -> u64 {
+    let counter = format!("{server}-status");
+    let before = stack.runs(&counter).await;
+    let start = time::Instant::now();
+    while start.elapsed() < length {
+        let reply = stack.caller(0).call(Method::GET, "/yard-app/status", &[], "").await.unwrap();
+        assert_eq!(reply.status, 200, "{}", reply.body);
+        tokio::time::sleep(CALL_INTERVAL).await;
+    }
+    stack.runs(&counter).await - before
+}
+
+// Runs that an agent refused because it leaves.
+async fn refusals(stack: &stack::Stack, server: &str) -> u64 {
+    let metrics = stack.metrics(stack.agents[server].http).await;
+    let mut lines = metrics.lines();
+    let line = lines.find_map(|line| {
+        line.strip_prefix("rhubarb_agent_refused_total{reason=\"leaving\"} ")?.parse().ok()
+    });
+    line.unwrap_or(0)
+}
+
+// Guards against a load report that undoes what the platform's list says: the entry sent requests
+// to a server that it knew to be leaving.
+#[tokio::test(flavor = "multi_thread")]
+async fn report_keeps_listed() {
+    let stack = start().await;
+    stack.mark_leaving("yard-1").await.unwrap();
+    calls_at(&stack, "yard-1", NOTICE_LIMIT).await;
+    assert_eq!(refusals(&stack, "yard-1").await, 0);
+}
+
+// Guards against a pong that undoes what the platform's list says, while the agent does not know it:
+// the server got requests for as long as no datagram reached its agent.
+#[tokio::test(flavor = "multi_thread")]
+async fn pong_keeps_listed() {
+    let stack = start().await;
+    stack.relays["yard-1"].lose_datagrams();
+    stack.mark_leaving("yard-1").await.unwrap();
+    tokio::time::sleep(NOTICE_LIMIT).await;
+    let key = stack.key_owned_by("yard-1", "pong");
+    stack.caller(0).confirm(&key).await.unwrap();
+    assert_eq!(calls_at(&stack, "yard-1", time::Duration::from_secs(1)).await, 0);
+}
--- a/crates/entry/src/connection_manager.rs
+++ b/crates/entry/src/connection_manager.rs
@@ -138,7 +138,7 @@
         let agent = channel::AgentState { incarnation, clock_ms: pong.clock_ms, reported_at };
         self.is_awaited = false;
         self.reachability.send_modify(|reachability| reachability.agent = Some(agent));
-        self.directory.view().update_load(&self.server, pong.load, reported_at);
+        self.directory.view().update_load(&self.server, incarnation, pong.load, reported_at);
         self.directory.check_version(pong.version);
     }
 
@@ -263,6 +263,11 @@
                 self.forward(prefilled.run, event, true, connection).await
             }
             message::ToEntry::Refused(refused) => {
+                if refused.refusal.reason == Reason::Leaving
+                    && let Some(incarnation) = self.lifecycle.incarnation()
+                {
+                    self.directory.view().record_leaving(&self.server, incarnation);
+                }
                 let event = channel::Event::Refused(refused.refusal);
                 self.forward(refused.run, event, true, connection).await
             }
--- a/crates/entry/src/heartbeats.rs
+++ b/crates/entry/src/heartbeats.rs
@@ -78,7 +78,8 @@
             continue;
         }
         *last = report.seq;
-        entry.directory.view().update_load(&report.server, report.load, clock::now());
+        let datagram::Report { incarnation, load, .. } = report;
+        entry.directory.view().update_load(&report.server, incarnation, load, clock::now());
         entry.directory.check_version(report.version);
         if entry.directory.should_push(report.version) {
             tokio::spawn(lists::push(entry.clone(), report.server, report.version));
--- a/crates/entry/src/view.rs
+++ b/crates/entry/src/view.rs
@@ -187,9 +187,8 @@
         }
         let names: Vec<_> = pool.names().cloned().collect();
         for name in names {
-            if self.instances[&name].state == instances::State::Leaving {
-                pool.set_leaving(&name, true);
-            }
+            let is_leaving = self.instances[&name].state == instances::State::Leaving;
+            pool.set_listed_leaving(&name, is_leaving);
         }
     }
 
@@ -208,10 +207,24 @@
         self.pools.get_mut(&(service.to_string(), role))
     }
 
-    /// Updates the load of a server in the pools that contain it.
-    pub(crate) fn update_load(&mut self, server: &str, load: load::Load, now: time::Instant) {
+    /// Updates the load of a server, as reported by a process of its agent, in the pools that
+    /// contain it.
+    pub(crate) fn update_load(
+        &mut self,
+        server: &str,
+        incarnation: ids::Incarnation,
+        load: load::Load,
+        now: time::Instant,
+    ) {
+        for pool in self.pools.values_mut() {
+            pool.update_report(server, incarnation, load, now);
+        }
+    }
+
+    /// Records that a process of a server's agent refused a run because it is leaving.
+    pub(crate) fn record_leaving(&mut self, server: &str, incarnation: ids::Incarnation) {
         for pool in self.pools.values_mut() {
-            pool.update_load(server, load, now);
+            pool.record_leaving(server, incarnation);
         }
     }
 
