Tell the owner of a key that it is leaving before it gets the key

A request with a key goes to the key's owner even if the platform's list names the owner as leaving, because it may have the answer. Its agent refuses new keys only if it knows that it leaves, and it learned that from datagrams, or from the platform each 30 s: without datagrams it ran new keys.

Agents read their own row in each copied list, and no longer skip it while the service list does not name them.

e2e leaving::owner_told failed before: the new key ran (200 instead of 503 leaving).

--- a/crates/agent/src/lists.rs
+++ b/crates/agent/src/lists.rs
@@ -56,8 +56,14 @@
     Some(service_list::to_list_copy(update, serde_json::json!(state.instances).to_string()))
 }
 
-/// Applies a list from a peer; if its changes do not apply, the table is polled.
+/// Applies a list from a peer, and what its instance list says about this server; if its changes do
+/// not apply, the table is polled.
 pub(crate) fn apply_copy(agent: &agent::Agent, copy: &message::ListCopy) {
+    match serde_json::from_str::<Vec<instances::Instance>>(&copy.instances) {
+        Ok(listed) if is_leaving(agent, &listed) => record_leaving(agent),
+        Ok(_) => {}
+        Err(err) => tracing::warn!("agent: cannot parse the instance list of an entry: {err}"),
+    }
     for update in service_list::from_list_copy(copy) {
         if !apply(agent, &update) && is_behind(agent, copy.version) {
             agent.poll_requested.notify_one();
@@ -159,7 +165,15 @@
     }
 }
 
+fn is_leaving(agent: &agent::Agent, listed: &[instances::Instance]) -> bool {
+    let own = listed.iter().find(|instance| instance.name == agent.settings.server);
+    own.is_some_and(|own| own.state == instances::State::Leaving)
+}
+
 fn record_instances(agent: &agent::Agent, found: &[instances::Instance]) {
+    if is_leaving(agent, found) {
+        record_leaving(agent);
+    }
     let live: collections::BTreeSet<_> = found.iter().map(|instance| &instance.name).collect();
     let mut state = agent.lock();
     state.instances = found.to_vec();
@@ -170,10 +184,4 @@
     state.gone_servers = listed.iter().filter(|name| !live.contains(name)).cloned().collect();
     let gone_servers = state.gone_servers.clone();
     state.gate.observe(&listed, |name| gone_servers.contains(name), clock::now());
-    let own = found.iter().find(|instance| instance.name == agent.settings.server);
-    let is_leaving = own.is_some_and(|own| own.state == instances::State::Leaving);
-    drop(state);
-    if is_leaving {
-        record_leaving(agent);
-    }
 }
--- a/crates/e2e/tests/leaving.rs
+++ b/crates/e2e/tests/leaving.rs
@@ -64,3 +64,22 @@
     stack.caller(0).confirm(&key).await.unwrap();
     assert_eq!(calls_at(&stack, "yard-1", time::Duration::from_secs(1)).await, 0);
 }
+
+// Guards against new keys run by a leaving owner whose agent got no datagram.
+#[tokio::test(flavor = "multi_thread")]
+async fn owner_told() {
+    let stack = start().await;
+    let known = stack.key_owned_by("yard-1", "known");
+    let first = stack.caller(0).confirm(&known).await.unwrap();
+    assert_eq!(first.status, 200, "{}", first.body);
+    stack.relays["yard-1"].lose_datagrams();
+    stack.mark_leaving("yard-1").await.unwrap();
+    tokio::time::sleep(NOTICE_LIMIT).await;
+    let key = stack.key_owned_by("yard-1", "new");
+    let reply = stack.caller(0).confirm(&key).await.unwrap();
+    assert_eq!((reply.status, reply.reason().as_str()), (503, "leaving"), "{}", reply.body);
+    assert_eq!(reply.outcome(), Some("not-run"));
+    assert_eq!(stack.runs(&key).await, 0);
+    let again = stack.caller(0).confirm(&known).await.unwrap();
+    assert_eq!((again.status, again.body), (200, first.body));
+}
--- a/crates/entry/src/connection_manager.rs
+++ b/crates/entry/src/connection_manager.rs
@@ -237,6 +237,13 @@
                 }
                 let reassembly = reassembly::Reassembly::default();
                 self.runs.insert(run, OpenRun { sink, reassembly, has_head: false });
+                // The owner of a key is used even if it is leaving, for the answers that it keeps.
+                // Heartbeats may not have told its agent to refuse new runs.
+                if let Some(copy) = self.directory.leaving_copy(&self.server)
+                    && !connection.send(&message::ToAgent::List(copy)).await
+                {
+                    return false;
+                }
                 connection.send(&message).await && self.keep_alive(connection).await
             }
             channel::Command::Send(message) => connection.send(&message).await,
--- a/crates/entry/src/directory.rs
+++ b/crates/entry/src/directory.rs
@@ -78,6 +78,18 @@
         Some(service_list::to_list_copy(update, serde_json::json!(listed).to_string()))
     }
 
+    /// Copy without a list that tells the agent of `server` that its instance is leaving; `None` if
+    /// the instance list does not say so.
+    pub(crate) fn leaving_copy(&self, server: &str) -> Option<message::ListCopy> {
+        let view = self.view();
+        let instance = view.leaving_instance(server)?;
+        Some(message::ListCopy {
+            version: view.version(),
+            body: message::ListBody::Changes(Vec::new()),
+            instances: serde_json::json!([instance]).to_string(),
+        })
+    }
+
     /// Whether this entry sends the list to an agent that has `version`.
     pub(crate) fn should_push(&self, version: ids::ListVersion) -> bool {
         version < self.view().version() && rand::random::<f64>() < PUSH_PROBABILITY
--- a/crates/entry/src/view.rs
+++ b/crates/entry/src/view.rs
@@ -228,6 +228,12 @@
         }
     }
 
+    /// Row of a server in the instance list if it says that the server is leaving.
+    pub(crate) fn leaving_instance(&self, server: &str) -> Option<&instances::Instance> {
+        let instance = self.instances.get(server)?;
+        (instance.state == instances::State::Leaving).then_some(instance)
+    }
+
     /// Owner of an idempotency key.
     pub(crate) fn owner(&self, service: &str, key: ids::KeyHash) -> Option<ids::ServerName> {
         self.members.get(service)?.owner(key).cloned()
