Charge the refusal of a prefill server to that server alone

A completion whose prefill failed released its decode slot with the prefill's reason, so that the decode server, which had done nothing wrong, was taken to be leaving or to have failed. With one engine of each stage leaving, callers got no-server although the other two served.

--- a/crates/e2e/tests/leaving.rs
+++ b/crates/e2e/tests/leaving.rs
@@ -7,6 +7,8 @@
 
 use rhubarb_e2e::stack;
 
+const CALLS: usize = 30;
+const TOKENS: u32 = 8;
 /// Time between calls, which keeps the caller below its rate limit.
 const CALL_INTERVAL: time::Duration = time::Duration::from_millis(10);
 /// Time within which a leaving server gets its last new request.
@@ -83,3 +85,18 @@
     let again = stack.caller(0).confirm(&known).await.unwrap();
     assert_eq!((again.status, again.body), (200, first.body));
 }
+
+// Guards against a decode server charged with the refusal of a prefill server: the next completions
+// found no server.
+#[tokio::test(flavor = "multi_thread")]
+async fn refusal_attributed() {
+    let stack = start().await;
+    for server in ["decode-1", "prefill-1"] {
+        stack.relays[server].lose_datagrams();
+        stack.ctl(&["drain", server]).unwrap();
+    }
+    for number in 0..CALLS {
+        let reply = stack.caller(0).complete(&format!("lot {number}"), TOKENS).await.unwrap();
+        assert_eq!(reply.status, 200, "{}", reply.body);
+    }
+}
--- a/crates/entry/src/completion.rs
+++ b/crates/entry/src/completion.rs
@@ -24,6 +24,8 @@
     prefilled: Option<message::Prefilled>,
     // Server that prefilled the prompt, until a token confirms that the result was usable.
     prefill_server: Option<ids::ServerName>,
+    // Whether the attempt failed at its prefill server, so that the decode server is not at fault.
+    prefill_failed: bool,
     // Bytes of the response body after its last complete line.
     partial_line: Vec<u8>,
     tokens_sent: u32,
@@ -83,6 +85,7 @@
             decode: None,
             prefilled: None,
             prefill_server: None,
+            prefill_failed: false,
             partial_line: Vec::new(),
             tokens_sent: 0,
             prompt_tokens: 0,
@@ -100,7 +103,11 @@
     async fn execute(&mut self, step: flow::Step) -> Option<flow::Event> {
         match step {
             flow::Step::Reserve => return Some(self.reserve().await),
-            flow::Step::Prefill => return Some(self.prefill().await),
+            flow::Step::Prefill => {
+                let event = self.prefill().await;
+                self.prefill_failed = failure_reason(&event).is_some();
+                return Some(event);
+            }
             flow::Step::Send => return Some(self.decode().await),
             flow::Step::Replay => return Some(self.stream().await),
             flow::Step::Release(reason) => self.release(Some(reason)),
@@ -333,12 +340,14 @@
         }
         if let Some(decode) = self.decode.take() {
             let outcome = match reason {
+                Some(_) if self.prefill_failed => pool::ServerOutcome::Unknown,
                 Some(reason) => pool::ServerOutcome::Failure(reason),
                 None if self.first_at.is_some() => pool::ServerOutcome::Success,
                 None => pool::ServerOutcome::Unknown,
             };
             selection::record_end(&self.ticket, &decode.server, list::Role::Decode, outcome);
         }
+        self.prefill_failed = false;
         if let Some(prefilled) = self.prefilled.take() {
             let ticket = &self.ticket;
             let reason = reason.unwrap_or(Reason::Withdrawn);
