Check again that a server stays once the link to its agent is open

An entry checked whether a server leaves when it chose the server, then connected or probed the link for up to a second, and sent the request although the agent's answer said that it leaves. The agent refused it, and the request took a retry from the budget.

All attempts select and connect in one place, which selects another server if the first is found to be leaving. The owner of a key is exempt, and told first.

--- a/crates/e2e/tests/leaving.rs
+++ b/crates/e2e/tests/leaving.rs
@@ -13,6 +13,8 @@
 const CALL_INTERVAL: time::Duration = time::Duration::from_millis(10);
 /// Time within which a leaving server gets its last new request.
 const NOTICE_LIMIT: time::Duration = time::Duration::from_secs(5);
+/// Time after which a link is probed before use.
+const LINK_IDLE: time::Duration = time::Duration::from_millis(2200);
 
 async fn start() -> stack::Stack {
     let plan = stack::Plan { entries: 1, relays: true, ..stack::Plan::default() };
@@ -100,3 +102,27 @@
         assert_eq!(reply.status, 200, "{}", reply.body);
     }
 }
+
+// Guards against a request sent to a server whose agent said that it leaves after it was chosen,
+// while the link to it was probed.
+#[tokio::test(flavor = "multi_thread")]
+async fn checked_before_send() {
+    let stack = start().await;
+    let leaving = ["yard-1", "decode-1", "prefill-1"];
+    for server in leaving {
+        stack.relays[server].lose_datagrams();
+    }
+    tokio::time::sleep(LINK_IDLE).await;
+    for server in leaving {
+        stack.ctl(&["drain", server]).unwrap();
+    }
+    for number in 0..CALLS {
+        let reply = stack.caller(0).call(Method::GET, "/yard-app/x", &[], "").await.unwrap();
+        assert_eq!(reply.status, 200, "{}", reply.body);
+        let reply = stack.caller(0).complete(&format!("lot {number}"), TOKENS).await.unwrap();
+        assert_eq!(reply.status, 200, "{}", reply.body);
+    }
+    for server in leaving {
+        assert_eq!(refusals(&stack, server).await, 0, "{server}");
+    }
+}
--- a/crates/entry/src/completion.rs
+++ b/crates/entry/src/completion.rs
@@ -134,23 +134,17 @@
 
     async fn reserve(&mut self) -> flow::Event {
         let keyed = self.ticket.key.is_some();
-        let Some(server) =
-            selection::choose(&self.ticket, list::Role::Decode, self.flow.tried(), None)
-        else {
-            self.ticket.entry.directory.request_refresh();
-            return self.server_unreachable(None, keyed);
-        };
-        let Some(peer) = self.ticket.entry.peers.get(&server) else {
-            return self.server_unreachable(Some(server), keyed);
-        };
-        let Some(agent) = peer.connect().await else {
-            selection::record_end(
-                &self.ticket,
-                &server,
-                list::Role::Decode,
-                pool::ServerOutcome::Failure(Reason::NoServer),
-            );
-            return self.server_unreachable(Some(server), keyed);
+        let role = list::Role::Decode;
+        let selected = selection::connect(&self.ticket, role, self.flow.tried(), None).await;
+        let selection::Selected { server, peer, agent } = match selected {
+            Ok(selected) => selected,
+            Err(selection::SelectError::NoServer) => {
+                self.ticket.entry.directory.request_refresh();
+                return self.server_unreachable(None, keyed);
+            }
+            Err(selection::SelectError::Unreachable(server)) => {
+                return self.server_unreachable(Some(server), keyed);
+            }
         };
         let wait_deadline = self.ticket.deadline.min(clock::now() + self.targets.max_wait);
         let run_id = self.ticket.entry.peers.next_run_id();
@@ -194,29 +188,25 @@
 
     // A prefill produces no output for the caller, so an attempt that fails here counts as not run.
     async fn prefill(&mut self) -> flow::Event {
-        let Some(server) = selection::choose(
-            &self.ticket,
-            list::Role::Prefill,
-            self.flow.tried(),
-            Some(&self.request.prompt),
-        ) else {
-            return self.server_unreachable(None, false);
+        let (tried, prompt) = (self.flow.tried(), Some(self.request.prompt.as_str()));
+        let selected = selection::connect(&self.ticket, list::Role::Prefill, tried, prompt).await;
+        let selected = match selected {
+            Ok(selected) => selected,
+            Err(selection::SelectError::NoServer) => return self.server_unreachable(None, false),
+            Err(selection::SelectError::Unreachable(server)) => {
+                return self.server_unreachable(Some(server), false);
+            }
         };
-        let event = self.prefill_at(&server).await;
+        let server = selected.server.clone();
+        let event = self.prefill_at(selected).await;
         let outcome = failure_reason(&event)
             .map_or(pool::ServerOutcome::Unknown, pool::ServerOutcome::Failure);
         selection::record_end(&self.ticket, &server, list::Role::Prefill, outcome);
         event
     }
 
-    async fn prefill_at(&mut self, server: &ids::ServerName) -> flow::Event {
-        let connected = match self.ticket.entry.peers.get(server) {
-            Some(peer) => peer.connect().await.map(|agent| (peer, agent)),
-            None => None,
-        };
-        let Some((peer, agent)) = connected else {
-            return self.server_unreachable(Some(server.clone()), false);
-        };
+    async fn prefill_at(&mut self, selected: selection::Selected) -> flow::Event {
+        let selection::Selected { server, peer, agent } = selected;
         let run_id = self.ticket.entry.peers.next_run_id();
         let message = message::ToAgent::Prefill(message::Prefill {
             run: run_id,
@@ -232,14 +222,14 @@
             responder::WaitOutcome::Event(channel::Event::Prefilled(prefilled)) => {
                 self.record_prefill(&prefilled);
                 self.prefilled = Some(prefilled);
-                self.prefill_server = Some(server.clone());
+                self.prefill_server = Some(server);
                 flow::Event::Prefilled
             }
             responder::WaitOutcome::Event(channel::Event::Refused(refusal)) => {
                 let refusal = Refusal { outcome: Outcome::NotRun, ..refusal };
-                self.failure_event(Some(server.clone()), refusal)
+                self.failure_event(Some(server), refusal)
             }
-            result => self.wait_failure_event(server.clone(), result),
+            result => self.wait_failure_event(server, result),
         }
     }
 
--- a/crates/entry/src/plain.rs
+++ b/crates/entry/src/plain.rs
@@ -84,29 +84,31 @@
         let keyed = self.ticket.key.is_some();
         let unreachable =
             refuse::local_refusal(Refusal::not_run(Reason::NoServer, RETRY_SOON), keyed);
-        let Some(server) =
-            selection::choose(&self.ticket, list::Role::Plain, self.flow.tried(), None)
-        else {
-            self.ticket.entry.directory.request_refresh();
-            return self.failure_event(None, unreachable);
+        let role = list::Role::Plain;
+        let selected = selection::connect(&self.ticket, role, self.flow.tried(), None).await;
+        let selected = match selected {
+            Ok(selected) => selected,
+            Err(selection::SelectError::NoServer) => {
+                self.ticket.entry.directory.request_refresh();
+                return self.failure_event(None, unreachable);
+            }
+            Err(selection::SelectError::Unreachable(server)) => {
+                return self.failure_event(Some(server), unreachable);
+            }
         };
-        let event = self.attempt_at(&server, unreachable).await;
+        let server = selected.server.clone();
+        let event = self.attempt_at(selected).await;
         let outcome = match &event {
             flow::Event::Failed { refusal, .. } => pool::ServerOutcome::Failure(refusal.reason),
             flow::Event::Ended => pool::ServerOutcome::Success,
             _ => pool::ServerOutcome::Unknown,
         };
-        selection::record_end(&self.ticket, &server, list::Role::Plain, outcome);
+        selection::record_end(&self.ticket, &server, role, outcome);
         event
     }
 
-    async fn attempt_at(&mut self, server: &ids::ServerName, unreachable: Refusal) -> flow::Event {
-        let Some(peer) = self.ticket.entry.peers.get(server) else {
-            return self.failure_event(Some(server.clone()), unreachable);
-        };
-        let Some(agent) = peer.connect().await else {
-            return self.failure_event(Some(server.clone()), unreachable);
-        };
+    async fn attempt_at(&mut self, selected: selection::Selected) -> flow::Event {
+        let selection::Selected { server, peer, agent } = selected;
         let run_id = self.ticket.entry.peers.next_run_id();
         let message = message::ToAgent::Offer(offer::Offer {
             run: run_id,
@@ -134,7 +136,7 @@
                 }
                 responder::WaitOutcome::Event(channel::Event::End) => return flow::Event::Ended,
                 responder::WaitOutcome::Event(channel::Event::Refused(refusal)) => {
-                    return self.failure_event(Some(server.clone()), refusal);
+                    return self.failure_event(Some(server), refusal);
                 }
                 responder::WaitOutcome::Event(_) => {}
                 responder::WaitOutcome::Disconnected => return flow::Event::CallerGone,
