--- a/crates/fakes/src/lib.rs
+++ b/crates/fakes/src/lib.rs
@@ -22,6 +22,7 @@
 pub mod plain;
 pub mod routes;
 pub mod store;
+pub mod stutter;
 pub mod switch;
 pub mod table;
 pub mod tokens;
