--- a/crates/e2e/src/call.rs
+++ b/crates/e2e/src/call.rs
@@ -49,11 +49,13 @@
             request.headers_mut().insert(name, value);
         }
         let (head, body) = client.send(request, CALL_TIMEOUT).await?.into_parts();
+        let head_after = start.elapsed();
         let reading = response::read_body(body, MAX_BODY_BYTES);
         let body = tokio::time::timeout(CALL_TIMEOUT, reading).await.ok().and_then(Result::ok);
         Ok(Reply {
             status: head.status.as_u16(),
             headers: head.headers,
+            head_after,
             body: body.map(|body| String::from_utf8_lossy(&body).into_owned()),
             elapsed: start.elapsed(),
         })
@@ -67,6 +69,8 @@
     pub status: u16,
     /// Headers.
     pub headers: HeaderMap,
+    /// Time from sending the request to the head of the response.
+    pub head_after: time::Duration,
     /// Response body; `None` if it was cut off.
     pub body: Option<String>,
     /// Time from sending the request to the end of the response.
--- a/crates/e2e/src/edge.rs
+++ b/crates/e2e/src/edge.rs
@@ -15,7 +15,8 @@
     pub(crate) child: process::Child,
     /// Address for callers.
     pub frontend: net::SocketAddr,
-    pub(crate) ready: net::SocketAddr,
+    /// Address of the readiness check.
+    pub ready: net::SocketAddr,
     pub(crate) settings: path::PathBuf,
     pub(crate) log: path::PathBuf,
 }
@@ -23,9 +24,7 @@
 impl Edge {
     /// Whether the entry reports to the load balancer that it accepts connections.
     pub async fn is_ready(&self) -> bool {
-        let url = format!("http://{}/v1/ready", self.ready);
-        let reply = client::Client::new().get(&url, time::Duration::from_secs(1)).await;
-        reply.is_ok_and(|reply| reply.status.is_success())
+        is_ready(self.ready).await
     }
 
     /// User and system CPU time of the process.
@@ -82,7 +81,7 @@
         Ok(fs::write(&self.settings, text.replace(from, to))?)
     }
 
-    /// Sends a signal to the process.
+    /// Sends a signal to the process, which must not have ended.
     pub fn signal(&self, signal: signals::Signal) {
         let pid = signals::Pid::from_child(&self.child);
         signals::kill_process(pid, signal).expect("the process is running");
@@ -136,6 +135,13 @@
     }
 }
 
+/// Whether an entry says at its address for readiness checks that it accepts connections.
+pub async fn is_ready(address: net::SocketAddr) -> bool {
+    let url = format!("http://{address}/v1/ready");
+    let reply = client::Client::new().get(&url, time::Duration::from_secs(1)).await;
+    reply.is_ok_and(|reply| reply.status.is_success())
+}
+
 /// Starts an entry process with a settings file and appends its standard output to `log`.
 pub(crate) fn spawn(settings: &path::Path, log: &path::Path) -> anyhow::Result<process::Child> {
     process::Command::new(programs::program_path("rhubarb-edge"))
--- a/crates/e2e/src/site.rs
+++ b/crates/e2e/src/site.rs
@@ -22,8 +22,12 @@
     pub decode: Vec<backend::Backend>,
     /// Relays in front of the servers, by server id.
     pub relays: collections::BTreeMap<String, relay::Relay>,
+    /// Servers that others replaced.
+    pub replaced: Vec<backend::Backend>,
     /// Entry processes.
     pub edges: Vec<edge::Edge>,
+    /// Relays between the entries and the store, by number of the entry; empty without relays.
+    pub store_relays: Vec<relay::Relay>,
     handles: handles::Handles,
     dir: path::PathBuf,
     subnet: [u8; 2],
@@ -40,7 +44,7 @@
     pub prefill: usize,
     /// Decode engines.
     pub decode: usize,
-    /// Whether entries reach the servers through relays.
+    /// Whether entries reach the servers and the store through relays.
     pub relays: bool,
 }
 
@@ -106,7 +110,9 @@
             prefill: backends("prefill", "prefill", sizes.prefill),
             decode: backends("decode", "decode", sizes.decode),
             relays: collections::BTreeMap::new(),
+            replaced: Vec::new(),
             edges: Vec::new(),
+            store_relays: Vec::new(),
             handles: handles.clone(),
             dir,
             subnet,
@@ -156,6 +162,28 @@
         Ok(())
     }
 
+    /// Starts a server with another id in place of `old`, whose row is removed and whose relay closes
+    /// its connections and forwards nothing on new ones.
+    ///
+    /// # Errors
+    /// Returns an error if no port is free.
+    pub async fn replace_server(&mut self, old: &backend::Backend) -> anyhow::Result<()> {
+        let id = format!("{}-{}", old.id, self.replaced.len());
+        let backend = backend::Backend::new(&id, &old.stage().0, &self.handles);
+        let address = backend.serve(self.ip(1)).await?;
+        if let Some(relay) = self.relays.get(&old.id) {
+            relay.disconnect();
+            relay.set_modes(relay::Mode::Buffer, relay::Mode::Buffer);
+            self.relays.insert(id, relay::Relay::start(address).await?);
+        }
+        self.store.remove("servers", &old.id);
+        self.announce(&backend, "ready");
+        let all = self.plain.iter_mut().chain(&mut self.prefill).chain(&mut self.decode);
+        all.filter(|server| server.id == old.id).for_each(|server| *server = backend.clone());
+        self.replaced.push(old.clone());
+        Ok(())
+    }
+
     /// Kills an entry that still runs and starts it again with the same settings.
     ///
     /// # Errors
@@ -242,7 +270,12 @@
     pub async fn add_edge(&mut self) -> anyhow::Result<()> {
         let number = self.edges.len();
         let ip = self.ip(10 + number as u8);
-        let store = self.serve_store().await?;
+        let mut store = self.serve_store().await?;
+        if !self.relays.is_empty() {
+            let relay = relay::Relay::start(store).await?;
+            store = relay.address;
+            self.store_relays.push(relay);
+        }
         let settings = self.dir.join(format!("edge-{number}.conf"));
         fs::write(&settings, self.settings(number, ip, store))?;
         let log = self.dir.join(format!("edge-{number}.log"));
--- a/crates/e2e/tests/platform_plain.rs
+++ b/crates/e2e/tests/platform_plain.rs
@@ -17,7 +17,7 @@
     let reply = site.edges[0].call_with(Method::POST, path, "a1", "body", &forged).await?;
     assert_eq!((reply.status, reply.body.as_deref()), (200, Some("body")));
     let ran = site.plain.iter().find(|plain| plain.runs().contains_key("a1"));
-    let seal = ran.map(backend::Backend::seal).unwrap_or_default();
+    let seal = ran.map(|plain| plain.seal("a1")).unwrap_or_default();
     assert_eq!(reply.headers["x-response-seal"], seal.as_str());
     let seen: Vec<_> = site.plain.iter().flat_map(|plain| plain.requests()).collect();
     assert_eq!(seen.len(), 1);
--- a/crates/fakes/src/backend.rs
+++ b/crates/fakes/src/backend.rs
@@ -109,10 +109,11 @@
         let address = listener.local_addr()?;
         self.state().address = Some(address);
         let shared = self.clone();
-        tokio::spawn(server::serve(listener, server::Limits::default(), move |request| {
+        let handle = move |request| {
             let backend = shared.clone();
             async move { backend.handle(request).await }
-        }));
+        };
+        tokio::spawn(server::serve(listener, server::Limits::default(), handle));
         Ok(address)
     }
 
@@ -199,9 +200,10 @@
         state.holds.values().filter(|at| oldest.is_none_or(|oldest| **at >= oldest)).count()
     }
 
-    /// Seal of the answers to executed requests; differs between the starts of a server.
-    pub fn seal(&self) -> String {
-        format!("{}.{}", self.id, self.born())
+    /// Seal of the answer to the executed request `attempt`: the id of the server, its start as in
+    /// [`Backend::born`], and the attempt, separated by slashes.
+    pub fn seal(&self, attempt: &str) -> String {
+        format!("{}/{}/{attempt}", self.id, self.born())
     }
 
     /// Current stage and the number of accepted orders.
@@ -300,14 +302,7 @@
     }
 
     fn report(&self) -> Response<response::Body> {
-        let state = self.state();
-        response::json(
-            StatusCode::OK,
-            &json!({
-                "stage": state.stage.name, "models": [], "busy": false, "sequence": state.stage.orders,
-                "waiting": 0, "running": self.running(), "kv_used": 0, "kv_total": 0, "handles": 0,
-            }),
-        )
+        response::json(StatusCode::OK, &self.state().stage.report(self.running()))
     }
 
     fn order(&self, content: &Bytes) -> Response<response::Body> {
@@ -342,8 +337,8 @@
         }
         let is_plain = self.state().stage.name.is_empty();
         let mut reply = match is_plain {
-            true => self.answer_plain(content, fault).await,
-            false => self.stream(headers, fault),
+            true => self.answer_plain(&attempt, content, fault).await,
+            false => self.stream(&attempt, headers, fault),
         };
         if fault == Fault::OtherId {
             reply.headers_mut().insert(replies::ATTEMPT_ID, replies::header_value("other"));
@@ -361,7 +356,12 @@
         response::json(StatusCode::OK, &json!({"handle": handle, "tokens": 100, "version": 1}))
     }
 
-    async fn answer_plain(&self, content: Bytes, fault: Fault) -> Response<response::Body> {
+    async fn answer_plain(
+        &self,
+        attempt: &str,
+        content: Bytes,
+        fault: Fault,
+    ) -> Response<response::Body> {
         let _running = self.inner.running.start();
         let status = match fault {
             Fault::Hangs => {
@@ -373,11 +373,11 @@
             _ => StatusCode::OK,
         };
         let mut reply = response::text(status, content);
-        replies::seal(reply.headers_mut(), &self.seal());
+        replies::seal(reply.headers_mut(), &self.seal(attempt));
         reply
     }
 
-    fn stream(&self, headers: &HeaderMap, fault: Fault) -> Response<response::Body> {
+    fn stream(&self, attempt: &str, headers: &HeaderMap, fault: Fault) -> Response<response::Body> {
         let last = replies::header_text(headers, "last-event-id").parse().ok();
         let last: Option<u64> = last.filter(|_| fault != Fault::StartsOver);
         let first = last.map_or(0, |last| last + 1);
@@ -391,7 +391,7 @@
             }
         });
         let mut reply = Response::new(response::stream(receiver));
-        replies::seal(reply.headers_mut(), &self.seal());
+        replies::seal(reply.headers_mut(), &self.seal(attempt));
         reply
             .headers_mut()
             .insert(header::CONTENT_TYPE, replies::header_value("text/event-stream"));
--- a/crates/fakes/src/stage.rs
+++ b/crates/fakes/src/stage.rs
@@ -2,6 +2,7 @@
 
 use bytes::Bytes;
 use hyper::StatusCode;
+use serde_json::json;
 
 /// Stage and accepted orders.
 #[derive(Debug, Default)]
@@ -31,6 +32,14 @@
         StatusCode::ACCEPTED
     }
 
+    /// Body of a report while `running` requests are executed.
+    pub(crate) fn report(&self, running: u64) -> serde_json::Value {
+        json!({
+            "stage": self.name, "models": [], "busy": false, "sequence": self.orders,
+            "waiting": 0, "running": running, "kv_used": 0, "kv_total": 0, "handles": 0,
+        })
+    }
+
     /// Forgets all orders, as a restart does.
     pub(crate) fn restart(&mut self) {
         self.orders = 0;
--- a/crates/node/src/client.rs
+++ b/crates/node/src/client.rs
@@ -55,6 +55,8 @@
     pub body: Bytes,
 }
 
+/// Idle time after which a connection is not reused, the default of the client library.
+const IDLE_TIMEOUT: time::Duration = time::Duration::from_secs(90);
 const CONNECT_TIMEOUT: time::Duration = time::Duration::from_secs(2);
 /// Idle time before the first keepalive probe, and interval between probes.
 const PROBE_INTERVAL: time::Duration = time::Duration::from_secs(1);
@@ -71,6 +73,11 @@
 impl Client {
     /// Creates a client.
     pub fn new() -> Client {
+        Client::with_idle_timeout(IDLE_TIMEOUT)
+    }
+
+    /// Creates a client that reuses connections that have been idle for at most `timeout`.
+    pub fn with_idle_timeout(timeout: time::Duration) -> Client {
         let mut connector = legacy::connect::HttpConnector::new();
         connector.set_nodelay(true);
         connector.set_connect_timeout(Some(CONNECT_TIMEOUT));
@@ -80,7 +87,8 @@
         connector.set_keepalive_retries(Some(MAX_PROBES));
         // By default the client resends a request only if its pooled connection closed before any
         // byte was written, so a request runs at most once.
-        let builder = legacy::Client::builder(rt::TokioExecutor::new());
+        let mut builder = legacy::Client::builder(rt::TokioExecutor::new());
+        builder.pool_idle_timeout(timeout);
         Client { inner: builder.build(connector) }
     }
 
--- a/crates/soak/src/callers.rs
+++ b/crates/soak/src/callers.rs
@@ -16,6 +16,8 @@
     pub(crate) history: sync::Mutex<record::History>,
     /// Addresses of the entries.
     pub(crate) edges: Vec<net::SocketAddr>,
+    /// Addresses of their readiness checks.
+    pub(crate) ready: Vec<net::SocketAddr>,
     /// Latest version of the config in the store.
     pub(crate) version: atomic::AtomicU64,
     /// Whether callers and probes have to end.
@@ -24,6 +26,8 @@
     pub(crate) next_attempt: atomic::AtomicU64,
 }
 
+/// Share of the callers that send all requests to one entry.
+const STAY_RATIO: f64 = 0.5;
 /// Share of the requests that their caller abandons.
 const ABANDON_RATIO: f64 = 0.1;
 /// Time after which a caller abandons a request.
@@ -32,22 +36,35 @@
 const PAUSE_MS: std::ops::Range<u64> = 1..40;
 /// Interval between two probes of the config of an entry.
 const PROBE_INTERVAL: time::Duration = time::Duration::from_millis(150);
+/// Number of entries up to which that interval holds; with more, all together are probed as often as
+/// these.
+const PROBED_OFTEN: usize = 8;
+/// Idle time after which a connection is not reused: how long users' callers reuse one.
+const IDLE_TIMEOUT: time::Duration = time::Duration::from_secs(12);
 
 impl Shared {
     pub(crate) fn history(&self) -> sync::MutexGuard<'_, record::History> {
         locks::lock(&self.history)
     }
 
+    fn note_sent(&self, attempt: &str, edge: usize) {
+        let sent = record::Sent { edge, at: time::Instant::now() };
+        self.history().sent.insert(attempt.to_string(), sent);
+    }
+
     fn is_stopped(&self) -> bool {
         self.stopped.load(atomic::Ordering::Relaxed)
     }
 }
 
-/// Sends requests until `shared.stopped` is set.
+/// Sends requests until `shared.stopped` is set. Uses open connections as long as the entry has them
+/// open, whatever happens to it; some callers stay with one entry.
 pub(crate) async fn run(shared: sync::Arc<Shared>) {
-    let client = client::Client::new();
+    let client = client::Client::with_idle_timeout(IDLE_TIMEOUT);
+    let home = rand::random_range(0..shared.edges.len());
+    let stays = rand::random_bool(STAY_RATIO);
     while !shared.is_stopped() {
-        let edge = rand::random_range(0..shared.edges.len());
+        let edge = if stays { home } else { rand::random_range(0..shared.edges.len()) };
         let kind = record::KINDS[rand::random_range(0..record::KINDS.len())];
         let record = call(&shared, &client, edge, kind).await;
         shared.history().records.push(record);
@@ -67,6 +84,7 @@
     let body = format!("body of {attempt}");
     let call = call::Call { path: kind.path(), attempt: &attempt, body: &body, headers: &[] };
     let began = time::Instant::now();
+    shared.note_sent(&attempt, edge);
     let abandons = rand::random_bool(ABANDON_RATIO);
     let abandon_after = time::Duration::from_millis(rand::rng().random_range(ABANDON_AFTER_MS));
     let sending = call.send(client, Method::POST, shared.edges[edge]);
@@ -83,13 +101,14 @@
 
 /// Probes whether an entry has applied the latest config, until `shared.stopped` is set.
 pub(crate) async fn probe_loop(shared: sync::Arc<Shared>, edge: usize) {
-    let client = client::Client::new();
+    let client = client::Client::with_idle_timeout(IDLE_TIMEOUT);
+    let others = shared.edges.len().div_ceil(PROBED_OFTEN) as u32;
     while !shared.is_stopped() {
         let version = shared.version.load(atomic::Ordering::Relaxed);
         if let Some(probe) = probe_config(&shared, &client, edge, version).await {
             shared.history().probes.push(probe);
         }
-        tokio::time::sleep(PROBE_INTERVAL).await;
+        tokio::time::sleep(PROBE_INTERVAL * others).await;
     }
 }
 
@@ -104,6 +123,7 @@
     let attempt = format!("look{}", shared.next_attempt.fetch_add(1, atomic::Ordering::Relaxed));
     let headers = [("host", host.as_str())];
     let call = call::Call { path: "/", attempt: &attempt, body: "", headers: &headers };
+    shared.note_sent(&attempt, edge);
     let reply = call.send(client, Method::GET, shared.edges[edge]).await.ok()?;
     let applied = match reply.status {
         200 => true,
--- a/crates/soak/src/check.rs
+++ b/crates/soak/src/check.rs
@@ -4,7 +4,7 @@
 
 use rhubarb_e2e::call;
 
-use crate::record;
+use crate::{arrival_checks, record};
 
 /// An invariant.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -23,6 +23,14 @@
     Deadline,
     /// A stopping entry finishes the requests it has accepted and exits with code 0.
     GracefulStop,
+    /// An entry does not end by itself.
+    Running,
+    /// A run goes on only from a handle of its own attempt, and a response is for its request.
+    Mixed,
+    /// A server that leaves, as its answers or the store say, gets no more requests.
+    Leaving,
+    /// A server gets at most two requests from an entry in the pause that it asked for.
+    Paused,
     /// An entry never goes back to an older config.
     NoRollback,
     /// Each entry serves all kinds of requests again soon after the last fault.
@@ -49,14 +57,25 @@
 /// Runs of each attempt id, over all servers.
 pub type Runs = collections::BTreeMap<String, u32>;
 
+// Attempt ids of the requests that reached a server.
+type PassedOn<'a> = collections::BTreeSet<&'a str>;
+
 /// Time beyond the timeout of a route, for delays on a busy machine.
 const TIMEOUT_MARGIN: time::Duration = time::Duration::from_millis(1_500);
 /// Statuses of an entry that report that a request did not run.
 const NOT_RUN_STATUSES: [u16; 4] = [408, 421, 429, 503];
+/// Latest time after the signal for a graceful stop at which a request may still be interrupted by
+/// the end of the grace period.
+const LATE_REQUEST: time::Duration = time::Duration::from_secs(3);
+/// Time after that signal from which requests may be interrupted: five sixths of the grace period
+/// of 8 s.
+const GRACE_END: time::Duration = time::Duration::from_millis(6_667);
 
 /// Checks the whole history and returns all violations.
 pub fn check(history: &record::History, runs: &Runs) -> Vec<Violation> {
-    let mut violations = Vec::new();
+    let mut violations = arrival_checks::check(history);
+    let arrivals = history.arrivals.values().flatten().filter(|arrival| !arrival.misdirected);
+    let passed_on: PassedOn<'_> = arrivals.map(|arrival| arrival.attempt.as_str()).collect();
     for record in &history.records {
         violations.extend(check_runs(record, runs));
         match &record.end {
@@ -64,7 +83,7 @@
                 violations.extend(check_answer(history, record, reply, runs));
             }
             record::End::Unreachable | record::End::ConnectionLost(_) => {
-                violations.extend(check_unanswered(history, record));
+                violations.extend(check_unanswered(history, record, &passed_on));
             }
             record::End::Abandoned => {}
         }
@@ -106,6 +125,8 @@
     if is_rejection && !reply.headers.contains_key(hyper::header::RETRY_AFTER) {
         violations.push(violation(Invariant::RetryAfter, record, "no Retry-After header"));
     }
+    let mixed = arrival_checks::check_answer(record, &reply.headers);
+    violations.extend(mixed.map(|reason| violation(Invariant::Mixed, record, reason)));
     let body = format!("body of {}", record.attempt);
     let is_complete = reply.body.as_ref() == Some(&record.kind.expected_body(&body));
     let is_plain = matches!(record.kind, record::Kind::Safe | record::Kind::Unsafe);
@@ -124,9 +145,14 @@
     history.windows.iter().any(|window| window.overlaps(record))
 }
 
-// A graceful stop excuses only requests that were sent after it, when the listener may be closed.
-// Any other fault excuses all requests that overlap it.
-fn check_unanswered(history: &record::History, record: &record::Record) -> Option<Violation> {
+// A graceful stop excuses only requests that were sent after it, when the listener may be closed,
+// and that were not passed on to a server, or were sent soon after it and lasted until the end of
+// the grace period. Any other fault excuses all requests that overlap it.
+fn check_unanswered(
+    history: &record::History,
+    record: &record::Record,
+    passed_on: &PassedOn<'_>,
+) -> Option<Violation> {
     let mut windows = history.windows.iter().filter(|window| window.overlaps(record));
     let is_excused = windows.clone().any(|window| window.fault != record::EntryFault::Stopped);
     let sent_before = |window: &record::FaultWindow| record.began < window.from;
@@ -136,7 +162,13 @@
     if windows.clone().any(sent_before) {
         return Some(violation(Invariant::GracefulStop, record, "interrupted by a graceful stop"));
     }
-    windows.next().is_none().then(|| violation(Invariant::Answered, record, "no response"))
+    let Some(stop) = windows.next() else {
+        return Some(violation(Invariant::Answered, record, "no response"));
+    };
+    let is_early = record.began <= stop.from + LATE_REQUEST;
+    let reached_end = is_early && record.ended >= stop.from + GRACE_END;
+    let is_lost = passed_on.contains(record.attempt.as_str()) && !reached_end;
+    is_lost.then(|| violation(Invariant::GracefulStop, record, "passed on and lost in a stop"))
 }
 
 fn check_probes(history: &record::History) -> Vec<Violation> {
--- a/crates/soak/src/injector.rs
+++ b/crates/soak/src/injector.rs
@@ -1,6 +1,6 @@
 //! Fault injector: applies the changes of a plan and records the faults of entries.
 
-use std::{sync, sync::atomic, time};
+use std::{collections, sync, sync::atomic, time};
 
 use rustix::process::Signal;
 
@@ -9,151 +9,323 @@
 
 use crate::{callers, check, plan, record};
 
+use record::{EntryFault, Place};
+
 /// Applies changes to a deployment.
 #[derive(Debug)]
 pub(crate) struct Injector {
     pub(crate) site: site::Site,
     pub(crate) shared: sync::Arc<callers::Shared>,
     pub(crate) violations: Vec<check::Violation>,
+    // Entries to start as soon as their process has ended.
+    starting: collections::BTreeSet<usize>,
+    // Entries whose process has ended.
+    ended: collections::BTreeSet<usize>,
+    // Servers whose answers say that they leave.
+    leaving: collections::BTreeSet<usize>,
 }
 
 /// Time limit of a graceful stop: the grace period of 8 s and a margin.
 const STOP_LIMIT: time::Duration = time::Duration::from_secs(10);
 const POLL_INTERVAL: time::Duration = time::Duration::from_millis(50);
-/// Time from the start of a process until it listens.
-const START_DURATION: time::Duration = time::Duration::from_secs(1);
 /// Time in which a resumed entry handles the requests that arrived while it was frozen.
 const RESUME_DURATION: time::Duration = time::Duration::from_millis(500);
 
 impl Injector {
+    pub(crate) fn new(site: site::Site, shared: sync::Arc<callers::Shared>) -> Injector {
+        Injector {
+            site,
+            shared,
+            violations: Vec::new(),
+            starting: collections::BTreeSet::new(),
+            ended: collections::BTreeSet::new(),
+            leaving: collections::BTreeSet::new(),
+        }
+    }
+
+    /// Waits until `at`, and meanwhile starts entries that have stopped.
+    pub(crate) async fn wait_until(&mut self, at: tokio::time::Instant) -> anyhow::Result<()> {
+        loop {
+            self.follow_processes()?;
+            let now = tokio::time::Instant::now();
+            if now >= at {
+                return Ok(());
+            }
+            tokio::time::sleep_until(at.min(now + POLL_INTERVAL)).await;
+        }
+    }
+
     /// Applies one change.
     pub(crate) async fn apply(&mut self, change: plan::Change) -> anyhow::Result<()> {
+        self.follow_processes()?;
         match change {
-            plan::Change::Kill(edge) => {
-                self.open_window(edge, record::EntryFault::Killed);
-                self.site.edges[edge].kill();
+            plan::Change::Kill(edge) => self.kill(edge),
+            plan::Change::Start(edge) => drop(self.starting.insert(edge)),
+            plan::Change::Freeze(edge) => self.signal(edge, EntryFault::Frozen, Signal::STOP),
+            plan::Change::Resume(edge) if !self.ended.contains(&edge) => {
+                self.site.edges[edge].signal(Signal::CONT);
+                self.close_windows(edge, Some(EntryFault::Frozen), RESUME_DURATION);
             }
-            plan::Change::Start(edge) => self.start(edge).await?,
-            plan::Change::Freeze(edge) => {
-                self.open_window(edge, record::EntryFault::Frozen);
-                self.site.edges[edge].signal(Signal::STOP);
+            plan::Change::Stop(edge) => self.signal(edge, EntryFault::Stopped, Signal::TERM),
+            plan::Change::Reload(edge) if !self.ended.contains(&edge) => {
+                self.site.edges[edge].signal(Signal::HUP);
             }
-            plan::Change::Resume(edge) => {
-                self.site.edges[edge].signal(Signal::CONT);
-                self.close_windows(edge, RESUME_DURATION);
+            plan::Change::Resume(_) | plan::Change::Reload(_) => {}
+            plan::Change::Store(mode) => {
+                self.site.store.set_mode(mode);
+                self.set_disturbed(Place::Store, mode != store::Mode::Up);
+            }
+            plan::Change::SilenceStore => {
+                self.site.store_relays.iter().for_each(relay::Relay::blackhole);
+                self.disturb(Place::Store);
             }
-            plan::Change::Stop(edge) => {
-                self.open_window(edge, record::EntryFault::Stopped);
-                self.site.edges[edge].signal(Signal::TERM);
+            plan::Change::CutStore(edge, is_cut) => {
+                let mode = if is_cut { relay::Mode::Buffer } else { relay::Mode::Forward };
+                self.site.store_relays[edge].set_modes(mode, mode);
+                self.set_disturbed(Place::Edge(edge), is_cut);
             }
-            plan::Change::Reload(edge) => self.site.edges[edge].signal(Signal::HUP),
-            plan::Change::Store(mode) => self.site.store.set_mode(mode),
             plan::Change::Compact => self.site.store.compact(),
             plan::Change::Config => self.update_config(),
             plan::Change::RestartServer(number) => {
-                let server = self.site.servers()[number].clone();
+                let server = self.server(number);
                 server.restart();
+                self.leaving.remove(&number);
                 self.site.relays[&server.id].disconnect();
-                self.site.announce(&server, "ready");
+                self.disturb(Place::Server(server.id.clone()));
+                self.announce(number, true);
             }
             plan::Change::MoveServer(number) => {
-                let server = self.site.servers()[number].clone();
+                let server = self.server(number);
                 self.site.move_server(&server).await?;
-                self.site.announce(&server, "ready");
+                self.disturb(Place::Server(server.id));
+                self.announce(number, true);
+            }
+            plan::Change::ReplaceServer(number) => {
+                let server = self.server(number);
+                self.depart(&server.id);
+                self.site.replace_server(&server).await?;
+                self.leaving.remove(&number);
             }
             change => self.apply_to_server(change),
         }
         Ok(())
     }
 
-    fn apply_to_server(&self, change: plan::Change) {
-        let servers = self.site.servers();
-        let server = |number: usize| &servers[number];
-        let relay = |number: usize| &self.site.relays[&servers[number].id];
+    fn apply_to_server(&mut self, change: plan::Change) {
         match change {
-            plan::Change::ServerFault(number, fault) => server(number).set_fault(fault),
-            plan::Change::HoldTraffic(number, is_buffered) => {
-                let mode = if is_buffered { relay::Mode::Buffer } else { relay::Mode::Forward };
-                relay(number).set_modes(mode, mode);
+            plan::Change::ServerFault(number, fault) => self.server(number).set_fault(fault),
+            plan::Change::Pause(number, length) => self.server(number).set_pause(length, None),
+            plan::Change::HoldTraffic(number, is_held) => {
+                let mode = if is_held { relay::Mode::Buffer } else { relay::Mode::Forward };
+                self.relay(number).set_modes(mode, mode);
+                self.set_disturbed(Place::Server(self.server(number).id), is_held);
+            }
+            plan::Change::CloseConnections(number) => {
+                self.relay(number).disconnect();
+                self.disturb(Place::Server(self.server(number).id));
+            }
+            plan::Change::Blackhole(number) => {
+                self.relay(number).blackhole();
+                self.disturb(Place::Server(self.server(number).id));
             }
-            plan::Change::CloseConnections(number) => relay(number).disconnect(),
-            plan::Change::Blackhole(number) => relay(number).blackhole(),
-            plan::Change::Drain(number, is_draining) => {
-                let state = if is_draining { "draining" } else { "ready" };
-                self.site.announce(server(number), state);
+            plan::Change::Double(number, doubles) => self.relay(number).set_doubles(doubles),
+            plan::Change::Leave(number) => {
+                self.server(number).set_leaving(true);
+                self.leaving.insert(number);
             }
+            plan::Change::Drain(number, is_draining) => self.announce(number, !is_draining),
             plan::Change::Expire(number) => {
-                self.site.store.remove("servers", &server(number).id);
+                let id = self.server(number).id;
+                self.depart(&id);
+                self.site.store.remove("servers", &id);
             }
             plan::Change::Corrupt(number) => {
-                self.site.store.put("servers", &server(number).id, "{\"service\":");
+                self.site.store.put("servers", &self.server(number).id, "{\"service\":");
             }
             _ => {}
         }
     }
 
+    fn server(&self, number: usize) -> backend::Backend {
+        self.site.servers()[number].clone()
+    }
+
+    fn relay(&self, number: usize) -> &relay::Relay {
+        &self.site.relays[&self.server(number).id]
+    }
+
+    // Writes the row of a server to the store, as ready or draining.
+    fn announce(&self, number: usize, is_ready: bool) {
+        let server = self.server(number);
+        if is_ready {
+            let now = Some(time::Instant::now());
+            let mut history = self.shared.history();
+            let departures = history.departures.iter_mut();
+            for departure in departures.filter(|departure| departure.server == server.id) {
+                departure.until = departure.until.or(now);
+            }
+        }
+        self.site.announce(&server, if is_ready { "ready" } else { "draining" });
+        if !is_ready {
+            self.depart(&server.id);
+        }
+    }
+
+    // Records that the store knows that a server leaves or is gone.
+    fn depart(&self, server: &str) {
+        let mut history = self.shared.history();
+        let mut open = history.departures.iter().filter(|departure| departure.until.is_none());
+        if !open.any(|departure| departure.server == server) {
+            let (server, at) = (server.to_string(), time::Instant::now());
+            history.departures.push(record::Departure { server, at, until: None });
+        }
+    }
+
+    // Records a disturbance that ends at once.
+    fn disturb(&self, place: Place) {
+        let now = time::Instant::now();
+        let disturbance = record::Disturbance { place, from: now, until: Some(now) };
+        self.shared.history().disturbances.push(disturbance);
+    }
+
+    // Records the start or the end of a disturbance.
+    fn set_disturbed(&self, place: Place, is_disturbed: bool) {
+        let now = time::Instant::now();
+        let mut history = self.shared.history();
+        if is_disturbed {
+            history.disturbances.push(record::Disturbance { place, from: now, until: None });
+            return;
+        }
+        let ended = history.disturbances.iter_mut().filter(|other| other.place == place);
+        ended.for_each(|disturbance| disturbance.until = disturbance.until.or(Some(now)));
+    }
+
     fn update_config(&self) {
         let version = self.shared.version.fetch_add(1, atomic::Ordering::Relaxed) + 1;
         self.site.store.put("op", "config", self.site.config(version).to_string());
     }
 
-    async fn start(&mut self, edge: usize) -> anyhow::Result<()> {
-        if self.is_stopping(edge) {
-            self.wait_stopped(edge).await;
+    // Sends a signal to an entry that runs, and records the fault unless it has it already.
+    fn signal(&self, edge: usize, fault: EntryFault, signal: Signal) {
+        if self.ended.contains(&edge) {
+            return;
+        }
+        if self.open_since(edge, fault).is_none() {
+            self.open_window(edge, fault);
+        }
+        self.site.edges[edge].signal(signal);
+    }
+
+    fn kill(&mut self, edge: usize) {
+        if self.ended.insert(edge) {
+            self.open_window(edge, EntryFault::Killed);
+            self.site.edges[edge].kill();
+        }
+    }
+
+    // Notices processes that have ended, and starts those that a change asked for.
+    fn follow_processes(&mut self) -> anyhow::Result<()> {
+        for edge in 0..self.site.edges.len() {
+            if !self.ended.contains(&edge)
+                && let Some(code) = self.site.edges[edge].exit_code()
+            {
+                self.ended.insert(edge);
+                self.check_exit(edge, code);
+            }
+        }
+        for edge in self.starting.clone() {
+            if self.open_since(edge, EntryFault::Stopped).is_some() && self.is_overdue(edge) {
+                let detail = format!("entry {edge} did not stop within {STOP_LIMIT:?}");
+                self.report(check::Invariant::GracefulStop, detail);
+                self.kill(edge);
+            }
+            if self.ended.remove(&edge) {
+                self.site.restart_edge(edge)?;
+                self.close_windows(edge, None, record::START_DURATION);
+                self.starting.remove(&edge);
+            } else if self.open_since(edge, EntryFault::Stopped).is_none() {
+                self.starting.remove(&edge);
+            }
         }
-        self.site.restart_edge(edge)?;
-        self.close_windows(edge, START_DURATION);
         Ok(())
     }
 
-    fn is_stopping(&self, edge: usize) -> bool {
+    // Checks the exit code of a process that was not killed.
+    fn check_exit(&mut self, edge: usize, code: i32) {
+        if self.open_since(edge, EntryFault::Stopped).is_none() {
+            let detail = format!("entry {edge} exited with code {code} without a signal");
+            self.report(check::Invariant::Running, detail);
+            self.open_window(edge, EntryFault::Killed);
+            self.starting.insert(edge);
+        } else if code != 0 {
+            let detail = format!("entry {edge} exited with code {code} after a graceful stop");
+            self.report(check::Invariant::GracefulStop, detail);
+        }
+    }
+
+    // Whether a stopping entry runs on beyond the limit; time for which it was frozen does not
+    // count.
+    fn is_overdue(&self, edge: usize) -> bool {
+        let Some(since) = self.open_since(edge, EntryFault::Stopped) else { return false };
+        let now = time::Instant::now();
         let history = self.shared.history();
-        let mut open = history.windows.iter().filter(|window| window.until.is_none());
-        open.any(|window| window.edge == edge && window.fault == record::EntryFault::Stopped)
+        let frozen = history
+            .windows
+            .iter()
+            .filter(|window| window.edge == edge && window.fault == EntryFault::Frozen);
+        let frozen = frozen.map(|window| {
+            let until = window.until.unwrap_or(now);
+            until.saturating_duration_since(window.from.max(since))
+        });
+        now > since + STOP_LIMIT + frozen.sum::<time::Duration>()
     }
 
-    // Waits until the entry exits. Records a violation if that takes longer than `STOP_LIMIT` or
-    // the exit code is not 0.
-    async fn wait_stopped(&mut self, edge: usize) {
-        let deadline = time::Instant::now() + STOP_LIMIT;
-        loop {
-            let detail = match self.site.edges[edge].exit_code() {
-                Some(0) => return,
-                Some(code) => format!("entry {edge} exited with code {code} after a graceful stop"),
-                None if time::Instant::now() < deadline => {
-                    tokio::time::sleep(POLL_INTERVAL).await;
-                    continue;
-                }
-                None => format!("entry {edge} did not stop within {STOP_LIMIT:?}"),
-            };
-            self.violations
-                .push(check::Violation { invariant: check::Invariant::GracefulStop, detail });
-            return;
-        }
+    fn report(&mut self, invariant: check::Invariant, detail: String) {
+        self.violations.push(check::Violation { invariant, detail });
+    }
+
+    // Start of the open window of this fault.
+    fn open_since(&self, edge: usize, fault: EntryFault) -> Option<time::Instant> {
+        let history = self.shared.history();
+        let mut windows = history.windows.iter().filter(|window| window.until.is_none());
+        windows.find(|window| window.edge == edge && window.fault == fault).map(|open| open.from)
     }
 
     // Opens a fault window of the entry.
-    fn open_window(&self, edge: usize, fault: record::EntryFault) {
+    fn open_window(&self, edge: usize, fault: EntryFault) {
         let window = record::FaultWindow { edge, fault, from: time::Instant::now(), until: None };
         self.shared.history().windows.push(window);
     }
 
-    // Closes the open fault windows of the entry after `delay`.
-    fn close_windows(&self, edge: usize, delay: time::Duration) {
+    // Closes the open windows of the entry after `delay`: those of `fault`, or all.
+    fn close_windows(&self, edge: usize, fault: Option<EntryFault>, delay: time::Duration) {
         let until = Some(time::Instant::now() + delay);
         let mut history = self.shared.history();
-        for window in history.windows.iter_mut().filter(|window| window.edge == edge) {
+        let windows = history.windows.iter_mut().filter(|window| window.edge == edge);
+        for window in windows.filter(|window| fault.is_none_or(|fault| fault == window.fault)) {
             window.until = window.until.or(until);
         }
     }
 
-    /// Clears the faults of the store and of all servers, and writes the next config.
+    /// Clears all faults, waits until all entries run, and writes the next config.
     pub(crate) async fn clear_faults(&mut self) -> anyhow::Result<()> {
+        for edge in 0..self.site.edges.len() {
+            self.apply(plan::Change::Resume(edge)).await?;
+            self.apply(plan::Change::CutStore(edge, false)).await?;
+            self.apply(plan::Change::Start(edge)).await?;
+        }
         self.apply(plan::Change::Store(store::Mode::Up)).await?;
         for number in 0..self.site.servers().len() {
             self.apply(plan::Change::ServerFault(number, backend::Fault::None)).await?;
             self.apply(plan::Change::HoldTraffic(number, false)).await?;
-            self.apply(plan::Change::Drain(number, false)).await?;
+            self.apply(plan::Change::Double(number, false)).await?;
+            let is_leaving = self.leaving.contains(&number);
+            let ready = plan::Change::Drain(number, false);
+            let replaced = plan::Change::ReplaceServer(number);
+            self.apply(if is_leaving { replaced } else { ready }).await?;
+        }
+        while !self.starting.is_empty() {
+            self.wait_until(tokio::time::Instant::now() + POLL_INTERVAL).await?;
         }
         self.update_config();
         Ok(())
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -12,5 +12,6 @@
 pub mod record;
 pub mod soak;
 
+mod arrival_checks;
 mod callers;
 mod injector;
--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -10,6 +10,7 @@
     seed: Option<u64>,
     seeds: u64,
     seconds: u64,
+    large: bool,
     keep: path::PathBuf,
 }
 
@@ -26,11 +27,12 @@
         .help("Time in which faults begin")
         .argument::<u64>("SECONDS")
         .fallback(8);
+    let large = bpaf::long("large").help("Start 100 to 150 entries").switch();
     let keep = bpaf::long("keep")
         .help("Directory for the logs of seeds that fail")
         .argument::<path::PathBuf>("DIR")
         .fallback("soak-logs".into());
-    bpaf::construct!(Options { seed, seeds, seconds, keep })
+    bpaf::construct!(Options { seed, seeds, seconds, large, keep })
         .to_options()
         .descr("Plays drawn faults against real entries and checks what they promise")
         .version(env!("CARGO_PKG_VERSION"))
@@ -42,7 +44,11 @@
     let first = options.seed.unwrap_or_else(|| u64::from(rand::random::<u32>()));
     let mut failed = Vec::new();
     for seed in first..first + options.seeds {
-        let plan = plan::Plan::draw(seed, time::Duration::from_secs(options.seconds));
+        let length = time::Duration::from_secs(options.seconds);
+        let plan = match options.large {
+            true => plan::Plan::draw_large(seed, length),
+            false => plan::Plan::draw(seed, length),
+        };
         let report = soak::run(&plan).await?;
         println!("seed {seed}: {report}");
         if !report.violations.is_empty() {
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -12,7 +12,7 @@
 pub enum Change {
     /// Kills an entry with SIGKILL.
     Kill(usize),
-    /// Restarts an entry that was killed or stopped.
+    /// Starts an entry that was killed or stopped, as soon as its process has ended.
     Start(usize),
     /// Freezes an entry with SIGSTOP.
     Freeze(usize),
@@ -24,10 +24,20 @@
     Reload(usize),
     /// Sets the mode of the store.
     Store(store::Mode),
+    /// Makes the open connections of all entries to the store forward nothing more; new ones work.
+    SilenceStore,
+    /// Cuts an entry off from the store, or connects it again.
+    CutStore(usize, bool),
     /// Discards the change history of the store.
     Compact,
     /// Sets the fault of a server.
     ServerFault(usize, backend::Fault),
+    /// Makes a server reject requests for a time, with `Retry-After`.
+    Pause(usize, time::Duration),
+    /// Makes a server send its last answer on a connection again, late; or ends that.
+    Double(usize, bool),
+    /// Makes a server say in its answers that it leaves.
+    Leave(usize),
     /// Buffers the traffic of a server in both directions, or forwards it again.
     HoldTraffic(usize, bool),
     /// Closes all connections to a server.
@@ -46,6 +56,8 @@
     RestartServer(usize),
     /// Moves a server to a new address; the old one accepts connections and forwards nothing.
     MoveServer(usize),
+    /// Ends a server and starts one with another id in its place.
+    ReplaceServer(usize),
 }
 
 /// A change and its time.
@@ -73,13 +85,24 @@
 }
 
 /// Time from the start of one fault to the next.
-const FAULT_INTERVAL_MS: std::ops::Range<u64> = 100..900;
+const FAULT_INTERVAL_MS: std::ops::Range<u64> = 50..500;
 /// Duration of a fault.
 const FAULT_DURATION_MS: std::ops::Range<u64> = 100..2_500;
-/// Exceeds the grace period of 8 s that an entry has for a graceful stop.
-const STOP_DURATION: time::Duration = time::Duration::from_secs(9);
-const STORE_MODES: [store::Mode; 4] =
-    [store::Mode::Busy, store::Mode::Unresponsive, store::Mode::LostReplies, store::Mode::Slow];
+/// Duration of a departure, beyond the time in which requests may still reach a server (2 s).
+const DEPARTURE_MS: std::ops::Range<u64> = 1_500..6_500;
+/// Duration of a pause, beyond the time in which requests may still be on their way (0.5 s).
+const PAUSE_MS: std::ops::Range<u64> = 500..4_000;
+/// Number of signals to one entry, or of versions of the config, in a series.
+const SERIES_LENGTH: std::ops::Range<u64> = 2..7;
+/// Time between two changes of a series.
+const SERIES_INTERVAL_MS: std::ops::Range<u64> = 1..500;
+const STORE_MODES: [store::Mode; 5] = [
+    store::Mode::Busy,
+    store::Mode::Unresponsive,
+    store::Mode::LostReplies,
+    store::Mode::Slow,
+    store::Mode::NoHistory,
+];
 const SERVER_FAULTS: [backend::Fault; 14] = [
     backend::Fault::Sheds,
     backend::Fault::Fails,
@@ -101,9 +124,6 @@
     random: rngs::StdRng,
     edges: usize,
     servers: usize,
-    // Time at which the last fault of each entry ends. An entry has one fault at a time; one drawn
-    // before that time is skipped.
-    free_at: Vec<time::Duration>,
     steps: Vec<Step>,
 }
 
@@ -112,17 +132,39 @@
     pub fn draw(seed: u64, length: time::Duration) -> Plan {
         let mut random = rngs::StdRng::seed_from_u64(seed);
         let sizes = site::Sizes {
-            edges: random.random_range(2..5),
+            edges: random.random_range(1..5),
             plain: random.random_range(2..5),
             prefill: random.random_range(1..4),
-            decode: random.random_range(2..5),
+            decode: random.random_range(1..5),
+            relays: true,
+        };
+        let callers = random.random_range(6..40);
+        Plan::draw_steps(seed, length, sizes, callers, random)
+    }
+
+    /// Like [`Plan::draw`], with many entries.
+    pub fn draw_large(seed: u64, length: time::Duration) -> Plan {
+        let mut random = rngs::StdRng::seed_from_u64(seed);
+        let sizes = site::Sizes {
+            edges: random.random_range(100..151),
+            plain: 5,
+            prefill: random.random_range(3..6),
+            decode: random.random_range(8..13),
             relays: true,
         };
-        let callers = random.random_range(6..25);
+        let callers = random.random_range(30..50);
+        Plan::draw_steps(seed, length, sizes, callers, random)
+    }
+
+    fn draw_steps(
+        seed: u64,
+        length: time::Duration,
+        sizes: site::Sizes,
+        callers: usize,
+        random: rngs::StdRng,
+    ) -> Plan {
         let servers = sizes.plain + sizes.prefill + sizes.decode;
-        let free_at = vec![time::Duration::ZERO; sizes.edges];
-        let mut generator =
-            Generator { random, edges: sizes.edges, servers, free_at, steps: Vec::new() };
+        let mut generator = Generator { random, edges: sizes.edges, servers, steps: Vec::new() };
         let mut at = time::Duration::ZERO;
         loop {
             at += generator.millis(FAULT_INTERVAL_MS);
@@ -149,68 +191,122 @@
         self.steps.push(Step { at, change });
     }
 
+    fn push_pair(&mut self, [from, until]: [time::Duration; 2], start: Change, end: Change) {
+        self.push(from, start);
+        self.push(until, end);
+    }
+
     fn draw_fault(&mut self, at: time::Duration) {
-        let until = at + self.millis(FAULT_DURATION_MS);
+        let span = [at, at + self.millis(FAULT_DURATION_MS)];
         let server = self.random.random_range(0..self.servers);
-        match self.random.random_range(0..15) {
-            0..=2 => self.draw_edge_fault(at, until),
-            3 => {
-                let mode = self.pick(&STORE_MODES);
-                self.push(at, Change::Store(mode));
-                self.push(until, Change::Store(store::Mode::Up));
-            }
-            4 => self.push(at, Change::Compact),
-            5 | 6 => {
+        let edge = self.random.random_range(0..self.edges);
+        match self.random.random_range(0..24) {
+            0 => self.push_pair(span, Change::Kill(edge), Change::Start(edge)),
+            1 => self.push_pair(span, Change::Freeze(edge), Change::Resume(edge)),
+            2 => self.push_pair(span, Change::Stop(edge), Change::Start(edge)),
+            3..=5 => self.draw_signals(edge, at),
+            6 => self.draw_store_fault(span),
+            7 => self.push(at, Change::SilenceStore),
+            8 => self.push_pair(span, Change::CutStore(edge, true), Change::CutStore(edge, false)),
+            9 | 10 => {
                 let fault = self.pick(&SERVER_FAULTS);
-                self.push(at, Change::ServerFault(server, fault));
-                self.push(until, Change::ServerFault(server, backend::Fault::None));
+                let healthy = Change::ServerFault(server, backend::Fault::None);
+                self.push_pair(span, Change::ServerFault(server, fault), healthy);
             }
-            7 => {
-                self.push(at, Change::HoldTraffic(server, true));
-                self.push(until, Change::HoldTraffic(server, false));
+            11 => {
+                let forwarded = Change::HoldTraffic(server, false);
+                self.push_pair(span, Change::HoldTraffic(server, true), forwarded);
             }
-            8 => self.push(at, Change::CloseConnections(server)),
-            9 => self.push(at, Change::Blackhole(server)),
-            10 => self.push(at, Change::Config),
-            11 => self.push(at, Change::RestartServer(server)),
-            12 => self.push(at, Change::MoveServer(server)),
-            13 => self.kill_all(at, until),
-            _ => {
-                let change = self.pick(&[
-                    Change::Drain(server, true),
-                    Change::Expire(server),
-                    Change::Corrupt(server),
-                ]);
+            12 => {
+                let change =
+                    self.pick(&[Change::CloseConnections(server), Change::Blackhole(server)]);
                 self.push(at, change);
-                self.push(until, Change::Drain(server, false));
+            }
+            13 => self.draw_configs(at),
+            14 => self.push(at, Change::RestartServer(server)),
+            15 => self.push(at, Change::MoveServer(server)),
+            16 => self.push(at, Change::ReplaceServer(server)),
+            17 => self.kill_all(span),
+            18 => {
+                let change = self.pick(&[Change::Expire(server), Change::Corrupt(server)]);
+                let until = at + self.millis(DEPARTURE_MS);
+                self.push_pair([at, until], change, Change::Drain(server, false));
+            }
+            19 => {
+                let until = at + self.millis(DEPARTURE_MS);
+                let ready = Change::Drain(server, false);
+                self.push_pair([at, until], Change::Drain(server, true), ready);
+            }
+            20 | 21 => self.draw_departure(server, at),
+            22 => {
+                let length = self.millis(PAUSE_MS);
+                self.push(at, Change::Pause(server, length));
+            }
+            _ => {
+                let until = at + self.millis(DEPARTURE_MS);
+                let single = Change::Double(server, false);
+                self.push_pair([at, until], Change::Double(server, true), single);
             }
         }
     }
 
-    fn kill_all(&mut self, at: time::Duration, until: time::Duration) {
-        if self.free_at.iter().any(|free_at| *free_at > at) {
-            return;
+    fn draw_store_fault(&mut self, span: [time::Duration; 2]) {
+        let mode = self.pick(&STORE_MODES);
+        self.push_pair(span, Change::Store(mode), Change::Store(store::Mode::Up));
+        if self.random.random_bool(0.3) {
+            self.push(span[1], Change::Compact);
         }
-        for edge in 0..self.edges {
-            self.push(at, Change::Kill(edge));
-            self.push(until, Change::Start(edge));
-            self.free_at[edge] = until;
+    }
+
+    // A series of signals to one entry, after which it runs again.
+    fn draw_signals(&mut self, edge: usize, at: time::Duration) {
+        let mut at = at;
+        for _ in 0..self.random.random_range(SERIES_LENGTH) {
+            let change = self.pick(&[
+                Change::Kill(edge),
+                Change::Freeze(edge),
+                Change::Resume(edge),
+                Change::Stop(edge),
+                Change::Reload(edge),
+                Change::Start(edge),
+            ]);
+            self.push(at, change);
+            at += self.millis(SERIES_INTERVAL_MS);
         }
+        self.push(at, Change::Resume(edge));
+        self.push(at, Change::Start(edge));
     }
 
-    fn draw_edge_fault(&mut self, at: time::Duration, until: time::Duration) {
-        let edge = self.random.random_range(0..self.edges);
-        if self.free_at[edge] > at {
-            return;
+    fn draw_configs(&mut self, at: time::Duration) {
+        let mut at = at;
+        for _ in 0..self.random.random_range(SERIES_LENGTH) {
+            self.push(at, Change::Config);
+            at += self.millis(SERIES_INTERVAL_MS);
+        }
+    }
+
+    // A server that says in its answers that it leaves, and is replaced. The store may learn it
+    // before, at once or never, and be away at that time.
+    fn draw_departure(&mut self, server: usize, at: time::Duration) {
+        let until = at + self.millis(DEPARTURE_MS);
+        self.push_pair([at, until], Change::Leave(server), Change::ReplaceServer(server));
+        match self.random.random_range(0..4) {
+            0 => self.push(at, Change::Drain(server, true)),
+            1 => {
+                let told_at = at + self.millis(FAULT_DURATION_MS);
+                self.push(told_at.min(until), Change::Drain(server, true));
+            }
+            2 => {
+                let mode = self.pick(&STORE_MODES);
+                self.push_pair([at, until], Change::Store(mode), Change::Store(store::Mode::Up));
+            }
+            _ => {}
+        }
+    }
+
+    fn kill_all(&mut self, span: [time::Duration; 2]) {
+        for edge in 0..self.edges {
+            self.push_pair(span, Change::Kill(edge), Change::Start(edge));
         }
-        let (start, end, until) = match self.random.random_range(0..4) {
-            0 => (Change::Kill(edge), Change::Start(edge), until),
-            1 => (Change::Freeze(edge), Change::Resume(edge), until),
-            2 => (Change::Stop(edge), Change::Start(edge), at + STOP_DURATION),
-            _ => (Change::Reload(edge), Change::Reload(edge), until),
-        };
-        self.push(at, start);
-        self.push(until, end);
-        self.free_at[edge] = until;
     }
 }
--- a/crates/soak/src/record.rs
+++ b/crates/soak/src/record.rs
@@ -1,8 +1,9 @@
-//! History of a soak: the requests of callers, config probes and faults of entries.
+//! History of a soak: the requests of callers, config probes, faults, and what servers saw.
 
-use std::time;
+use std::{collections, time};
 
 use rhubarb_e2e::{call, site};
+use rhubarb_fakes::{arrivals, handles};
 
 /// Kind of a request, which decides its route and how often it may run.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -110,6 +111,9 @@
     Stopped,
 }
 
+/// Time from the start of a process until it listens.
+pub const START_DURATION: time::Duration = time::Duration::from_secs(1);
+
 /// Period in which an entry had a fault.
 #[derive(Clone, Copy, Debug)]
 pub struct FaultWindow {
@@ -126,19 +130,87 @@
 impl FaultWindow {
     /// Whether the window is of the same entry as `record` and overlaps it in time.
     pub fn overlaps(&self, record: &Record) -> bool {
-        self.edge == record.edge
-            && self.from <= record.ended
-            && self.until.is_none_or(|until| until >= record.began)
+        self.edge == record.edge && self.covers(record.began, record.ended)
+    }
+
+    /// Whether the window overlaps the time between `from` and `until`.
+    pub fn covers(&self, from: time::Instant, until: time::Instant) -> bool {
+        self.from <= until && self.until.is_none_or(|end| end >= from)
     }
 }
 
+/// When and through which entry a request with an attempt id was sent.
+#[derive(Clone, Copy, Debug)]
+pub struct Sent {
+    /// Index of the entry.
+    pub edge: usize,
+    /// When the caller sent it.
+    pub at: time::Instant,
+}
+
+/// What a disturbance affected.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Place {
+    /// The store, or the connections of all entries to it.
+    Store,
+    /// The connections of the entry with this index to the store.
+    Edge(usize),
+    /// The connections of all entries to the server with this id.
+    Server(String),
+}
+
+/// Period in which connections or the store were disturbed.
+#[derive(Clone, Debug)]
+pub struct Disturbance {
+    /// What was disturbed.
+    pub place: Place,
+    /// When it started.
+    pub from: time::Instant,
+    /// When it ended; `None` until then.
+    pub until: Option<time::Instant>,
+}
+
+/// Period in which the store said that a server leaves or is gone.
+#[derive(Clone, Debug)]
+pub struct Departure {
+    /// Id of the server.
+    pub server: String,
+    /// When the store took the row or its removal.
+    pub at: time::Instant,
+    /// When the server was announced as ready again; `None` until then.
+    pub until: Option<time::Instant>,
+}
+
 /// Everything that was observed in a soak.
 #[derive(Clone, Debug, Default)]
 pub struct History {
+    /// Number of entries.
+    pub edges: usize,
     /// Requests.
     pub records: Vec<Record>,
+    /// All requests sent, also those of probes, by attempt id.
+    pub sent: collections::BTreeMap<String, Sent>,
     /// Probes of the applied config.
     pub probes: Vec<ConfigProbe>,
     /// Faults of entries.
     pub windows: Vec<FaultWindow>,
+    /// Disturbances of the store and of connections.
+    pub disturbances: Vec<Disturbance>,
+    /// Servers that left.
+    pub departures: Vec<Departure>,
+    /// What arrived at each server, by its id.
+    pub arrivals: collections::BTreeMap<String, Vec<arrivals::Arrival>>,
+    /// Requests that named the handle of another attempt.
+    pub foreign: Vec<handles::Foreign>,
+}
+
+impl History {
+    /// Whether `place` was disturbed at some time between `from` and `until`.
+    pub fn is_disturbed(&self, place: &Place, from: time::Instant, until: time::Instant) -> bool {
+        self.disturbances.iter().any(|disturbance| {
+            disturbance.place == *place
+                && disturbance.from <= until
+                && disturbance.until.is_none_or(|end| end >= from)
+        })
+    }
 }
--- a/crates/soak/src/soak.rs
+++ b/crates/soak/src/soak.rs
@@ -1,6 +1,6 @@
 //! Runs a plan against a deployment whose entries are real processes.
 
-use std::{fmt, sync, sync::atomic, time};
+use std::{collections, fmt, sync, sync::atomic, time};
 
 use rhubarb_e2e::{edge, site};
 use rhubarb_node::client;
@@ -27,10 +27,25 @@
         let Report { requests, answered, rejected, violations, .. } = self;
         write!(f, "{requests} requests, {answered} answered, {rejected} rejected")?;
         write!(f, ", {} violations", violations.len())?;
-        violations.iter().try_for_each(|violation| write!(f, "\n  {violation}"))
+        let mut counts = collections::BTreeMap::new();
+        for violation in violations {
+            let count = counts.entry(violation.invariant).or_insert(0);
+            *count += 1;
+            if *count <= MAX_SHOWN {
+                write!(f, "\n  {violation}")?;
+            }
+        }
+        let hidden = counts.iter().filter(|(_, count)| **count > MAX_SHOWN);
+        for (invariant, count) in hidden {
+            write!(f, "\n  {invariant:?}: {} more", count - MAX_SHOWN)?;
+        }
+        Ok(())
     }
 }
 
+/// Maximum number of violations of one invariant that a report shows.
+const MAX_SHOWN: usize = 5;
+
 /// Time limit for recovery after the last fault, the platform's `recover_s`.
 const RECOVERY_LIMIT: time::Duration = time::Duration::from_secs(15);
 /// Time limit for engines to free the memory of abandoned requests and of killed entries.
@@ -46,6 +61,7 @@
     let shared = sync::Arc::new(callers::Shared {
         history: sync::Mutex::default(),
         edges: site.edges.iter().map(|edge| edge.frontend).collect(),
+        ready: site.edges.iter().map(|edge| edge.ready).collect(),
         version: atomic::AtomicU64::new(1),
         stopped: atomic::AtomicBool::new(false),
         next_attempt: atomic::AtomicU64::new(0),
@@ -56,14 +72,15 @@
         let shared = shared.clone();
         tokio::spawn(callers::probe_loop(shared, edge))
     }));
-    let mut injector = injector::Injector { site, shared: shared.clone(), violations: Vec::new() };
+    shared.history().edges = plan.sizes.edges;
+    let mut injector = injector::Injector::new(site, shared.clone());
     let start = tokio::time::Instant::now();
     for step in &plan.steps {
-        tokio::time::sleep_until(start + step.at).await;
+        injector.wait_until(start + step.at).await?;
         injector.apply(step.change).await?;
     }
     injector.clear_faults().await?;
-    wait_recovered(&mut injector).await;
+    wait_recovered(&mut injector).await?;
     shared.stopped.store(true, atomic::Ordering::Relaxed);
     for task in tasks {
         task.await?;
@@ -72,40 +89,55 @@
     Ok(build_report(injector))
 }
 
-async fn wait_recovered(injector: &mut injector::Injector) {
+// Waits until each entry serves all kinds of requests, or the limit has passed.
+async fn wait_recovered(injector: &mut injector::Injector) -> anyhow::Result<()> {
     let deadline = time::Instant::now() + RECOVERY_LIMIT;
-    for edge in 0..injector.site.edges.len() {
-        while let Err(detail) = check_serving(injector, edge).await {
-            if time::Instant::now() >= deadline {
-                let invariant = check::Invariant::Recovered;
-                injector.violations.push(check::Violation { invariant, detail });
-                break;
-            }
-            tokio::time::sleep(POLL_INTERVAL).await;
+    let mut waiting = tokio::task::JoinSet::new();
+    for edge in 0..injector.shared.edges.len() {
+        waiting.spawn(wait_serving(injector.shared.clone(), edge, deadline));
+    }
+    while let Some(result) = waiting.join_next().await {
+        if let Err(detail) = result? {
+            let invariant = check::Invariant::Recovered;
+            injector.violations.push(check::Violation { invariant, detail });
+        }
+    }
+    Ok(())
+}
+
+async fn wait_serving(
+    shared: sync::Arc<callers::Shared>,
+    edge: usize,
+    deadline: time::Instant,
+) -> Result<(), String> {
+    loop {
+        match check_serving(&shared, edge).await {
+            Err(_) if time::Instant::now() < deadline => tokio::time::sleep(POLL_INTERVAL).await,
+            result => return result,
         }
     }
 }
 
 // Checks that an entry is ready, has the latest config, and serves each kind of request.
-async fn check_serving(injector: &injector::Injector, edge: usize) -> Result<(), String> {
-    if !injector.site.edges[edge].is_ready().await {
+async fn check_serving(shared: &callers::Shared, edge: usize) -> Result<(), String> {
+    if !edge::is_ready(shared.ready[edge]).await {
         return Err(format!("entry {edge} is not ready"));
     }
     let client = client::Client::new();
-    let version = injector.shared.version.load(atomic::Ordering::Relaxed);
-    let probe = callers::probe_config(&injector.shared, &client, edge, version).await;
+    let version = shared.version.load(atomic::Ordering::Relaxed);
+    let probe = callers::probe_config(shared, &client, edge, version).await;
     if !probe.is_some_and(|probe| probe.applied) {
         return Err(format!("entry {edge} does not have config version {version}"));
     }
     for kind in record::KINDS {
-        let record = callers::call(&injector.shared, &client, edge, kind).await;
+        let record = callers::call(shared, &client, edge, kind).await;
         let is_served = match &record.end {
             record::End::Answer(reply) => reply.status == 200,
             record::End::Abandoned => true,
             _ => false,
         };
         let detail = format!("entry {edge} does not serve {kind:?}: {:?}", record.end);
-        injector.shared.history().records.push(record);
+        shared.history().records.push(record);
         if !is_served {
             return Err(detail);
         }
@@ -131,12 +163,16 @@
 
 fn build_report(injector: injector::Injector) -> Report {
     let mut runs = check::Runs::new();
-    for server in injector.site.servers() {
+    for server in injector.site.servers().iter().chain(&injector.site.replaced) {
         for (attempt, count) in server.runs() {
             *runs.entry(attempt).or_default() += count;
         }
     }
-    let history = injector.shared.history();
+    let mut history = injector.shared.history();
+    for server in injector.site.servers().iter().chain(&injector.site.replaced) {
+        history.arrivals.insert(server.id.clone(), server.arrivals());
+        history.foreign = server.foreign_handles();
+    }
     let mut violations = injector.violations;
     violations.extend(check::check(&history, &runs));
     let replies = history.records.iter().filter_map(|record| match &record.end {
--- a/crates/soak/tests/checks.rs
+++ b/crates/soak/tests/checks.rs
@@ -13,10 +13,11 @@
 fn reply(status: u16, is_local: bool, body: Option<&str>) -> call::Reply {
     let mut headers = HeaderMap::new();
     if !is_local {
-        headers.insert("x-response-seal", header::HeaderValue::from_static("seal"));
+        headers.insert("x-response-seal", header::HeaderValue::from_static("i-1/1/a1"));
     }
     let body = body.map(str::to_string);
-    call::Reply { status, headers, body, elapsed: time::Duration::from_millis(80) }
+    let elapsed = time::Duration::from_millis(80);
+    call::Reply { status, headers, head_after: elapsed, body, elapsed }
 }
 
 fn rejection() -> call::Reply {
@@ -32,8 +33,8 @@
 }
 
 fn violated(record: record::Record, windows: &[record::FaultWindow], ran: u32) -> Vec<Invariant> {
-    let history =
-        record::History { records: vec![record], probes: Vec::new(), windows: windows.to_vec() };
+    let (records, windows) = (vec![record], windows.to_vec());
+    let history = record::History { records, windows, ..record::History::default() };
     let runs = match ran {
         0 => check::Runs::new(),
         ran => check::Runs::from([("a1".to_string(), ran)]),
@@ -139,7 +140,7 @@
     };
     let rollbacks = |probes: &[record::ConfigProbe], windows: &[record::FaultWindow]| {
         let (probes, windows) = (probes.to_vec(), windows.to_vec());
-        let history = record::History { records: Vec::new(), probes, windows };
+        let history = record::History { probes, windows, ..record::History::default() };
         check::check(&history, &check::Runs::new()).len()
     };
     let growing = [probe(0, 1, true), probe(10, 2, false), probe(20, 2, true), probe(30, 3, false)];
