Let servers that drain in a soak be replaced or restarted, and signal started processes only

Drained servers are now replaced or restarted.

Handlers are there 0.2 to 6.4 ms after the start (20 starts, debug build), so SIGHUP and SIGTERM wait for them for up to 200 ms.

--- a/crates/e2e/src/edge.rs
+++ b/crates/e2e/src/edge.rs
@@ -87,6 +87,16 @@
         signals::kill_process(pid, signal).expect("the process is running");
     }
 
+    /// Whether the process has a handler for a signal. Until it has started, a signal that ends it by
+    /// default does so.
+    pub fn catches(&self, signal: signals::Signal) -> bool {
+        let status = format!("/proc/{}/status", self.child.id());
+        let status = fs::read_to_string(status).unwrap_or_default();
+        let mask = status.lines().find_map(|line| line.strip_prefix("SigCgt:"));
+        let mask = mask.and_then(|mask| u64::from_str_radix(mask.trim(), 16).ok());
+        mask.is_some_and(|mask| mask >> (signal.as_raw() - 1) & 1 == 1)
+    }
+
     /// Kills the process.
     pub fn kill(&mut self) {
         let _ = self.child.kill();
--- a/crates/soak/src/injector.rs
+++ b/crates/soak/src/injector.rs
@@ -21,13 +21,16 @@
     starting: collections::BTreeSet<usize>,
     // Entries whose process has ended.
     ended: collections::BTreeSet<usize>,
-    // Servers whose answers say that they leave.
+    // Servers that leave, as their answers or rows say.
     leaving: collections::BTreeSet<usize>,
 }
 
 /// Time limit of a graceful stop: the grace period of 8 s and a margin.
 const STOP_LIMIT: time::Duration = time::Duration::from_secs(10);
 const POLL_INTERVAL: time::Duration = time::Duration::from_millis(50);
+/// Time within which a process that was just started catches signals, and interval between checks.
+const CATCH_LIMIT: time::Duration = time::Duration::from_millis(200);
+const CATCH_POLL: time::Duration = time::Duration::from_millis(1);
 /// Time in which a resumed entry handles the requests that arrived while it was frozen.
 const RESUME_DURATION: time::Duration = time::Duration::from_millis(500);
 
@@ -66,8 +69,12 @@
                 self.site.edges[edge].signal(Signal::CONT);
                 self.close_windows(edge, Some(EntryFault::Frozen), RESUME_DURATION);
             }
-            plan::Change::Stop(edge) => self.signal(edge, EntryFault::Stopped, Signal::TERM),
+            plan::Change::Stop(edge) => {
+                self.wait_catching(edge, Signal::TERM).await;
+                self.signal(edge, EntryFault::Stopped, Signal::TERM);
+            }
             plan::Change::Reload(edge) if !self.ended.contains(&edge) => {
+                self.wait_catching(edge, Signal::HUP).await;
                 self.site.edges[edge].signal(Signal::HUP);
             }
             plan::Change::Resume(_) | plan::Change::Reload(_) => {}
@@ -133,7 +140,14 @@
                 self.server(number).set_leaving(true);
                 self.leaving.insert(number);
             }
-            plan::Change::Drain(number, is_draining) => self.announce(number, !is_draining),
+            plan::Change::Drain(number) => {
+                self.leaving.insert(number);
+                self.announce(number, false);
+            }
+            // A server that leaves does not take that back.
+            plan::Change::Announce(number) => {
+                self.announce(number, !self.leaving.contains(&number));
+            }
             plan::Change::Expire(number) => {
                 let id = self.server(number).id;
                 self.depart(&id);
@@ -216,6 +230,15 @@
         self.site.edges[edge].signal(signal);
     }
 
+    // Waits until a process that was just started catches a signal that ends it by default.
+    async fn wait_catching(&self, edge: usize, signal: Signal) {
+        let deadline = time::Instant::now() + CATCH_LIMIT;
+        let is_waiting = || !self.ended.contains(&edge) && time::Instant::now() < deadline;
+        while is_waiting() && !self.site.edges[edge].catches(signal) {
+            tokio::time::sleep(CATCH_POLL).await;
+        }
+    }
+
     fn kill(&mut self, edge: usize) {
         if self.ended.insert(edge) {
             self.open_window(edge, EntryFault::Killed);
@@ -320,9 +343,8 @@
             self.apply(plan::Change::HoldTraffic(number, false)).await?;
             self.apply(plan::Change::Double(number, false)).await?;
             let is_leaving = self.leaving.contains(&number);
-            let ready = plan::Change::Drain(number, false);
             let replaced = plan::Change::ReplaceServer(number);
-            self.apply(if is_leaving { replaced } else { ready }).await?;
+            self.apply(if is_leaving { replaced } else { plan::Change::Announce(number) }).await?;
         }
         while !self.starting.is_empty() {
             self.wait_until(tokio::time::Instant::now() + POLL_INTERVAL).await?;
--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -69,8 +69,9 @@
 fn save_logs(dir: &path::Path, plan: &plan::Plan, report: &soak::Report) -> anyhow::Result<()> {
     let dir = dir.join(plan.seed.to_string());
     fs::create_dir_all(&dir)?;
+    let head = format!("{:?}, {} callers\n", plan.sizes, plan.callers);
     let steps: Vec<_> = plan.steps.iter().map(|step| format!("{step:?}\n")).collect();
-    fs::write(dir.join("plan.txt"), steps.concat())?;
+    fs::write(dir.join("plan.txt"), head + &steps.concat())?;
     fs::write(dir.join("report.txt"), report.to_string())?;
     for (number, log) in report.logs.iter().enumerate() {
         fs::write(dir.join(format!("edge-{number}.log")), log)?;
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -46,8 +46,10 @@
     Blackhole(usize),
     /// Writes the next version of the config to the store.
     Config,
-    /// Sets the state of a server in the store to draining, or back to ready.
-    Drain(usize, bool),
+    /// Sets the state of a server in the store to draining.
+    Drain(usize),
+    /// Writes the row of a server to the store again, as ready.
+    Announce(usize),
     /// Deletes the row of a server, as if its registration had expired.
     Expire(usize),
     /// Overwrites the row of a server with malformed JSON.
@@ -230,12 +232,13 @@
             18 => {
                 let change = self.pick(&[Change::Expire(server), Change::Corrupt(server)]);
                 let until = at + self.millis(DEPARTURE_MS);
-                self.push_pair([at, until], change, Change::Drain(server, false));
+                self.push_pair([at, until], change, Change::Announce(server));
             }
             19 => {
                 let until = at + self.millis(DEPARTURE_MS);
-                let ready = Change::Drain(server, false);
-                self.push_pair([at, until], Change::Drain(server, true), ready);
+                let end =
+                    self.pick(&[Change::ReplaceServer(server), Change::RestartServer(server)]);
+                self.push_pair([at, until], Change::Drain(server), end);
             }
             20 | 21 => self.draw_departure(server, at),
             22 => {
@@ -291,10 +294,10 @@
         let until = at + self.millis(DEPARTURE_MS);
         self.push_pair([at, until], Change::Leave(server), Change::ReplaceServer(server));
         match self.random.random_range(0..4) {
-            0 => self.push(at, Change::Drain(server, true)),
+            0 => self.push(at, Change::Drain(server)),
             1 => {
                 let told_at = at + self.millis(FAULT_DURATION_MS);
-                self.push(told_at.min(until), Change::Drain(server, true));
+                self.push(told_at.min(until), Change::Drain(server));
             }
             2 => {
                 let mode = self.pick(&STORE_MODES);
