Restore the fake store from a copy

The fake store can be copied at any time and restored. A restore begins the next era, which every response then tells as of the moment at which it was computed; versions are given out again, and a feed from a version above the copy's gets 410. Rows that the operator and the servers wrote since can be written again. A transaction is in a copy as a whole or not at all, since both take the same lock. Without a restore no response tells an era, as before.

--- a/crates/fakes/src/lib.rs
+++ b/crates/fakes/src/lib.rs
@@ -13,6 +13,7 @@
 
 pub mod backend;
 pub mod caller;
+pub mod copy;
 pub mod engine;
 pub mod instances;
 pub mod objects;
--- a/crates/fakes/src/store.rs
+++ b/crates/fakes/src/store.rs
@@ -1,15 +1,17 @@
 //! Fake of the store of the users' platform, with its published API for rows and objects.
 
-use std::{collections, net, sync, time};
+use std::{net, sync, time};
 
 use bytes::Bytes;
-use hyper::{Method, Request, Response, StatusCode, body};
+use hyper::{Method, Request, Response, StatusCode, body, header};
 use serde::Deserialize;
 use serde_json::json;
 use tokio::sync as lock;
 
 use rhubarb_node::{locks, response, server};
 
+use crate::copy;
+
 /// The store; clones share their state.
 #[derive(Clone, Debug, Default)]
 pub struct Store {
@@ -24,23 +26,22 @@
 
 #[derive(Debug, Default)]
 struct State {
-    version: u64,
-    rows: collections::BTreeMap<Key, Row>,
-    objects: collections::BTreeMap<String, Bytes>,
-    // Oldest version from which a feed can continue.
-    oldest: u64,
+    content: copy::Content,
+    // Era that each response tells, as text; `None` for a store without eras.
+    era: Option<String>,
     mode: Mode,
     calls: u64,
 }
 
-/// Table and key.
-type Key = (String, String);
-
-#[derive(Clone, Debug)]
-struct Row {
-    version: u64,
-    // `None` once the row is deleted.
-    value: Option<Vec<u8>>,
+impl State {
+    // Adds the era in which a response was computed.
+    fn mark(&self, mut response: Response<response::Body>) -> Response<response::Body> {
+        if let Some(era) = &self.era {
+            let era = header::HeaderValue::from_bytes(era.as_bytes());
+            response.headers_mut().insert(ERA, era.expect("the era is a valid header value"));
+        }
+        response
+    }
 }
 
 /// How the store behaves.
@@ -59,6 +60,8 @@
     Slow,
     /// Has lost its history: answers each feed with status 410.
     NoHistory,
+    /// Handles each call at once and answers after `SLOW_DELAY`.
+    LateReplies,
 }
 
 #[derive(Deserialize)]
@@ -91,6 +94,8 @@
     value: String,
 }
 
+/// Header of the era.
+const ERA: &str = "store-era";
 /// Delay of each call in slow mode.
 const SLOW_DELAY: time::Duration = time::Duration::from_millis(900);
 /// Maximum size of a row transaction in bytes.
@@ -129,11 +134,8 @@
     }
 
     fn set(&self, table: &str, key: &str, value: Option<Vec<u8>>) -> u64 {
-        let mut state = self.state();
-        state.version += 1;
-        let version = state.version;
-        state.rows.insert((table.to_string(), key.to_string()), Row { version, value });
-        drop(state);
+        let writes = vec![((table.to_string(), key.to_string()), value)];
+        let version = self.state().content.write(writes);
         self.inner.changed.notify_waiters();
         version
     }
@@ -141,7 +143,52 @@
     /// Value of a row; `None` if it is missing or deleted.
     pub fn get(&self, table: &str, key: &str) -> Option<Vec<u8>> {
         let state = self.state();
-        state.rows.get(&(table.to_string(), key.to_string()))?.value.clone()
+        state.content.rows.get(&(table.to_string(), key.to_string()))?.value.clone()
+    }
+
+    /// Sets the era that each response tells from now on; any other text than a number is invalid.
+    pub fn set_era(&self, era: &str) {
+        self.state().era = Some(era.to_string());
+    }
+
+    /// Copy of all rows and objects.
+    pub fn copy(&self) -> copy::Content {
+        self.state().content.clone()
+    }
+
+    /// Restores the store from a copy and begins the next era. Returns what the operator and the
+    /// servers have written since the copy.
+    pub fn restore(&self, content: copy::Content) -> copy::Lost {
+        let mut state = self.state();
+        let era = state.era.as_deref().and_then(|era| era.parse().ok()).unwrap_or(0_u64);
+        state.era = Some((era + 1).to_string());
+        let lost = std::mem::replace(&mut state.content, content).since(&state.content);
+        drop(state);
+        self.inner.changed.notify_waiters();
+        lost
+    }
+
+    /// Writes again what was lost, as the operator and the servers do, except rows that were
+    /// written since the restore.
+    pub fn rewrite(&self, lost: copy::Lost) {
+        self.state().content.rewrite(lost);
+        self.inner.changed.notify_waiters();
+    }
+
+    /// Plays a restore from `content`: the store is busy for `outage`, then restored, and
+    /// `rewrite_delay` later the operator and the servers write again.
+    pub async fn drill(
+        &self,
+        content: copy::Content,
+        outage: time::Duration,
+        rewrite_delay: time::Duration,
+    ) {
+        self.set_mode(Mode::Busy);
+        tokio::time::sleep(outage).await;
+        let lost = self.restore(content);
+        self.set_mode(Mode::Up);
+        tokio::time::sleep(rewrite_delay).await;
+        self.rewrite(lost);
     }
 
     /// Sets how the store behaves from now on.
@@ -152,10 +199,7 @@
 
     /// Discards the change history, so that a feed from an older version gets status 410.
     pub fn compact(&self) {
-        let mut state = self.state();
-        state.version += 1;
-        state.oldest = state.version;
-        drop(state);
+        self.state().content.compact();
         self.inner.changed.notify_waiters();
     }
 
@@ -169,6 +213,14 @@
     }
 
     async fn handle(&self, request: Request<body::Incoming>) -> Response<response::Body> {
+        let response = self.answer(request).await;
+        if response.headers().contains_key(ERA) {
+            return response;
+        }
+        self.state().mark(response)
+    }
+
+    async fn answer(&self, request: Request<body::Incoming>) -> Response<response::Body> {
         let (parts, body) = request.into_parts();
         let mode = {
             let mut state = self.state();
@@ -179,10 +231,10 @@
             Mode::Busy => return response::text(StatusCode::SERVICE_UNAVAILABLE, "busy"),
             Mode::Unresponsive => tokio::time::sleep(HANG_TIME).await,
             Mode::Slow => tokio::time::sleep(SLOW_DELAY).await,
-            Mode::Up | Mode::LostReplies | Mode::NoHistory => {}
+            Mode::Up | Mode::LostReplies | Mode::NoHistory | Mode::LateReplies => {}
         }
         let query = parts.uri.query().unwrap_or_default().to_string();
-        match (&parts.method, parts.uri.path()) {
+        let response = match (&parts.method, parts.uri.path()) {
             (&Method::GET, "/v1/rows-get") => self.read_rows(&query),
             (&Method::GET, "/v1/rows-feed") => self.feed(&query).await,
             (&Method::POST, "/v1/rows-tx") => {
@@ -203,13 +255,18 @@
                 }
                 _ => response::text(StatusCode::NOT_FOUND, "no such call"),
             },
+        };
+        if mode == Mode::LateReplies {
+            tokio::time::sleep(SLOW_DELAY).await;
         }
+        response
     }
 
     fn list_objects(&self, query: &str) -> Response<response::Body> {
         let (prefix, after) = (parameter(query, "prefix"), parameter(query, "after"));
         let state = self.state();
         let matching: Vec<_> = state
+            .content
             .objects
             .keys()
             .filter(|name| name.starts_with(&prefix) && **name > after)
@@ -217,41 +274,40 @@
             .collect();
         let has_more = matching.len() > PAGE_SIZE;
         let names = &matching[..matching.len().min(PAGE_SIZE)];
-        response::json(StatusCode::OK, &json!({"names": names, "has_more": has_more}))
+        state.mark(response::json(StatusCode::OK, &json!({"names": names, "has_more": has_more})))
     }
 
     fn call_object(&self, method: &Method, call: &str, content: Bytes) -> Response<response::Body> {
         let mut state = self.state();
-        match (method, call.split_once('/')) {
+        let objects = &mut state.content.objects;
+        let response = match (method, call.split_once('/')) {
             (&Method::PUT, Some(("put", name))) => {
-                state.objects.insert(name.to_string(), content);
+                objects.insert(name.to_string(), content);
                 response::text(StatusCode::OK, "")
             }
-            (&Method::GET, Some(("get", name))) => match state.objects.get(name) {
+            (&Method::GET, Some(("get", name))) => match objects.get(name) {
                 Some(content) => Response::new(response::full(content.clone())),
                 None => response::text(StatusCode::NOT_FOUND, "no such object"),
             },
             (&Method::DELETE, Some(("drop", name))) => {
-                state.objects.remove(name);
+                objects.remove(name);
                 response::text(StatusCode::OK, "")
             }
             _ => response::text(StatusCode::NOT_FOUND, "no such call"),
-        }
+        };
+        state.mark(response)
     }
 
     fn read_rows(&self, query: &str) -> Response<response::Body> {
         let state = self.state();
         let table = parameter(query, "table");
         let from = parameter(query, "from");
-        let in_range = |key: &Key| key.0 == table && key.1 >= from;
-        let rows = state.rows.iter().filter(|(key, row)| in_range(key) && row.value.is_some());
+        let in_range = |key: &copy::Key| key.0 == table && key.1 >= from;
+        let content = &state.content;
+        let rows = content.rows.iter().filter(|(key, row)| in_range(key) && row.value.is_some());
         let rows: Vec<_> = rows.map(|(key, row)| row_json(key, row)).collect();
-        response::json(
-            StatusCode::OK,
-            &json!({
-                "rows": rows, "has_more": false, "ver": state.version, "now_ms": 1,
-            }),
-        )
+        let reply = json!({"rows": rows, "has_more": false, "ver": content.version, "now_ms": 1});
+        state.mark(response::json(StatusCode::OK, &reply))
     }
 
     async fn feed(&self, query: &str) -> Response<response::Body> {
@@ -265,8 +321,9 @@
                 return reply;
             }
             if tokio::time::timeout_at(deadline, changed).await.is_err() {
-                let version = self.state().version;
-                return response::json(StatusCode::OK, &json!({"rows": [], "ver": version}));
+                let state = self.state();
+                let reply = json!({"rows": [], "ver": state.content.version});
+                return state.mark(response::json(StatusCode::OK, &reply));
             }
         }
     }
@@ -274,21 +331,24 @@
     // Rows changed after version `after`, or an error; `None` while the feed has to wait.
     fn rows_since(&self, table: &str, after: u64) -> Option<Response<response::Body>> {
         let state = self.state();
+        let content = &state.content;
         if state.mode == Mode::Busy {
             return Some(response::text(StatusCode::SERVICE_UNAVAILABLE, "busy"));
         }
         if state.mode == Mode::Unresponsive {
             return None;
         }
-        if after < state.oldest || state.mode == Mode::NoHistory {
-            return Some(response::text(StatusCode::GONE, "the history is gone"));
+        let is_gone = after < content.oldest || after > content.version;
+        if is_gone || state.mode == Mode::NoHistory {
+            return Some(state.mark(response::text(StatusCode::GONE, "the history is gone")));
         }
-        let is_newer = |key: &Key, row: &Row| key.0 == table && row.version > after;
-        let mut rows: Vec<_> = state.rows.iter().filter(|(key, row)| is_newer(key, row)).collect();
+        let is_newer = |key: &copy::Key, row: &copy::Row| key.0 == table && row.version > after;
+        let mut rows: Vec<_> =
+            content.rows.iter().filter(|(key, row)| is_newer(key, row)).collect();
         rows.sort_by_key(|(_, row)| row.version);
         let rows: Vec<_> = rows.into_iter().map(|(key, row)| row_json(key, row)).collect();
-        let reply = json!({"rows": rows, "ver": state.version, "now_ms": 1});
-        (!rows.is_empty()).then(|| response::json(StatusCode::OK, &reply))
+        let reply = json!({"rows": rows, "ver": content.version, "now_ms": 1});
+        (!rows.is_empty()).then(|| state.mark(response::json(StatusCode::OK, &reply)))
     }
 
     fn write_rows(&self, content: &Bytes) -> Response<response::Body> {
@@ -298,7 +358,7 @@
         };
         let mut writes = Vec::new();
         for write in transaction.writes {
-            if ["op", "servers"].contains(&write.table.as_str()) {
+            if copy::is_platform_table(&write.table) {
                 return response::text(StatusCode::FORBIDDEN, "not the system's table");
             }
             let Some(value) = decode_value(&write.value) else {
@@ -308,36 +368,25 @@
         }
         let removed = transaction.remove.into_iter().map(|row| ((row.table, row.key), None));
         writes.extend(removed);
-        match self.commit(&transaction.expected, writes) {
-            Some(version) => response::json(StatusCode::OK, &json!({"ver": version, "now_ms": 1})),
-            None => response::json(StatusCode::PRECONDITION_FAILED, &json!({"rows": [], "ver": 0})),
-        }
-    }
-
-    // Checks the conditions and applies the writes under one lock; all writes get one version.
-    // Returns the version, or `None` if a condition is not met.
-    fn commit(&self, expected: &[Expected], writes: Vec<(Key, Option<Vec<u8>>)>) -> Option<u64> {
+        // The conditions are checked and the writes applied under one lock.
         let mut state = self.state();
+        let content = &mut state.content;
         let is_met = |expected: &Expected| {
-            let row = state.rows.get(&(expected.table.clone(), expected.key.clone()));
-            let row = row.filter(|row| row.value.is_some());
-            row.map_or(0, |row| row.version) == expected.ver
+            content.version_of(&(expected.table.clone(), expected.key.clone())) == expected.ver
         };
-        if !expected.iter().all(is_met) {
-            return None;
-        }
-        state.version += 1;
-        let version = state.version;
-        for (key, value) in writes {
-            state.rows.insert(key, Row { version, value });
+        if !transaction.expected.iter().all(is_met) {
+            let reply = json!({"rows": [], "ver": content.version});
+            return state.mark(response::json(StatusCode::PRECONDITION_FAILED, &reply));
         }
+        let reply = json!({"ver": content.write(writes), "now_ms": 1});
+        let response = state.mark(response::json(StatusCode::OK, &reply));
         drop(state);
         self.inner.changed.notify_waiters();
-        Some(version)
+        response
     }
 }
 
-fn row_json(key: &Key, row: &Row) -> serde_json::Value {
+fn row_json(key: &copy::Key, row: &copy::Row) -> serde_json::Value {
     use base64::Engine;
     let value =
         row.value.as_ref().map(|value| base64::engine::general_purpose::STANDARD.encode(value));
