Compare versions of the store together with its era

The store may be restored from a copy and then gives out versions again. An entry compared versions by number alone: it ignored what was written after a restore until the versions had passed the lost ones, kept following from a version that the store did not have, and let an old condition pass on a version that was given out again.

Responses of an era that is over are not used. A peer in an earlier era gets all rows. A row that was removed and is back in a later era is not used until it is written again (core::row_stamps). Servers that a new era lacks are kept for the grace period. The config in use is passed on to peers by its own version.

A holder of the lease stops when it sees a new era, and a candidate waits a whole lease and its margin from then, since the row of a holder that still acts can be lost. Fencing numbers are the era, shifted, plus the version, and equal the version in era 0. Entries write their member rows again in a new era.

core leases::*, lease_eras::* and row_stamps::* pass; without the wait, the stop, the shift or the check of own rows, tests of lease_eras fail (tried one at a time).

--- a/crates/core/src/stale_rows.rs
+++ b/crates/core/src/stale_rows.rs
@@ -3,10 +3,12 @@
 
 use std::collections;
 
+use crate::stamp;
+
 /// Versions of the rows at the last read.
 #[derive(Clone, Debug, Default)]
 pub struct StaleRows {
-    versions: collections::BTreeMap<String, u64>,
+    versions: collections::BTreeMap<String, stamp::Stamp>,
 }
 
 /// A row as read from the table.
@@ -14,8 +16,8 @@
 pub struct Row {
     /// Key.
     pub key: String,
-    /// Version, which each write increases.
-    pub version: u64,
+    /// Version, which each write and each new era of the store increases.
+    pub version: stamp::Stamp,
     /// Whether its instance is live.
     pub is_live: bool,
 }
--- a/crates/e2e/tests/platform_store.rs
+++ b/crates/e2e/tests/platform_store.rs
@@ -125,8 +125,9 @@
     let site = site::Site::start(site::Sizes::default()).await?;
     let client = platform_store::Store::new(client::Client::new(), site.store_address()?);
     let (table, timeout) = (platform_store::Table::Members, time::Duration::from_secs(2));
-    let version = site.store.put("members", "gone", "10.0.0.9");
-    let outcome = client.remove(table, "gone", version - 1, timeout).await?;
+    let version = platform_store::Version::new(0, site.store.put("members", "gone", "10.0.0.9"));
+    let older = platform_store::Version { version: version.version - 1, ..version };
+    let outcome = client.remove(table, "gone", older, timeout).await?;
     assert_eq!(outcome, platform_store::WriteOutcome::Conflict);
     assert!(site.store.get("members", "gone").is_some());
     client.remove(table, "gone", version, timeout).await?;
@@ -144,8 +145,8 @@
         let write = async || {
             let client = platform_store::Store::new(client::Client::new(), address);
             let table = platform_store::Table::Leases;
-            let write =
-                platform_store::Write { table, key: &key, expected: Some(0), value: b"value" };
+            let expected = Some(platform_store::Version::default());
+            let write = platform_store::Write { table, key: &key, expected, value: b"value" };
             client.write(write, timeout).await
         };
         let outcomes = tokio::join!(write(), write(), write(), write());
--- a/crates/edge/src/directory.rs
+++ b/crates/edge/src/directory.rs
@@ -97,7 +97,7 @@
     /// Versions of the config and the servers in use.
     pub(crate) fn versions(&self) -> lag::Versions {
         let config = self.config.as_ref().map_or(0, |config| config.version);
-        lag::Versions { config, servers: self.rows.version }
+        lag::Versions { config, servers: self.rows.version() }
     }
 
     /// Snapshot of the store's rows for a peer.
--- a/crates/edge/src/discovery.rs
+++ b/crates/edge/src/discovery.rs
@@ -2,15 +2,18 @@
 
 use std::{sync, time};
 
-use rhubarb_core::stale_rows;
+use rhubarb_core::{stale_rows, stamp};
 use rhubarb_node::clock;
 use rhubarb_platform::store;
 
-use crate::{edge, peers};
+use crate::{edge, eras, peers};
 
 /// Interval between lookups of the instances in the store, before jitter. Entries learn of each
 /// other from their peers; the store helps those that know none.
 const DISCOVERY_PERIOD: time::Duration = time::Duration::from_secs(300);
+/// Longest delay before an entry writes its row again in a new era of the store, so that a large
+/// fleet does not write at once.
+const MAX_ERA_DELAY: time::Duration = time::Duration::from_secs(10);
 /// Interval between attempts to reach the seeds in the settings, which are made while fewer peers
 /// are live than there are seeds, and delay after a failed discovery; both before jitter.
 const SEED_PERIOD: time::Duration = time::Duration::from_secs(2);
@@ -23,12 +26,21 @@
     tokio::spawn(retry_seeds(edge.clone()));
     let mut stale = stale_rows::StaleRows::default();
     loop {
-        if let Err(err) = exchange_addresses(&edge, &mut stale).await {
-            tracing::info!(%err, "edge: peer discovery through the store failed");
-            tokio::time::sleep(clock::jitter(SEED_PERIOD)).await;
-            continue;
+        let era = match exchange_addresses(&edge, &mut stale).await {
+            Ok(era) => era,
+            Err(err) => {
+                tracing::info!(%err, "edge: peer discovery through the store failed");
+                tokio::time::sleep(clock::jitter(SEED_PERIOD)).await;
+                continue;
+            }
+        };
+        tokio::select! {
+            () = tokio::time::sleep(clock::jitter(DISCOVERY_PERIOD)) => {}
+            // The store may have lost the row.
+            () = eras::wait_for_next(&edge, era) => {
+                tokio::time::sleep(MAX_ERA_DELAY.mul_f64(rand::random())).await;
+            }
         }
-        tokio::time::sleep(clock::jitter(DISCOVERY_PERIOD)).await;
     }
 }
 
@@ -49,10 +61,12 @@
     }
 }
 
+// Writes this entry's row and reads those of the others. Returns the era of the store in which the
+// row was written.
 async fn exchange_addresses(
     edge: &edge::Edge,
     stale: &mut stale_rows::StaleRows,
-) -> Result<(), store::StoreError> {
+) -> Result<stamp::Era, store::StoreError> {
     let ip = edge.settings().ip.to_string();
     let write = store::Write {
         table: store::Table::Members,
@@ -60,7 +74,10 @@
         expected: None,
         value: ip.as_bytes(),
     };
-    edge.store.write(write, STORE_TIMEOUT).await?;
+    let mut era = 0;
+    if let store::WriteOutcome::Committed(version) = edge.store.write(write, STORE_TIMEOUT).await? {
+        era = version.era;
+    }
     let rows = edge.store.read_all(store::Table::Members, STORE_TIMEOUT).await?;
     edge.members().record_size(rows.rows.len() as u32);
     peers::update_members(edge);
@@ -71,7 +88,7 @@
         let outcome = edge.store.remove(table, &row.key, row.version, STORE_TIMEOUT).await?;
         tracing::info!(key = row.key, ?outcome, "edge: row of a gone instance removed");
     }
-    Ok(())
+    Ok(era)
 }
 
 // Adds the instances in the store as candidates, and returns their rows.
--- a/crates/edge/src/leader.rs
+++ b/crates/edge/src/leader.rs
@@ -32,6 +32,7 @@
         collections::BTreeMap::new();
     loop {
         tokio::time::sleep(PLAN_PERIOD).await;
+        lease.observe_era(edge.store.era(), boot::time());
         if !is_leader(&edge) {
             planners.clear();
             continue;
@@ -83,9 +84,14 @@
     lease: &mut lease::Lease,
     holder: &str,
 ) -> Option<lease::Fence> {
+    lease.observe_era(edge.store.era(), boot::time());
     if let Some(fence) = lease.fence(boot::time()) {
         return Some(fence);
     }
+    if !lease.is_era_settled(boot::time()) {
+        tracing::info!(era = edge.store.era(), "edge: lease not acquired in a new era yet");
+        return None;
+    }
     match acquire_lease(edge, lease, holder).await {
         Ok(()) => lease.fence(boot::time()),
         Err(err) => {
@@ -104,12 +110,12 @@
     let table = store::Table::Leases;
     let rows = edge.store.read(table, None, CALL_TIMEOUT).await?;
     let row = rows.rows.iter().find(|row| row.key == store::STAGES_LEASE);
-    let version = row.map_or(0, |row| row.version);
+    let version = row.map_or(store::Version::new(rows.version.era, 0), |row| row.version);
     let value = row.and_then(|row| row.value.as_deref()).unwrap_or_default();
     let current = String::from_utf8_lossy(value);
     let seen = lease::Row { version, holder: &current };
     if !lease.observe(seen, boot::time()) {
-        tracing::info!(holder = %current, version, "edge: another instance holds the lease");
+        tracing::info!(holder = %current, %version, "edge: another instance holds the lease");
         return Ok(());
     }
     let sent_at = boot::time();
@@ -120,22 +126,24 @@
         value: holder.as_bytes(),
     };
     match edge.store.write(write, CALL_TIMEOUT).await? {
-        store::WriteOutcome::Committed(fence) => {
-            tracing::info!(fence, "edge: lease for changing stages acquired");
-            lease.acquired(fence, sent_at);
+        store::WriteOutcome::Committed(version) => {
+            tracing::info!(%version, "edge: lease for changing stages acquired");
+            lease.observe_era(edge.store.era(), boot::time());
+            lease.acquired(version, sent_at);
         }
         store::WriteOutcome::Conflict => lease.lost(),
     }
     Ok(())
 }
 
-// Sends one order; false if the engine rejected the fencing number.
+// Sends one order; false if the engine rejected the fencing number or the lease may be lost.
 async fn send_order(
     edge: &edge::Edge,
     service: &str,
     change: &stages::Change,
     fence: lease::Fence,
 ) -> bool {
+    let era = edge.store.era();
     let Some(target) = edge.directory().target(&change.id) else { return true };
     let (id, stage) = (target.id.as_str(), change.to);
     let response = call(edge, &target, engine::report_request(id)).await;
@@ -145,6 +153,10 @@
         tracing::info!(server = id, to = ?stage, busy = state.is_busy, "edge: order not needed");
         return true;
     }
+    if edge.store.era() != era {
+        tracing::info!(server = id, "edge: order not sent, the store has begun a new era");
+        return false;
+    }
     let (holder, orders) = (edge.settings().name.clone(), state.accepted_orders);
     let order =
         engine::StageOrder { engine: id, stage, holder: &holder, fence, expected_orders: orders };
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -18,6 +18,7 @@
 mod directory;
 mod discovery;
 mod edge;
+mod eras;
 mod exchange;
 mod ingress;
 mod lag;
--- a/crates/edge/src/peers.rs
+++ b/crates/edge/src/peers.rs
@@ -134,7 +134,7 @@
 // What all datagrams have in common.
 fn build_head(edge: &edge::Edge, seq: u64) -> share::Share {
     let directory = edge.directory();
-    let (config, servers) = (directory.versions().config, directory.rows.newest_change);
+    let (config, servers) = (directory.versions().config, directory.rows.newest_change());
     drop(directory);
     share::Share {
         format: share::FORMAT,
--- a/crates/edge/src/snapshots.rs
+++ b/crates/edge/src/snapshots.rs
@@ -4,6 +4,7 @@
 
 use tokio::{io, net as tokio_net, sync as tokio_sync};
 
+use rhubarb_core::stamp;
 use rhubarb_node::clock;
 use rhubarb_wire::share;
 
@@ -87,9 +88,9 @@
 // needs all rows.
 fn known_versions(edge: &edge::Edge) -> (lag::Versions, share::SnapshotRequest) {
     let directory = edge.directory();
-    let servers = if directory.is_complete() { directory.rows.version } else { 0 };
-    let config = directory.rows.config_version();
-    (directory.versions(), share::SnapshotRequest { config, servers })
+    let versions = directory.versions();
+    let servers = if directory.is_complete() { versions.servers } else { stamp::Stamp::default() };
+    (versions, share::SnapshotRequest { config: versions.config, servers })
 }
 
 async fn fetch(
--- a/crates/edge/src/watch.rs
+++ b/crates/edge/src/watch.rs
@@ -7,7 +7,7 @@
 use rhubarb_platform::{config, registration, store};
 use rhubarb_wire::share;
 
-use crate::{boot, directory, edge};
+use crate::{boot, directory, edge, eras};
 
 /// Time that the store holds a feed request open without changes. A feed that stalls is detected
 /// earlier, by the newer versions of the peers.
@@ -46,8 +46,8 @@
             Ok(()) => continue,
             Err(err) => err,
         };
-        if matches!(err, store::StoreError::HistoryGone) {
-            tracing::info!(?table, "edge: change history is gone; reading the whole table");
+        if matches!(err, store::StoreError::HistoryGone | store::StoreError::EraChanged) {
+            tracing::info!(?table, %err, "edge: changes of a table cannot be followed");
             // The first time the table is read at once, so that no change is delayed.
             if std::mem::replace(&mut state.lost_history, true) {
                 tokio::time::sleep(clock::jitter(state.backoff.next_delay())).await;
@@ -92,7 +92,7 @@
 // Availability of one table in the store.
 struct TableState {
     is_unavailable: bool,
-    // Whether the last feed ended because the store had lost its history.
+    // Whether the last feed ended because the store had lost its history or began a new era.
     lost_history: bool,
     is_first_read: bool,
     backoff: backoff::Backoff,
@@ -120,7 +120,7 @@
         if self.is_unavailable {
             self.is_unavailable = false;
             edge.unavailable_tables.fetch_sub(1, atomic::Ordering::Relaxed);
-            tracing::info!(?table, version, "edge: store available");
+            tracing::info!(?table, %version, "edge: store available");
             let mut directory = edge.directory();
             if table == store::Table::Servers && directory.is_complete() {
                 directory.fleet.registry_recovered(clock::now());
@@ -139,6 +139,9 @@
     let all = edge.store.read_all(table, READ_TIMEOUT).await?;
     state.record_success(edge, table, all.version);
     let mut version = all.version;
+    if table == store::Table::Servers {
+        begin_era(edge, version);
+    }
     apply(edge, table, &all.rows, Source::Store);
     if table == store::Table::Servers {
         remove_missing(edge, &all.rows, all.version, &[], Source::Store);
@@ -150,8 +153,11 @@
         }
         let changes = tokio::select! {
             changes = edge.store.feed(table, version, FEED_WAIT) => changes?,
+            () = eras::wait_for_next(edge, version.era) => {
+                return Err(store::StoreError::EraChanged);
+            }
             () = edge.feed_stalled.notified() => {
-                tracing::info!(?table, version, "edge: feed stalled; reading the whole table");
+                tracing::info!(?table, %version, "edge: feed stalled; reading the whole table");
                 return Ok(());
             }
         };
@@ -160,8 +166,7 @@
         let has_changes = !changes.rows.is_empty();
         apply(edge, table, &changes.rows, Source::Store);
         if table == store::Table::Servers {
-            let mut directory = edge.directory();
-            directory.rows.version = directory.rows.version.max(version);
+            edge.directory().rows.set_version(version);
         }
         if has_changes {
             tokio::time::sleep(FEED_PAUSE).await;
@@ -169,29 +174,49 @@
     }
 }
 
-/// Applies the snapshot of a peer.
+// A restored store lacks the newest rows, which live servers write again: they are kept for the
+// grace period.
+fn begin_era(edge: &edge::Edge, version: store::Version) {
+    let mut directory = edge.directory();
+    if directory.is_complete() && version.era > directory.rows.version().era {
+        directory.fleet.registry_recovered(clock::now());
+        tracing::info!(%version, "edge: missing servers are kept for a grace period");
+    }
+}
+
+/// Applies the snapshot of a peer. Of an era that is over only the config is used, which has a
+/// version of its own.
 pub(crate) fn apply_snapshot(edge: &edge::Edge, from: net::IpAddr, snapshot: share::Snapshot) {
     let version = snapshot.version;
     tracing::info!(
         %from,
-        version,
+        %version,
         servers = snapshot.servers.len(),
         "edge: snapshot received from peer"
     );
     let to_row =
         |row: share::Row| store::Row { key: row.key, version: row.version, value: Some(row.value) };
-    let config: Vec<_> = snapshot.config.into_iter().map(to_row).collect();
-    apply(edge, store::Table::Operator, &config, Source::Peer);
+    if let Some(row) = snapshot.config {
+        let row = to_row(row);
+        edge.directory().rows.record_config(&row);
+        set_config(edge, &row);
+    }
+    let own = edge.directory().rows.version();
+    let is_whole = snapshot.after == store::Version::default() && !snapshot.servers.is_empty();
+    if version.era < own.era || (version.era > own.era && !is_whole) {
+        return;
+    }
+    edge.store.record_era(version.era);
+    begin_era(edge, version);
     let servers: Vec<_> = snapshot.servers.into_iter().map(to_row).collect();
     apply(edge, store::Table::Servers, &servers, Source::Peer);
-    if snapshot.after == 0 && !servers.is_empty() {
+    if is_whole {
         return remove_missing(edge, &servers, version, &snapshot.awaited, Source::Peer);
     }
     for (key, removed) in snapshot.removed {
         remove_server(edge, &key, removed, &snapshot.awaited, Source::Peer);
     }
-    let mut directory = edge.directory();
-    directory.rows.version = directory.rows.version.max(version);
+    edge.directory().rows.set_version(version);
 }
 
 // Where a change of the servers was learned.
@@ -207,23 +232,28 @@
 
 fn apply(edge: &edge::Edge, table: store::Table, rows: &[store::Row], source: Source) {
     for row in rows {
-        if !edge.directory().rows.update(table, row) {
-            continue;
-        }
-        match (table, &row.value) {
-            (store::Table::Operator, Some(value)) => set_config(edge, value),
-            (store::Table::Servers, _) => set_server(edge, row, source),
+        match table {
+            store::Table::Operator if edge.directory().rows.record_config(row) => {
+                set_config(edge, row);
+            }
+            store::Table::Servers if edge.directory().rows.update_server(row) => {
+                set_server(edge, row, source);
+            }
             _ => {}
         }
     }
     edge.slot_freed.notify_waiters();
 }
 
-fn set_config(edge: &edge::Edge, value: &[u8]) {
+fn set_config(edge: &edge::Edge, row: &store::Row) {
+    let Some(value) = &row.value else { return };
     match config::read(value) {
         Ok(config) => {
             let (version, routes) = (config.version, config.routes.len());
-            if edge.directory().set_config(config) {
+            let mut directory = edge.directory();
+            if directory.set_config(config) {
+                let (key, value) = (row.key.clone(), value.clone());
+                directory.rows.set_config(version, share::Row { key, version: row.version, value });
                 edge.counters.config_version.set(version as i64);
                 tracing::info!(version, routes, "edge: config applied");
             }
@@ -253,7 +283,7 @@
     source: Source,
 ) {
     if let Some(change) = change {
-        tracing::info!(?change, version, ?source, "edge: servers changed");
+        tracing::info!(?change, %version, ?source, "edge: servers changed");
         directory.apply(&change);
     }
 }
@@ -272,7 +302,7 @@
         remove_server(edge, &key, version, awaited, source);
     }
     let mut directory = edge.directory();
-    directory.rows.version = directory.rows.version.max(version);
+    directory.rows.set_version(version);
     directory.set_fleet_known();
 }
 
@@ -295,7 +325,7 @@
         tracing::info!(
             server = key,
             remaining = ?server.remaining,
-            version,
+            %version,
             "edge: missing server kept"
         );
         return;
@@ -318,7 +348,8 @@
         edge.connections.sweep();
         let mut directory = edge.directory();
         while let Some(change) = directory.fleet.next_expired(clock::now()) {
-            apply_change(&mut directory, Some(change), 0, Source::Grace);
+            let version = directory.rows.version();
+            apply_change(&mut directory, Some(change), version, Source::Grace);
         }
     }
 }
--- a/crates/wire/src/share.rs
+++ b/crates/wire/src/share.rs
@@ -5,7 +5,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use rhubarb_core::{engine, ids, members, reports, stages};
+use rhubarb_core::{engine, ids, members, reports, stages, stamp};
 
 /// Maximum size of a datagram, in bytes; fits into one packet.
 pub const MAX_DATAGRAM_BYTES: usize = 1_400;
@@ -28,7 +28,7 @@
     /// Version of the config that the sender uses.
     pub config: ids::ListVersion,
     /// Store version of the newest change to a server that the sender has seen.
-    pub servers: u64,
+    pub servers: stamp::Stamp,
     /// Whether the sender receives the changes of the platform's store.
     pub follows: bool,
     /// Heartbeats that the sender relays.
@@ -49,7 +49,7 @@
 }
 
 /// Version of the format of [`Share`].
-pub const FORMAT: u8 = 2;
+pub const FORMAT: u8 = 3;
 
 /// Heartbeat of one entry.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -204,7 +204,7 @@
     /// Key.
     pub key: String,
     /// Version.
-    pub version: u64,
+    pub version: stamp::Stamp,
     /// Content.
     pub value: Vec<u8>,
 }
@@ -212,21 +212,23 @@
 /// Versions that an entry has, to which a snapshot adds what is newer.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct SnapshotRequest {
-    /// Store version of the config's row; 0 without a config.
-    pub config: u64,
+    /// Version of the config in use; 0 without a config.
+    pub config: ids::ListVersion,
     /// Store version as of which the servers' rows are known; 0 for all rows.
-    pub servers: u64,
+    pub servers: stamp::Stamp,
 }
 
 impl SnapshotRequest {
     /// Size of an encoded request, in bytes.
-    pub const BYTES: usize = 16;
+    pub const BYTES: usize = 24;
 
     /// Encodes the request.
     pub fn encode(&self) -> [u8; SnapshotRequest::BYTES] {
         let mut bytes = [0; SnapshotRequest::BYTES];
-        bytes[..8].copy_from_slice(&self.config.to_be_bytes());
-        bytes[8..].copy_from_slice(&self.servers.to_be_bytes());
+        let numbers = [self.config, self.servers.era, self.servers.version];
+        for (number, target) in numbers.iter().zip(bytes.chunks_mut(8)) {
+            target.copy_from_slice(&number.to_be_bytes());
+        }
         bytes
     }
 
@@ -235,7 +237,7 @@
         let number = |from: usize| {
             bytes[from..from + 8].iter().fold(0, |sum, byte| (sum << 8) | u64::from(*byte))
         };
-        SnapshotRequest { config: number(0), servers: number(8) }
+        SnapshotRequest { config: number(0), servers: stamp::Stamp::new(number(8), number(16)) }
     }
 }
 
@@ -247,13 +249,13 @@
     /// Rows of servers: all, or those that changed since `after`.
     pub servers: Vec<Row>,
     /// Keys of servers that were removed since `after`, with the versions of the removals.
-    pub removed: Vec<(ids::ServerName, u64)>,
+    pub removed: Vec<(ids::ServerName, stamp::Stamp)>,
     /// Store version that the rows of servers continue from; 0 if they are all.
-    pub after: u64,
+    pub after: stamp::Stamp,
     /// Servers without a row that the sender still keeps for a grace period.
     pub awaited: Vec<AwaitedServer>,
     /// Store version of the rows of servers.
-    pub version: u64,
+    pub version: stamp::Stamp,
 }
 
 /// A server whose row disappeared around an outage of the store.
--- a/crates/wire/tests/shares.rs
+++ b/crates/wire/tests/shares.rs
@@ -2,7 +2,7 @@
 
 use std::{collections, time};
 
-use rhubarb_core::{engine, ids, reports};
+use rhubarb_core::{engine, ids, reports, stamp};
 use rhubarb_wire::share;
 
 fn commitments(count: u32) -> reports::Commitments {
@@ -83,6 +83,6 @@
 
 #[test]
 fn request_roundtrip() {
-    let request = share::SnapshotRequest { config: 7, servers: u64::MAX - 1 };
+    let request = share::SnapshotRequest { config: 7, servers: stamp::Stamp::new(3, u64::MAX - 1) };
     assert_eq!(share::SnapshotRequest::decode(request.encode()), request);
 }
--- a/mutants.sh
+++ b/mutants.sh
@@ -33,7 +33,7 @@
     cargo test --quiet --no-fail-fast -p rhubarb-core -p rhubarb-platform -p rhubarb-edge \
       -p rhubarb-node -p rhubarb-soak 2>&1
     cargo test --quiet --no-fail-fast -p rhubarb-e2e --test platform_plain --test platform_streams \
-      --test platform_store --test platform_stops 2>&1; } |
+      --test platform_store --test platform_eras --test platform_stops 2>&1; } |
     grep -E '^([a-z_:]+ --- FAILED|does not build)' | sed -e 's/ --- FAILED//' | sort -u | tr '\n' ' ' || true)
   # Written anew, so that it is newer than what was built from it.
   cat "$file" >"$DIR/$file"
