--- a/crates/edge/src/watch.rs
+++ b/crates/edge/src/watch.rs
@@ -142,9 +142,9 @@
     if table == store::Table::Servers {
         begin_era(edge, version);
     }
-    apply(edge, table, &all.rows, Source::Store);
+    apply(edge, table, &all.rows, directory::Source::Store);
     if table == store::Table::Servers {
-        remove_missing(edge, &all.rows, all.version, &[], Source::Store);
+        remove_missing(edge, &all.rows, all.version, &[], directory::Source::Store);
     }
     loop {
         if !edge.follows_store() {
@@ -164,7 +164,7 @@
         version = version.max(changes.version);
         state.record_feed();
         let has_changes = !changes.rows.is_empty();
-        apply(edge, table, &changes.rows, Source::Store);
+        apply(edge, table, &changes.rows, directory::Source::Store);
         if table == store::Table::Servers {
             edge.directory().rows.set_version(version);
         }
@@ -209,28 +209,17 @@
     edge.store.record_era(version.era);
     begin_era(edge, version);
     let servers: Vec<_> = snapshot.servers.into_iter().map(to_row).collect();
-    apply(edge, store::Table::Servers, &servers, Source::Peer);
+    apply(edge, store::Table::Servers, &servers, directory::Source::Peer);
     if is_whole {
-        return remove_missing(edge, &servers, version, &snapshot.awaited, Source::Peer);
+        return remove_missing(edge, &servers, version, &snapshot.awaited, directory::Source::Peer);
     }
     for (key, removed) in snapshot.removed {
-        remove_server(edge, &key, removed, &snapshot.awaited, Source::Peer);
+        remove_server(edge, &key, removed, &snapshot.awaited, directory::Source::Peer);
     }
     edge.directory().rows.set_version(version);
 }
 
-// Where a change of the servers was learned.
-#[derive(Clone, Copy, Debug)]
-enum Source {
-    // Read from the store.
-    Store,
-    // Received from a peer.
-    Peer,
-    // The grace period of a server without a row has expired.
-    Grace,
-}
-
-fn apply(edge: &edge::Edge, table: store::Table, rows: &[store::Row], source: Source) {
+fn apply(edge: &edge::Edge, table: store::Table, rows: &[store::Row], source: directory::Source) {
     for row in rows {
         match table {
             store::Table::Operator if edge.directory().rows.record_config(row) => {
@@ -262,7 +251,7 @@
     }
 }
 
-fn set_server(edge: &edge::Edge, row: &store::Row, source: Source) {
+fn set_server(edge: &edge::Edge, row: &store::Row, source: directory::Source) {
     let parsed = row.value.as_ref().map(|value| registration::read(value));
     let mut directory = edge.directory();
     let change = match parsed {
@@ -280,11 +269,10 @@
     directory: &mut directory::Directory,
     change: Option<fleet::Change>,
     version: store::Version,
-    source: Source,
+    source: directory::Source,
 ) {
     if let Some(change) = change {
-        tracing::info!(?change, %version, ?source, "edge: servers changed");
-        directory.apply(&change);
+        directory.record_change(&change, version, source);
     }
 }
 
@@ -295,7 +283,7 @@
     rows: &[store::Row],
     version: store::Version,
     awaited: &[share::AwaitedServer],
-    source: Source,
+    source: directory::Source,
 ) {
     let missing = edge.directory().rows.missing_from(rows, version);
     for key in missing {
@@ -313,7 +301,7 @@
     key: &ids::ServerName,
     version: store::Version,
     awaited: &[share::AwaitedServer],
-    source: Source,
+    source: directory::Source,
 ) {
     let now = clock::now();
     let mut directory = edge.directory();
@@ -349,7 +337,7 @@
         let mut directory = edge.directory();
         while let Some(change) = directory.fleet.next_expired(clock::now()) {
             let version = directory.rows.version();
-            apply_change(&mut directory, Some(change), version, Source::Grace);
+            apply_change(&mut directory, Some(change), version, directory::Source::Grace);
         }
     }
 }
--- a/crates/fakes/src/store.rs
+++ b/crates/fakes/src/store.rs
@@ -213,8 +213,10 @@
     }
 
     async fn handle(&self, request: Request<body::Incoming>) -> Response<response::Body> {
+        let has_eras = self.state().era.is_some();
         let response = self.answer(request).await;
-        if response.headers().contains_key(ERA) {
+        // Responses with rows or objects were marked when they were computed.
+        if !has_eras || response.headers().contains_key(ERA) {
             return response;
         }
         self.state().mark(response)
