--- a/crates/edge/src/leader.rs
+++ b/crates/edge/src/leader.rs
@@ -127,7 +127,8 @@
     };
     match edge.store.write(write, CALL_TIMEOUT).await? {
         store::WriteOutcome::Committed(version) => {
-            tracing::info!(%version, "edge: lease for changing stages acquired");
+            let fence = version.number();
+            tracing::info!(%version, fence, "edge: lease for changing stages acquired");
             lease.observe_era(edge.store.era(), boot::time());
             lease.acquired(version, sent_at);
         }
--- a/crates/fakes/src/backend.rs
+++ b/crates/fakes/src/backend.rs
@@ -204,6 +204,11 @@
         format!("{}.{}", self.id, self.born())
     }
 
+    /// Changes the stage without an order.
+    pub fn set_stage(&self, stage: &str) {
+        self.state().stage.name = stage.to_string();
+    }
+
     /// Current stage and the number of accepted orders.
     pub fn stage(&self) -> (String, u64) {
         let state = self.state();
--- a/crates/fakes/src/lib.rs
+++ b/crates/fakes/src/lib.rs
@@ -26,6 +26,7 @@
 pub mod switch;
 pub mod table;
 pub mod tokens;
+mod transaction;
 
 mod events;
 mod replies;
--- a/crates/fakes/src/store.rs
+++ b/crates/fakes/src/store.rs
@@ -4,13 +4,12 @@
 
 use bytes::Bytes;
 use hyper::{Method, Request, Response, StatusCode, body, header};
-use serde::Deserialize;
 use serde_json::json;
 use tokio::sync as lock;
 
 use rhubarb_node::{locks, response, server};
 
-use crate::copy;
+use crate::{copy, transaction};
 
 /// The store; clones share their state.
 #[derive(Clone, Debug, Default)]
@@ -64,36 +63,6 @@
     LateReplies,
 }
 
-#[derive(Deserialize)]
-struct Transaction {
-    #[serde(default)]
-    expected: Vec<Expected>,
-    #[serde(default)]
-    writes: Vec<Write>,
-    #[serde(default)]
-    remove: Vec<Removal>,
-}
-
-#[derive(Deserialize)]
-struct Removal {
-    table: String,
-    key: String,
-}
-
-#[derive(Deserialize)]
-struct Expected {
-    table: String,
-    key: String,
-    ver: u64,
-}
-
-#[derive(Deserialize)]
-struct Write {
-    table: String,
-    key: String,
-    value: String,
-}
-
 /// Header of the era.
 const ERA: &str = "store-era";
 /// Delay of each call in slow mode.
@@ -354,7 +323,7 @@
     }
 
     fn write_rows(&self, content: &Bytes) -> Response<response::Body> {
-        let transaction: Transaction = match serde_json::from_slice(content) {
+        let transaction: transaction::Transaction = match serde_json::from_slice(content) {
             Ok(transaction) => transaction,
             Err(err) => return response::text(StatusCode::BAD_REQUEST, err.to_string()),
         };
@@ -373,7 +342,7 @@
         // The conditions are checked and the writes applied under one lock.
         let mut state = self.state();
         let content = &mut state.content;
-        let is_met = |expected: &Expected| {
+        let is_met = |expected: &transaction::Expected| {
             content.version_of(&(expected.table.clone(), expected.key.clone())) == expected.ver
         };
         if !transaction.expected.iter().all(is_met) {
