--- a/crates/e2e/tests/platform_eras.rs
+++ b/crates/e2e/tests/platform_eras.rs
@@ -136,6 +136,22 @@
 // being ignored afterwards.
 #[tokio::test]
 async fn server_lost() -> anyhow::Result<()> {
+    check_server_lost(async |site, copy| {
+        let lost = site.store.restore(copy);
+        pause(REWRITE_DELAY).await;
+        site.store.rewrite(lost);
+    })
+    .await
+}
+
+#[tokio::test]
+async fn server_lost_in_outage() -> anyhow::Result<()> {
+    check_server_lost(drill).await
+}
+
+async fn check_server_lost(
+    restore: impl AsyncFnOnce(&site::Site, copy::Content),
+) -> anyhow::Result<()> {
     let site = site::Site::prepare(site::Sizes::default()).await?;
     site.store.remove("servers", "i-plain-1");
     let site = start_edges(site, 2).await?;
@@ -143,7 +159,7 @@
     site.announce(&site.plain[1], "ready");
     pause(millis(600)).await;
     assert!(requests_at(&site, 0, 1).await > 0);
-    drill(&site, copy).await;
+    restore(&site, copy).await;
     for edge in 0..2 {
         assert!(requests_at(&site, edge, 1).await > 0, "{}", site.edges[edge].log());
     }
