--- a/crates/e2e/tests/store_client.rs
+++ b/crates/e2e/tests/store_client.rs
@@ -11,6 +11,7 @@
 use rhubarb_platform::store;
 
 const TIMEOUT: time::Duration = time::Duration::from_secs(3);
+const SLACK: time::Duration = time::Duration::from_millis(500);
 const TABLE: store::Table = store::Table::Leases;
 
 async fn start() -> anyhow::Result<(fake::Store, net::SocketAddr, store::Store)> {
@@ -65,7 +66,7 @@
     let copy = fake.copy();
     fake.put("leases", "row", "first");
     let read = client.read_all(TABLE, TIMEOUT).await?;
-    let feed = client.feed(TABLE, read.version, TIMEOUT);
+    let feed = client.feed(TABLE, read.version, TIMEOUT, SLACK);
     let restore = async {
         tokio::time::sleep(time::Duration::from_millis(100)).await;
         fake.restore(copy);
@@ -76,7 +77,7 @@
     let (changes, ()) = tokio::join!(feed, restore);
     assert!(matches!(changes, Err(store::StoreError::EraChanged)), "{changes:?}");
     let calls = fake.calls();
-    let changes = client.feed(TABLE, read.version, TIMEOUT).await;
+    let changes = client.feed(TABLE, read.version, TIMEOUT, SLACK).await;
     assert!(matches!(changes, Err(store::StoreError::EraChanged)), "{changes:?}");
     assert_eq!(fake.calls(), calls, "not sent");
     Ok(())
