--- a/crates/edge/src/directory.rs
+++ b/crates/edge/src/directory.rs
@@ -4,6 +4,7 @@
 
 use rhubarb_core::{
     cells, engines, fleet, ids, load, outcome, pool, queue_limit, retry, retry_detector, routing,
+    stamp,
 };
 use rhubarb_wire::share;
 
@@ -130,7 +131,7 @@
     /// Versions of the config and the servers in use.
     pub(crate) fn versions(&self) -> lag::Versions {
         let config = self.config.as_ref().map_or(0, |config| config.version);
-        lag::Versions { config, servers: self.rows.version }
+        lag::Versions { config, servers: self.rows.version() }
     }
 
     /// Snapshot of the store's rows for a peer.
@@ -195,18 +196,23 @@
     /// Records that a server has announced that it is leaving.
     pub(crate) fn record_leaving(&mut self, id: &str, source: Source) {
         if let Some(change) = self.fleet.set_leaving(id) {
-            self.record_change(&change, self.rows.version, source);
+            self.record_change(&change, self.rows.version(), source);
         }
     }
 
     /// Logs a change of the servers as of `version` of the store, and applies it to the services.
-    pub(crate) fn record_change(&mut self, change: &fleet::Change, version: u64, source: Source) {
+    pub(crate) fn record_change(
+        &mut self,
+        change: &fleet::Change,
+        version: stamp::Stamp,
+        source: Source,
+    ) {
         if matches!(change, fleet::Change::Leaving(_)) {
             let labels = metrics::SourceLabels { source: source.name().to_string() };
             self.leaving.get_or_create(&labels).inc();
         }
         let open = self.open_requests(change);
-        tracing::info!(?change, version, source = source.name(), open, "edge: servers changed");
+        tracing::info!(?change, %version, source = source.name(), open, "edge: servers changed");
         self.apply(change);
     }
 
--- a/crates/fakes/src/lib.rs
+++ b/crates/fakes/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod arrivals;
 pub mod backend;
 pub mod caller;
+pub mod copy;
 pub mod engine;
 pub mod handles;
 pub mod instances;
@@ -26,6 +27,7 @@
 pub mod switch;
 pub mod table;
 pub mod tokens;
+mod transaction;
 
 mod events;
 mod replies;
