Decide when a server that has asked for a pause is sent to again

Pool and Engines do not choose a paused server, keep its load, memory and health, and the planner counts it but gives it no order.

--- a/crates/core/src/engine.rs
+++ b/crates/core/src/engine.rs
@@ -2,7 +2,7 @@
 
 use std::{collections, time};
 
-use crate::{cells, fleet, ids};
+use crate::{cells, fleet, ids, pauses};
 
 /// A peer's report expires this long after it was received.
 pub const PEER_TIMEOUT: time::Duration = time::Duration::from_millis(1_500);
@@ -48,6 +48,8 @@
     pub(crate) runs: collections::BTreeMap<ids::RunId, Run>,
     // End of a change of stage; the engine gets no work until then.
     pub(crate) changing_until: Option<time::Instant>,
+    // Time in which the engine gets no requests, because it has asked for that.
+    pub(crate) paused: Option<pauses::Closed>,
     // When the engine is expected to have read the prompts that this entry has sent.
     pub(crate) prefill_until: Option<time::Instant>,
     // After a hold that was refused to this entry or to a peer, the engine is not asked again until
@@ -179,6 +181,10 @@
         self.changing_until.is_some_and(|until| now < until)
     }
 
+    pub(crate) fn is_paused(&self, now: time::Instant) -> bool {
+        self.paused.is_some_and(|paused| now < paused.until)
+    }
+
     // Memory that may be committed, in tokens.
     pub(crate) fn capacity(&self) -> u32 {
         (f64::from(self.memory) * MEMORY_SHARE) as u32
--- a/crates/core/src/engines.rs
+++ b/crates/core/src/engines.rs
@@ -5,7 +5,7 @@
 
 use std::{collections, time};
 
-use crate::{cells, engine, fleet, ids, reports, stages};
+use crate::{cells, engine, fleet, ids, pauses, reports, stages};
 
 /// Engines of one service.
 #[derive(Clone, Debug, Default)]
@@ -108,6 +108,7 @@
             memory,
             runs: collections::BTreeMap::new(),
             changing_until: None,
+            paused: None,
             prefill_until: None,
             full_until: None,
             refused_at: None,
@@ -166,13 +167,32 @@
         self.engines.get(id).map(|engine| engine.stage)
     }
 
+    /// Sends no requests to an engine that has asked for that.
+    pub fn set_paused(&mut self, id: &str, paused: Option<pauses::Closed>) {
+        if let Some(engine) = self.engines.get_mut(id) {
+            engine.paused = paused;
+        }
+    }
+
+    /// When the first engine of `stage` may be sent to again, if all that could serve are paused.
+    pub fn paused(&self, stage: fleet::Stage, now: time::Instant) -> Option<pauses::Closed> {
+        let serves = |engine: &engine::Engine| {
+            engine.usable && engine.stage == stage && !engine.is_changing(now)
+        };
+        let serving = self.engines.values().filter(|engine| serves(engine));
+        // One that is not paused sorts first.
+        serving.map(|engine| engine.paused.filter(|paused| now < paused.until)).min().flatten()
+    }
+
     // Engines of `stage` that accept new work.
     fn available(
         &self,
         stage: fleet::Stage,
         now: time::Instant,
     ) -> impl Iterator<Item = (&ids::ServerName, &engine::Engine)> + Clone {
-        let accepts = move |engine: &engine::Engine| engine.usable && !engine.is_changing(now);
+        let accepts = move |engine: &engine::Engine| {
+            engine.usable && !engine.is_changing(now) && !engine.is_paused(now)
+        };
         self.engines.iter().filter(move |(_, engine)| engine.stage == stage && accepts(engine))
     }
 
@@ -359,7 +379,8 @@
         let candidates = all.map(|(id, engine)| {
             let is_changing = engine.is_changing(now);
             let stage = if is_changing { engine.stage.other() } else { engine.stage };
-            stages::Candidate { id: id.clone(), zone: engine.zone.clone(), stage, is_changing }
+            let is_fixed = is_changing || engine.is_paused(now);
+            stages::Candidate { id: id.clone(), zone: engine.zone.clone(), stage, is_fixed }
         });
         candidates.collect()
     }
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -34,6 +34,7 @@
 pub mod outlier;
 pub mod owner;
 pub mod parse;
+pub mod pauses;
 pub mod pool;
 pub mod prefill_time;
 pub mod queue_limit;
--- a/crates/core/src/pool.rs
+++ b/crates/core/src/pool.rs
@@ -2,7 +2,7 @@
 
 use std::{collections, time};
 
-use crate::{ids, load, outcome, outlier};
+use crate::{ids, load, outcome, outlier, pauses};
 
 use outcome::Reason;
 
@@ -27,6 +27,8 @@
     pub ejections: u32,
     /// End of its ejection; not chosen before, unless all servers are ejected.
     pub ejected_until: Option<time::Instant>,
+    /// Time in which it gets no requests, because it has asked for that.
+    pub paused: Option<pauses::Closed>,
     /// Whether it is leaving.
     pub leaving: bool,
     /// Rate of failures among its own answers to requests.
@@ -131,6 +133,7 @@
             failures: 0,
             ejections: 0,
             ejected_until: None,
+            paused: None,
             leaving: false,
             failure_rate: outlier::FailureRate::default(),
         };
@@ -186,6 +189,26 @@
         }
     }
 
+    /// Sends no requests to a server that has asked for that; its load and health stay known.
+    ///
+    /// It has turned away what was sent since its last report, so this counts no more.
+    pub fn set_paused(&mut self, name: &str, paused: Option<pauses::Closed>) {
+        if let Some(server) = self.servers.get_mut(name) {
+            server.paused = paused;
+            if paused.is_some() {
+                server.sent = 0;
+                server.sent_work = time::Duration::ZERO;
+            }
+        }
+    }
+
+    /// When the first server may be sent to again, if all that stay are paused.
+    pub fn paused(&self, now: time::Instant) -> Option<pauses::Closed> {
+        let staying = self.servers.values().filter(|server| !server.leaving);
+        // One that is not paused sorts first.
+        staying.map(|server| server.paused.filter(|paused| now < paused.until)).min().flatten()
+    }
+
     /// Records a request sent to a server, and its expected work.
     pub fn record_sent(&mut self, name: &str, work: time::Duration) {
         if let Some(server) = self.servers.get_mut(name) {
@@ -260,7 +283,7 @@
     /// Chooses a server: the better of two random ones, or the prefix's preferred server.
     ///
     /// Ejected servers are chosen only if there is no other, servers that were tried only if there
-    /// are no ejected ones either, and leaving servers never.
+    /// are no ejected ones either, and leaving and paused servers never.
     pub fn pick(&self, criteria: Criteria<'_>, now: time::Instant) -> Option<ids::ServerName> {
         let usable = self.candidates(criteria.tried, |_| true, now);
         let count = usable.len();
@@ -299,8 +322,11 @@
         allowed: impl Fn(&str) -> bool,
         now: time::Instant,
     ) -> Vec<&ids::ServerName> {
+        let accepts = |server: &Server| {
+            !server.leaving && server.paused.is_none_or(|paused| paused.until <= now)
+        };
         let staying =
-            || self.servers.iter().filter(|(name, server)| !server.leaving && allowed(name));
+            || self.servers.iter().filter(|(name, server)| accepts(server) && allowed(name));
         let is_healthy = |server: &Server| {
             server.ejected_until.is_none_or(|until| until <= now) && !self.is_suspect(server, now)
         };
--- a/crates/core/src/stages.rs
+++ b/crates/core/src/stages.rs
@@ -68,8 +68,8 @@
     pub zone: ids::ZoneName,
     /// Its stage, or the one that it is changing to.
     pub stage: fleet::Stage,
-    /// Whether it is changing its stage.
-    pub is_changing: bool,
+    /// Whether it gets no order now: it is changing its stage, or wants no requests.
+    pub is_fixed: bool,
 }
 
 /// A change of an engine's stage.
@@ -175,7 +175,7 @@
 fn choose(from: fleet::Stage, count: usize, candidates: &[Candidate]) -> Vec<Change> {
     let mut zones: collections::BTreeMap<&ids::ZoneName, Vec<&ids::ServerName>> =
         collections::BTreeMap::new();
-    let can_change = |candidate: &&Candidate| candidate.stage == from && !candidate.is_changing;
+    let can_change = |candidate: &&Candidate| candidate.stage == from && !candidate.is_fixed;
     for candidate in candidates.iter().filter(can_change) {
         zones.entry(&candidate.zone).or_default().push(&candidate.id);
     }
--- a/crates/core/tests/engines.rs
+++ b/crates/core/tests/engines.rs
@@ -155,7 +155,7 @@
     }
     let candidates = engines.candidates(now);
     let changing = candidates.iter().find(|one| one.id == "p-0").unwrap();
-    assert_eq!((changing.stage, changing.is_changing), (fleet::Stage::Decode, true));
+    assert_eq!((changing.stage, changing.is_fixed), (fleet::Stage::Decode, true));
 }
 
 #[test]
--- a/crates/core/tests/stages.rs
+++ b/crates/core/tests/stages.rs
@@ -12,7 +12,7 @@
         id: format!("i-{number}"),
         zone: format!("zone-{}", number % 3),
         stage: if number < prefill { fleet::Stage::Prefill } else { fleet::Stage::Decode },
-        is_changing: false,
+        is_fixed: false,
     });
     all.collect()
 }
@@ -66,7 +66,7 @@
     let mut planner = stages::Planner::default();
     let mut all = candidates(16, 29);
     for candidate in all.iter_mut().take(14) {
-        candidate.is_changing = true;
+        candidate.is_fixed = true;
     }
     planner.plan(COSTS, &all, now);
     let changes = planner.plan(COSTS, &all, now + 2_000 * MILLI);
