Send nothing to a server that has asked for a pause, at any step

Cause: Retry-After of a server's 503 was not read, so runs, prefills, holds, second legs, orders, reports and releases reached it meanwhile, and a decode engine that turned a second leg away was ejected for 5 s. Change: all requests ask the pauses just before the first byte is written; a paused server is no candidate, and if all are paused, requests are rejected at once with the earliest return and a spread.

--- a/crates/edge/src/connections.rs
+++ b/crates/edge/src/connections.rs
@@ -56,6 +56,8 @@
     Unsent(String),
     /// No byte was written, since the server is leaving.
     Leaving,
+    /// No byte was written, since the server has asked for a pause.
+    Paused,
     /// The connection was lost, or carried the response to another request, after the request may
     /// have reached the server.
     ConnectionLost(String),
@@ -66,6 +68,7 @@
         match self {
             SendError::Unsent(err) => write!(f, "not sent: {err}"),
             SendError::Leaving => f.write_str("not sent: the server is leaving"),
+            SendError::Paused => f.write_str("not sent: the server has asked for a pause"),
             SendError::ConnectionLost(err) => write!(f, "connection lost: {err}"),
         }
     }
@@ -96,12 +99,13 @@
 
     /// Sends `request` on an idle or a new connection and waits for the head of the response.
     ///
-    /// `may_send` is asked when a connection is open, just before the request is written.
+    /// `permit` is asked when a connection is open, just before the request is written; its error is
+    /// the result.
     pub(crate) async fn send(
         &self,
         address: net::SocketAddr,
         mut request: Request<Full<Bytes>>,
-        may_send: impl Fn() -> bool,
+        permit: impl Fn() -> Result<(), SendError>,
     ) -> Result<PendingResponse, SendError> {
         if !request.headers().contains_key(header::HOST)
             && let Ok(host) = header::HeaderValue::from_str(&address.to_string())
@@ -109,9 +113,9 @@
             request.headers_mut().insert(header::HOST, host);
         }
         while let Some(mut connection) = self.checkout(address, request.headers()) {
-            if !may_send() {
+            if let Err(err) = permit() {
                 self.put_back(connection, None);
-                return Err(SendError::Leaving);
+                return Err(err);
             }
             match connection.send(request).await {
                 Ok(response) => return Ok(PendingResponse { response, connection }),
@@ -121,9 +125,7 @@
         }
         let mut connection =
             connect(address).await.map_err(|err| SendError::Unsent(err.to_string()))?;
-        if !may_send() {
-            return Err(SendError::Leaving);
-        }
+        permit()?;
         match connection.send(request).await {
             Ok(response) => Ok(PendingResponse { response, connection }),
             Err(failure) => Err(self.lost(failure)),
--- a/crates/edge/src/directory.rs
+++ b/crates/edge/src/directory.rs
@@ -3,7 +3,7 @@
 use std::{collections, net, sync, time};
 
 use rhubarb_core::{
-    cells, engines, fleet, ids, load, outcome, pool, queue_limit, retry, retry_detector, routing,
+    cells, engines, fleet, ids, load, pauses, pool, queue_limit, retry, retry_detector, routing,
 };
 use rhubarb_wire::share;
 
@@ -26,15 +26,18 @@
     Server(Target),
     /// The queue of every server is too long for the latency target.
     Saturated,
+    /// All servers have asked for a pause; the first is sent to again after this time.
+    Paused(pauses::Closed),
     /// No server is available.
     NoServer,
 }
 
-/// A server and its address.
+/// A process of a server and its address.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub(crate) struct Target {
     pub(crate) id: ids::ServerName,
     pub(crate) address: net::SocketAddr,
+    pub(crate) process: pauses::Process,
 }
 
 /// The config and the servers in use, with the state of each service.
@@ -87,18 +90,6 @@
     pool
 }
 
-/// Outcome to record for a server that refused a request or failed.
-///
-/// A server that another server has replaced at its address is ejected for a while; its row is
-/// expected to change meanwhile. That a server itself is leaving is not told by its refusals but by
-/// its row and its announcements.
-pub(crate) fn failure_outcome(reason: outcome::Reason) -> pool::ServerOutcome {
-    match reason {
-        outcome::Reason::Leaving => pool::ServerOutcome::Failure(outcome::Reason::NoServer),
-        reason => pool::ServerOutcome::Failure(reason),
-    }
-}
-
 impl Directory {
     /// Creates a directory that knows nothing, for an entry in `zone`. `leaving` counts the servers
     /// that are found to be leaving.
@@ -248,6 +239,18 @@
         }
     }
 
+    /// Sends no requests to a server that has asked for that.
+    pub(crate) fn set_paused(&mut self, target: &Target, paused: Option<pauses::Closed>) {
+        // Not to a later process under the same id.
+        if self.target(&target.id).is_none_or(|current| current.process != target.process) {
+            return;
+        }
+        for service in self.services.values_mut() {
+            service.pool.set_paused(&target.id, paused);
+            service.engines.set_paused(&target.id, paused);
+        }
+    }
+
     /// The service `name`, created on first use.
     pub(crate) fn service(&mut self, name: &str) -> &mut Service {
         let (zone, retry_limits) = (&self.zone, self.retry_limits);
@@ -304,7 +307,8 @@
     /// Address of a server; `None` if it is not registered.
     pub(crate) fn target(&self, id: &str) -> Option<Target> {
         let instance = self.fleet.get(id)?;
-        Some(Target { id: id.to_string(), address: instance.address })
+        let process = (id.to_string(), instance.started_ms);
+        Some(Target { id: id.to_string(), address: instance.address, process })
     }
 
     /// Chooses a server of a plain service and records that a request is sent to it.
@@ -318,7 +322,9 @@
         let criteria =
             pool::Criteria { tried, affinity: None, random: rand::random(), by_work: false };
         let Service { pool, queue_limit, .. } = self.service(service);
-        let Some(mut id) = pool.pick(criteria, now) else { return Choice::NoServer };
+        let Some(mut id) = pool.pick(criteria, now) else {
+            return pool.paused(now).map_or(Choice::NoServer, Choice::Paused);
+        };
         let is_saturated = |id: &str| {
             let slots = pool.get(id).map_or(0, |server| server.load.slots);
             queue_limit.limit(slots, target).is_some_and(|limit| pool.busy(id) >= limit)
--- a/crates/edge/src/edge.rs
+++ b/crates/edge/src/edge.rs
@@ -4,7 +4,7 @@
 
 use tokio::sync as tokio_sync;
 
-use rhubarb_core::{ids, log_limit, members, usage};
+use rhubarb_core::{ids, log_limit, members, pauses, usage};
 use rhubarb_node::{client, clock, locks};
 use rhubarb_platform::{settings, store};
 
@@ -40,6 +40,7 @@
     members: sync::Mutex<members::Members>,
     orders: sync::Mutex<orders::Orders>,
     lag: sync::Mutex<lag::Lag>,
+    pauses: sync::Mutex<pauses::Pauses>,
     log_limit: sync::Mutex<log_limit::LogLimit>,
     run_seq: atomic::AtomicU64,
     stopping_since: sync::OnceLock<time::Instant>,
@@ -78,6 +79,7 @@
             members: sync::Mutex::new(members),
             orders: sync::Mutex::default(),
             lag: sync::Mutex::default(),
+            pauses: sync::Mutex::default(),
             log_limit: sync::Mutex::default(),
             run_seq: atomic::AtomicU64::new(1),
             stopping_since: sync::OnceLock::new(),
@@ -119,6 +121,11 @@
         locks::lock(&self.orders)
     }
 
+    /// Pauses that servers have asked for; locked before the directory.
+    pub(crate) fn pauses(&self) -> sync::MutexGuard<'_, pauses::Pauses> {
+        locks::lock(&self.pauses)
+    }
+
     /// How far this entry lags behind its peers.
     pub(crate) fn lag(&self) -> sync::MutexGuard<'_, lag::Lag> {
         locks::lock(&self.lag)
--- a/crates/edge/src/exchange.rs
+++ b/crates/edge/src/exchange.rs
@@ -1,14 +1,14 @@
 //! Requests to servers. Every request and response passes here, so that a server that leaves gets
-//! no more work at any step.
+//! no more work at any step, and one that has asked for a pause gets no request of any kind.
 
 use bytes::Bytes;
 use http_body_util::Full;
-use hyper::{HeaderMap, Request, Response, StatusCode};
+use hyper::{Request, Response, StatusCode};
 
 use rhubarb_node::{clock, response as node_response};
 use rhubarb_platform::response;
 
-use crate::{connections, directory, edge};
+use crate::{connections, directory, edge, pauses};
 
 /// Maximum size of a buffered response body, in bytes.
 const MAX_BODY_BYTES: usize = 16 * 1024 * 1024;
@@ -25,21 +25,31 @@
     pub(crate) fn is_success(&self) -> bool {
         self.head.status() == StatusCode::OK
     }
+
+    /// Whether the server turned the request away and asked for a pause.
+    pub(crate) fn asks_pause(&self) -> bool {
+        response::pause_notice(&self.head).length.is_some_and(|length| !length.is_zero())
+    }
 }
 
-/// Sends a request unless the server is leaving, and waits for the head of the response.
+/// Sends a request unless the server is leaving or paused, and waits for the head of the response.
 pub(crate) async fn send(
     edge: &edge::Edge,
     target: &directory::Target,
     request: Request<Full<Bytes>>,
 ) -> Result<connections::PendingResponse, connections::SendError> {
-    let may_send = || !edge.directory().is_leaving(&target.id);
-    let pending = edge.connections.send(target.address, request, may_send).await?;
-    observe(edge, &target.id, pending.response.headers());
+    let permit = || {
+        if edge.directory().is_leaving(&target.id) {
+            return Err(connections::SendError::Leaving);
+        }
+        pauses::permit(edge, target)
+    };
+    let pending = edge.connections.send(target.address, request, permit).await?;
+    observe(edge, target, &pending.response);
     Ok(pending)
 }
 
-/// Sends a request unless the server is leaving, and reads the whole response.
+/// Sends a request unless the server is leaving or paused, and reads the whole response.
 pub(crate) async fn fetch(
     edge: &edge::Edge,
     target: &directory::Target,
@@ -49,21 +59,24 @@
     Ok(read_all(&edge.connections, pending).await)
 }
 
-/// Sends a request that frees a resource, also to a server that is leaving, and reads the whole
-/// response.
+/// Sends a request that frees a resource, also to a server that is leaving but not to one that is
+/// paused, and reads the whole response.
 pub(crate) async fn release(
     edge: &edge::Edge,
     target: &directory::Target,
     request: Request<Full<Bytes>>,
 ) -> Result<BufferedResponse, connections::SendError> {
-    let pending = edge.connections.send(target.address, request, || true).await?;
-    observe(edge, &target.id, pending.response.headers());
+    let permit = || pauses::permit(edge, target);
+    let pending = edge.connections.send(target.address, request, permit).await?;
+    observe(edge, target, &pending.response);
     Ok(read_all(&edge.connections, pending).await)
 }
 
 // Records what a response of any kind says about its server.
-fn observe(edge: &edge::Edge, server: &str, headers: &HeaderMap) {
-    let notice = response::leaving_notice(headers);
+fn observe<B>(edge: &edge::Edge, target: &directory::Target, response: &Response<B>) {
+    let server = target.id.as_str();
+    pauses::observe(edge, target, response);
+    let notice = response::leaving_notice(response.headers());
     if let Some(value) = notice.unexpected
         && edge.log_limit().allows(&format!("leaving {server}"), clock::now())
     {
--- a/crates/edge/src/leader.rs
+++ b/crates/edge/src/leader.rs
@@ -12,7 +12,7 @@
 use rhubarb_node::clock;
 use rhubarb_platform::{engine, store};
 
-use crate::{boot, directory, edge, exchange};
+use crate::{boot, directory, edge, exchange, pauses};
 
 /// Interval between plans.
 const PLAN_PERIOD: time::Duration = time::Duration::from_millis(500);
@@ -153,7 +153,8 @@
     let status = response.map(|response| response.head.status());
     let code = status.map(|status| status.as_u16());
     tracing::info!(server = id, to = ?stage, fence, orders, status = code, "edge: order sent");
-    if status.is_some_and(|status| !status.is_success()) {
+    let is_paused = pauses::is_paused(edge, &target);
+    if is_paused || status.is_some_and(|status| !status.is_success()) {
         clear_changing(edge, service, id);
     }
     status != Some(StatusCode::PRECONDITION_FAILED)
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -25,6 +25,7 @@
 mod ledger;
 mod metrics;
 mod orders;
+mod pauses;
 mod peers;
 mod plain;
 mod prefill;
--- a/crates/edge/src/metrics.rs
+++ b/crates/edge/src/metrics.rs
@@ -27,6 +27,8 @@
     pub(crate) engine_full: counter::Counter,
     pub(crate) stray_responses: counter::Counter,
     pub(crate) leaving: SourceFamily,
+    pub(crate) pauses: counter::Counter,
+    pub(crate) withheld: counter::Counter,
     pub(crate) dropped_lines: gauge::Gauge,
     pub(crate) plain_time: histogram::Histogram,
     pub(crate) first_event: histogram::Histogram,
@@ -47,6 +49,10 @@
                 .counter("stray_responses", "Answers of servers that belonged to another request"),
             leaving: registry
                 .family("leaving_servers", "Servers found to be leaving, by how it was learned"),
+            pauses: registry
+                .counter("server_pauses", "Pauses that servers have asked for, and longer ones"),
+            withheld: registry
+                .counter("withheld_requests", "Requests not sent because their server was paused"),
             dropped_lines: registry.gauge("log_lines_dropped", "Log lines not written in time"),
             plain_time: registry
                 .seconds_histogram("plain_seconds", "Time to the answer of a plain call"),
--- a/crates/edge/src/plain.rs
+++ b/crates/edge/src/plain.rs
@@ -79,6 +79,9 @@
     async fn send(&mut self) -> flow::Event {
         let target = match self.choose() {
             directory::Choice::Server(target) => target,
+            directory::Choice::Paused(closed) => {
+                return no_server(Reason::NoRoom, refuse::pause_retry(closed));
+            }
             directory::Choice::Saturated => return no_server(Reason::NoRoom, RETRY_SOON),
             directory::Choice::NoServer => {
                 return no_server(Reason::NoServer, reservation::no_server_retry());
@@ -159,6 +162,14 @@
                 );
                 Attempt::Unsent(Reason::Leaving)
             }
+            responder::WaitOutcome::Event(Err(connections::SendError::Paused)) => {
+                tracing::info!(
+                    id = self.call.id(),
+                    server = target.id,
+                    "edge: request not sent to a paused server"
+                );
+                Attempt::Unsent(Reason::NoRoom)
+            }
             responder::WaitOutcome::Event(Err(connections::SendError::ConnectionLost(err))) => {
                 tracing::info!(
                     id = self.call.id(),
@@ -213,7 +224,7 @@
                 pool::ServerOutcome::Unknown
             }
             Attempt::Completed(_) => pool::ServerOutcome::Success,
-            Attempt::Failed(refusal) => directory::failure_outcome(refusal.reason),
+            Attempt::Failed(refusal) => refuse::failure_outcome(refusal.reason),
             Attempt::Unsent(Reason::Leaving) => pool::ServerOutcome::Unknown,
             Attempt::Unsent(reason) => pool::ServerOutcome::Failure(*reason),
             Attempt::Disconnected => pool::ServerOutcome::Unknown,
--- a/crates/edge/src/prefill.rs
+++ b/crates/edge/src/prefill.rs
@@ -8,7 +8,7 @@
 
 use outcome::{RETRY_SOON, Reason, Refusal};
 
-use crate::{call, cleanup, connections, directory, edge, exchange, ledger};
+use crate::{call, cleanup, connections, directory, edge, exchange, ledger, refuse};
 
 /// KV cache of a prompt at its prefill engine, freed when dropped before it was fetched.
 #[derive(Debug)]
@@ -139,6 +139,14 @@
             );
             return PrefillResult::Unsent(target.id);
         }
+        responder::WaitOutcome::Event(Err(connections::SendError::Paused)) => {
+            tracing::info!(
+                id = call.id(),
+                server = target.id,
+                "edge: prefill not sent to a paused server"
+            );
+            return PrefillResult::Unsent(target.id);
+        }
         responder::WaitOutcome::Event(Err(connections::SendError::ConnectionLost(err))) => {
             tracing::info!(
                 id = call.id(),
@@ -151,7 +159,7 @@
         responder::WaitOutcome::Event(Ok(response)) => read_response(call, &target, &response),
     };
     let outcome = result.as_ref().map_or_else(
-        |refusal| directory::failure_outcome(refusal.reason),
+        |refusal| refuse::failure_outcome(refusal.reason),
         |_| pool::ServerOutcome::Unknown,
     );
     record_outcome(call, &target.id, outcome);
--- a/crates/edge/src/refuse.rs
+++ b/crates/edge/src/refuse.rs
@@ -1,9 +1,11 @@
 //! Refusals: responses that the entry generates itself.
 
+use std::time;
+
 use hyper::{Response, StatusCode, header};
 
-use rhubarb_core::outcome;
-use rhubarb_node::{metrics, response};
+use rhubarb_core::{outcome, pauses, pool};
+use rhubarb_node::{clock, metrics, response};
 use rhubarb_platform::response as platform_response;
 
 use outcome::{Outcome, Reason, Refusal};
@@ -52,6 +54,24 @@
     );
 }
 
+/// Delay before a caller retries that found all servers paused; the first is sent to again after
+/// `closed`.
+pub(crate) fn pause_retry(closed: pauses::Closed) -> time::Duration {
+    pauses::retry_delay(closed, rand::random(), clock::now())
+}
+
+/// Outcome to record for a server that refused a request or failed.
+///
+/// A server that another server has replaced at its address is ejected for a while; its row is
+/// expected to change meanwhile. That a server itself is leaving is not told by its refusals but by
+/// its row and its announcements.
+pub(crate) fn failure_outcome(reason: Reason) -> pool::ServerOutcome {
+    match reason {
+        Reason::Leaving => pool::ServerOutcome::Failure(Reason::NoServer),
+        reason => pool::ServerOutcome::Failure(reason),
+    }
+}
+
 fn build_response(
     attempt_id: Option<&header::HeaderValue>,
     refusal: Refusal,
--- a/crates/edge/src/reservation.rs
+++ b/crates/edge/src/reservation.rs
@@ -10,7 +10,7 @@
 
 use outcome::{Reason, Refusal};
 
-use crate::{call, cleanup, directory, edge, exchange, prefill};
+use crate::{call, cleanup, connections, directory, edge, exchange, prefill, refuse};
 
 /// Slot and memory of one request at a decode engine, released when dropped.
 #[derive(Debug)]
@@ -69,12 +69,15 @@
     pub(crate) overdue: bool,
     /// Time after which a slot is of no use.
     pub(crate) until: time::Instant,
+    /// Whether a part of the answer was sent, so that the request cannot be rejected any more and
+    /// waits for the end of pauses.
+    pub(crate) is_started: bool,
 }
 
 impl WaitLimit {
     /// Limit of a request that can still meet its latency target.
     pub(crate) fn until(until: time::Instant) -> WaitLimit {
-        WaitLimit { overdue: false, until }
+        WaitLimit { overdue: false, until, is_started: false }
     }
 }
 
@@ -119,12 +122,15 @@
     tried: &[ids::ServerName],
     limit: WaitLimit,
 ) -> ReserveResult {
-    let WaitLimit { overdue, until } = limit;
+    let WaitLimit { overdue, until, is_started } = limit;
     let position = engines::Position { overdue, arrived: call.arrived, run: call.edge.next_run() };
     let _ticket = QueueTicket { call, position };
     if !has_server(call) {
         return ReserveResult::Refused(Refusal::not_run(Reason::NoServer, no_server_retry()));
     }
+    if !is_started && let Some(refusal) = paused_refusal(call) {
+        return ReserveResult::Refused(refusal);
+    }
     if is_queue_too_long(call, until) {
         return ReserveResult::Refused(no_slot());
     }
@@ -145,6 +151,9 @@
                 responder::WaitOutcome::Expired => break,
             }
         }
+        if !is_started && let Some(refusal) = paused_refusal(call) {
+            return ReserveResult::Refused(refusal);
+        }
         if clock::now() >= until {
             return ReserveResult::Refused(no_slot());
         }
@@ -161,8 +170,16 @@
 // Whether any server of the service stays, so that waiting makes sense.
 fn has_server(call: &call::Call) -> bool {
     let mut directory = call.edge.directory();
-    let pool = &directory.service(&call.service).pool;
-    !pool.candidates(&[], |_| true, clock::now()).is_empty()
+    let (pool, now) = (&directory.service(&call.service).pool, clock::now());
+    !pool.candidates(&[], |_| true, now).is_empty() || pool.paused(now).is_some()
+}
+
+// Refusal of a request whose decode engines have all asked for a pause.
+fn paused_refusal(call: &call::Call) -> Option<Refusal> {
+    let mut directory = call.edge.directory();
+    let engines = &directory.service(&call.service).engines;
+    let closed = engines.paused(fleet::Stage::Decode, clock::now())?;
+    Some(Refusal::not_run(Reason::NoRoom, refuse::pause_retry(closed)))
 }
 
 /// Delay before the callers of a service without a server retry. Its servers are replaced within
@@ -190,6 +207,14 @@
     let sending = exchange::fetch(&call.edge, &reservation.target, request);
     let response = match tokio::time::timeout(HOLD_TIMEOUT, sending).await {
         Ok(Ok(response)) => response,
+        Ok(Err(connections::SendError::Paused)) => {
+            tracing::info!(
+                id = call.id(),
+                server = id,
+                "edge: hold not requested at a paused server"
+            );
+            return HoldResult::Unavailable;
+        }
         Ok(Err(err)) => {
             tracing::info!(id = call.id(), server = id, %err, "edge: hold request failed");
             prefill::record_outcome(call, &id, pool::ServerOutcome::Failure(Reason::NoServer));
@@ -211,6 +236,10 @@
             tracing::warn!(id = call.id(), server = id, %err, "edge: invalid hold response");
             HoldResult::Unavailable
         }
+        None if response.asks_pause() => {
+            tracing::info!(id = call.id(), server = id, "edge: hold refused by a paused server");
+            HoldResult::Unavailable
+        }
         None if response.head.status() == StatusCode::SERVICE_UNAVAILABLE => {
             log_estimate(call, &id, need, "edge: engine is full");
             call.edge.counters.engine_full.inc();
--- a/crates/edge/src/run.rs
+++ b/crates/edge/src/run.rs
@@ -9,7 +9,7 @@
 
 use tokio::{sync as tokio_sync, task};
 
-use crate::{discovery, edge, ingress, leader, ledger, peers, reload, snapshots, watch};
+use crate::{discovery, edge, ingress, leader, ledger, pauses, peers, reload, snapshots, watch};
 
 /// Maximum number of connections from callers; leaves file descriptors for servers and the store.
 const MAX_CONNECTIONS: usize = 2_000;
@@ -42,6 +42,7 @@
     }
     tokio::spawn(watch::choose_source(edge.clone()));
     tokio::spawn(watch::sweep(edge.clone()));
+    tokio::spawn(pauses::report(edge.clone()));
     tokio::spawn(leader::run(edge.clone()));
     tokio::spawn(reload::run(edge.clone(), signals::hangups()?));
     let (snapshots, shares) =
--- a/crates/edge/src/stream.rs
+++ b/crates/edge/src/stream.rs
@@ -109,7 +109,11 @@
     fn slot_wait(&self) -> reservation::WaitLimit {
         let now = clock::now();
         if self.events > 0 {
-            return reservation::WaitLimit::until(self.call.deadline.min(now + RESUME_WAIT));
+            let until = self.call.deadline.min(now + RESUME_WAIT);
+            return reservation::WaitLimit {
+                is_started: true,
+                ..reservation::WaitLimit::until(until)
+            };
         }
         let overdue = self.call.is_retry;
         let mut directory = self.call.edge.directory();
@@ -123,7 +127,7 @@
         let due = self.call.arrived + target;
         let until =
             due.checked_sub(prefill + FIRST_EVENT_DELAY).unwrap_or(now).min(self.call.deadline);
-        reservation::WaitLimit { overdue, until }
+        reservation::WaitLimit { overdue, until, is_started: false }
     }
 
     // Whether the deadline is expected to pass long before the answer is complete.
@@ -222,7 +226,7 @@
                 reason = reason.name(),
                 "edge: request not sent, another server is chosen"
             );
-            prefill::record_outcome(&self.call, &target.id, directory::failure_outcome(reason));
+            prefill::record_outcome(&self.call, &target.id, refuse::failure_outcome(reason));
             tried.push(target.id.clone());
             self.reservation = None;
             let usable_until =
@@ -275,6 +279,9 @@
             responder::WaitOutcome::Event(Err(connections::SendError::Leaving)) => {
                 return SendResult::NotSent(Reason::Leaving);
             }
+            responder::WaitOutcome::Event(Err(connections::SendError::Paused)) => {
+                return SendResult::NotSent(Reason::NoRoom);
+            }
             responder::WaitOutcome::Event(Err(connections::SendError::ConnectionLost(err))) => {
                 tracing::info!(
                     id = self.call.id(),
@@ -303,7 +310,7 @@
                 prefill::record_outcome(
                     &self.call,
                     server,
-                    directory::failure_outcome(refusal.reason),
+                    refuse::failure_outcome(refusal.reason),
                 );
             }
             _ => {}
@@ -347,7 +354,10 @@
         server: &ids::ServerName,
         pending: connections::PendingResponse,
     ) -> flow::Event {
-        exchange::read_all(&self.call.edge.connections, pending).await;
+        let response = exchange::read_all(&self.call.edge.connections, pending).await;
+        if response.asks_pause() {
+            return self.failed(Some(server.clone()), Refusal::not_run(Reason::NoRoom, RETRY_SOON));
+        }
         if let Some(cache) = &self.cache {
             let failure = pool::ServerOutcome::Failure(Reason::LostContact);
             prefill::record_outcome(&self.call, &cache.server, failure);
