--- a/crates/edge/src/exchange.rs
+++ b/crates/edge/src/exchange.rs
@@ -28,7 +28,7 @@
 
     /// Whether the server turned the request away and asked for a pause.
     pub(crate) fn asks_pause(&self) -> bool {
-        response::pause_notice(&self.head).length.is_some_and(|length| !length.is_zero())
+        response::asks_pause(&self.head)
     }
 }
 
--- a/crates/edge/src/plain.rs
+++ b/crates/edge/src/plain.rs
@@ -232,7 +232,9 @@
         let mut directory = self.call.edge.directory();
         let pool = &mut directory.service(&self.call.service).pool;
         pool.record_end(&target.id, outcome, clock::now());
-        if let Attempt::Completed(response) = attempt {
+        if let Attempt::Completed(response) = attempt
+            && !platform_response::asks_pause(&response.head)
+        {
             pool.record_answer(&target.id, response.head.status().is_server_error(), clock::now());
         }
     }
--- a/crates/edge/src/prefill.rs
+++ b/crates/edge/src/prefill.rs
@@ -222,6 +222,9 @@
     target: &directory::Target,
     response: &exchange::BufferedResponse,
 ) -> Result<engine::Prefilled, Refusal> {
+    if response.asks_pause() {
+        return Err(Refusal::not_run(Reason::NoRoom, RETRY_SOON));
+    }
     match platform_response::classify(&response.head, call.head.attempt_id.as_ref()) {
         platform_response::HeadClass::OtherServer => {
             Err(Refusal::not_run(Reason::Leaving, RETRY_SOON))
