Count the calls of one change without the first usage records

config_passed_on counted all calls to the store while a config spreads, at most half the number of entries. The test now waits until they are written; the bound is the same.

--- a/crates/e2e/tests/platform_cells.rs
+++ b/crates/e2e/tests/platform_cells.rs
@@ -41,6 +41,9 @@
     prefix
 }
 
+/// Time after the start in which every entry writes its first usage record.
+const FIRST_RECORDS: time::Duration = time::Duration::from_millis(4_600);
+
 // Number of entries that serve `path`, of those that run.
 async fn serving(site: &mut site::Site, path: &str) -> (usize, usize) {
     let (mut serving, mut running) = (0, 0);
@@ -75,6 +78,7 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn config_passed_on() -> anyhow::Result<()> {
     let mut site = start().await?;
+    tokio::time::sleep(FIRST_RECORDS).await;
     let before = site.store.calls();
     let prefix = add_route(&site, 5);
     wait_served(&mut site, &format!("{prefix}x"), CONFIG_DEADLINE).await?;
