Test a restore of the store in a fleet of cells

Entries that do not follow the store learn the new era, the config and the removal of a server from their peers.

--- a/crates/e2e/tests/platform_cells.rs
+++ b/crates/e2e/tests/platform_cells.rs
@@ -88,6 +88,34 @@
     Ok(())
 }
 
+// Guards against entries that do not follow the store and keep what it lost in a restore.
+#[tokio::test(flavor = "multi_thread")]
+async fn restore_passed_on() -> anyhow::Result<()> {
+    let mut site = start().await?;
+    let copy = site.store.copy();
+    for _ in 0..300 {
+        site.store.put("status", "row", "value");
+    }
+    let lost = add_route(&site, 5);
+    wait_served(&mut site, &format!("{lost}x"), CONFIG_DEADLINE).await?;
+    site.store.restore(copy);
+    tokio::time::sleep(time::Duration::from_secs(1)).await;
+    wait_served(&mut site, &format!("{lost}x"), time::Duration::ZERO).await?;
+    site.store.remove("servers", "i-plain-0");
+    let next = add_route(&site, 7);
+    wait_served(&mut site, &format!("{next}x"), CONFIG_DEADLINE).await?;
+    // The grace period of the new era is over.
+    tokio::time::sleep(time::Duration::from_secs(2)).await;
+    let before = site.plain[0].runs().len();
+    for (number, edge) in site.edges.iter().enumerate() {
+        let reply =
+            edge.call(hyper::Method::POST, site::UNSAFE, &format!("late-{number}"), "b").await?;
+        assert_eq!(reply.status, 200);
+    }
+    assert_eq!(site.plain[0].runs().len(), before, "the removed server ran a request");
+    Ok(())
+}
+
 // A server that leaves gets no new work from any entry.
 #[tokio::test(flavor = "multi_thread")]
 async fn leaving_passed_on() -> anyhow::Result<()> {
