--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -46,6 +46,7 @@
 pub mod routing;
 pub mod row_stamps;
 pub mod section;
+pub mod server;
 pub mod slots;
 pub mod sse;
 pub mod stages;
--- a/crates/entry/src/completion.rs
+++ b/crates/entry/src/completion.rs
@@ -24,6 +24,8 @@
     prefilled: Option<message::Prefilled>,
     // Server that prefilled the prompt, until a token confirms that the result was usable.
     prefill_server: Option<ids::ServerName>,
+    // Whether the attempt failed at its prefill server, so that the decode server is not at fault.
+    prefill_failed: bool,
     // Bytes of the response body after its last complete line.
     partial_line: Vec<u8>,
     tokens_sent: u32,
@@ -83,6 +85,7 @@
             decode: None,
             prefilled: None,
             prefill_server: None,
+            prefill_failed: false,
             partial_line: Vec::new(),
             tokens_sent: 0,
             prompt_tokens: 0,
@@ -100,7 +103,11 @@
     async fn execute(&mut self, step: flow::Step) -> Option<flow::Event> {
         match step {
             flow::Step::Reserve => return Some(self.reserve().await),
-            flow::Step::Prefill => return Some(self.prefill().await),
+            flow::Step::Prefill => {
+                let event = self.prefill().await;
+                self.prefill_failed = failure_reason(&event).is_some();
+                return Some(event);
+            }
             flow::Step::Send => return Some(self.decode().await),
             flow::Step::Replay => return Some(self.stream().await),
             flow::Step::Release(reason) => self.release(Some(reason)),
@@ -127,23 +134,17 @@
 
     async fn reserve(&mut self) -> flow::Event {
         let keyed = self.ticket.key.is_some();
-        let Some(server) =
-            selection::choose(&self.ticket, list::Role::Decode, self.flow.tried(), None)
-        else {
-            self.ticket.entry.directory.request_refresh();
-            return self.server_unreachable(None, keyed);
-        };
-        let Some(peer) = self.ticket.entry.peers.get(&server) else {
-            return self.server_unreachable(Some(server), keyed);
-        };
-        let Some(agent) = peer.connect().await else {
-            selection::record_end(
-                &self.ticket,
-                &server,
-                list::Role::Decode,
-                pool::ServerOutcome::Failure(Reason::NoServer),
-            );
-            return self.server_unreachable(Some(server), keyed);
+        let role = list::Role::Decode;
+        let selected = selection::connect(&self.ticket, role, self.flow.tried(), None).await;
+        let selection::Selected { server, peer, agent } = match selected {
+            Ok(selected) => selected,
+            Err(selection::SelectError::NoServer) => {
+                self.ticket.entry.directory.request_refresh();
+                return self.server_unreachable(None, keyed);
+            }
+            Err(selection::SelectError::Unreachable(server)) => {
+                return self.server_unreachable(Some(server), keyed);
+            }
         };
         let wait_deadline = self.ticket.deadline.min(clock::now() + self.targets.max_wait);
         let run_id = self.ticket.entry.peers.next_run_id();
@@ -187,29 +188,25 @@
 
     // A prefill produces no output for the caller, so an attempt that fails here counts as not run.
     async fn prefill(&mut self) -> flow::Event {
-        let Some(server) = selection::choose(
-            &self.ticket,
-            list::Role::Prefill,
-            self.flow.tried(),
-            Some(&self.request.prompt),
-        ) else {
-            return self.server_unreachable(None, false);
+        let (tried, prompt) = (self.flow.tried(), Some(self.request.prompt.as_str()));
+        let selected = selection::connect(&self.ticket, list::Role::Prefill, tried, prompt).await;
+        let selected = match selected {
+            Ok(selected) => selected,
+            Err(selection::SelectError::NoServer) => return self.server_unreachable(None, false),
+            Err(selection::SelectError::Unreachable(server)) => {
+                return self.server_unreachable(Some(server), false);
+            }
         };
-        let event = self.prefill_at(&server).await;
+        let server = selected.server.clone();
+        let event = self.prefill_at(selected).await;
         let outcome = failure_reason(&event)
             .map_or(pool::ServerOutcome::Unknown, pool::ServerOutcome::Failure);
         selection::record_end(&self.ticket, &server, list::Role::Prefill, outcome);
         event
     }
 
-    async fn prefill_at(&mut self, server: &ids::ServerName) -> flow::Event {
-        let connected = match self.ticket.entry.peers.get(server) {
-            Some(peer) => peer.connect().await.map(|agent| (peer, agent)),
-            None => None,
-        };
-        let Some((peer, agent)) = connected else {
-            return self.server_unreachable(Some(server.clone()), false);
-        };
+    async fn prefill_at(&mut self, selected: selection::Selected) -> flow::Event {
+        let selection::Selected { server, peer, agent } = selected;
         let run_id = self.ticket.entry.peers.next_run_id();
         let message = message::ToAgent::Prefill(message::Prefill {
             run: run_id,
@@ -225,14 +222,14 @@
             responder::WaitOutcome::Event(channel::Event::Prefilled(prefilled)) => {
                 self.record_prefill(&prefilled);
                 self.prefilled = Some(prefilled);
-                self.prefill_server = Some(server.clone());
+                self.prefill_server = Some(server);
                 flow::Event::Prefilled
             }
             responder::WaitOutcome::Event(channel::Event::Refused(refusal)) => {
                 let refusal = Refusal { outcome: Outcome::NotRun, ..refusal };
-                self.failure_event(Some(server.clone()), refusal)
+                self.failure_event(Some(server), refusal)
             }
-            result => self.wait_failure_event(server.clone(), result),
+            result => self.wait_failure_event(server, result),
         }
     }
 
@@ -333,12 +330,14 @@
         }
         if let Some(decode) = self.decode.take() {
             let outcome = match reason {
+                Some(_) if self.prefill_failed => pool::ServerOutcome::Unknown,
                 Some(reason) => pool::ServerOutcome::Failure(reason),
                 None if self.first_at.is_some() => pool::ServerOutcome::Success,
                 None => pool::ServerOutcome::Unknown,
             };
             selection::record_end(&self.ticket, &decode.server, list::Role::Decode, outcome);
         }
+        self.prefill_failed = false;
         if let Some(prefilled) = self.prefilled.take() {
             let ticket = &self.ticket;
             let reason = reason.unwrap_or(Reason::Withdrawn);
