--- a/crates/core/src/pool.rs
+++ b/crates/core/src/pool.rs
@@ -2,7 +2,7 @@
 
 use std::{collections, time};
 
-use crate::{ids, load, outcome, outlier, server};
+use crate::{ids, load, outcome, outlier, pauses, server};
 
 use outcome::Reason;
 
@@ -178,6 +178,26 @@
         }
     }
 
+    /// Sends no requests to a server that has asked for that; its load and health stay known.
+    ///
+    /// It has turned away what was sent since its last report, so this counts no more.
+    pub fn set_paused(&mut self, name: &str, paused: Option<pauses::Closed>) {
+        if let Some(server) = self.servers.get_mut(name) {
+            server.paused = paused;
+            if paused.is_some() {
+                server.sent = 0;
+                server.sent_work = time::Duration::ZERO;
+            }
+        }
+    }
+
+    /// When the first server may be sent to again, if all that stay are paused.
+    pub fn paused(&self, now: time::Instant) -> Option<pauses::Closed> {
+        let staying = self.servers.values().filter(|server| !server.leaving);
+        // One that is not paused sorts first.
+        staying.map(|server| server.paused.filter(|paused| now < paused.until)).min().flatten()
+    }
+
     /// Records a request sent to a server, and its expected work.
     pub fn record_sent(&mut self, name: &str, work: time::Duration) {
         if let Some(server) = self.servers.get_mut(name) {
@@ -253,7 +273,7 @@
     /// Chooses a server: the better of two random ones, or the prefix's preferred server.
     ///
     /// Ejected servers are chosen only if there is no other, servers that were tried only if there
-    /// are no ejected ones either, and leaving servers never.
+    /// are no ejected ones either, and leaving and paused servers never.
     pub fn pick(&self, criteria: Criteria<'_>, now: time::Instant) -> Option<ids::ServerName> {
         let usable = self.candidates(criteria.tried, |_| true, now);
         let count = usable.len();
@@ -292,8 +312,11 @@
         allowed: impl Fn(&str) -> bool,
         now: time::Instant,
     ) -> Vec<&ids::ServerName> {
+        let accepts = |server: &server::Server| {
+            !server.is_leaving() && server.paused.is_none_or(|paused| paused.until <= now)
+        };
         let staying =
-            || self.servers.iter().filter(|(name, server)| !server.is_leaving() && allowed(name));
+            || self.servers.iter().filter(|(name, server)| accepts(server) && allowed(name));
         let is_healthy = |server: &server::Server| {
             server.ejected_until.is_none_or(|until| until <= now) && !self.is_suspect(server, now)
         };
