Restore the store of a soak from a copy, and pause servers more often

Restores lose what was written since the copy; the operator and the servers write again within 2 s. For the checks the store counts as disturbed until then. A fifth of the drawn pauses are of all servers.

--- a/crates/soak/src/injector.rs
+++ b/crates/soak/src/injector.rs
@@ -3,9 +3,10 @@
 use std::{collections, sync, sync::atomic, time};
 
 use rustix::process::Signal;
+use tokio::task;
 
 use rhubarb_e2e::{relay, site};
-use rhubarb_fakes::{backend, store};
+use rhubarb_fakes::{backend, copy, store};
 
 use crate::{callers, check, plan, record};
 
@@ -21,6 +22,9 @@
     starting: collections::BTreeSet<usize>,
     // Entries whose process has ended.
     ended: collections::BTreeSet<usize>,
+    // Last copy of the store, and the restore that is under way.
+    copy: copy::Content,
+    restore: Option<task::JoinHandle<()>>,
     // Servers that leave, as their answers or rows say.
     leaving: collections::BTreeSet<usize>,
 }
@@ -36,12 +40,15 @@
 
 impl Injector {
     pub(crate) fn new(site: site::Site, shared: sync::Arc<callers::Shared>) -> Injector {
+        let copy = site.store.copy();
         Injector {
             site,
             shared,
             violations: Vec::new(),
             starting: collections::BTreeSet::new(),
             ended: collections::BTreeSet::new(),
+            copy,
+            restore: None,
             leaving: collections::BTreeSet::new(),
         }
     }
@@ -92,6 +99,8 @@
                 self.set_disturbed(Place::Edge(edge), is_cut);
             }
             plan::Change::Compact => self.site.store.compact(),
+            plan::Change::CopyStore => self.copy = self.site.store.copy(),
+            plan::Change::RestoreStore(outage, rewrite) => self.restore_store(outage, rewrite),
             plan::Change::Config => self.update_config(),
             plan::Change::RestartServer(number) => {
                 let server = self.server(number);
@@ -118,6 +127,20 @@
         Ok(())
     }
 
+    // Starts a restore from the last copy, unless one is under way.
+    fn restore_store(&mut self, outage: time::Duration, rewrite: time::Duration) {
+        if self.restore.as_ref().is_some_and(|restore| !restore.is_finished()) {
+            return;
+        }
+        let from = time::Instant::now();
+        let until = Some(from + outage + rewrite + POLL_INTERVAL);
+        let disturbance = record::Disturbance { place: Place::Store, from, until };
+        self.shared.history().disturbances.push(disturbance);
+        let (store, content) = (self.site.store.clone(), self.copy.clone());
+        let drill = async move { store.drill(content, outage, rewrite).await };
+        self.restore = Some(tokio::spawn(drill));
+    }
+
     fn apply_to_server(&mut self, change: plan::Change) {
         match change {
             plan::Change::ServerFault(number, fault) => self.server(number).set_fault(fault),
@@ -337,6 +360,9 @@
             self.apply(plan::Change::CutStore(edge, false)).await?;
             self.apply(plan::Change::Start(edge)).await?;
         }
+        if let Some(restore) = self.restore.take() {
+            restore.await?;
+        }
         self.apply(plan::Change::Store(store::Mode::Up)).await?;
         for number in 0..self.site.servers().len() {
             self.apply(plan::Change::ServerFault(number, backend::Fault::None)).await?;
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -30,6 +30,11 @@
     CutStore(usize, bool),
     /// Discards the change history of the store.
     Compact,
+    /// Copies the content of the store.
+    CopyStore,
+    /// Makes the store busy for the first time, restores it from the last copy, and lets the operator
+    /// and the servers write again after the second time.
+    RestoreStore(time::Duration, time::Duration),
     /// Sets the fault of a server.
     ServerFault(usize, backend::Fault),
     /// Makes a server reject requests for a time, with `Retry-After`.
@@ -94,6 +99,10 @@
 const DEPARTURE_MS: std::ops::Range<u64> = 1_500..6_500;
 /// Duration of a pause, beyond the time in which requests may still be on their way (0.5 s).
 const PAUSE_MS: std::ops::Range<u64> = 500..4_000;
+/// Time from a copy of the store to the restore from it.
+const COPY_AGE_MS: std::ops::Range<u64> = 500..5_000;
+/// Time after a restore of the store within which the operator and the servers write again.
+const REWRITE_MS: std::ops::Range<u64> = 50..2_000;
 /// Number of signals to one entry, or of versions of the config, in a series.
 const SERIES_LENGTH: std::ops::Range<u64> = 2..7;
 /// Time between two changes of a series.
@@ -202,7 +211,7 @@
         let span = [at, at + self.millis(FAULT_DURATION_MS)];
         let server = self.random.random_range(0..self.servers);
         let edge = self.random.random_range(0..self.edges);
-        match self.random.random_range(0..24) {
+        match self.random.random_range(0..26) {
             0 => self.push_pair(span, Change::Kill(edge), Change::Start(edge)),
             1 => self.push_pair(span, Change::Freeze(edge), Change::Resume(edge)),
             2 => self.push_pair(span, Change::Stop(edge), Change::Start(edge)),
@@ -241,10 +250,8 @@
                 self.push_pair([at, until], Change::Drain(server), end);
             }
             20 | 21 => self.draw_departure(server, at),
-            22 => {
-                let length = self.millis(PAUSE_MS);
-                self.push(at, Change::Pause(server, length));
-            }
+            22 => self.draw_restore(at),
+            23 | 24 => self.draw_pause(server, at),
             _ => {
                 let until = at + self.millis(DEPARTURE_MS);
                 let single = Change::Double(server, false);
@@ -280,6 +287,23 @@
         self.push(at, Change::Start(edge));
     }
 
+    // A pause of one server, or of all.
+    fn draw_pause(&mut self, server: usize, at: time::Duration) {
+        let length = self.millis(PAUSE_MS);
+        let paused =
+            if self.random.random_bool(0.2) { 0..self.servers } else { server..server + 1 };
+        for server in paused {
+            self.push(at, Change::Pause(server, length));
+        }
+    }
+
+    fn draw_restore(&mut self, at: time::Duration) {
+        let restored_at = at + self.millis(COPY_AGE_MS);
+        let (outage, rewrite) = (self.millis(FAULT_DURATION_MS), self.millis(REWRITE_MS));
+        self.push(at, Change::CopyStore);
+        self.push(restored_at, Change::RestoreStore(outage, rewrite));
+    }
+
     fn draw_configs(&mut self, at: time::Duration) {
         let mut at = at;
         for _ in 0..self.random.random_range(SERIES_LENGTH) {
