--- a/crates/core/src/server.rs
+++ b/crates/core/src/server.rs
@@ -2,7 +2,7 @@
 
 use std::time;
 
-use crate::{ids, load, outlier};
+use crate::{ids, load, outlier, pauses};
 
 /// One server, as an entry knows it.
 #[derive(Clone, Debug)]
@@ -25,6 +25,8 @@
     pub ejections: u32,
     /// End of its ejection; not chosen before, unless all servers are ejected.
     pub ejected_until: Option<time::Instant>,
+    /// Time in which it gets no requests, because it has asked for that.
+    pub paused: Option<pauses::Closed>,
     /// Whether it is leaving, as last reported.
     pub leaving: bool,
     /// Whether the platform's list says that it is leaving; load reports do not change it.
@@ -55,6 +57,7 @@
             failures: 0,
             ejections: 0,
             ejected_until: None,
+            paused: None,
             leaving: false,
             listed_leaving: false,
             leaver: None,
--- a/crates/edge/src/plain.rs
+++ b/crates/edge/src/plain.rs
@@ -79,6 +79,9 @@
     async fn send(&mut self) -> flow::Event {
         let target = match self.choose() {
             directory::Choice::Server(target) => target,
+            directory::Choice::Paused(closed) => {
+                return no_server(Reason::NoRoom, refuse::pause_retry(closed));
+            }
             directory::Choice::Saturated => return no_server(Reason::NoRoom, RETRY_SOON),
             directory::Choice::NoServer => {
                 return no_server(Reason::NoServer, reservation::no_server_retry());
@@ -159,6 +162,14 @@
                 );
                 Attempt::Unsent(Reason::Leaving)
             }
+            responder::WaitOutcome::Event(Err(connections::SendError::Paused)) => {
+                tracing::info!(
+                    id = self.call.id(),
+                    server = target.id,
+                    "edge: request not sent to a paused server"
+                );
+                Attempt::Unsent(Reason::NoRoom)
+            }
             responder::WaitOutcome::Event(Err(connections::SendError::ConnectionLost(err))) => {
                 tracing::info!(
                     id = self.call.id(),
@@ -213,7 +224,7 @@
                 pool::ServerOutcome::Unknown
             }
             Attempt::Completed(_) => pool::ServerOutcome::Success,
-            Attempt::Failed(refusal) => directory::failure_outcome(refusal.reason),
+            Attempt::Failed(refusal) => refuse::failure_outcome(refusal.reason),
             Attempt::Unsent(Reason::Leaving) => pool::ServerOutcome::Unknown,
             Attempt::Unsent(reason) => pool::ServerOutcome::Failure(*reason),
             Attempt::Disconnected => pool::ServerOutcome::Unknown,
@@ -221,7 +232,9 @@
         let mut directory = self.call.edge.directory();
         let pool = &mut directory.service(&self.call.service).pool;
         pool.record_end(&target.id, outcome, clock::now());
-        if let Attempt::Completed(response) = attempt {
+        if let Attempt::Completed(response) = attempt
+            && !platform_response::asks_pause(&response.head)
+        {
             pool.record_answer(&target.id, response.head.status().is_server_error(), clock::now());
         }
     }
