--- a/crates/soak/tests/short.rs
+++ b/crates/soak/tests/short.rs
@@ -1,10 +1,12 @@
 //! Short soaks with fixed seeds; longer ones are run by hand with `rhubarb-soak`.
 
-use std::time;
+use std::{collections, time};
 
 use rhubarb_soak::{plan, soak};
 
 const LENGTH: time::Duration = time::Duration::from_secs(5);
+/// Seeds that are run.
+const SEEDS: std::ops::Range<u64> = 1..5;
 
 async fn run(seed: u64) -> anyhow::Result<()> {
     let plan = plan::Plan::draw(seed, LENGTH);
@@ -24,6 +26,59 @@
     run(2).await
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn third_seed() -> anyhow::Result<()> {
+    run(3).await
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn fourth_seed() -> anyhow::Result<()> {
+    run(4).await
+}
+
+// The seeds that are run draw the faults that second answers, departures, pauses and the store need,
+// and signals to an entry that still has another fault.
+#[test]
+fn drawn_faults() {
+    let plans: Vec<_> = SEEDS.map(|seed| plan::Plan::draw(seed, LENGTH)).collect();
+    let steps = || plans.iter().flat_map(|plan| &plan.steps);
+    let names = steps().map(|step| format!("{:?}", step.change));
+    let drawn: collections::BTreeSet<_> =
+        names.map(|name| name.split('(').next().unwrap_or_default().to_string()).collect();
+    for name in [
+        "Kill",
+        "Freeze",
+        "Stop",
+        "Reload",
+        "Store",
+        "SilenceStore",
+        "CutStore",
+        "RestoreStore",
+        "Config",
+        "ServerFault",
+        "Pause",
+        "Double",
+        "Leave",
+        "Drain",
+        "ReplaceServer",
+    ] {
+        assert!(drawn.contains(name), "{name} is not drawn");
+    }
+    let overlap = plans.iter().any(|plan| {
+        let mut frozen = collections::BTreeSet::new();
+        plan.steps.iter().any(|step| match step.change {
+            plan::Change::Freeze(edge) => !frozen.insert(edge),
+            plan::Change::Resume(edge) => {
+                frozen.remove(&edge);
+                false
+            }
+            plan::Change::Kill(edge) | plan::Change::Stop(edge) => frozen.contains(&edge),
+            _ => false,
+        })
+    });
+    assert!(overlap, "no entry has two faults at a time");
+}
+
 #[test]
 fn same_plan() {
     let plan = plan::Plan::draw(7, LENGTH);
