--- a/crates/e2e/tests/leaving.rs
+++ b/crates/e2e/tests/leaving.rs
@@ -6,6 +6,7 @@
 use hyper::Method;
 
 use rhubarb_e2e::stack;
+use rhubarb_fakes::tokens;
 
 const CALLS: usize = 30;
 const TOKENS: u32 = 8;
@@ -126,3 +127,58 @@
         assert_eq!(refusals(&stack, server).await, 0, "{server}");
     }
 }
+
+// Sends a completion whose prompt waits, and drains the decode server once it holds a slot for it;
+// returns that server.
+async fn drain_reserved(
+    stack: &stack::Stack,
+) -> (String, tokio::task::JoinHandle<rhubarb_e2e::caller::Reply>) {
+    for server in ["prefill-1", "prefill-2"] {
+        stack.switch(server, "frozen").await.unwrap();
+    }
+    let caller = stack.caller(0);
+    let call = tokio::spawn(async move { caller.complete("reserved lot", TOKENS).await.unwrap() });
+    let holds = async |server: &str| stack.status(stack.agents[server].http).await["held"] == 1;
+    let is_reserved = async || holds("decode-1").await || holds("decode-2").await;
+    stack.wait_until("a slot is reserved", is_reserved).await;
+    let server = if holds("decode-1").await { "decode-1" } else { "decode-2" };
+    stack.ctl(&["drain", server]).unwrap();
+    (server.to_string(), call)
+}
+
+async fn release_prompts(stack: &stack::Stack) {
+    for server in ["prefill-1", "prefill-2"] {
+        stack.switch(server, "up").await.unwrap();
+    }
+}
+
+// Work that a server accepted before it left is not dropped.
+#[tokio::test(flavor = "multi_thread")]
+async fn reserved_slot_used() {
+    let stack = start().await;
+    let (server, call) = drain_reserved(&stack).await;
+    release_prompts(&stack).await;
+    let reply = call.await.unwrap();
+    assert_eq!(reply.status, 200, "{}", reply.body);
+    assert_eq!(reply.text(), tokens::answer("reserved lot", TOKENS));
+    assert_eq!(runs_of(&stack, &server).await, 1);
+}
+
+// A slot that was reserved before a server left is not used after the notice.
+#[tokio::test(flavor = "multi_thread")]
+async fn reserved_slot_expires() {
+    let stack = start().await;
+    let (server, call) = drain_reserved(&stack).await;
+    tokio::time::sleep(NOTICE_LIMIT).await;
+    release_prompts(&stack).await;
+    call.await.unwrap();
+    assert_eq!(runs_of(&stack, &server).await, 0);
+}
+
+// Runs that an agent handed to its server.
+async fn runs_of(stack: &stack::Stack, server: &str) -> u64 {
+    let metrics = stack.metrics(stack.agents[server].http).await;
+    let mut lines = metrics.lines();
+    let runs = lines.find_map(|line| line.strip_prefix("rhubarb_agent_runs_total ")?.parse().ok());
+    runs.unwrap_or_else(|| panic!("no count of runs in {metrics}"))
+}
