--- a/crates/edge/src/peers.rs
+++ b/crates/edge/src/peers.rs
@@ -134,7 +134,7 @@
 // What all datagrams have in common.
 fn build_head(edge: &edge::Edge, seq: u64) -> share::Share {
     let directory = edge.directory();
-    let (config, servers) = (directory.versions().config, directory.rows.newest_change);
+    let (config, servers) = (directory.versions().config, directory.rows.newest_change());
     drop(directory);
     share::Share {
         format: share::FORMAT,
@@ -262,7 +262,7 @@
     let own = edge.directory().versions();
     let versions = lag::Versions { config: share.config, servers: share.servers };
     if own.lags_behind(&versions) {
-        edge.lag().record(from, versions, &own, now);
+        edge.lag().record(from, versions);
         edge.lag_detected.notify_one();
     }
 }
--- a/crates/edge/src/watch.rs
+++ b/crates/edge/src/watch.rs
@@ -1,17 +1,24 @@
 //! Follows the operator's config and the servers' rows in the platform's store.
 
-use std::{net, sync, sync::atomic, time};
+use std::{fmt, net, sync, sync::atomic, time};
 
 use rhubarb_core::{backoff, fleet, ids, suspension};
 use rhubarb_node::clock;
 use rhubarb_platform::{config, registration, store};
 use rhubarb_wire::share;
 
-use crate::{boot, directory, edge};
+use crate::{boot, directory, edge, eras};
 
 /// Time that the store holds a feed request open without changes. A feed that stalls is detected
 /// earlier, by the newer versions of the peers.
 const FEED_WAIT: time::Duration = time::Duration::from_secs(20);
+/// The same for the servers' table at the leader of the fleet. Connections may go silent without a
+/// reset, at all entries at once, so one of them checks often that its feed works.
+const LEADER_WAIT: time::Duration = time::Duration::from_millis(1_000);
+/// Time after which a feed's response is late. With the wait it is the time after which the leader
+/// reads the store again; the others then have a second of the 3 s (`contact_ms`) in which old
+/// information may be used.
+const FEED_SLACK: time::Duration = time::Duration::from_millis(1_000);
 /// Pause after changes were read, so that one call returns the changes of that time together. A
 /// config is due within 2 s, and a server that leaves stops after 2 s.
 const FEED_PAUSE: time::Duration = time::Duration::from_millis(300);
@@ -35,7 +42,7 @@
     // peers.
     let backoff = backoff::Backoff::new(RETRY_DELAY, MAX_RETRY_DELAY);
     let mut state =
-        TableState { is_unavailable: true, lost_history: false, is_first_read: true, backoff };
+        TableState { is_unavailable: true, lost_feed: false, is_first_read: true, backoff };
     edge.unavailable_tables.fetch_add(1, atomic::Ordering::Relaxed);
     loop {
         if !state.is_first_read {
@@ -46,10 +53,15 @@
             Ok(()) => continue,
             Err(err) => err,
         };
-        if matches!(err, store::StoreError::HistoryGone) {
-            tracing::info!(?table, "edge: change history is gone; reading the whole table");
+        if err.is_silent() {
+            edge.store.reconnect();
+        }
+        if let FollowError::Feed(err) = err {
+            tracing::info!(?table, %err, "edge: feed lost; reading the tables again");
+            // The other table's feed may have gone silent as well.
+            edge.feed_stalled.notify_waiters();
             // The first time the table is read at once, so that no change is delayed.
-            if std::mem::replace(&mut state.lost_history, true) {
+            if std::mem::replace(&mut state.lost_feed, true) {
                 tokio::time::sleep(clock::jitter(state.backoff.next_delay())).await;
             }
             continue;
@@ -78,8 +90,8 @@
 }
 
 fn is_covered(edge: &edge::Edge) -> bool {
-    let members = edge.members();
-    !members.is_follower() && members.has_source(clock::now())
+    let (members, now) = (edge.members(), clock::now());
+    !members.is_follower() && members.leader(now).is_some() && members.has_source(now)
 }
 
 // Waits while a peer follows the store for this entry.
@@ -92,14 +104,14 @@
 // Availability of one table in the store.
 struct TableState {
     is_unavailable: bool,
-    // Whether the last feed ended because the store had lost its history.
-    lost_history: bool,
+    // Whether the last feed was lost, though the store may be available.
+    lost_feed: bool,
     is_first_read: bool,
     backoff: backoff::Backoff,
 }
 
 impl TableState {
-    fn record_failure(&mut self, edge: &edge::Edge, table: store::Table, err: &store::StoreError) {
+    fn record_failure(&mut self, edge: &edge::Edge, table: store::Table, err: &FollowError) {
         if !self.is_unavailable {
             self.is_unavailable = true;
             edge.unavailable_tables.fetch_add(1, atomic::Ordering::Relaxed);
@@ -109,18 +121,18 @@
 
     // A read of the table alone does not show that its feed works.
     fn record_feed(&mut self) {
-        self.lost_history = false;
+        self.lost_feed = false;
         self.backoff.reset();
     }
 
     fn record_success(&mut self, edge: &edge::Edge, table: store::Table, version: store::Version) {
-        if !self.lost_history {
+        if !self.lost_feed {
             self.backoff.reset();
         }
         if self.is_unavailable {
             self.is_unavailable = false;
             edge.unavailable_tables.fetch_sub(1, atomic::Ordering::Relaxed);
-            tracing::info!(?table, version, "edge: store available");
+            tracing::info!(?table, %version, "edge: store available");
             let mut directory = edge.directory();
             if table == store::Table::Servers && directory.is_complete() {
                 directory.fleet.registry_recovered(clock::now());
@@ -130,100 +142,179 @@
     }
 }
 
+// Why the changes of a table could not be followed.
+enum FollowError {
+    // The store refused a call, or could not be read.
+    Unavailable(store::StoreError),
+    // The feed broke off, went silent, has lost its history or is of an era that is over, which says
+    // nothing about the store: only a read on a new connection does.
+    Feed(store::StoreError),
+}
+
+impl fmt::Display for FollowError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let (FollowError::Unavailable(err) | FollowError::Feed(err)) = self;
+        write!(f, "{err}")
+    }
+}
+
+impl FollowError {
+    // Whether a call got no response, so that other connections to the store may be silent too.
+    fn is_silent(&self) -> bool {
+        let (FollowError::Unavailable(err) | FollowError::Feed(err)) = self;
+        matches!(err, store::StoreError::Call(_))
+    }
+}
+
+fn read_error(err: store::StoreError) -> FollowError {
+    match err {
+        store::StoreError::EraChanged => FollowError::Feed(err),
+        _ => FollowError::Unavailable(err),
+    }
+}
+
+fn feed_error(err: store::StoreError) -> FollowError {
+    match err {
+        store::StoreError::Refused(_) => FollowError::Unavailable(err),
+        store::StoreError::Call(_)
+        | store::StoreError::HistoryGone
+        | store::StoreError::EraChanged
+        | store::StoreError::Malformed(_) => FollowError::Feed(err),
+    }
+}
+
 // Reads the whole table and follows its changes. Returns when the table is to be read again.
 async fn follow_once(
     edge: &edge::Edge,
     table: store::Table,
     state: &mut TableState,
-) -> Result<(), store::StoreError> {
-    let all = edge.store.read_all(table, READ_TIMEOUT).await?;
+) -> Result<(), FollowError> {
+    let reading = edge.store.read_all(table, READ_TIMEOUT);
+    let all = reading.await.map_err(read_error)?;
     state.record_success(edge, table, all.version);
     let mut version = all.version;
-    apply(edge, table, &all.rows, Source::Store);
     if table == store::Table::Servers {
-        remove_missing(edge, &all.rows, all.version, &[], Source::Store);
+        begin_era(edge, version);
+    }
+    apply(edge, table, &all.rows, directory::Source::Store);
+    if table == store::Table::Servers {
+        remove_missing(edge, &all.rows, all.version, &[], directory::Source::Store);
     }
     loop {
         if !edge.follows_store() {
             wait_for_source_loss(edge).await;
             version = version.max(edge.directory().rows.known_version(table));
         }
+        let is_checked = table == store::Table::Servers;
+        let is_leader = is_leader(edge);
+        let wait = if is_checked && is_leader { LEADER_WAIT } else { FEED_WAIT };
         let changes = tokio::select! {
-            changes = edge.store.feed(table, version, FEED_WAIT) => changes?,
+            changes = edge.store.feed(table, version, wait, FEED_SLACK) => {
+                changes.map_err(feed_error)?
+            }
+            () = wait_until_leader(edge), if is_checked && !is_leader => continue,
+            () = eras::wait_for_next(edge, version.era) => {
+                return Err(FollowError::Feed(store::StoreError::EraChanged));
+            }
             () = edge.feed_stalled.notified() => {
-                tracing::info!(?table, version, "edge: feed stalled; reading the whole table");
+                tracing::info!(?table, %version, "edge: feed stalled; reading the whole table");
                 return Ok(());
             }
         };
         version = version.max(changes.version);
         state.record_feed();
         let has_changes = !changes.rows.is_empty();
-        apply(edge, table, &changes.rows, Source::Store);
+        apply(edge, table, &changes.rows, directory::Source::Store);
         if table == store::Table::Servers {
-            let mut directory = edge.directory();
-            directory.rows.version = directory.rows.version.max(version);
+            edge.directory().rows.set_version(version);
         }
         if has_changes {
+            edge.feed_changes.fetch_add(1, atomic::Ordering::Relaxed);
             tokio::time::sleep(FEED_PAUSE).await;
         }
     }
 }
 
-/// Applies the snapshot of a peer.
+// Whether this entry leads the fleet, or is alone.
+fn is_leader(edge: &edge::Edge) -> bool {
+    edge.members().leader(clock::now()).is_none()
+}
+
+async fn wait_until_leader(edge: &edge::Edge) {
+    while !is_leader(edge) {
+        tokio::time::sleep(SOURCE_CHECK).await;
+    }
+}
+
+// A restored store lacks the newest rows, which live servers write again: they are kept for the
+// grace period.
+fn begin_era(edge: &edge::Edge, version: store::Version) {
+    let mut directory = edge.directory();
+    if directory.is_complete() && version.era > directory.rows.version().era {
+        directory.fleet.registry_recovered(clock::now());
+        tracing::info!(%version, "edge: missing servers are kept for a grace period");
+    }
+}
+
+/// Applies the snapshot of a peer. Of an era that is over only the config is used, which has a
+/// version of its own.
 pub(crate) fn apply_snapshot(edge: &edge::Edge, from: net::IpAddr, snapshot: share::Snapshot) {
     let version = snapshot.version;
     tracing::info!(
         %from,
-        version,
+        %version,
         servers = snapshot.servers.len(),
         "edge: snapshot received from peer"
     );
     let to_row =
         |row: share::Row| store::Row { key: row.key, version: row.version, value: Some(row.value) };
-    let config: Vec<_> = snapshot.config.into_iter().map(to_row).collect();
-    apply(edge, store::Table::Operator, &config, Source::Peer);
+    if let Some(row) = snapshot.config {
+        let row = to_row(row);
+        edge.directory().rows.record_config(&row);
+        set_config(edge, &row);
+    }
+    let own = edge.directory().rows.version();
+    let is_whole = snapshot.after == store::Version::default() && !snapshot.servers.is_empty();
+    if version.era < own.era || (version.era > own.era && !is_whole) {
+        return;
+    }
+    edge.store.record_era(version.era);
+    begin_era(edge, version);
     let servers: Vec<_> = snapshot.servers.into_iter().map(to_row).collect();
-    apply(edge, store::Table::Servers, &servers, Source::Peer);
-    if snapshot.after == 0 && !servers.is_empty() {
-        return remove_missing(edge, &servers, version, &snapshot.awaited, Source::Peer);
+    apply(edge, store::Table::Servers, &servers, directory::Source::Peer);
+    if is_whole {
+        return remove_missing(edge, &servers, version, &snapshot.awaited, directory::Source::Peer);
     }
     for (key, removed) in snapshot.removed {
-        remove_server(edge, &key, removed, &snapshot.awaited, Source::Peer);
+        remove_server(edge, &key, removed, &snapshot.awaited, directory::Source::Peer);
     }
-    let mut directory = edge.directory();
-    directory.rows.version = directory.rows.version.max(version);
-}
-
-// Where a change of the servers was learned.
-#[derive(Clone, Copy, Debug)]
-enum Source {
-    // Read from the store.
-    Store,
-    // Received from a peer.
-    Peer,
-    // The grace period of a server without a row has expired.
-    Grace,
+    edge.directory().rows.set_version(version);
 }
 
-fn apply(edge: &edge::Edge, table: store::Table, rows: &[store::Row], source: Source) {
+fn apply(edge: &edge::Edge, table: store::Table, rows: &[store::Row], source: directory::Source) {
     for row in rows {
-        if !edge.directory().rows.update(table, row) {
-            continue;
-        }
-        match (table, &row.value) {
-            (store::Table::Operator, Some(value)) => set_config(edge, value),
-            (store::Table::Servers, _) => set_server(edge, row, source),
+        match table {
+            store::Table::Operator if edge.directory().rows.record_config(row) => {
+                set_config(edge, row);
+            }
+            store::Table::Servers if edge.directory().rows.update_server(row) => {
+                set_server(edge, row, source);
+            }
             _ => {}
         }
     }
     edge.slot_freed.notify_waiters();
 }
 
-fn set_config(edge: &edge::Edge, value: &[u8]) {
+fn set_config(edge: &edge::Edge, row: &store::Row) {
+    let Some(value) = &row.value else { return };
     match config::read(value) {
         Ok(config) => {
             let (version, routes) = (config.version, config.routes.len());
-            if edge.directory().set_config(config) {
+            let mut directory = edge.directory();
+            if directory.set_config(config) {
+                let (key, value) = (row.key.clone(), value.clone());
+                directory.rows.set_config(version, share::Row { key, version: row.version, value });
                 edge.counters.config_version.set(version as i64);
                 tracing::info!(version, routes, "edge: config applied");
             }
@@ -232,7 +323,7 @@
     }
 }
 
-fn set_server(edge: &edge::Edge, row: &store::Row, source: Source) {
+fn set_server(edge: &edge::Edge, row: &store::Row, source: directory::Source) {
     let parsed = row.value.as_ref().map(|value| registration::read(value));
     let mut directory = edge.directory();
     let change = match parsed {
@@ -250,11 +341,10 @@
     directory: &mut directory::Directory,
     change: Option<fleet::Change>,
     version: store::Version,
-    source: Source,
+    source: directory::Source,
 ) {
     if let Some(change) = change {
-        tracing::info!(?change, version, ?source, "edge: servers changed");
-        directory.apply(&change);
+        directory.record_change(&change, version, source);
     }
 }
 
@@ -265,14 +355,14 @@
     rows: &[store::Row],
     version: store::Version,
     awaited: &[share::AwaitedServer],
-    source: Source,
+    source: directory::Source,
 ) {
     let missing = edge.directory().rows.missing_from(rows, version);
     for key in missing {
         remove_server(edge, &key, version, awaited, source);
     }
     let mut directory = edge.directory();
-    directory.rows.version = directory.rows.version.max(version);
+    directory.rows.set_version(version);
     directory.set_fleet_known();
 }
 
@@ -283,7 +373,7 @@
     key: &ids::ServerName,
     version: store::Version,
     awaited: &[share::AwaitedServer],
-    source: Source,
+    source: directory::Source,
 ) {
     let now = clock::now();
     let mut directory = edge.directory();
@@ -295,7 +385,7 @@
         tracing::info!(
             server = key,
             remaining = ?server.remaining,
-            version,
+            %version,
             "edge: missing server kept"
         );
         return;
@@ -318,7 +408,8 @@
         edge.connections.sweep();
         let mut directory = edge.directory();
         while let Some(change) = directory.fleet.next_expired(clock::now()) {
-            apply_change(&mut directory, Some(change), 0, Source::Grace);
+            let version = directory.rows.version();
+            apply_change(&mut directory, Some(change), version, directory::Source::Grace);
         }
     }
 }
--- a/crates/fakes/src/backend.rs
+++ b/crates/fakes/src/backend.rs
@@ -1,13 +1,15 @@
 //! Backend servers on the users' platform, plain servers and engines, with their published API.
 
-use std::{collections, io, net, sync, sync::atomic, time};
+use std::{collections, net, sync, time};
 
 use bytes::Bytes;
 use hyper::{HeaderMap, Method, Request, Response, StatusCode, body, header};
 use serde_json::json;
 use tokio::sync::mpsc;
 
-use rhubarb_node::{locks, response, server};
+use rhubarb_node::{clock, locks, response, server};
+
+use crate::{arrivals, events, handles, pause, replies, running, stage};
 
 /// One backend server; clones share their state.
 #[derive(Clone, Debug)]
@@ -20,44 +22,30 @@
 #[derive(Debug, Default)]
 struct Inner {
     state: sync::Mutex<State>,
-    // Number of requests being executed.
-    running: atomic::AtomicU64,
-    handles: Handles,
+    running: running::Count,
+    handles: handles::Handles,
 }
 
 #[derive(Debug, Default)]
 struct State {
-    stage: String,
+    stage: stage::Stage,
     address: Option<net::SocketAddr>,
     fault: Fault,
     // Number of runs by attempt id.
     runs: collections::BTreeMap<String, u32>,
-    requests: Vec<ReceivedRequest>,
-    holds: CreationTimes,
-    // Number of accepted orders.
-    orders: u64,
-    // Highest fencing number of an accepted order.
-    fence: u64,
+    requests: Vec<arrivals::ReceivedRequest>,
+    // Creation times of holds, by name.
+    holds: collections::BTreeMap<String, time::Instant>,
+    // Number of holds ever created.
+    holds_taken: u64,
     // Number of restarts.
     restarts: u64,
     // Number of requests received while a fault was set.
     fault_hits: u64,
-}
-
-/// Creation times of holds or prefill results, by name.
-pub type CreationTimes = collections::BTreeMap<String, time::Instant>;
-/// Prefill results of all engines of a deployment, by handle.
-pub type Handles = sync::Arc<sync::Mutex<CreationTimes>>;
-
-/// An executed request, as the server received it.
-#[derive(Clone, Debug)]
-pub struct ReceivedRequest {
-    /// Path and query.
-    pub target: String,
-    /// Headers.
-    pub headers: HeaderMap,
-    /// Body.
-    pub body: Bytes,
+    arrivals: Vec<arrivals::Arrival>,
+    // Whether all answers say that the server leaves.
+    is_leaving: bool,
+    pause: pause::Pause,
 }
 
 /// Fault of a server.
@@ -98,21 +86,17 @@
 
 /// Number of events in each stream.
 pub const EVENTS: u64 = 6;
-/// Interval between two events.
-const EVENT_INTERVAL: time::Duration = time::Duration::from_millis(20);
-/// Duration of [`Fault::Pauses`].
-const PREEMPTION_PAUSE: time::Duration = time::Duration::from_millis(2_500);
 /// Maximum size of a request body in bytes; a longer body is read as empty.
 const MAX_BODY_BYTES: usize = 8 << 20;
 /// Exceeds every timeout of an entry.
-const HANG_TIME: time::Duration = time::Duration::from_secs(600);
+pub(crate) const HANG_TIME: time::Duration = time::Duration::from_secs(600);
 
 impl Backend {
     /// Creates a server; `stage` is empty for a plain server.
-    pub fn new(id: &str, stage: &str, handles: &Handles) -> Backend {
+    pub fn new(id: &str, stage: &str, handles: &handles::Handles) -> Backend {
         let inner = Inner { handles: handles.clone(), ..Inner::default() };
         let backend = Backend { id: id.to_string(), inner: sync::Arc::new(inner) };
-        backend.state().stage = stage.to_string();
+        backend.state().stage.name = stage.to_string();
         backend
     }
 
@@ -125,10 +109,11 @@
         let address = listener.local_addr()?;
         self.state().address = Some(address);
         let shared = self.clone();
-        tokio::spawn(server::serve(listener, server::Limits::default(), move |request| {
+        let handle = move |request| {
             let backend = shared.clone();
             async move { backend.handle(request).await }
-        }));
+        };
+        tokio::spawn(server::serve(listener, server::Limits::default(), handle));
         Ok(address)
     }
 
@@ -137,15 +122,17 @@
         self.state().address
     }
 
-    /// Simulates a restart under the same id: drops all holds and resets the order counter.
+    /// Simulates a restart under the same id: drops all holds, resets the order counter, and no
+    /// longer leaves or pauses.
     ///
     /// Open connections stay open, and [`Backend::address`] does not change.
     pub fn restart(&self) {
         let mut state = self.state();
         state.holds.clear();
-        state.orders = 0;
-        state.fence = 0;
+        state.stage.restart();
         state.restarts += 1;
+        state.is_leaving = false;
+        state.pause = pause::Pause::default();
     }
 
     /// Number of starts including the current one, published in the server's row as `born`.
@@ -158,6 +145,29 @@
         self.state().fault = fault;
     }
 
+    /// Sets whether all answers from now on say that the server leaves.
+    pub fn set_leaving(&self, is_leaving: bool) {
+        self.state().is_leaving = is_leaving;
+    }
+
+    /// Rejects runs, prefills, holds and orders with 503 and `Retry-After` for `length` from now on.
+    /// The header has the value `retry`, or else the seconds left.
+    pub fn set_pause(&self, length: time::Duration, retry: Option<&str>) {
+        self.state().pause.start(length, retry);
+    }
+
+    /// Number of arrivals that come more than [`pause::PAUSE_GRACE`] after an answer with
+    /// `Retry-After` and before the end of the time that it asks for. Freed handles and holds and
+    /// reports do not count.
+    pub fn late_arrivals(&self) -> u64 {
+        self.state().pause.late
+    }
+
+    /// Everything that arrived, in order of time.
+    pub fn arrivals(&self) -> Vec<arrivals::Arrival> {
+        self.state().arrivals.clone()
+    }
+
     /// Number of requests received while a fault was set.
     pub fn fault_hits(&self) -> u64 {
         self.state().fault_hits
@@ -169,31 +179,79 @@
     }
 
     /// Requests executed here, without prefills.
-    pub fn requests(&self) -> Vec<ReceivedRequest> {
+    pub fn requests(&self) -> Vec<arrivals::ReceivedRequest> {
         self.state().requests.clone()
     }
 
+    /// Requests to any engine of the deployment that named the handle of another attempt. Engines run
+    /// them all the same.
+    pub fn foreign_handles(&self) -> Vec<handles::Foreign> {
+        self.inner.handles.foreign()
+    }
+
     /// Number of requests being executed.
     pub fn running(&self) -> u64 {
-        self.inner.running.load(atomic::Ordering::Relaxed)
+        self.inner.running.get()
     }
 
     /// Number of open holds created at or after `oldest`, or of all open holds.
     pub fn hold_count(&self, oldest: Option<time::Instant>) -> usize {
-        count_since(&self.state().holds, oldest)
+        let state = self.state();
+        state.holds.values().filter(|at| oldest.is_none_or(|oldest| **at >= oldest)).count()
+    }
+
+    /// Seal of the answer to the executed request `attempt`: the id of the server, its start as in
+    /// [`Backend::born`], and the attempt, separated by slashes.
+    pub fn seal(&self, attempt: &str) -> String {
+        format!("{}/{}/{attempt}", self.id, self.born())
+    }
+
+    /// Changes the stage without an order.
+    pub fn set_stage(&self, stage: &str) {
+        self.state().stage.name = stage.to_string();
     }
 
     /// Current stage and the number of accepted orders.
     pub fn stage(&self) -> (String, u64) {
         let state = self.state();
-        (state.stage.clone(), state.orders)
+        (state.stage.name.clone(), state.stage.orders)
     }
 
     fn state(&self) -> sync::MutexGuard<'_, State> {
         locks::lock(&self.inner.state)
     }
 
+    // Adds to each answer what it has whatever the status: the attempt id, except to calls under
+    // `/v1/`, and whether the server leaves.
     async fn handle(&self, request: Request<body::Incoming>) -> Response<response::Body> {
+        let number = {
+            let mut state = self.state();
+            let arrival = arrivals::Arrival::new(&request, state.restarts + 1);
+            state.arrivals.push(arrival);
+            state.arrivals.len() - 1
+        };
+        let attempt = request.headers().get(replies::ATTEMPT_ID).cloned();
+        let echoed = attempt.filter(|_| !request.uri().path().starts_with("/v1/"));
+        let mut reply = self.answer(request, number).await;
+        let headers = reply.headers_mut();
+        if let Some(echoed) = echoed {
+            headers.entry(replies::ATTEMPT_ID).or_insert(echoed);
+        }
+        let mut state = self.state();
+        if state.is_leaving {
+            headers.insert("server-leaving", replies::header_value("1"));
+        }
+        state.arrivals[number].misdirected = reply.status() == StatusCode::MISDIRECTED_REQUEST;
+        drop(state);
+        reply
+    }
+
+    // Answers the arrival with index `number`.
+    async fn answer(
+        &self,
+        request: Request<body::Incoming>,
+        number: usize,
+    ) -> Response<response::Body> {
         let (parts, body) = request.into_parts();
         let content = response::read_body(body, MAX_BODY_BYTES).await.unwrap_or_default();
         let fault = {
@@ -201,13 +259,15 @@
             state.fault_hits += u64::from(state.fault != Fault::None);
             state.fault
         };
-        let expected = header_text(&parts.headers, "x-expect-instance");
+        let expected = replies::header_text(&parts.headers, "x-expect-instance");
         if fault == Fault::Moved || (!expected.is_empty() && expected != self.id) {
-            let mut reply = response::text(StatusCode::MISDIRECTED_REQUEST, "");
-            reply.headers_mut().insert("x-instance-id", header_value("i-other"));
-            return reply;
+            return replies::misdirected();
         }
         let path = parts.uri.path().to_string();
+        let may_pause = parts.method != Method::DELETE && path != "/v1/report";
+        if let Some(rejection) = may_pause.then(|| self.pause(number)).flatten() {
+            return rejection;
+        }
         match (&parts.method, path.as_str()) {
             (&Method::POST, "/v1/hold-take") => self.create_hold(fault),
             (&Method::GET, "/v1/report") => self.report(),
@@ -220,51 +280,38 @@
         }
     }
 
+    // Rejection of an arrival during a pause.
+    fn pause(&self, number: usize) -> Option<Response<response::Body>> {
+        let mut state = self.state();
+        state.pause.count();
+        let (rejection, until) = state.pause.reject()?;
+        state.arrivals[number].paused_until = Some(until);
+        Some(rejection)
+    }
+
     fn create_hold(&self, fault: Fault) -> Response<response::Body> {
         if fault == Fault::Full {
-            return shed_response();
+            return replies::shed();
         }
         let mut state = self.state();
-        let hold = format!("hold-{}-{}", self.id, state.holds.len() + state.requests.len());
-        state.holds.insert(hold.clone(), time::Instant::now());
+        state.holds_taken += 1;
+        let hold = format!("hold-{}-{}", self.id, state.holds_taken);
+        state.holds.insert(hold.clone(), clock::now());
         response::json(StatusCode::OK, &json!({"hold": hold}))
     }
 
     fn release(&self, path: &str) -> Response<response::Body> {
         let name = path.rsplit('/').next().unwrap_or_default();
-        let is_known = self.state().holds.remove(name).is_some() || self.remove_handle(name);
+        let is_known = self.state().holds.remove(name).is_some() || self.inner.handles.free(name);
         response::text(if is_known { StatusCode::OK } else { StatusCode::NOT_FOUND }, "")
     }
 
-    fn remove_handle(&self, handle: &str) -> bool {
-        locks::lock(&self.inner.handles).remove(handle).is_some()
-    }
-
     fn report(&self) -> Response<response::Body> {
-        let state = self.state();
-        response::json(
-            StatusCode::OK,
-            &json!({
-                "stage": state.stage, "models": [], "busy": false, "sequence": state.orders,
-                "waiting": 0, "running": self.running(), "kv_used": 0, "kv_total": 0, "handles": 0,
-            }),
-        )
+        response::json(StatusCode::OK, &self.state().stage.report(self.running()))
     }
 
     fn order(&self, content: &Bytes) -> Response<response::Body> {
-        let order: serde_json::Value = serde_json::from_slice(content).unwrap_or_default();
-        let mut state = self.state();
-        let fence = order["fence"].as_u64().unwrap_or(0);
-        if fence < state.fence {
-            return response::text(StatusCode::PRECONDITION_FAILED, "");
-        }
-        if order["expected"].as_u64().is_some_and(|expected| expected != state.orders) {
-            return response::text(StatusCode::CONFLICT, "");
-        }
-        state.fence = fence;
-        state.orders += 1;
-        state.stage = order["stage"].as_str().unwrap_or_default().to_string();
-        response::text(StatusCode::ACCEPTED, "")
+        response::text(self.state().stage.order(content), "")
     }
 
     async fn run(
@@ -275,45 +322,43 @@
         fault: Fault,
     ) -> Response<response::Body> {
         if fault == Fault::Sheds {
-            return shed_response();
+            return replies::shed();
         }
-        if header_text(headers, "x-stage") == "prefill" {
+        if replies::header_text(headers, "x-stage") == "prefill" {
             return self.prefill(headers, fault).await;
         }
-        self.state().holds.remove(&header_text(headers, "x-kv-hold"));
-        let source = header_text(headers, "x-kv-source");
+        self.state().holds.remove(&replies::header_text(headers, "x-kv-hold"));
+        let source = replies::header_text(headers, "x-kv-source");
         let handle = source.split_once('/').map(|(_, handle)| handle);
-        if handle.is_some_and(|handle| !self.remove_handle(handle)) {
-            return shed_response();
+        let attempt = replies::header_text(headers, replies::ATTEMPT_ID);
+        if handle.is_some_and(|handle| !self.inner.handles.take(handle, &attempt)) {
+            return replies::shed();
         }
-        let attempt = header_text(headers, "x-attempt-id");
         {
             let mut state = self.state();
             *state.runs.entry(attempt.clone()).or_default() += 1;
             let (target, headers, body) = (target.to_string(), headers.clone(), content.clone());
-            state.requests.push(ReceivedRequest { target, headers, body });
+            state.requests.push(arrivals::ReceivedRequest { target, headers, body });
         }
-        let echoed = if fault == Fault::OtherId { "other" } else { &attempt };
-        if self.state().stage.is_empty() {
-            return self.answer_plain(echoed, content, fault).await;
+        let is_plain = self.state().stage.name.is_empty();
+        let mut reply = match is_plain {
+            true => self.answer_plain(&attempt, content, fault).await,
+            false => self.stream(&attempt, headers, fault),
+        };
+        if fault == Fault::OtherId {
+            reply.headers_mut().insert(replies::ATTEMPT_ID, replies::header_value("other"));
         }
-        self.stream(echoed, headers, fault)
+        reply
     }
 
     async fn prefill(&self, headers: &HeaderMap, fault: Fault) -> Response<response::Body> {
         if fault == Fault::Hangs {
             tokio::time::sleep(HANG_TIME).await;
         }
-        let handle = format!("kv-{}-{}", self.id, header_text(headers, "x-attempt-id"));
-        if fault != Fault::EvictsResults {
-            locks::lock(&self.inner.handles).insert(handle.clone(), time::Instant::now());
-        }
-        let reply = json!({"handle": handle, "tokens": 100, "version": 1});
-        let mut reply = response::json(StatusCode::OK, &reply);
-        reply
-            .headers_mut()
-            .insert("x-attempt-id", header_value(&header_text(headers, "x-attempt-id")));
-        reply
+        let attempt = replies::header_text(headers, replies::ATTEMPT_ID);
+        let handle = format!("kv-{}-{attempt}", self.id);
+        self.inner.handles.open(&handle, &attempt, fault == Fault::EvictsResults);
+        response::json(StatusCode::OK, &json!({"handle": handle, "tokens": 100, "version": 1}))
     }
 
     async fn answer_plain(
@@ -322,114 +367,39 @@
         content: Bytes,
         fault: Fault,
     ) -> Response<response::Body> {
-        let _running = Running::new(&self.inner);
+        let _running = self.inner.running.start();
         let status = match fault {
             Fault::Hangs => {
                 tokio::time::sleep(HANG_TIME).await;
                 StatusCode::OK
             }
-            Fault::Resets => return reset_response(),
+            Fault::Resets => return replies::reset(),
             Fault::Fails => StatusCode::INTERNAL_SERVER_ERROR,
             _ => StatusCode::OK,
         };
         let mut reply = response::text(status, content);
-        seal(reply.headers_mut(), attempt);
+        replies::seal(reply.headers_mut(), &self.seal(attempt));
         reply
     }
 
     fn stream(&self, attempt: &str, headers: &HeaderMap, fault: Fault) -> Response<response::Body> {
-        let last = header_text(headers, "last-event-id").parse().ok();
+        let last = replies::header_text(headers, "last-event-id").parse().ok();
         let last: Option<u64> = last.filter(|_| fault != Fault::StartsOver);
         let first = last.map_or(0, |last| last + 1);
         let (sender, receiver) = mpsc::channel(1);
-        let inner = self.inner.clone();
+        let running = self.inner.running.clone();
         tokio::spawn(async move {
-            let _running = Running::new(&inner);
+            let _running = running.start();
             tokio::select! {
-                () = send_events(&sender, first, fault) => {}
+                () = events::send(&sender, first, fault) => {}
                 () = sender.closed() => {}
             }
         });
         let mut reply = Response::new(response::stream(receiver));
-        seal(reply.headers_mut(), attempt);
-        reply.headers_mut().insert(header::CONTENT_TYPE, header_value("text/event-stream"));
+        replies::seal(reply.headers_mut(), &self.seal(attempt));
+        reply
+            .headers_mut()
+            .insert(header::CONTENT_TYPE, replies::header_value("text/event-stream"));
         reply
     }
 }
-
-/// Number of items created at or after `oldest`, or of all items.
-pub fn count_since(created: &CreationTimes, oldest: Option<time::Instant>) -> usize {
-    created.values().filter(|at| oldest.is_none_or(|oldest| **at >= oldest)).count()
-}
-
-async fn send_events(sender: &mpsc::Sender<io::Result<Bytes>>, first: u64, fault: Fault) {
-    for number in first..EVENTS {
-        tokio::time::sleep(EVENT_INTERVAL).await;
-        let event = format!("id: {number}\ndata: token-{number}\n\n");
-        let chunk = match fault {
-            Fault::Hangs => return tokio::time::sleep(HANG_TIME).await,
-            Fault::Resets => return drop(sender.send(Err(io::Error::other("reset"))).await),
-            Fault::AbortsStream | Fault::TruncatesStream if number == 2 => event[..9].to_string(),
-            Fault::Stalls if number == 2 => return tokio::time::sleep(HANG_TIME).await,
-            Fault::Pauses if number == 2 => {
-                tokio::time::sleep(PREEMPTION_PAUSE).await;
-                event
-            }
-            Fault::SkipsEvent if number == 2 => continue,
-            _ => event,
-        };
-        if sender.send(Ok(chunk.into())).await.is_err() {
-            return;
-        }
-        match fault {
-            Fault::AbortsStream if number == 2 => {
-                return drop(sender.send(Err(io::Error::other("crashed"))).await);
-            }
-            Fault::TruncatesStream if number == 2 => return,
-            _ => {}
-        }
-    }
-}
-
-// Counts a request as running until dropped.
-struct Running(sync::Arc<Inner>);
-
-impl Running {
-    fn new(inner: &sync::Arc<Inner>) -> Running {
-        inner.running.fetch_add(1, atomic::Ordering::Relaxed);
-        Running(inner.clone())
-    }
-}
-
-impl Drop for Running {
-    fn drop(&mut self) {
-        self.0.running.fetch_sub(1, atomic::Ordering::Relaxed);
-    }
-}
-
-fn shed_response() -> Response<response::Body> {
-    let mut reply = response::text(StatusCode::SERVICE_UNAVAILABLE, "");
-    reply.headers_mut().insert("x-not-executed", header_value("1"));
-    reply
-}
-
-fn reset_response() -> Response<response::Body> {
-    let (sender, receiver) = mpsc::channel(1);
-    let _ = sender.try_send(Err(io::Error::other("reset")));
-    Response::new(response::stream(receiver))
-}
-
-fn seal(headers: &mut HeaderMap, attempt: &str) {
-    headers.insert("x-response-seal", header_value("seal"));
-    headers.insert("x-attempt-id", header_value(attempt));
-    headers.insert("x-server-load", header_value("1,0,6"));
-}
-
-fn header_text(headers: &HeaderMap, name: &str) -> String {
-    let value = headers.get(name).and_then(|value| value.to_str().ok());
-    value.unwrap_or_default().to_string()
-}
-
-fn header_value(text: &str) -> header::HeaderValue {
-    header::HeaderValue::from_str(text).unwrap_or(header::HeaderValue::from_static(""))
-}
