Keep the prefill result when the second leg meets a pause

Cause: a decode engine that turned a second leg away and asked for a pause made the request start again, with a second prefill and two sends of the retry budget. Change: another engine takes the result, at one send. e2e not_ejected asserts one prefill.

--- a/crates/e2e/tests/platform_pauses.rs
+++ b/crates/e2e/tests/platform_pauses.rs
@@ -79,6 +79,13 @@
     site.edges[0].log()
 }
 
+// Number of prefills of an attempt at the first prefill engine.
+fn prefills(site: &site::Site, attempt: &str) -> usize {
+    let arrivals = site.prefill[0].arrivals();
+    let own = arrivals.iter().filter(|one| one.attempt == attempt && one.method == Method::POST);
+    own.count()
+}
+
 fn retry_after(reply: &call::Reply) -> f64 {
     let value = reply.headers.get("retry-after").and_then(|value| value.to_str().ok());
     value.and_then(|value| value.parse().ok()).unwrap_or(-1.0)
@@ -236,17 +243,12 @@
     );
     assert_eq!((reply.status, reply.body), (200, Some(site::full_stream())));
     assert!(failures(&replies).is_empty(), "{:?}", failures(&replies));
-    // The prefill was not repeated.
-    let prefills = site.prefill[0].arrivals();
-    let own = prefills
-        .iter()
-        .filter(|arrival| arrival.attempt == "first" && arrival.method == Method::POST);
-    assert_eq!(own.count(), 1);
+    assert_eq!(prefills(&site, "first"), 1);
     Ok(())
 }
 
 // Guards against the ejection of a decode engine that turns a second leg away and asks for a pause,
-// and of the prefill engine, which did its part.
+// and against a second prefill.
 #[tokio::test]
 async fn not_ejected() -> anyhow::Result<()> {
     let site = site::Site::start(site::Sizes { relays: true, ..site::Sizes::default() }).await?;
@@ -268,6 +270,7 @@
     assert_eq!((reply.status, reply.body), (200, Some(site::full_stream())));
     let turned_away = engine.arrivals();
     assert!(turned_away.iter().any(|one| one.attempt == "first" && one.paused_until.is_some()));
+    assert_eq!(prefills(&site, "first"), 1);
     tokio::time::sleep(PAUSE + RETURN).await;
     assert!(engine.requests().is_empty());
     // Less than the ejection of an engine that fails.
@@ -321,7 +324,7 @@
     // An absurd one is bounded.
     server.set_pause(time::Duration::from_millis(100), Some("1e12"));
     let reply = site.edges[0].call(Method::POST, site::SAFE, "absurd", "b").await?;
-    let bound = pauses::MAX_PAUSE.as_secs_f64() + MAX_SPREAD_S;
+    let bound = (pauses::MAX_PAUSE + pauses::MAX_RETURN).as_secs_f64() + MAX_SPREAD_S;
     assert!(retry_after(&reply) <= bound, "{reply:?}");
     let log = wait_log(&site, "edge: server paused").await;
     assert!(log.contains("\"used_s\":60.0"), "{log}");
--- a/crates/edge/src/stream.rs
+++ b/crates/edge/src/stream.rs
@@ -292,11 +292,35 @@
                 self.interrupted(&target.id, Reason::LostContact)
             }
             responder::WaitOutcome::Event(Ok(pending)) => {
+                let attempt_id = self.call.head.attempt_id.as_ref();
+                let class = platform_response::classify(&pending.response, attempt_id);
+                if class == platform_response::HeadClass::NotRun
+                    && platform_response::asks_pause(&pending.response)
+                {
+                    return self.turned_away(&target.id, pending).await;
+                }
                 self.handle_response(&target.id, pending).await
             }
         })
     }
 
+    // The engine asks for a pause and has not fetched the KV cache, which another one may use.
+    async fn turned_away(
+        &self,
+        server: &ids::ServerName,
+        pending: connections::PendingResponse,
+    ) -> SendResult {
+        exchange::read_all(&self.call.edge.connections, pending).await;
+        let refusal = Refusal::not_run(Reason::NoRoom, RETRY_SOON);
+        let goes_on = self.flow.may_retry(Some(server), &refusal, clock::now())
+            && self.call.withdraw_retry(Some(server), 1, refusal.reason);
+        if goes_on {
+            return SendResult::NotSent(refusal.reason);
+        }
+        let server = Some(server.clone());
+        SendResult::Sent(flow::Event::Failed { server, refusal, retry: false })
+    }
+
     fn interrupted(&self, server: &str, reason: Reason) -> flow::Event {
         self.failed(Some(server.to_string()), Refusal::unknown(reason, RETRY_SOON))
     }
@@ -354,10 +378,7 @@
         server: &ids::ServerName,
         pending: connections::PendingResponse,
     ) -> flow::Event {
-        let response = exchange::read_all(&self.call.edge.connections, pending).await;
-        if response.asks_pause() {
-            return self.failed(Some(server.clone()), Refusal::not_run(Reason::NoRoom, RETRY_SOON));
-        }
+        exchange::read_all(&self.call.edge.connections, pending).await;
         if let Some(cache) = &self.cache {
             let failure = pool::ServerOutcome::Failure(Reason::LostContact);
             prefill::record_outcome(&self.call, &cache.server, failure);
