--- a/crates/e2e/tests/platform_pauses.rs
+++ b/crates/e2e/tests/platform_pauses.rs
@@ -270,6 +270,9 @@
     assert_eq!((reply.status, reply.body), (200, Some(site::full_stream())));
     let turned_away = engine.arrivals();
     assert!(turned_away.iter().any(|one| one.attempt == "first" && one.paused_until.is_some()));
+    // The other engine took the prefill result.
+    let ran: Vec<_> = site.decode.iter().flat_map(|decode| decode.requests()).collect();
+    assert!(ran.iter().all(|one| one.headers.contains_key("x-kv-source")), "{ran:?}");
     assert_eq!(prefills(&site, "first"), 1);
     tokio::time::sleep(PAUSE + RETURN).await;
     assert!(engine.requests().is_empty());
--- a/crates/edge/src/directory.rs
+++ b/crates/edge/src/directory.rs
@@ -4,6 +4,7 @@
 
 use rhubarb_core::{
     cells, engines, fleet, ids, load, pauses, pool, queue_limit, retry, retry_detector, routing,
+    stamp,
 };
 use rhubarb_wire::share;
 
@@ -121,7 +122,7 @@
     /// Versions of the config and the servers in use.
     pub(crate) fn versions(&self) -> lag::Versions {
         let config = self.config.as_ref().map_or(0, |config| config.version);
-        lag::Versions { config, servers: self.rows.version }
+        lag::Versions { config, servers: self.rows.version() }
     }
 
     /// Snapshot of the store's rows for a peer.
@@ -186,18 +187,23 @@
     /// Records that a server has announced that it is leaving.
     pub(crate) fn record_leaving(&mut self, id: &str, source: Source) {
         if let Some(change) = self.fleet.set_leaving(id) {
-            self.record_change(&change, self.rows.version, source);
+            self.record_change(&change, self.rows.version(), source);
         }
     }
 
     /// Logs a change of the servers as of `version` of the store, and applies it to the services.
-    pub(crate) fn record_change(&mut self, change: &fleet::Change, version: u64, source: Source) {
+    pub(crate) fn record_change(
+        &mut self,
+        change: &fleet::Change,
+        version: stamp::Stamp,
+        source: Source,
+    ) {
         if matches!(change, fleet::Change::Leaving(_)) {
             let labels = metrics::SourceLabels { source: source.name().to_string() };
             self.leaving.get_or_create(&labels).inc();
         }
         let open = self.open_requests(change);
-        tracing::info!(?change, version, source = source.name(), open, "edge: servers changed");
+        tracing::info!(?change, %version, source = source.name(), open, "edge: servers changed");
         self.apply(change);
     }
 
@@ -239,18 +245,6 @@
         }
     }
 
-    /// Sends no requests to a server that has asked for that.
-    pub(crate) fn set_paused(&mut self, target: &Target, paused: Option<pauses::Closed>) {
-        // Not to a later process under the same id.
-        if self.target(&target.id).is_none_or(|current| current.process != target.process) {
-            return;
-        }
-        for service in self.services.values_mut() {
-            service.pool.set_paused(&target.id, paused);
-            service.engines.set_paused(&target.id, paused);
-        }
-    }
-
     /// The service `name`, created on first use.
     pub(crate) fn service(&mut self, name: &str) -> &mut Service {
         let (zone, retry_limits) = (&self.zone, self.retry_limits);
--- a/crates/edge/src/pauses.rs
+++ b/crates/edge/src/pauses.rs
@@ -97,5 +97,13 @@
     now: time::Instant,
 ) {
     let closed = pauses.closed(&target.process, now);
-    edge.directory().set_paused(target, closed);
+    let mut directory = edge.directory();
+    // Not for a later process under the same id.
+    if directory.target(&target.id).is_none_or(|current| current.process != target.process) {
+        return;
+    }
+    for service in directory.services() {
+        service.pool.set_paused(&target.id, closed);
+        service.engines.set_paused(&target.id, closed);
+    }
 }
--- a/crates/edge/src/watch.rs
+++ b/crates/edge/src/watch.rs
@@ -7,7 +7,7 @@
 use rhubarb_platform::{config, registration, store};
 use rhubarb_wire::share;
 
-use crate::{boot, directory, edge};
+use crate::{boot, directory, edge, eras};
 
 /// Time that the store holds a feed request open without changes. A feed that stalls is detected
 /// earlier, by the newer versions of the peers.
@@ -132,7 +132,7 @@
         if self.is_unavailable {
             self.is_unavailable = false;
             edge.unavailable_tables.fetch_sub(1, atomic::Ordering::Relaxed);
-            tracing::info!(?table, version, "edge: store available");
+            tracing::info!(?table, %version, "edge: store available");
             let mut directory = edge.directory();
             if table == store::Table::Servers && directory.is_complete() {
                 directory.fleet.registry_recovered(clock::now());
@@ -146,8 +146,8 @@
 enum FollowError {
     // The store refused a call, or could not be read.
     Unavailable(store::StoreError),
-    // The feed broke off, went silent or has lost its history, which says nothing about the store:
-    // only a read on a new connection does.
+    // The feed broke off, went silent, has lost its history or is of an era that is over, which says
+    // nothing about the store: only a read on a new connection does.
     Feed(store::StoreError),
 }
 
@@ -166,11 +166,19 @@
     }
 }
 
+fn read_error(err: store::StoreError) -> FollowError {
+    match err {
+        store::StoreError::EraChanged => FollowError::Feed(err),
+        _ => FollowError::Unavailable(err),
+    }
+}
+
 fn feed_error(err: store::StoreError) -> FollowError {
     match err {
         store::StoreError::Refused(_) => FollowError::Unavailable(err),
         store::StoreError::Call(_)
         | store::StoreError::HistoryGone
+        | store::StoreError::EraChanged
         | store::StoreError::Malformed(_) => FollowError::Feed(err),
     }
 }
@@ -182,9 +190,12 @@
     state: &mut TableState,
 ) -> Result<(), FollowError> {
     let reading = edge.store.read_all(table, READ_TIMEOUT);
-    let all = reading.await.map_err(FollowError::Unavailable)?;
+    let all = reading.await.map_err(read_error)?;
     state.record_success(edge, table, all.version);
     let mut version = all.version;
+    if table == store::Table::Servers {
+        begin_era(edge, version);
+    }
     apply(edge, table, &all.rows, directory::Source::Store);
     if table == store::Table::Servers {
         remove_missing(edge, &all.rows, all.version, &[], directory::Source::Store);
@@ -202,8 +213,11 @@
                 changes.map_err(feed_error)?
             }
             () = wait_until_leader(edge), if is_checked && !is_leader => continue,
+            () = eras::wait_for_next(edge, version.era) => {
+                return Err(FollowError::Feed(store::StoreError::EraChanged));
+            }
             () = edge.feed_stalled.notified() => {
-                tracing::info!(?table, version, "edge: feed stalled; reading the whole table");
+                tracing::info!(?table, %version, "edge: feed stalled; reading the whole table");
                 return Ok(());
             }
         };
@@ -212,8 +226,7 @@
         let has_changes = !changes.rows.is_empty();
         apply(edge, table, &changes.rows, directory::Source::Store);
         if table == store::Table::Servers {
-            let mut directory = edge.directory();
-            directory.rows.version = directory.rows.version.max(version);
+            edge.directory().rows.set_version(version);
         }
         if has_changes {
             edge.feed_changes.fetch_add(1, atomic::Ordering::Relaxed);
@@ -233,50 +246,75 @@
     }
 }
 
-/// Applies the snapshot of a peer.
+// A restored store lacks the newest rows, which live servers write again: they are kept for the
+// grace period.
+fn begin_era(edge: &edge::Edge, version: store::Version) {
+    let mut directory = edge.directory();
+    if directory.is_complete() && version.era > directory.rows.version().era {
+        directory.fleet.registry_recovered(clock::now());
+        tracing::info!(%version, "edge: missing servers are kept for a grace period");
+    }
+}
+
+/// Applies the snapshot of a peer. Of an era that is over only the config is used, which has a
+/// version of its own.
 pub(crate) fn apply_snapshot(edge: &edge::Edge, from: net::IpAddr, snapshot: share::Snapshot) {
     let version = snapshot.version;
     tracing::info!(
         %from,
-        version,
+        %version,
         servers = snapshot.servers.len(),
         "edge: snapshot received from peer"
     );
     let to_row =
         |row: share::Row| store::Row { key: row.key, version: row.version, value: Some(row.value) };
-    let config: Vec<_> = snapshot.config.into_iter().map(to_row).collect();
-    apply(edge, store::Table::Operator, &config, directory::Source::Peer);
+    if let Some(row) = snapshot.config {
+        let row = to_row(row);
+        edge.directory().rows.record_config(&row);
+        set_config(edge, &row);
+    }
+    let own = edge.directory().rows.version();
+    let is_whole = snapshot.after == store::Version::default() && !snapshot.servers.is_empty();
+    if version.era < own.era || (version.era > own.era && !is_whole) {
+        return;
+    }
+    edge.store.record_era(version.era);
+    begin_era(edge, version);
     let servers: Vec<_> = snapshot.servers.into_iter().map(to_row).collect();
     apply(edge, store::Table::Servers, &servers, directory::Source::Peer);
-    if snapshot.after == 0 && !servers.is_empty() {
+    if is_whole {
         return remove_missing(edge, &servers, version, &snapshot.awaited, directory::Source::Peer);
     }
     for (key, removed) in snapshot.removed {
         remove_server(edge, &key, removed, &snapshot.awaited, directory::Source::Peer);
     }
-    let mut directory = edge.directory();
-    directory.rows.version = directory.rows.version.max(version);
+    edge.directory().rows.set_version(version);
 }
 
 fn apply(edge: &edge::Edge, table: store::Table, rows: &[store::Row], source: directory::Source) {
     for row in rows {
-        if !edge.directory().rows.update(table, row) {
-            continue;
-        }
-        match (table, &row.value) {
-            (store::Table::Operator, Some(value)) => set_config(edge, value),
-            (store::Table::Servers, _) => set_server(edge, row, source),
+        match table {
+            store::Table::Operator if edge.directory().rows.record_config(row) => {
+                set_config(edge, row);
+            }
+            store::Table::Servers if edge.directory().rows.update_server(row) => {
+                set_server(edge, row, source);
+            }
             _ => {}
         }
     }
     edge.slot_freed.notify_waiters();
 }
 
-fn set_config(edge: &edge::Edge, value: &[u8]) {
+fn set_config(edge: &edge::Edge, row: &store::Row) {
+    let Some(value) = &row.value else { return };
     match config::read(value) {
         Ok(config) => {
             let (version, routes) = (config.version, config.routes.len());
-            if edge.directory().set_config(config) {
+            let mut directory = edge.directory();
+            if directory.set_config(config) {
+                let (key, value) = (row.key.clone(), value.clone());
+                directory.rows.set_config(version, share::Row { key, version: row.version, value });
                 edge.counters.config_version.set(version as i64);
                 tracing::info!(version, routes, "edge: config applied");
             }
@@ -324,7 +362,7 @@
         remove_server(edge, &key, version, awaited, source);
     }
     let mut directory = edge.directory();
-    directory.rows.version = directory.rows.version.max(version);
+    directory.rows.set_version(version);
     directory.set_fleet_known();
 }
 
@@ -347,7 +385,7 @@
         tracing::info!(
             server = key,
             remaining = ?server.remaining,
-            version,
+            %version,
             "edge: missing server kept"
         );
         return;
@@ -370,7 +408,8 @@
         edge.connections.sweep();
         let mut directory = edge.directory();
         while let Some(change) = directory.fleet.next_expired(clock::now()) {
-            apply_change(&mut directory, Some(change), 0, directory::Source::Grace);
+            let version = directory.rows.version();
+            apply_change(&mut directory, Some(change), version, directory::Source::Grace);
         }
     }
 }
--- a/crates/fakes/src/lib.rs
+++ b/crates/fakes/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod arrivals;
 pub mod backend;
 pub mod caller;
+pub mod copy;
 pub mod engine;
 pub mod handles;
 pub mod instances;
@@ -22,9 +23,11 @@
 pub mod plain;
 pub mod routes;
 pub mod store;
+pub mod stutter;
 pub mod switch;
 pub mod table;
 pub mod tokens;
+mod transaction;
 
 mod events;
 mod replies;
