Show that an announcement is lost while the server has no row

Fleet::set_leaving records nothing for a server that is not registered. A request that was sent before its row was removed or became invalid may be answered after that, with the announcement; when the row is written again as ready, the server gets work. The target of the request has the start of its process, by which the announcement could be kept.

fleet::leaving_unregistered fails: the server is not leaving once it is registered again.

--- a/crates/core/tests/fleet.rs
+++ b/crates/core/tests/fleet.rs
@@ -62,6 +62,18 @@
     assert_eq!(fleet.set_leaving("i-2"), None, "it is not registered");
 }
 
+// Guards against work for a process that announced that it is leaving in an answer while its
+// registration was missing, and is registered as ready again.
+#[test]
+fn leaving_unregistered() {
+    let mut fleet = fleet::Fleet::default();
+    fleet.set("i-1", instance(1, false));
+    fleet.remove("i-1", time::Instant::now());
+    assert_eq!(fleet.set_leaving("i-1"), None);
+    fleet.set("i-1", instance(1, false));
+    assert!(fleet.get("i-1").unwrap().leaving);
+}
+
 #[test]
 fn departures_forgotten() {
     let mut fleet = fleet::Fleet::default();
