Show that silent feeds are not noticed while the leader is cut off

Only the entry with the lowest address asks the store for changes every second. While it is cut off from the store, the feeds of the others may stay silent for their whole wait of 20 s.

platform_leaving::silent_without_leader fails: 40 of 80 requests through two entries that reach the store get to a server that has announced that it leaves.

--- a/crates/e2e/tests/platform_leaving.rs
+++ b/crates/e2e/tests/platform_leaving.rs
@@ -4,7 +4,7 @@
 
 use hyper::Method;
 
-use rhubarb_e2e::site;
+use rhubarb_e2e::{relay, site};
 use rhubarb_fakes::{backend, store};
 
 /// Time after a fault of its connections within which an entry may act on old information
@@ -67,6 +67,37 @@
     .await
 }
 
+// Guards against requests to a server that leaves while the entry whose feed is checked often is cut
+// off from the store: the silent feeds of the others were given up after 21 s only.
+#[tokio::test]
+async fn silent_without_leader() -> anyhow::Result<()> {
+    let sizes = site::Sizes { edges: 3, relays: true, ..site::Sizes::default() };
+    let site = site::Site::start(sizes).await?;
+    // Until the entries know each other and their feeds are open.
+    tokio::time::sleep(time::Duration::from_secs(2)).await;
+    site.store_relays[0].set_modes(relay::Mode::Buffer, relay::Mode::Buffer);
+    for relay in &site.store_relays[1..] {
+        relay.blackhole();
+    }
+    let silent_at = time::Instant::now();
+    tokio::time::sleep(time::Duration::from_millis(500)).await;
+    site.announce(&site.plain[0], "draining");
+    let bound = (silent_at + CONTACT).max(time::Instant::now() + DRAIN);
+    tokio::time::sleep_until(bound.into()).await;
+    let before = site.plain[0].requests().len();
+    for number in 0..CALLS {
+        for edge in &site.edges[1..] {
+            let attempt = format!("late-{number}-{}", edge.frontend);
+            let reply = edge.call(Method::POST, site::SAFE, &attempt, "b").await?;
+            assert_eq!(reply.status, 200, "{reply:?}");
+        }
+        tokio::time::sleep(time::Duration::from_millis(20)).await;
+    }
+    let late = site.plain[0].requests().len() - before;
+    assert_eq!(late, 0, "of {} requests", CALLS * (sizes.edges - 1));
+    Ok(())
+}
+
 // A deployment with enough servers that each kind of work can go elsewhere.
 async fn start() -> anyhow::Result<site::Site> {
     site::Site::start(site::Sizes { plain: 2, prefill: 2, decode: 2, ..site::Sizes::default() })
