Show that a hold is shared if its second answer comes two requests later

Connection::is_fit looks at the last exchange only. After a hold and a run, the next hold on the connection has no id either, and the second answer to the first hold counts as its answer. The relay can now send a response a second time after several requests; set_doubles works as before.

--- a/crates/e2e/src/relay.rs
+++ b/crates/e2e/src/relay.rs
@@ -37,11 +37,14 @@
     blackholes: u64,
     // Likewise for `Relay::disconnect`.
     disconnects: u64,
-    doubles: bool,
+    // Number of requests after which a response is sent a second time; 0 for never.
+    double_after: usize,
 }
 
 // Bytes sent to the entry on one connection since its last request, which are its last response.
 type Response = sync::Arc<sync::Mutex<Vec<u8>>>;
+// Responses on one connection that have not been sent a second time, the oldest first.
+type Responses = collections::VecDeque<Vec<u8>>;
 
 /// A relay that listens on its own port.
 #[derive(Clone, Debug)]
@@ -96,7 +99,13 @@
     /// Sets whether the last response of a connection is sent a second time when the next request is
     /// on its way, ahead of that request's own response.
     pub fn set_doubles(&self, doubles: bool) {
-        self.modes.send_modify(|modes| modes.doubles = doubles);
+        self.double_after(usize::from(doubles));
+    }
+
+    /// Sends each response of a connection a second time when the `requests`th request after its
+    /// own is on its way, ahead of that request's own response; never if it is 0.
+    pub fn double_after(&self, requests: usize) {
+        self.modes.send_modify(|modes| modes.double_after = requests);
     }
 
     /// Closes all open connections.
@@ -157,9 +166,20 @@
     // Never written to: the target gets nothing but the entry's bytes.
     let (_, nothing) = mpsc::unbounded_channel();
     let (last_response, shared) = (last.clone(), modes.clone());
+    let mut responses = Responses::new();
     let at_request = move |_: &[u8]| {
         let response = std::mem::take(&mut *locks::lock(&last_response));
-        if shared.borrow().doubles && !response.is_empty() {
+        if response.is_empty() {
+            return;
+        }
+        responses.push_back(response);
+        let double_after = shared.borrow().double_after;
+        while responses.len() > double_after {
+            responses.pop_front();
+        }
+        if responses.len() == double_after
+            && let Some(response) = responses.pop_front()
+        {
             let _ = doubles.send(response);
         }
     };
--- a/crates/e2e/tests/platform_stray.rs
+++ b/crates/e2e/tests/platform_stray.rs
@@ -98,3 +98,20 @@
     assert_eq!(shared_holds(&site), Vec::<String>::new());
     Ok(())
 }
+
+// Guards against two requests with one hold: the second answer to a hold, which carries no id, comes
+// after the run between the two holds on its connection, and counts as the answer to the second.
+#[tokio::test]
+async fn later_holds() -> anyhow::Result<()> {
+    let site = start(|_| Vec::new()).await?;
+    for server in &site.decode {
+        site.relays[&server.id].double_after(2);
+    }
+    for number in 0..CALLS {
+        for path in [site::RESUMABLE, site::STREAM] {
+            check_call(&site, path, number).await?;
+        }
+    }
+    assert_eq!(shared_holds(&site), Vec::<String>::new());
+    Ok(())
+}
