--- a/crates/core/src/fleet.rs
+++ b/crates/core/src/fleet.rs
@@ -64,14 +64,15 @@
     missing: collections::BTreeMap<ids::ServerName, time::Instant>,
     // End of the grace period after the registry's last recovery.
     grace_until: Option<time::Instant>,
-    // Servers that have announced that they are leaving.
+    // Processes of servers that have announced that they are leaving, or were removed.
     departing: collections::BTreeMap<ids::ServerName, Departure>,
 }
 
-// Announcement of one process of a server, which the process does not take back.
+// What a process of a server, registered or not, has announced; it does not take it back.
 #[derive(Clone, Copy, Debug)]
 struct Departure {
     started_ms: Option<u64>,
+    is_announced: bool,
     // When the server was found to be removed.
     gone_at: Option<time::Instant>,
 }
@@ -103,13 +104,11 @@
     /// A process that has announced that it is leaving stays so, whatever its registration says.
     pub fn set(&mut self, id: &str, mut instance: Instance) -> Option<Change> {
         let started_ms = instance.started_ms;
-        match self.departing.get(id) {
-            Some(departure) if departure.started_ms == started_ms => instance.leaving = true,
-            Some(_) => drop(self.departing.remove(id)),
-            None => {}
-        }
+        let known = self.departing.remove(id);
+        let known = known.filter(|departure| departure.started_ms == started_ms);
+        instance.leaving |= known.is_some_and(|departure| departure.is_announced);
         if instance.leaving {
-            self.departing.insert(id.to_string(), Departure { started_ms, gone_at: None });
+            self.departing.insert(id.to_string(), Departure::announced(started_ms));
         }
         let was_missing = self.missing.remove(id).is_some();
         let old = self.instances.insert(id.to_string(), instance.clone());
@@ -124,11 +123,15 @@
         (old != instance || was_missing).then_some(Change::Updated(id))
     }
 
-    /// Records that a server has announced that it is leaving, other than by its registration.
+    /// Records that a server has announced that it is leaving, other than by its registration, which
+    /// may be missing by then.
     pub fn set_leaving(&mut self, id: &str) -> Option<Change> {
+        if let Some(departure) = self.departing.get_mut(id) {
+            departure.is_announced = true;
+        }
         let instance = self.instances.get_mut(id).filter(|instance| !instance.leaving)?;
         instance.leaving = true;
-        let departure = Departure { started_ms: instance.started_ms, gone_at: None };
+        let departure = Departure::announced(instance.started_ms);
         self.departing.insert(id.to_string(), departure);
         Some(Change::Leaving(id.to_string()))
     }
@@ -182,6 +185,18 @@
 
     fn drop(&mut self, id: &str) -> Option<Change> {
         self.missing.remove(id);
-        self.instances.remove(id).map(|_| Change::Gone(id.to_string()))
+        let instance = self.instances.remove(id)?;
+        self.departing.entry(id.to_string()).or_insert(Departure {
+            started_ms: instance.started_ms,
+            is_announced: false,
+            gone_at: None,
+        });
+        Some(Change::Gone(id.to_string()))
+    }
+}
+
+impl Departure {
+    fn announced(started_ms: Option<u64>) -> Departure {
+        Departure { started_ms, is_announced: true, gone_at: None }
     }
 }
