--- a/crates/soak/src/soak.rs
+++ b/crates/soak/src/soak.rs
@@ -48,6 +48,9 @@
 
 /// Time limit for recovery after the last fault, the platform's `recover_s`.
 const RECOVERY_LIMIT: time::Duration = time::Duration::from_secs(15);
+/// Maximum number of entries whose recovery is checked at a time, so that the checks alone do not
+/// occupy all engines.
+const MAX_CHECKS: usize = 16;
 /// Time limit for engines to free the memory of abandoned requests and of killed entries.
 const FREE_LIMIT: time::Duration = time::Duration::from_secs(8);
 const POLL_INTERVAL: time::Duration = time::Duration::from_millis(100);
@@ -93,8 +96,10 @@
 async fn wait_recovered(injector: &mut injector::Injector) -> anyhow::Result<()> {
     let deadline = time::Instant::now() + RECOVERY_LIMIT;
     let mut waiting = tokio::task::JoinSet::new();
+    let turns = sync::Arc::new(tokio::sync::Semaphore::new(MAX_CHECKS));
     for edge in 0..injector.shared.edges.len() {
-        waiting.spawn(wait_serving(injector.shared.clone(), edge, deadline));
+        let (shared, turns) = (injector.shared.clone(), turns.clone());
+        waiting.spawn(async move { wait_serving(&shared, &turns, edge, deadline).await });
     }
     while let Some(result) = waiting.join_next().await {
         if let Err(detail) = result? {
@@ -106,12 +111,16 @@
 }
 
 async fn wait_serving(
-    shared: sync::Arc<callers::Shared>,
+    shared: &callers::Shared,
+    turns: &tokio::sync::Semaphore,
     edge: usize,
     deadline: time::Instant,
 ) -> Result<(), String> {
     loop {
-        match check_serving(&shared, edge).await {
+        let turn = turns.acquire().await;
+        let result = check_serving(shared, edge).await;
+        drop(turn);
+        match result {
             Err(_) if time::Instant::now() < deadline => tokio::time::sleep(POLL_INTERVAL).await,
             result => return result,
         }
