List tests in which an entry learned a config late, and print its log

Under a load average of 71, config_passed_on (40 of 41 entries after 4 s) and entry_asleep (3 s, in its first step, before the restore) failed once each, as restore_passed_on did. The cause is not known; the tests now print the log of the entry.

--- a/crates/e2e/tests/platform_eras.rs
+++ b/crates/e2e/tests/platform_eras.rs
@@ -97,7 +97,8 @@
     let copy = copy_before_writes(&site);
     site.store.put("op", "config", config_with_route(&site, 5, "added"));
     for edge in 0..2 {
-        assert!(served_within(&site, edge, "/added/x", APPLY_TIME).await);
+        let is_applied = served_within(&site, edge, "/added/x", APPLY_TIME).await;
+        assert!(is_applied, "{}", site.edges[edge].log());
     }
     let restored = async {
         // Before, during and after the time without the newest config.
@@ -245,7 +246,8 @@
     let copy = copy_before_writes(&site);
     site.store.put("op", "config", config_with_route(&site, 5, "added"));
     for edge in 0..2 {
-        assert!(served_within(&site, edge, "/added/x", APPLY_TIME).await);
+        let is_applied = served_within(&site, edge, "/added/x", APPLY_TIME).await;
+        assert!(is_applied, "{}", site.edges[edge].log());
     }
     let lost = site.store.restore(copy.clone());
     pause(millis(400)).await;
@@ -273,7 +275,8 @@
     let site = site::Site::start(site::Sizes { edges: 2, ..site::Sizes::default() }).await?;
     let copy = copy_before_writes(&site);
     site.store.put("op", "config", config_with_route(&site, 5, "added"));
-    assert!(served_within(&site, 1, "/added/x", APPLY_TIME).await);
+    let is_applied = served_within(&site, 1, "/added/x", APPLY_TIME).await;
+    assert!(is_applied, "{}", site.edges[1].log());
     site.edges[1].signal(Signal::STOP);
     drill(&site, copy).await;
     site.store.put("op", "config", config_with_route(&site, 7, "newer"));
