--- a/crates/core/src/pool.rs
+++ b/crates/core/src/pool.rs
@@ -193,7 +193,7 @@
 
     /// When the first server may be sent to again, if all that stay are paused.
     pub fn paused(&self, now: time::Instant) -> Option<pauses::Closed> {
-        let staying = self.servers.values().filter(|server| !server.leaving);
+        let staying = self.servers.values().filter(|server| !server.is_leaving());
         // One that is not paused sorts first.
         staying.map(|server| server.paused.filter(|paused| now < paused.until)).min().flatten()
     }
@@ -312,11 +312,8 @@
         allowed: impl Fn(&str) -> bool,
         now: time::Instant,
     ) -> Vec<&ids::ServerName> {
-        let accepts = |server: &server::Server| {
-            !server.is_leaving() && server.paused.is_none_or(|paused| paused.until <= now)
-        };
         let staying =
-            || self.servers.iter().filter(|(name, server)| accepts(server) && allowed(name));
+            || self.servers.iter().filter(|(name, server)| server.accepts(now) && allowed(name));
         let is_healthy = |server: &server::Server| {
             server.ejected_until.is_none_or(|until| until <= now) && !self.is_suspect(server, now)
         };
--- a/crates/core/src/server.rs
+++ b/crates/core/src/server.rs
@@ -70,6 +70,11 @@
         self.leaving || self.listed_leaving
     }
 
+    /// Whether new work may be sent to the server, which neither leaves nor has asked for a pause.
+    pub(crate) fn accepts(&self, now: time::Instant) -> bool {
+        !self.is_leaving() && self.paused.is_none_or(|paused| paused.until <= now)
+    }
+
     /// Ejects the server for `length`, or longer after earlier ejections if `backoff` is set.
     pub(crate) fn eject(&mut self, length: time::Duration, backoff: bool, now: time::Instant) {
         let factor = if backoff { 1 << self.ejections.min(MAX_DOUBLINGS) } else { 1 };
--- a/crates/edge/src/directory.rs
+++ b/crates/edge/src/directory.rs
@@ -245,18 +245,6 @@
         }
     }
 
-    /// Sends no requests to a server that has asked for that.
-    pub(crate) fn set_paused(&mut self, target: &Target, paused: Option<pauses::Closed>) {
-        // Not to a later process under the same id.
-        if self.target(&target.id).is_none_or(|current| current.process != target.process) {
-            return;
-        }
-        for service in self.services.values_mut() {
-            service.pool.set_paused(&target.id, paused);
-            service.engines.set_paused(&target.id, paused);
-        }
-    }
-
     /// The service `name`, created on first use.
     pub(crate) fn service(&mut self, name: &str) -> &mut Service {
         let (zone, retry_limits) = (&self.zone, self.retry_limits);
