Check feeds at two entries, tell late holds by their names, use no connection of a stuttering server twice

Findings of the review, each shown by a test that failed: silent_without_leader (40 of 80 requests after the bounds while the one entry that checked its feed was cut off; now the two entries with the lowest addresses check), later_holds (eleven holds used by two attempts each; a hold whose name was granted in the last minute is refused). A request that is withheld leaves the idle time of its connection as it was.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -39,6 +39,7 @@
 pub mod prefill_time;
 pub mod queue_limit;
 pub mod reassembly;
+pub mod recent;
 pub mod reports;
 pub mod retry;
 pub mod retry_detector;
--- a/crates/core/src/members.rs
+++ b/crates/core/src/members.rs
@@ -105,6 +105,8 @@
 const MAX_LOST: usize = 2;
 /// Entries of each cell that follow the platform's store.
 const FOLLOWERS: usize = 2;
+/// Entries of the fleet that check often that the store is heard; one may be cut off from it.
+const CHECKERS: usize = 2;
 /// An entry counts as following the store for this long after it said so: three heartbeats.
 const SOURCE_TIMEOUT: time::Duration = time::Duration::from_millis(1_000);
 /// Time for which lost members are contacted.
@@ -345,6 +347,12 @@
         self.live(now).min().filter(|lowest| *lowest < self.ip)
     }
 
+    /// Whether this entry is one of those that check often that the platform's store is heard: the
+    /// [`CHECKERS`] live entries with the lowest addresses.
+    pub fn is_checker(&self, now: time::Instant) -> bool {
+        self.live(now).filter(|ip| *ip < self.ip).count() < CHECKERS
+    }
+
     /// Entries outside the own cell to send the next heartbeat to: some random live ones and some
     /// candidates. `random` draws a number below its argument.
     pub fn contacts(
--- a/crates/edge/src/connections.rs
+++ b/crates/edge/src/connections.rs
@@ -18,6 +18,8 @@
     // Counts responses that belong to another request than the one they were received for.
     strays: counter::Counter,
     idle: sync::Mutex<collections::BTreeMap<net::SocketAddr, Vec<Connection>>>,
+    // Servers that answered twice, and until when no connection to them is used again.
+    stuttering: sync::Mutex<collections::BTreeMap<net::SocketAddr, time::Instant>>,
 }
 
 /// Connection to a server, closed when dropped.
@@ -88,13 +90,17 @@
 /// Subtracted from an advertised idle timeout, since a server may close a connection this much
 /// earlier.
 const IDLE_MARGIN: time::Duration = time::Duration::from_millis(900);
+/// Time for which no connection is used twice to a server that answered twice: the request that
+/// meets a late answer is lost, though no other request gets that answer.
+const STUTTER_TTL: time::Duration = time::Duration::from_secs(30);
 /// Maximum number of idle connections per server.
 const MAX_IDLE: usize = 16;
 
 impl ConnectionPool {
     /// Creates an empty pool, which counts responses to other requests with `strays`.
     pub(crate) fn new(strays: counter::Counter) -> ConnectionPool {
-        ConnectionPool { strays, idle: sync::Mutex::default() }
+        let (idle, stuttering) = (sync::Mutex::default(), sync::Mutex::default());
+        ConnectionPool { strays, idle, stuttering }
     }
 
     /// Sends `request` on an idle or a new connection and waits for the head of the response.
@@ -114,13 +120,13 @@
         }
         while let Some(mut connection) = self.checkout(address, request.headers()) {
             if let Err(err) = permit() {
-                self.put_back(connection, None);
+                self.keep_idle(connection);
                 return Err(err);
             }
             match connection.send(request).await {
                 Ok(response) => return Ok(PendingResponse { response, connection }),
                 Err(SendFailure::Unsent(unsent, _)) => request = *unsent,
-                Err(failure) => return Err(self.lost(failure)),
+                Err(failure) => return Err(self.lost(address, failure)),
             }
         }
         let mut connection =
@@ -128,16 +134,17 @@
         permit()?;
         match connection.send(request).await {
             Ok(response) => Ok(PendingResponse { response, connection }),
-            Err(failure) => Err(self.lost(failure)),
+            Err(failure) => Err(self.lost(address, failure)),
         }
     }
 
-    fn lost(&self, failure: SendFailure) -> SendError {
+    fn lost(&self, address: net::SocketAddr, failure: SendFailure) -> SendError {
         match failure {
             SendFailure::Unsent(_, err) => SendError::Unsent(err),
             SendFailure::Sent(err) => SendError::ConnectionLost(err),
             SendFailure::Stray => {
                 self.strays.inc();
+                locks::lock(&self.stuttering).insert(address, clock::now() + STUTTER_TTL);
                 SendError::ConnectionLost("the response belongs to another request".to_string())
             }
         }
@@ -146,6 +153,9 @@
     // Takes the most recently used connection that is fit for a request with these headers, so that
     // surplus connections expire.
     fn checkout(&self, address: net::SocketAddr, headers: &HeaderMap) -> Option<Connection> {
+        if locks::lock(&self.stuttering).contains_key(&address) {
+            return None;
+        }
         let mut idle = locks::lock(&self.idle);
         let connections = idle.get_mut(&address)?;
         let now = clock::now();
@@ -167,6 +177,13 @@
             return;
         }
         connection.idle_until = clock::now() + timeout;
+        if locks::lock(&self.stuttering).contains_key(&connection.address) {
+            return;
+        }
+        self.keep_idle(connection);
+    }
+
+    fn keep_idle(&self, connection: Connection) {
         let mut idle = locks::lock(&self.idle);
         let connections = idle.entry(connection.address).or_default();
         connections.push(connection);
@@ -183,6 +200,7 @@
     /// Closes connections whose idle time has expired.
     pub(crate) fn sweep(&self) {
         let now = clock::now();
+        locks::lock(&self.stuttering).retain(|_, until| now < *until);
         let mut idle = locks::lock(&self.idle);
         for connections in idle.values_mut() {
             connections
--- a/crates/edge/src/edge.rs
+++ b/crates/edge/src/edge.rs
@@ -4,7 +4,7 @@
 
 use tokio::sync as tokio_sync;
 
-use rhubarb_core::{ids, log_limit, members, pauses, usage};
+use rhubarb_core::{ids, log_limit, members, pauses, recent, usage};
 use rhubarb_node::{client, clock, locks};
 use rhubarb_platform::{settings, store};
 
@@ -44,6 +44,7 @@
     lag: sync::Mutex<lag::Lag>,
     pauses: sync::Mutex<pauses::Pauses>,
     log_limit: sync::Mutex<log_limit::LogLimit>,
+    holds: sync::Mutex<recent::RecentNames>,
     run_seq: atomic::AtomicU64,
     stopping_since: sync::OnceLock<time::Instant>,
 }
@@ -84,6 +85,7 @@
             lag: sync::Mutex::default(),
             pauses: sync::Mutex::default(),
             log_limit: sync::Mutex::default(),
+            holds: sync::Mutex::default(),
             run_seq: atomic::AtomicU64::new(1),
             stopping_since: sync::OnceLock::new(),
             settings: sync::Mutex::new(sync::Arc::new(settings)),
@@ -115,6 +117,12 @@
         locks::lock(&self.log_limit)
     }
 
+    /// Records a hold that `server` has granted; false if it was granted to another request before,
+    /// so that its response is a late second one.
+    pub(crate) fn record_hold(&self, server: &str, hold: &str) -> bool {
+        locks::lock(&self.holds).insert(&format!("{server}/{hold}"), clock::now())
+    }
+
     pub(crate) fn members(&self) -> sync::MutexGuard<'_, members::Members> {
         locks::lock(&self.members)
     }
--- a/crates/edge/src/reservation.rs
+++ b/crates/edge/src/reservation.rs
@@ -228,6 +228,11 @@
     };
     let body = response.body.as_ref().filter(|_| response.is_success());
     match body.map(|body| platform_engine::read_hold(body)) {
+        Some(Ok(hold)) if !call.edge.record_hold(&id, &hold) => {
+            tracing::warn!(id = call.id(), server = id, hold, "edge: hold of another request");
+            call.edge.counters.stray_responses.inc();
+            HoldResult::Unavailable
+        }
         Some(Ok(hold)) => {
             reservation.hold = Some(hold);
             HoldResult::Held
--- a/crates/edge/src/watch.rs
+++ b/crates/edge/src/watch.rs
@@ -12,10 +12,10 @@
 /// Time that the store holds a feed request open without changes. A feed that stalls is detected
 /// earlier, by the newer versions of the peers.
 const FEED_WAIT: time::Duration = time::Duration::from_secs(20);
-/// The same for the servers' table at the leader of the fleet. Connections may go silent without a
-/// reset, at all entries at once, so one of them checks often that its feed works.
-const LEADER_WAIT: time::Duration = time::Duration::from_millis(1_000);
-/// Time after which a feed's response is late. With the wait it is the time after which the leader
+/// The same for the servers' table at a few entries of the fleet. Connections may go silent without
+/// a reset, at all entries at once, so these check often that their feeds work.
+const CHECKER_WAIT: time::Duration = time::Duration::from_millis(1_000);
+/// Time after which a feed's response is late. With the wait it is the time after which a checker
 /// reads the store again; the others then have a second of the 3 s (`contact_ms`) in which old
 /// information may be used.
 const FEED_SLACK: time::Duration = time::Duration::from_millis(1_000);
@@ -91,7 +91,7 @@
 
 fn is_covered(edge: &edge::Edge) -> bool {
     let (members, now) = (edge.members(), clock::now());
-    !members.is_follower() && members.leader(now).is_some() && members.has_source(now)
+    !members.is_follower() && !members.is_checker(now) && members.has_source(now)
 }
 
 // Waits while a peer follows the store for this entry.
@@ -206,13 +206,13 @@
             version = version.max(edge.directory().rows.known_version(table));
         }
         let is_checked = table == store::Table::Servers;
-        let is_leader = is_leader(edge);
-        let wait = if is_checked && is_leader { LEADER_WAIT } else { FEED_WAIT };
+        let is_checker = is_checker(edge);
+        let wait = if is_checked && is_checker { CHECKER_WAIT } else { FEED_WAIT };
         let changes = tokio::select! {
             changes = edge.store.feed(table, version, wait, FEED_SLACK) => {
                 changes.map_err(feed_error)?
             }
-            () = wait_until_leader(edge), if is_checked && !is_leader => continue,
+            () = wait_until_checker(edge), if is_checked && !is_checker => continue,
             () = eras::wait_for_next(edge, version.era) => {
                 return Err(FollowError::Feed(store::StoreError::EraChanged));
             }
@@ -235,13 +235,12 @@
     }
 }
 
-// Whether this entry leads the fleet, or is alone.
-fn is_leader(edge: &edge::Edge) -> bool {
-    edge.members().leader(clock::now()).is_none()
+fn is_checker(edge: &edge::Edge) -> bool {
+    edge.members().is_checker(clock::now())
 }
 
-async fn wait_until_leader(edge: &edge::Edge) {
-    while !is_leader(edge) {
+async fn wait_until_checker(edge: &edge::Edge) {
+    while !is_checker(edge) {
         tokio::time::sleep(SOURCE_CHECK).await;
     }
 }
--- a/crates/fakes/src/arrivals.rs
+++ b/crates/fakes/src/arrivals.rs
@@ -29,6 +29,11 @@
 }
 
 impl Arrival {
+    /// Whether it asks for work: all but reports and what frees memory.
+    pub fn is_work(&self) -> bool {
+        self.method != Method::DELETE && self.target != "/v1/report"
+    }
+
     /// Arrival of `request` now, at a server in its start `born`.
     pub(crate) fn new<B>(request: &Request<B>, born: u64) -> Arrival {
         Arrival {
--- a/crates/fakes/src/lib.rs
+++ b/crates/fakes/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod caller;
 pub mod copy;
 pub mod engine;
+mod fault;
 pub mod handles;
 pub mod instances;
 pub mod objects;
--- a/crates/soak/src/arrival_checks.rs
+++ b/crates/soak/src/arrival_checks.rs
@@ -3,13 +3,11 @@
 
 use std::{collections, time};
 
-use hyper::Method;
-
 use rhubarb_fakes::{arrivals, caller, pause};
 
-use crate::{check, record};
+use crate::{invariant, record};
 
-use check::{Invariant, Violation};
+use invariant::{Invariant, Violation};
 use record::{EntryFault, Place};
 
 /// Time after which a server that leaves gets no more requests, the platform's `drain_ms`.
@@ -163,7 +161,7 @@
 
 // Whether a server in a pause rejects such a request.
 fn counts_in_pause(arrival: &arrivals::Arrival) -> bool {
-    !arrival.misdirected && arrival.method != Method::DELETE && arrival.target != "/v1/report"
+    !arrival.misdirected && arrival.is_work()
 }
 
 // Entry that sent a request. Requests for holds and orders carry no attempt id and are attributed
--- a/crates/soak/src/check.rs
+++ b/crates/soak/src/check.rs
@@ -1,58 +1,12 @@
 //! Invariants that a soak checks against the history of callers and the runs on servers.
 
-use std::{collections, fmt, time};
+use std::{collections, time};
 
 use rhubarb_e2e::call;
 
-use crate::{arrival_checks, record};
+use crate::{arrival_checks, invariant, record};
 
-/// An invariant.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub enum Invariant {
-    /// A request runs at most as often as its kind allows: once, unless it may be retried.
-    RunCount,
-    /// A request that was rejected as not run did not run.
-    NotRun,
-    /// Such a rejection has a `Retry-After` header.
-    RetryAfter,
-    /// A response belongs to its request, and is complete or visibly truncated.
-    Intact,
-    /// A healthy entry answers each request.
-    Answered,
-    /// A healthy entry answers within the timeout of the route.
-    Deadline,
-    /// A stopping entry finishes the requests it has accepted and exits with code 0.
-    GracefulStop,
-    /// An entry does not end by itself.
-    Running,
-    /// A run goes on only from a handle of its own attempt, and a response is for its request.
-    Mixed,
-    /// A server that leaves, as its answers or the store say, gets no more requests.
-    Leaving,
-    /// A server gets at most two requests from an entry in the pause that it asked for.
-    Paused,
-    /// An entry never goes back to an older config.
-    NoRollback,
-    /// Each entry serves all kinds of requests again soon after the last fault.
-    Recovered,
-    /// Engines hold no memory for requests that have ended.
-    NoLeak,
-}
-
-/// A violated invariant.
-#[derive(Clone, Debug)]
-pub struct Violation {
-    /// Violated invariant.
-    pub invariant: Invariant,
-    /// What was observed.
-    pub detail: String,
-}
-
-impl fmt::Display for Violation {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(f, "{:?}: {}", self.invariant, self.detail)
-    }
-}
+pub use invariant::{Invariant, Violation};
 
 /// Runs of each attempt id, over all servers.
 pub type Runs = collections::BTreeMap<String, u32>;
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -15,3 +15,4 @@
 mod arrival_checks;
 mod callers;
 mod injector;
+mod invariant;
