--- a/crates/core/src/ids.rs
+++ b/crates/core/src/ids.rs
@@ -14,6 +14,8 @@
 pub type ZoneTag = u16;
 /// Hash of the name of a backend server, for messages in which names would not fit.
 pub type ServerTag = u32;
+/// Identifies a part of prompts, which many prompts may share.
+pub type PartTag = u64;
 /// Random number that a process draws at start and that identifies it until it exits.
 pub type Incarnation = u64;
 /// Version of the service list; higher versions replace lower ones.
@@ -51,6 +53,11 @@
     digest(&[server.as_bytes()]) as ServerTag
 }
 
+/// Tag of the part of prompts with the hexadecimal id `part`.
+pub fn part_tag(part: &str) -> PartTag {
+    u64::from_str_radix(part, 16).unwrap_or_else(|_| digest(&[part.as_bytes()]) as PartTag)
+}
+
 /// Hash that identifies an idempotency key of `caller` at `service`.
 pub fn key_hash(service: &str, caller: &str, key: &str) -> KeyHash {
     digest(&[service.as_bytes(), caller.as_bytes(), key.as_bytes()])
--- a/crates/edge/src/stream.rs
+++ b/crates/edge/src/stream.rs
@@ -287,6 +287,8 @@
                     id = self.call.id(),
                     server = target.id,
                     err,
+                    events = self.events,
+                    parts = ?self.call.head.parts,
                     "edge: connection lost"
                 );
                 self.interrupted(&target.id, Reason::LostContact)
@@ -431,7 +433,14 @@
                     None => continue,
                 },
                 responder::WaitOutcome::Event(reader::Item::Interrupted(err)) => {
-                    tracing::info!(id = self.call.id(), server, err, "edge: stream interrupted");
+                    tracing::info!(
+                        id = self.call.id(),
+                        server,
+                        err,
+                        events = self.events,
+                        parts = ?self.call.head.parts,
+                        "edge: stream interrupted"
+                    );
                     return self.interrupted(server, Reason::LostContact);
                 }
                 responder::WaitOutcome::Event(reader::Item::End) => {
