--- a/crates/e2e/src/site.rs
+++ b/crates/e2e/src/site.rs
@@ -142,7 +142,7 @@
     pub fn announce(&self, backend: &backend::Backend, state: &str) {
         let Some(address) = backend.address() else { return };
         let relay = self.relays.get(&backend.id).map(|relay| relay.address);
-        let mut row = server_row(backend, relay.unwrap_or(address));
+        let mut row = server_row_at(backend, relay.unwrap_or(address));
         row["state"] = json!(state);
         self.store.put("servers", &backend.id, row.to_string());
     }
@@ -344,8 +344,12 @@
     }
 }
 
-// Row of a server in the `servers` table of the store.
-fn server_row(backend: &backend::Backend, address: net::SocketAddr) -> serde_json::Value {
+/// Row of a server that is ready in the `servers` table of the store, at its own address.
+pub fn server_row(backend: &backend::Backend) -> serde_json::Value {
+    backend.address().map_or(serde_json::Value::Null, |address| server_row_at(backend, address))
+}
+
+fn server_row_at(backend: &backend::Backend, address: net::SocketAddr) -> serde_json::Value {
     let (stage, _) = backend.stage();
     let service = if stage.is_empty() { "plain" } else { "models" };
     let mut row = json!({
--- a/crates/fakes/src/backend.rs
+++ b/crates/fakes/src/backend.rs
@@ -9,7 +9,7 @@
 
 use rhubarb_node::{clock, locks, response, server};
 
-use crate::{arrivals, events, fault, handles, pause, replies, running, stage};
+use crate::{arrivals, crash, events, fault, handles, pause, replies, running, stage};
 
 pub use fault::{EVENTS, Fault};
 
@@ -26,6 +26,7 @@
     state: sync::Mutex<State>,
     running: running::Count,
     handles: handles::Handles,
+    crash: crash::Trigger,
 }
 
 #[derive(Debug, Default)]
@@ -48,6 +49,8 @@
     // Whether all answers say that the server leaves.
     is_leaving: bool,
     pause: pause::Pause,
+    // Id of the part of prompts that crashes the server; empty for none.
+    deadly_part: String,
 }
 
 /// Maximum size of a request body in bytes; a longer body is read as empty.
@@ -75,17 +78,32 @@
             let backend = shared.clone();
             async move { backend.handle(request).await }
         };
-        tokio::spawn(server::serve(listener, server::Limits::default(), handle));
+        let restarted = self.clone();
+        let trigger = self.inner.crash.clone();
+        tokio::spawn(async move {
+            crash::serve(listener, trigger, handle, || restarted.restart()).await
+        });
         Ok(address)
     }
 
+    /// Crashes the server: all connections break, and it is down for [`crash::DOWN_TIME`].
+    pub fn crash(&self) {
+        self.inner.crash.crash();
+    }
+
+    /// Crashes the server from now on whenever it begins to answer a request whose prompt holds
+    /// `part` before its last part; never if `part` is empty.
+    pub fn set_deadly_part(&self, part: &str) {
+        self.state().deadly_part = part.to_string();
+    }
+
     /// Address on which it serves; `None` until [`Backend::serve`] has bound it.
     pub fn address(&self) -> Option<net::SocketAddr> {
         self.state().address
     }
 
     /// Simulates a restart under the same id: drops all holds, resets the order counter, and no
-    /// longer leaves or pauses.
+    /// longer leaves or pauses. The part that crashes the server stays the same.
     ///
     /// Open connections stay open, and [`Backend::address`] does not change.
     pub fn restart(&self) {
@@ -344,14 +362,29 @@
         reply
     }
 
+    // Whether the prompt of a request crashes the server.
+    fn is_deadly(&self, headers: &HeaderMap) -> bool {
+        let deadly = self.state().deadly_part.clone();
+        let prompt = replies::header_text(headers, "x-prompt-prefix");
+        let parts = prompt.rsplit_once(',').map_or("", |(parts, _)| parts);
+        let mut ids = parts.split(',').filter_map(|part| part.split(':').next());
+        !deadly.is_empty() && ids.any(|id| id == deadly)
+    }
+
     fn stream(&self, attempt: &str, headers: &HeaderMap, fault: Fault) -> Response<response::Body> {
         let last = replies::header_text(headers, "last-event-id").parse().ok();
         let last: Option<u64> = last.filter(|_| fault != Fault::StartsOver);
         let first = last.map_or(0, |last| last + 1);
+        let is_deadly = self.is_deadly(headers);
+        let backend = self.clone();
         let (sender, receiver) = mpsc::channel(1);
         let running = self.inner.running.clone();
         tokio::spawn(async move {
             let _running = running.start();
+            if is_deadly {
+                tokio::time::sleep(events::EVENT_INTERVAL).await;
+                return backend.crash();
+            }
             tokio::select! {
                 () = events::send(&sender, first, fault) => {}
                 () = sender.closed() => {}
--- a/crates/fakes/src/events.rs
+++ b/crates/fakes/src/events.rs
@@ -10,7 +10,7 @@
 use fault::Fault;
 
 /// Interval between two events.
-const EVENT_INTERVAL: time::Duration = time::Duration::from_millis(20);
+pub(crate) const EVENT_INTERVAL: time::Duration = time::Duration::from_millis(20);
 /// Duration of [`Fault::Pauses`].
 const PREEMPTION_PAUSE: time::Duration = time::Duration::from_millis(2_500);
 
--- a/crates/fakes/src/lib.rs
+++ b/crates/fakes/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod backend;
 pub mod caller;
 pub mod copy;
+pub mod crash;
 pub mod engine;
 mod fault;
 pub mod handles;
--- a/crates/node/src/server.rs
+++ b/crates/node/src/server.rs
@@ -104,7 +104,11 @@
     }
 }
 
-async fn serve_connection<H, F>(
+/// Serves HTTP/1.1 on one connection until it ends, with `shutdown` as in [`serve_with_shutdown`].
+///
+/// # Errors
+/// Returns an error if the connection breaks or the client violates the protocol.
+pub async fn serve_connection<H, F>(
     stream: tokio_net::TcpStream,
     limits: Limits,
     mut shutdown: tokio_sync::watch::Receiver<bool>,
