Reject prompts with a part that crashes the servers that answer them

What callers saw: requests with one part in their prompts ended one engine after the other, and with each a dozen streams of other callers; most of those failed, since the retry budget was spent.

Cause: nothing connected a crash with the requests that were at the server. A stream that may be resumed was sent to a second server, each new request to another one, and no entry learned from the others.

Class: an input that is not isolated (a query of death), with retries that spread it; each entry alone kept what the whole fleet has to know.

Change: core::suspects counts, for each part of prompts but the last, the crashes in which a request with it was lost before its answer began. Three since the last answer reject it (five if it was answered often), unless a part outside the request explains them. An answer that begins clears all its parts. Entries exchange this with their datagrams, at once when it is new. Every step from the queue to the resumption asks. A verdict is a 503 for two seconds, then a 400; ten minutes after the last crash one entry at a time may try again.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -11,6 +11,7 @@
 //! assert_eq!(list.services["board"].servers(), ["board-1"]);
 //! ```
 
+pub mod answered;
 pub mod backoff;
 pub mod budget;
 pub mod cells;
@@ -55,5 +56,6 @@
 pub mod stale_rows;
 pub mod stamp;
 pub mod subset;
+pub mod suspects;
 pub mod suspension;
 pub mod usage;
--- a/crates/core/src/members.rs
+++ b/crates/core/src/members.rs
@@ -6,7 +6,7 @@
 
 use std::{collections, net, time};
 
-use crate::{cells, ids};
+use crate::{cells, ids, suspects};
 
 /// Heartbeat of one entry, as relayed by others.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -347,6 +347,16 @@
         self.live(now).min().filter(|lowest| *lowest < self.ip)
     }
 
+    /// This entry's turn among the live entries, in the order of their addresses.
+    pub fn turn(&self, now: time::Instant) -> suspects::Turn {
+        let (mut rank, mut entries) = (0, 1);
+        for ip in self.live(now) {
+            entries += 1;
+            rank += u32::from(ip < self.ip);
+        }
+        suspects::Turn { rank, entries }
+    }
+
     /// Whether this entry is one of those that check often that the platform's store is heard: the
     /// [`CHECKERS`] live entries with the lowest addresses.
     pub fn is_checker(&self, now: time::Instant) -> bool {
--- a/crates/core/src/outcome.rs
+++ b/crates/core/src/outcome.rs
@@ -88,10 +88,12 @@
     NotLoaded,
     /// The caller closed its connection.
     CallerGone,
+    /// The prompt has a part that crashes servers.
+    CrashingPrompt,
 }
 
 /// All reasons, in the order of reports.
-pub const REASONS: [Reason; 26] = [
+pub const REASONS: [Reason; 27] = [
     Reason::BadRequest,
     Reason::TooLarge,
     Reason::BadMethod,
@@ -118,6 +120,7 @@
     Reason::Withdrawn,
     Reason::NotLoaded,
     Reason::CallerGone,
+    Reason::CrashingPrompt,
 ];
 
 impl Reason {
@@ -191,6 +194,11 @@
             Reason::NoList => ("no-list", "no service list is in force yet; retry as told"),
             Reason::Withdrawn => ("withdrawn", "the attempt was withdrawn; retry as told"),
             Reason::NotLoaded => ("not-loaded", "the server is loading its model; retry as told"),
+            Reason::CrashingPrompt => (
+                "crashing-prompt",
+                "a part of the prompt has crashed the servers that answered it; \
+                 change the prompt instead of a repeat",
+            ),
             Reason::CallerGone => ("caller-gone", "keep the connection open until the answer ends"),
         }
     }
--- a/crates/edge/src/call.rs
+++ b/crates/edge/src/call.rs
@@ -25,6 +25,8 @@
     /// Whether its timeout indicates the retry of a refused request, which can no longer meet its
     /// latency target.
     pub(crate) is_retry: bool,
+    /// Whether it is sent to find out whether a part of its prompt still crashes servers.
+    pub(crate) is_trial: bool,
     /// Deadline of the final answer.
     pub(crate) deadline: time::Instant,
 }
--- a/crates/edge/src/connections.rs
+++ b/crates/edge/src/connections.rs
@@ -60,6 +60,8 @@
     Leaving,
     /// No byte was written, since the server has asked for a pause.
     Paused,
+    /// No byte was written, since the prompt has a part that crashes servers.
+    Rejected,
     /// The connection was lost, or carried the response to another request, after the request may
     /// have reached the server.
     ConnectionLost(String),
@@ -71,6 +73,7 @@
             SendError::Unsent(err) => write!(f, "not sent: {err}"),
             SendError::Leaving => f.write_str("not sent: the server is leaving"),
             SendError::Paused => f.write_str("not sent: the server has asked for a pause"),
+            SendError::Rejected => f.write_str("not sent: the prompt crashes servers"),
             SendError::ConnectionLost(err) => write!(f, "connection lost: {err}"),
         }
     }
@@ -79,6 +82,9 @@
 /// Timeout for opening a connection. A reachable server accepts within milliseconds; the rest is
 /// for one retransmission of the first packet.
 const CONNECT_TIMEOUT: time::Duration = time::Duration::from_millis(1_300);
+/// Timeout of the check whether a server's port is closed; a server that is up accepts and one that
+/// has crashed refuses within milliseconds.
+const REFUSAL_TIMEOUT: time::Duration = time::Duration::from_millis(300);
 /// A connection fails when sent data stays unacknowledged for this long.
 const UNACKED_TIMEOUT: time::Duration = time::Duration::from_millis(2_500);
 /// Idle time before the first keepalive probe, and interval between probes.
@@ -165,6 +171,19 @@
         Some(connections.remove(fit))
     }
 
+    /// Whether a server refuses connections, as it does after a crash. If it accepts one, that goes
+    /// to the pool.
+    pub(crate) async fn is_refused(&self, address: net::SocketAddr) -> bool {
+        match tokio::time::timeout(REFUSAL_TIMEOUT, connect(address)).await {
+            Ok(Ok(connection)) => {
+                self.put_back(connection, None);
+                false
+            }
+            Ok(Err(err)) => err.kind() == io::ErrorKind::ConnectionRefused,
+            Err(_) => false,
+        }
+    }
+
     /// Returns a connection to the pool after its response was read to the end.
     pub(crate) fn put_back(
         &self,
--- a/crates/edge/src/edge.rs
+++ b/crates/edge/src/edge.rs
@@ -8,7 +8,7 @@
 use rhubarb_node::{client, clock, locks};
 use rhubarb_platform::{settings, store};
 
-use crate::{connections, dates, directory, lag, metrics, orders};
+use crate::{connections, dates, directory, lag, metrics, orders, suspects};
 
 /// State of one entry.
 #[derive(Debug)]
@@ -24,6 +24,8 @@
     pub(crate) commitments_changed: tokio_sync::Notify,
     /// Notifies the sender of commitments that this entry has released memory of an engine.
     pub(crate) memory_freed: tokio_sync::Notify,
+    /// Notifies the sender of commitments that this entry knows more of prompts that crash servers.
+    pub(crate) evidence_changed: tokio_sync::Notify,
     /// Notifies the fetcher of snapshots that a peer has newer rows of the store.
     pub(crate) lag_detected: tokio_sync::Notify,
     /// Notifies the followers of the store that its feed does not deliver changes.
@@ -43,6 +45,7 @@
     orders: sync::Mutex<orders::Orders>,
     lag: sync::Mutex<lag::Lag>,
     pauses: sync::Mutex<pauses::Pauses>,
+    watch: sync::Mutex<suspects::Watch>,
     log_limit: sync::Mutex<log_limit::LogLimit>,
     holds: sync::Mutex<recent::RecentNames>,
     run_seq: atomic::AtomicU64,
@@ -73,6 +76,7 @@
             slot_freed: tokio_sync::Notify::new(),
             commitments_changed: tokio_sync::Notify::new(),
             memory_freed: tokio_sync::Notify::new(),
+            evidence_changed: tokio_sync::Notify::new(),
             lag_detected: tokio_sync::Notify::new(),
             feed_stalled: tokio_sync::Notify::new(),
             feed_changes: atomic::AtomicU64::new(0),
@@ -84,6 +88,7 @@
             orders: sync::Mutex::default(),
             lag: sync::Mutex::default(),
             pauses: sync::Mutex::default(),
+            watch: sync::Mutex::default(),
             log_limit: sync::Mutex::default(),
             holds: sync::Mutex::default(),
             run_seq: atomic::AtomicU64::new(1),
@@ -137,6 +142,11 @@
         locks::lock(&self.pauses)
     }
 
+    /// Prompts that crash servers.
+    pub(crate) fn watch(&self) -> sync::MutexGuard<'_, suspects::Watch> {
+        locks::lock(&self.watch)
+    }
+
     /// How far this entry lags behind its peers.
     pub(crate) fn lag(&self) -> sync::MutexGuard<'_, lag::Lag> {
         locks::lock(&self.lag)
--- a/crates/edge/src/exchange.rs
+++ b/crates/edge/src/exchange.rs
@@ -8,7 +8,7 @@
 use rhubarb_node::{clock, response as node_response};
 use rhubarb_platform::response;
 
-use crate::{connections, directory, edge, pauses};
+use crate::{call, connections, directory, edge, pauses, suspects};
 
 /// Maximum size of a buffered response body, in bytes.
 const MAX_BODY_BYTES: usize = 16 * 1024 * 1024;
@@ -37,8 +37,27 @@
     edge: &edge::Edge,
     target: &directory::Target,
     request: Request<Full<Bytes>>,
+) -> Result<connections::PendingResponse, connections::SendError> {
+    send_if(edge, target, request, || Ok(())).await
+}
+
+/// Sends a request with the prompt of `call` like [`send`], unless the prompt crashes servers.
+pub(crate) async fn send_prompt(
+    call: &call::Call,
+    target: &directory::Target,
+    request: Request<Full<Bytes>>,
+) -> Result<connections::PendingResponse, connections::SendError> {
+    send_if(&call.edge, target, request, || suspects::permit(call)).await
+}
+
+async fn send_if(
+    edge: &edge::Edge,
+    target: &directory::Target,
+    request: Request<Full<Bytes>>,
+    is_permitted: impl Fn() -> Result<(), connections::SendError>,
 ) -> Result<connections::PendingResponse, connections::SendError> {
     let permit = || {
+        is_permitted()?;
         if edge.directory().is_leaving(&target.id) {
             return Err(connections::SendError::Leaving);
         }
@@ -59,6 +78,16 @@
     Ok(read_all(&edge.connections, pending).await)
 }
 
+/// Sends a request with the prompt of `call` like [`send_prompt`], and reads the whole response.
+pub(crate) async fn fetch_prompt(
+    call: &call::Call,
+    target: &directory::Target,
+    request: Request<Full<Bytes>>,
+) -> Result<BufferedResponse, connections::SendError> {
+    let pending = send_prompt(call, target, request).await?;
+    Ok(read_all(&call.edge.connections, pending).await)
+}
+
 /// Sends a request that frees a resource, also to a server that is leaving but not to one that is
 /// paused, and reads the whole response.
 pub(crate) async fn release(
--- a/crates/edge/src/ingress.rs
+++ b/crates/edge/src/ingress.rs
@@ -70,6 +70,7 @@
     let is_retry = edge.directory().record_request(&service, &route.name, timeout);
     start(call::Call {
         is_retry,
+        is_trial: false,
         edge: edge.clone(),
         deadline: arrived + timeout,
         head,
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -38,6 +38,7 @@
 mod run;
 mod snapshots;
 mod stream;
+mod suspects;
 mod watch;
 
 pub use run::run;
--- a/crates/edge/src/metrics.rs
+++ b/crates/edge/src/metrics.rs
@@ -29,6 +29,8 @@
     pub(crate) leaving: SourceFamily,
     pub(crate) pauses: counter::Counter,
     pub(crate) withheld: counter::Counter,
+    pub(crate) crashes: counter::Counter,
+    pub(crate) rejected_parts: gauge::Gauge,
     pub(crate) dropped_lines: gauge::Gauge,
     pub(crate) plain_time: histogram::Histogram,
     pub(crate) first_event: histogram::Histogram,
@@ -53,6 +55,14 @@
                 .counter("server_pauses", "Pauses that servers have asked for, and longer ones"),
             withheld: registry
                 .counter("withheld_requests", "Requests not sent because their server was paused"),
+            crashes: registry.counter(
+                "crash_losses",
+                "Requests that a server's crash ended before their answers began",
+            ),
+            rejected_parts: registry.gauge(
+                "rejected_parts",
+                "Parts of prompts that are rejected, since they crash servers",
+            ),
             dropped_lines: registry.gauge("log_lines_dropped", "Log lines not written in time"),
             plain_time: registry
                 .seconds_histogram("plain_seconds", "Time to the answer of a plain call"),
--- a/crates/edge/src/peers.rs
+++ b/crates/edge/src/peers.rs
@@ -8,7 +8,7 @@
 use rhubarb_node::clock;
 use rhubarb_wire::share;
 
-use crate::{edge, lag};
+use crate::{edge, lag, suspects};
 
 /// Interval between datagrams to the peers without changes; they are also the heartbeats.
 const HEARTBEAT_PERIOD: time::Duration = time::Duration::from_millis(300);
@@ -28,14 +28,14 @@
     let mut seq = edge.dates.now_ms();
     let mut heartbeat_at = clock::now();
     loop {
-        wait_for_change(&edge, heartbeat_at).await;
+        let is_urgent = wait_for_change(&edge, heartbeat_at).await;
         seq += 1;
         let is_heartbeat = clock::now() >= heartbeat_at;
         if is_heartbeat {
             heartbeat_at = clock::now() + HEARTBEAT_PERIOD;
             update_members(&edge);
         }
-        let round = plan_round(&edge, is_heartbeat);
+        let round = plan_round(&edge, is_heartbeat, is_urgent);
         if !round.cell.is_empty() {
             send(&edge, &socket, &round.cell, build_share(&edge, seq, is_heartbeat)).await;
         }
@@ -46,9 +46,10 @@
 }
 
 // Waits for a change of the commitments and for others in the same batch, at most until
-// `heartbeat_at`.
-async fn wait_for_change(edge: &edge::Edge, heartbeat_at: time::Instant) {
+// `heartbeat_at`. Returns whether the change is one for the whole fleet.
+async fn wait_for_change(edge: &edge::Edge, heartbeat_at: time::Instant) -> bool {
     let mut send_at = heartbeat_at;
+    let mut is_urgent = false;
     loop {
         tokio::select! {
             () = edge.commitments_changed.notified() => {
@@ -57,7 +58,11 @@
             () = edge.memory_freed.notified() => {
                 send_at = send_at.min(clock::now() + RELEASE_DELAY);
             }
-            () = tokio::time::sleep_until(send_at.into()) => return,
+            () = edge.evidence_changed.notified() => {
+                is_urgent = true;
+                send_at = send_at.min(clock::now() + BATCH_DELAY);
+            }
+            () = tokio::time::sleep_until(send_at.into()) => return is_urgent,
         }
     }
 }
@@ -106,7 +111,7 @@
     others: collections::BTreeSet<net::IpAddr>,
 }
 
-fn plan_round(edge: &edge::Edge, is_heartbeat: bool) -> Round {
+fn plan_round(edge: &edge::Edge, is_heartbeat: bool, is_urgent: bool) -> Round {
     let now = clock::now();
     let mut directory = edge.directory();
     let mut cells = collections::BTreeSet::new();
@@ -119,7 +124,7 @@
     let cell: collections::BTreeSet<_> =
         cells.into_iter().flat_map(|cell| members.in_cell(cell, now).collect::<Vec<_>>()).collect();
     let mut others = collections::BTreeSet::new();
-    if is_heartbeat {
+    if is_heartbeat || is_urgent {
         others.extend(members.contacts(|bound| rand::random_range(0..bound), now));
     }
     others.extend(members.take_greetings());
@@ -145,6 +150,7 @@
         config,
         servers,
         follows: edge.follows_store() && !edge.is_disconnected(),
+        evidence: share::Evidence::collect(&edge.watch().suspects, seq, clock::now()),
         ..share::Share::default()
     }
 }
@@ -251,6 +257,11 @@
     }
     let (cell, own_cell) = (members.cell(from), members.own_cell());
     drop(members);
+    let evidence: Vec<_> = share.evidence.iter().map(Into::into).collect();
+    if suspects::merge(edge, &evidence) && cell != Some(own_cell) {
+        // The sender has reached only a few entries of this cell.
+        edge.evidence_changed.notify_one();
+    }
     if is_new {
         edge.commitments_changed.notify_one();
         let is_near = cell == Some(own_cell);
--- a/crates/edge/src/plain.rs
+++ b/crates/edge/src/plain.rs
@@ -170,6 +170,10 @@
                 );
                 Attempt::Unsent(Reason::NoRoom)
             }
+            // A plain request has no prompt.
+            responder::WaitOutcome::Event(Err(connections::SendError::Rejected)) => {
+                Attempt::Unsent(Reason::CrashingPrompt)
+            }
             responder::WaitOutcome::Event(Err(connections::SendError::ConnectionLost(err))) => {
                 tracing::info!(
                     id = self.call.id(),
--- a/crates/edge/src/prefill.rs
+++ b/crates/edge/src/prefill.rs
@@ -122,7 +122,7 @@
     };
     let request = call.head.to_prefill(&headers, call.body.clone());
     let started = clock::now();
-    let sending = exchange::fetch(&call.edge, &target, request);
+    let sending = exchange::fetch_prompt(call, &target, request);
     let result = match responder.wait(sending, deadline).await {
         responder::WaitOutcome::Disconnected => return PrefillResult::Disconnected,
         responder::WaitOutcome::Expired => Err(Refusal::not_run(Reason::EngineSilent, RETRY_SOON)),
@@ -147,6 +147,10 @@
             );
             return PrefillResult::Unsent(target.id);
         }
+        responder::WaitOutcome::Event(Err(connections::SendError::Rejected)) => {
+            let refusal = Refusal::not_run(Reason::CrashingPrompt, RETRY_SOON);
+            return PrefillResult::Failed(None, refusal);
+        }
         responder::WaitOutcome::Event(Err(connections::SendError::ConnectionLost(err))) => {
             tracing::info!(
                 id = call.id(),
--- a/crates/edge/src/reservation.rs
+++ b/crates/edge/src/reservation.rs
@@ -8,9 +8,9 @@
 use rhubarb_node::{clock, responder};
 use rhubarb_platform::engine as platform_engine;
 
-use outcome::{Reason, Refusal};
+use outcome::{Outcome, Reason, Refusal};
 
-use crate::{call, cleanup, connections, directory, edge, exchange, prefill, refuse};
+use crate::{call, cleanup, connections, directory, edge, exchange, prefill, refuse, suspects};
 
 /// Slot and memory of one request at a decode engine, released when dropped.
 #[derive(Debug)]
@@ -136,6 +136,9 @@
     }
     let mut tried = tried.to_vec();
     loop {
+        if let Some(refusal) = suspects::rejection(call, Outcome::NotRun) {
+            return ReserveResult::Refused(refusal);
+        }
         let slot_freed = call.edge.slot_freed.notified();
         while let Some(mut reservation) = try_reserve(call, position, need, &tried) {
             match responder.wait(request_hold(call, &mut reservation, need), call.deadline).await {
--- a/crates/edge/src/stream.rs
+++ b/crates/edge/src/stream.rs
@@ -12,7 +12,9 @@
 
 use outcome::{Outcome, RETRY_SOON, Reason, Refusal};
 
-use crate::{call, connections, directory, exchange, prefill, reader, refuse, reservation};
+use crate::{
+    call, connections, directory, exchange, prefill, reader, refuse, reservation, suspects,
+};
 
 /// Model request in progress.
 #[derive(Debug)]
@@ -27,6 +29,8 @@
     cache: Option<prefill::KvCache>,
     last_event: Option<u64>,
     events: u64,
+    // Events received from the current server.
+    run_events: u64,
     first_at: Option<time::Instant>,
     last_at: Option<time::Instant>,
     longest_gap: time::Duration,
@@ -64,6 +68,7 @@
             cache: None,
             last_event,
             events: 0,
+            run_events: 0,
             first_at: None,
             last_at: None,
             longest_gap: time::Duration::ZERO,
@@ -94,6 +99,9 @@
     }
 
     fn failed(&self, server: Option<ids::ServerName>, refusal: Refusal) -> flow::Event {
+        if let Some(refusal) = suspects::rejection(&self.call, refusal.outcome) {
+            return flow::Event::Failed { server, refusal, retry: false };
+        }
         let retry = self.flow.may_retry(server.as_ref(), &refusal, clock::now())
             && self.call.withdraw_retry(server.as_ref(), self.retry_sends(), refusal.reason);
         flow::Event::Failed { server, refusal, retry }
@@ -146,6 +154,11 @@
             self.reservation = Some(reservation);
             return flow::Event::Reserved;
         }
+        if self.flow.retries() == 0
+            && let Err(refusal) = suspects::admit(&mut self.call)
+        {
+            return flow::Event::Failed { server: None, refusal, retry: false };
+        }
         if self.misses_deadline() {
             return self.failed(None, Refusal::not_run(Reason::TooLate, RETRY_SOON));
         }
@@ -262,8 +275,8 @@
             ..request::ServerHeaders::default()
         };
         let request = self.call.head.to_server(&headers, self.call.body.clone());
-        let edge = self.call.edge.clone();
-        let sending = exchange::send(&edge, target, request);
+        self.run_events = 0;
+        let sending = exchange::send_prompt(&self.call, target, request);
         SendResult::Sent(match self.responder.wait(sending, self.call.deadline).await {
             responder::WaitOutcome::Disconnected => flow::Event::CallerGone,
             responder::WaitOutcome::Expired => flow::Event::Expired,
@@ -282,6 +295,9 @@
             responder::WaitOutcome::Event(Err(connections::SendError::Paused)) => {
                 return SendResult::NotSent(Reason::NoRoom);
             }
+            responder::WaitOutcome::Event(Err(connections::SendError::Rejected)) => {
+                self.failed(None, Refusal::not_run(Reason::CrashingPrompt, RETRY_SOON))
+            }
             responder::WaitOutcome::Event(Err(connections::SendError::ConnectionLost(err))) => {
                 tracing::info!(
                     id = self.call.id(),
@@ -291,7 +307,7 @@
                     parts = ?self.call.head.parts,
                     "edge: connection lost"
                 );
-                self.interrupted(&target.id, Reason::LostContact)
+                self.lost(target).await
             }
             responder::WaitOutcome::Event(Ok(pending)) => {
                 let attempt_id = self.call.head.attempt_id.as_ref();
@@ -301,7 +317,7 @@
                 {
                     return self.turned_away(&target.id, pending).await;
                 }
-                self.handle_response(&target.id, pending).await
+                self.handle_response(target, pending).await
             }
         })
     }
@@ -323,6 +339,20 @@
         SendResult::Sent(flow::Event::Failed { server, refusal, retry: false })
     }
 
+    // Failure of a run whose connection was lost.
+    async fn lost(&self, target: &directory::Target) -> flow::Event {
+        if self.run_events < suspects::BEGUN_EVENTS {
+            suspects::record_loss(&self.call, target).await;
+            if !suspects::may_repeat(&self.call) {
+                let refusal = Refusal::unknown(Reason::LostContact, RETRY_SOON);
+                let refusal = suspects::rejection(&self.call, refusal.outcome).unwrap_or(refusal);
+                let server = Some(target.id.clone());
+                return flow::Event::Failed { server, refusal, retry: false };
+            }
+        }
+        self.interrupted(&target.id, Reason::LostContact)
+    }
+
     fn interrupted(&self, server: &str, reason: Reason) -> flow::Event {
         self.failed(Some(server.to_string()), Refusal::unknown(reason, RETRY_SOON))
     }
@@ -345,9 +375,10 @@
 
     async fn handle_response(
         &mut self,
-        server: &ids::ServerName,
+        target: &directory::Target,
         pending: connections::PendingResponse,
     ) -> flow::Event {
+        let server = &target.id;
         match platform_response::classify(&pending.response, self.call.head.attempt_id.as_ref()) {
             platform_response::HeadClass::OtherServer => {
                 let refusal = Refusal::not_run(Reason::Leaving, RETRY_SOON);
@@ -371,7 +402,7 @@
         if !pending.response.status().is_success() {
             return self.forward_failure(server, pending).await;
         }
-        self.forward_events(server, pending).await
+        self.forward_events(target, pending).await
     }
 
     // The engine did not run the request: it is full, or could not fetch the KV cache.
@@ -414,9 +445,10 @@
 
     async fn forward_events(
         &mut self,
-        server: &ids::ServerName,
+        target: &directory::Target,
         pending: connections::PendingResponse,
     ) -> flow::Event {
+        let server = &target.id;
         let head = platform_response::forwarded_head(&pending.response);
         let idle_timeout = connections::idle_timeout(&pending.response);
         let mut reader = reader::Reader::new(pending.response.into_body());
@@ -441,14 +473,21 @@
                         parts = ?self.call.head.parts,
                         "edge: stream interrupted"
                     );
-                    return self.interrupted(server, Reason::LostContact);
+                    return self.lost(target).await;
                 }
                 responder::WaitOutcome::Event(reader::Item::End) => {
+                    if (1..suspects::BEGUN_EVENTS).contains(&self.run_events) {
+                        suspects::record_answer(&self.call);
+                    }
                     self.call.edge.connections.put_back(pending.connection, idle_timeout);
                     return flow::Event::Ended;
                 }
                 responder::WaitOutcome::Event(reader::Item::Event(event)) => event,
             };
+            self.run_events += 1;
+            if self.run_events == suspects::BEGUN_EVENTS {
+                suspects::record_answer(&self.call);
+            }
             if let Some(ended) = self.forward_event(server, &head, event).await {
                 return ended;
             }
--- /dev/null
+++ b/crates/edge/src/suspects.rs
@@ -0,0 +1,155 @@
+//! Prompts that crash servers: what is recorded of lost requests, and which requests are rejected.
+
+use std::collections;
+
+use rhubarb_core::{ids, outcome, pool, suspects};
+use rhubarb_node::clock;
+
+use outcome::{Outcome, Reason, Refusal};
+
+use crate::{call, connections, directory, edge, prefill};
+
+/// Suspected parts of prompts, and those whose rejection was logged.
+#[derive(Debug, Default)]
+pub(crate) struct Watch {
+    pub(crate) suspects: suspects::Suspects,
+    rejected: collections::BTreeSet<ids::PartTag>,
+}
+
+/// Number of events after which a server has survived the begin of an answer. It may have sent the
+/// first one before it crashed.
+pub(crate) const BEGUN_EVENTS: u64 = 2;
+
+/// Decides whether a new request may be served. A request with a rejected part is admitted from time
+/// to time, and marked as a trial.
+pub(crate) fn admit(call: &mut call::Call) -> Result<(), Refusal> {
+    let (edge, now) = (call.edge.clone(), clock::now());
+    let turn = edge.members().turn(now);
+    let verdict = edge.watch().suspects.admit(&call.head.parts, turn, now);
+    call.is_trial = verdict == suspects::Verdict::Trial;
+    if call.is_trial {
+        tracing::info!(
+            id = call.id(),
+            parts = ?call.head.parts,
+            "edge: rejected part of prompts tried again"
+        );
+    }
+    refusal(verdict, Outcome::NotRun).map_or(Ok(()), Err)
+}
+
+/// Refusal of a request in progress whose prompt has a rejected part by now, and of which an attempt
+/// ended with `outcome`.
+pub(crate) fn rejection(call: &call::Call, outcome: Outcome) -> Option<Refusal> {
+    if call.is_trial {
+        return None;
+    }
+    let verdict = call.edge.watch().suspects.check(&call.head.parts, clock::now());
+    refusal(verdict, outcome)
+}
+
+fn refusal(verdict: suspects::Verdict, outcome: Outcome) -> Option<Refusal> {
+    let suspects::Verdict::Rejected { unsettled, .. } = verdict else { return None };
+    // Other entries may know of an answer that clears the part.
+    let retry = (!unsettled.is_zero()).then_some(unsettled);
+    Some(Refusal { reason: Reason::CrashingPrompt, outcome, retry })
+}
+
+/// Permits to send a request, unless its prompt has a rejected part by now.
+pub(crate) fn permit(call: &call::Call) -> Result<(), connections::SendError> {
+    let is_rejected = rejection(call, Outcome::NotRun).is_some();
+    if is_rejected { Err(connections::SendError::Rejected) } else { Ok(()) }
+}
+
+/// Whether a request whose server crashed may be sent to another.
+pub(crate) fn may_repeat(call: &call::Call) -> bool {
+    call.edge.watch().suspects.may_repeat(&call.head.parts, clock::now())
+}
+
+/// Records that a server has begun to answer a request.
+pub(crate) fn record_answer(call: &call::Call) {
+    if call.head.parts.is_empty() {
+        return;
+    }
+    let mut watch = call.edge.watch();
+    let cleared = watch.suspects.record_answer(&call.head.parts, clock::now());
+    if cleared.is_empty() {
+        return;
+    }
+    tracing::info!(id = call.id(), ?cleared, "edge: suspected parts of prompts answered");
+    watch.log_changes("answer", &call.edge);
+    drop(watch);
+    call.edge.evidence_changed.notify_one();
+}
+
+/// Records that a request was lost before its answer had begun, if its server has crashed.
+pub(crate) async fn record_loss(call: &call::Call, target: &directory::Target) {
+    if call.head.parts.is_empty() {
+        return;
+    }
+    let crash = crash_tag(target);
+    let has_crashed = call.edge.connections.is_refused(target.address).await;
+    tracing::info!(
+        id = call.id(),
+        server = target.id,
+        has_crashed,
+        parts = ?call.head.parts,
+        "edge: request lost before its answer began"
+    );
+    if !has_crashed {
+        return;
+    }
+    call.edge.counters.crashes.inc();
+    prefill::record_outcome(call, &target.id, pool::ServerOutcome::Failure(Reason::NoServer));
+    let mut watch = call.edge.watch();
+    watch.suspects.record_crash(&call.head.parts, crash, clock::now());
+    watch.log_changes("crash", &call.edge);
+    drop(watch);
+    call.edge.evidence_changed.notify_one();
+}
+
+fn crash_tag(target: &directory::Target) -> suspects::CrashTag {
+    let (server, started_ms) = &target.process;
+    let start = started_ms.unwrap_or_default().to_be_bytes();
+    ids::digest(&[server.as_bytes(), &start]) as suspects::CrashTag
+}
+
+/// Adds what a peer knows; returns whether anything was new.
+pub(crate) fn merge(edge: &edge::Edge, evidence: &[suspects::Evidence]) -> bool {
+    if evidence.is_empty() {
+        return false;
+    }
+    let now = clock::now();
+    let mut watch = edge.watch();
+    let mut has_changed = false;
+    for evidence in evidence {
+        has_changed |= watch.suspects.merge(evidence, now);
+    }
+    if has_changed {
+        watch.log_changes("peer", edge);
+    }
+    has_changed
+}
+
+impl Watch {
+    /// Forgets old crashes.
+    pub(crate) fn expire(&mut self, edge: &edge::Edge) {
+        if !self.suspects.is_empty() {
+            self.suspects.expire(clock::now());
+            self.log_changes("age", edge);
+        }
+    }
+
+    // Logs which parts are rejected from now on, or no longer.
+    fn log_changes(&mut self, source: &str, edge: &edge::Edge) {
+        let rejected: collections::BTreeSet<_> =
+            self.suspects.rejected(clock::now()).into_iter().collect();
+        for part in rejected.difference(&self.rejected) {
+            tracing::warn!(part, source, "edge: part of prompts crashes servers, rejected");
+        }
+        for part in self.rejected.difference(&rejected) {
+            tracing::info!(part, source, "edge: part of prompts no longer rejected");
+        }
+        edge.counters.rejected_parts.set(rejected.len() as i64);
+        self.rejected = rejected;
+    }
+}
--- a/crates/edge/src/watch.rs
+++ b/crates/edge/src/watch.rs
@@ -405,6 +405,7 @@
             edge.connections.drop_idle();
         }
         edge.connections.sweep();
+        edge.watch().expire(&edge);
         let mut directory = edge.directory();
         while let Some(change) = directory.fleet.next_expired(clock::now()) {
             let version = directory.rows.version();
--- a/crates/wire/src/share.rs
+++ b/crates/wire/src/share.rs
@@ -5,7 +5,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use rhubarb_core::{engine, ids, members, reports, stages, stamp};
+use rhubarb_core::{engine, ids, members, reports, stages, stamp, suspects};
 
 /// Maximum size of a datagram, in bytes; fits into one packet.
 pub const MAX_DATAGRAM_BYTES: usize = 1_400;
@@ -33,6 +33,8 @@
     pub follows: bool,
     /// Heartbeats that the sender relays.
     pub members: Vec<Heartbeat>,
+    /// What the sender knows of prompts that crash servers.
+    pub evidence: Vec<Evidence>,
     /// Commitments of the sender; absent in datagrams to entries that share no engines with it.
     pub committed: Option<Commitments>,
     /// Engine time used by the sender's requests, by service.
@@ -49,7 +51,7 @@
 }
 
 /// Version of the format of [`Share`].
-pub const FORMAT: u8 = 3;
+pub const FORMAT: u8 = 4;
 
 /// Heartbeat of one entry.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -76,6 +78,57 @@
     }
 }
 
+/// What the sender knows of one part of prompts that is suspected to crash servers.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Evidence {
+    /// The part.
+    pub part: ids::PartTag,
+    /// Number of answers to requests with it.
+    pub answers: u32,
+    /// Time since the last of them began in milliseconds, if it is known.
+    pub answered_ms: Option<u64>,
+    /// Servers that crashed with such a request since then, and the time since in milliseconds.
+    pub crashes: Vec<(suspects::CrashTag, u64)>,
+}
+
+/// Pieces of evidence in one datagram; with the commitments they fit into one packet.
+pub const MAX_EVIDENCE: usize = 8;
+
+impl Evidence {
+    /// Evidence for the datagram with number `seq`.
+    pub fn collect(known: &suspects::Suspects, seq: u64, now: time::Instant) -> Vec<Evidence> {
+        let evidence = known.evidence(MAX_EVIDENCE, seq, now);
+        evidence.into_iter().map(Into::into).collect()
+    }
+}
+
+impl From<suspects::Evidence> for Evidence {
+    fn from(evidence: suspects::Evidence) -> Evidence {
+        let millis = |age: time::Duration| age.as_millis() as u64;
+        let suspects::Evidence { part, answers, answered_ago, crashes } = evidence;
+        Evidence {
+            part,
+            answers,
+            answered_ms: answered_ago.map(millis),
+            crashes: crashes.into_iter().map(|(crash, ago)| (crash, millis(ago))).collect(),
+        }
+    }
+}
+
+impl From<&Evidence> for suspects::Evidence {
+    fn from(evidence: &Evidence) -> suspects::Evidence {
+        let crashes = evidence.crashes.iter();
+        suspects::Evidence {
+            part: evidence.part,
+            answers: evidence.answers,
+            answered_ago: evidence.answered_ms.map(time::Duration::from_millis),
+            crashes: crashes
+                .map(|(crash, ms)| (*crash, time::Duration::from_millis(*ms)))
+                .collect(),
+        }
+    }
+}
+
 /// Commitments to the engines whose tags are in a range; one that is not listed has none.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Commitments {
@@ -142,10 +195,11 @@
 }
 
 impl Share {
-    /// Encodes the datagram. Relayed heartbeats are removed until it fits into a packet.
+    /// Encodes the datagram. Relayed heartbeats, then evidence are removed until it fits into a
+    /// packet.
     ///
     /// # Errors
-    /// Returns an error if the state cannot be encoded, or does not fit without heartbeats.
+    /// Returns an error if the state cannot be encoded, or does not fit without them.
     pub fn encode(&mut self) -> Result<Vec<u8>, EncodeError> {
         loop {
             let bytes = postcard::to_allocvec(self).map_err(EncodeError::Invalid)?;
@@ -153,6 +207,9 @@
             if excess == 0 {
                 return Ok(bytes);
             }
+            if self.members.is_empty() && self.evidence.pop().is_some() {
+                continue;
+            }
             if self.members.is_empty() {
                 return Err(EncodeError::TooLarge(bytes.len()));
             }
@@ -179,7 +236,8 @@
 pub enum EncodeError {
     /// The state cannot be encoded.
     Invalid(postcard::Error),
-    /// The state has this number of bytes without heartbeats, which is more than a packet.
+    /// The state has this number of bytes without heartbeats and evidence, which is more than a
+    /// packet.
     TooLarge(usize),
 }
 
--- a/crates/wire/tests/shares.rs
+++ b/crates/wire/tests/shares.rs
@@ -42,6 +42,24 @@
     assert!(decoded.members.len() >= 30, "{} heartbeats", decoded.members.len());
 }
 
+#[test]
+fn evidence_fits_packet() {
+    let crashes: Vec<_> = (0..8).map(|crash| (u32::MAX - crash, 21_600_000)).collect();
+    let evidence = |part| share::Evidence {
+        part: u64::MAX - part,
+        answers: u32::MAX,
+        answered_ms: Some(600_000),
+        crashes: crashes.clone(),
+    };
+    let mut share = datagram(40, 44);
+    share.evidence = (0..share::MAX_EVIDENCE as u64).map(evidence).collect();
+    let bytes = share.encode().unwrap();
+    assert!(bytes.len() <= share::MAX_DATAGRAM_BYTES, "{} bytes", bytes.len());
+    let decoded = share::Share::decode(&bytes).unwrap();
+    assert_eq!(decoded, share);
+    assert!(decoded.evidence.len() >= 4, "{} pieces", decoded.evidence.len());
+}
+
 #[test]
 fn too_large() {
     let mut share = datagram(40, 44);
