Keep rejected parts of prompts over a restart of all entries

What callers would see: after all entries have been killed, engines fall anew until the part is known again. Cause: what entries know of each other is gone when all of them start at once. The leader now keeps a row for each rejected part, and each entry reads them once at its start.

Further tests: a store that is away, an entry that slept, final answers, other crashes.

--- a/crates/core/src/suspects.rs
+++ b/crates/core/src/suspects.rs
@@ -304,6 +304,12 @@
         rotated.take(count).map(|(part, suspect)| self.describe(*part, suspect, now)).collect()
     }
 
+    /// Evidence of all rejected parts.
+    pub fn rejected_evidence(&self, now: time::Instant) -> Vec<Evidence> {
+        let rejected = self.suspects.iter().filter(|(part, _)| self.is_rejected(**part, now));
+        rejected.map(|(part, suspect)| self.describe(*part, suspect, now)).collect()
+    }
+
     fn describe(&self, part: ids::PartTag, suspect: &Suspect, now: time::Instant) -> Evidence {
         let answers = self.answered.get(part, now);
         let crashes = suspect.crashes.iter();
--- a/crates/e2e/tests/platform_prompts.rs
+++ b/crates/e2e/tests/platform_prompts.rs
@@ -1,11 +1,14 @@
 //! Prompts with a part that crashes the engines that answer them.
 
-use std::time;
+use std::{net, time};
 
 use hyper::Method;
+use rustix::process as signals;
+use tokio::task;
 
 use rhubarb_e2e::{call, site};
-use rhubarb_fakes::{backend, crash};
+use rhubarb_fakes::{backend, crash, store};
+use rhubarb_node::client;
 
 /// Part that all requests of a test share.
 const FIRST: &str = "f1";
@@ -27,7 +30,7 @@
 }
 
 // Writes the row of each engine again once it has started again.
-async fn register_again(store: rhubarb_fakes::store::Store, engines: Vec<backend::Backend>) {
+async fn register_again(store: store::Store, engines: Vec<backend::Backend>) {
     let mut starts: Vec<_> = engines.iter().map(backend::Backend::born).collect();
     loop {
         tokio::time::sleep(time::Duration::from_millis(50)).await;
@@ -55,12 +58,21 @@
     edge: usize,
     attempt: &str,
     parts: &[&str],
+) -> anyhow::Result<call::Reply> {
+    post(site.edges[edge % site.edges.len()].frontend, attempt, parts).await
+}
+
+// Sends a request whose prompt has `parts` and a last part of its own.
+async fn post(
+    address: net::SocketAddr,
+    attempt: &str,
+    parts: &[&str],
 ) -> anyhow::Result<call::Reply> {
     let parts: Vec<_> = parts.iter().map(|part| format!("{part}:100")).collect();
     let prompt = format!("{},{}:50", parts.join(","), attempt.len());
     let headers = [("x-prompt-prefix", prompt.as_str())];
-    let edge = &site.edges[edge % site.edges.len()];
-    edge.call_with(Method::POST, site::RESUMABLE, attempt, "b", &headers).await
+    let call = call::Call { path: site::RESUMABLE, attempt, body: "b", headers: &headers };
+    Ok(call.send(&client::Client::new(), Method::POST, address).await?)
 }
 
 // Sends requests with the deadly part to all entries in turn until engines have fallen often enough,
@@ -84,14 +96,105 @@
 async fn crashes_end() -> anyhow::Result<()> {
     let site = start(3).await?;
     spread_crashes(&site, 12).await?;
-    let before = crashes(&site);
+    check_late(&site).await
+}
+
+// Requests with the deadly part are rejected by all entries, and others are served.
+async fn check_late(site: &site::Site) -> anyhow::Result<()> {
+    let before = crashes(site);
     for number in 0..9 {
-        let reply = send(&site, number, &format!("late-{number}"), &[FIRST, DEADLY]).await?;
+        let reply = send(site, number, &format!("late-{number}"), &[FIRST, DEADLY]).await?;
         assert!(reply.is_local() && reply.status >= 400, "{reply:?}");
-        let reply = send(&site, number, &format!("sound-{number}"), &[FIRST]).await?;
+        let reply = send(site, number, &format!("sound-{number}"), &[FIRST]).await?;
         assert_eq!((reply.status, reply.body), (200, Some(site::full_stream())));
     }
-    let late = arrivals(&site, "late-");
-    assert!(late <= MAX_LATE, "{late} late requests, {before} and {} crashes", crashes(&site));
+    let late = arrivals(site, "late-");
+    assert!(late <= MAX_LATE, "{late} late requests, {before} and {} crashes", crashes(site));
+    Ok(())
+}
+
+// Guards against engines that fall anew whenever all entries have been restarted.
+#[tokio::test]
+async fn all_restarted() -> anyhow::Result<()> {
+    let mut site = start(3).await?;
+    spread_crashes(&site, 12).await?;
+    for number in 0..site.edges.len() {
+        site.restart_edge(number)?;
+    }
+    site.wait_ready().await?;
+    tokio::time::sleep(CONTACT).await;
+    check_late(&site).await
+}
+
+// Entries need no store to learn of crashes.
+#[tokio::test]
+async fn store_away() -> anyhow::Result<()> {
+    let mut site = start(3).await?;
+    site.store.set_mode(store::Mode::Unresponsive);
+    spread_crashes(&site, 12).await?;
+    site.restart_edge(1)?;
+    tokio::time::sleep(CONTACT).await;
+    check_late(&site).await
+}
+
+// An entry that slept through the crashes learns of them from the others.
+#[tokio::test]
+async fn entry_woken() -> anyhow::Result<()> {
+    let site = start(3).await?;
+    site.edges[2].signal(signals::Signal::STOP);
+    for number in 0..12 {
+        if crashes(&site) >= 3 {
+            break;
+        }
+        send(&site, number % 2, &format!("early-{number}"), &[FIRST, DEADLY]).await?;
+    }
+    site.edges[2].signal(signals::Signal::CONT);
+    tokio::time::sleep(CONTACT).await;
+    check_late(&site).await
+}
+
+// The final answer stops repeats, and does not promise that a request that ran has not run.
+#[tokio::test]
+async fn final_answers() -> anyhow::Result<()> {
+    let site = start(1).await?;
+    spread_crashes(&site, 4).await?;
+    let reply = send(&site, 0, "late-0", &[FIRST, DEADLY]).await?;
+    assert_eq!(reply.status, 400, "{reply:?}");
+    assert!(reply.body.unwrap_or_default().contains("crashing-prompt (not-run)"));
+    assert!(!reply.headers.contains_key("retry-after"));
+    // Not the last part, which belongs to the request.
+    let reply = send(&site, 0, "own", &[FIRST]).await?;
+    assert_eq!(reply.status, 200, "{reply:?}");
+    // Requests that ran at a server that crashed and are not repeated.
+    for number in 0..4 {
+        let attempt = format!("early-{number}");
+        let answers = site.decode.iter().map(|engine| engine.runs());
+        let runs: u32 = answers.filter_map(|runs| runs.get(&attempt).copied()).sum();
+        assert!(runs <= site::MAX_ATTEMPTS, "{attempt} ran {runs} times");
+    }
+    Ok(())
+}
+
+// A crash of another cause ends no answer that can go on elsewhere, and rejects nothing.
+#[tokio::test]
+async fn other_crashes() -> anyhow::Result<()> {
+    let site = start(2).await?;
+    for round in 0..4 {
+        let mut calls = task::JoinSet::new();
+        for number in 0..12 {
+            let address = site.edges[number % 2].frontend;
+            let attempt = format!("sound-{round}-{number}");
+            calls.spawn(async move { post(address, &attempt, &[FIRST, "f2"]).await });
+        }
+        tokio::time::sleep(time::Duration::from_millis(60)).await;
+        site.decode[round].crash();
+        for reply in calls.join_all().await {
+            let reply = reply?;
+            assert_eq!((reply.status, reply.body), (200, Some(site::full_stream())));
+        }
+    }
+    for edge in &site.edges {
+        assert!(!edge.log().contains("part of prompts crashes servers, rejected"));
+    }
     Ok(())
 }
--- a/crates/edge/src/dates.rs
+++ b/crates/edge/src/dates.rs
@@ -1,4 +1,5 @@
-//! Dates for usage records, which people read; no decision depends on them.
+//! Dates for usage records, which people read, and for the ages of stored verdicts, which last for
+//! minutes; no other decision depends on them.
 
 use std::time;
 
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -39,6 +39,7 @@
 mod snapshots;
 mod stream;
 mod suspects;
+mod verdicts;
 mod watch;
 
 pub use run::run;
