--- a/crates/edge/src/exchange.rs
+++ b/crates/edge/src/exchange.rs
@@ -111,6 +111,12 @@
     {
         tracing::warn!(server, value, "edge: invalid announcement of a server");
     }
+    let limit = response::limit_notice(response.headers());
+    if let Some(rate) = limit.rate
+        && edge.log_limit().allows(&format!("limit {server} {rate}"), clock::now())
+    {
+        tracing::info!(server, rate, "edge: server limits its requests");
+    }
     if notice.is_leaving {
         edge.directory().record_leaving(server, directory::Source::Answer);
     }
