--- a/crates/fakes/src/backend.rs
+++ b/crates/fakes/src/backend.rs
@@ -49,6 +49,8 @@
     // Whether all answers say that the server leaves.
     is_leaving: bool,
     pause: pause::Pause,
+    // Requests a second that all answers name as the limit.
+    limit: Option<f64>,
     // Id of the part of prompts that crashes the server; empty for none.
     deadly_part: String,
 }
@@ -103,7 +105,7 @@
     }
 
     /// Simulates a restart under the same id: drops all holds, resets the order counter, and no
-    /// longer leaves or pauses. The part that crashes the server stays the same.
+    /// longer leaves, pauses or has a limit. The part that crashes the server stays the same.
     ///
     /// Open connections stay open, and [`Backend::address`] does not change.
     pub fn restart(&self) {
@@ -112,6 +114,7 @@
         state.stage.restart();
         state.restarts += 1;
         state.is_leaving = false;
+        state.limit = None;
         state.pause = pause::Pause::default();
     }
 
@@ -130,6 +133,12 @@
         self.state().is_leaving = is_leaving;
     }
 
+    /// Names `limit` requests a second in all answers from now on, or none. More than that are served
+    /// all the same.
+    pub fn set_limit(&self, limit: Option<f64>) {
+        self.state().limit = limit;
+    }
+
     /// Rejects runs, prefills, holds and orders with 503 and `Retry-After` for `length` from now on.
     /// The header has the value `retry`, or else the seconds left.
     pub fn set_pause(&self, length: time::Duration, retry: Option<&str>) {
@@ -221,6 +230,9 @@
         if state.is_leaving {
             headers.insert("server-leaving", replies::header_value("1"));
         }
+        if let Some(limit) = state.limit {
+            headers.insert("server-limit", replies::header_value(&limit.to_string()));
+        }
         state.arrivals[number].misdirected = reply.status() == StatusCode::MISDIRECTED_REQUEST;
         drop(state);
         reply
