Keep the modules of the entry free of import cycles

The state is in a module of its own now, and the outcome of a request is recorded by the call. No behaviour changes.

--- a/crates/edge/src/call.rs
+++ b/crates/edge/src/call.rs
@@ -5,7 +5,7 @@
 use bytes::Bytes;
 use hyper::header;
 
-use rhubarb_core::{flow, ids, outcome, routing};
+use rhubarb_core::{flow, ids, outcome, pool, routing};
 use rhubarb_node::{clock, metrics};
 use rhubarb_platform::request;
 
@@ -58,6 +58,12 @@
         (clock::now() - self.arrived).as_millis() as u64
     }
 
+    /// Records the outcome of a request to a server of the service.
+    pub(crate) fn record_outcome(&self, server: &str, outcome: pool::ServerOutcome) {
+        let mut directory = self.edge.directory();
+        directory.service(&self.service).pool.record_outcome(server, outcome, clock::now());
+    }
+
     /// Withdraws the `sends` requests of a retry, after a failure at `server`, from the budget.
     ///
     /// Returns whether the budget allows the retry, which is then counted.
--- a/crates/edge/src/edge.rs
+++ b/crates/edge/src/edge.rs
@@ -8,7 +8,7 @@
 use rhubarb_node::{client, clock, locks};
 use rhubarb_platform::{settings, store};
 
-use crate::{connections, dates, directory, lag, metrics, orders, suspects};
+use crate::{connections, dates, directory, lag, metrics, orders, rejected};
 
 /// State of one entry.
 #[derive(Debug)]
@@ -45,7 +45,7 @@
     orders: sync::Mutex<orders::Orders>,
     lag: sync::Mutex<lag::Lag>,
     pauses: sync::Mutex<pauses::Pauses>,
-    watch: sync::Mutex<suspects::Watch>,
+    rejected: sync::Mutex<rejected::Rejected>,
     log_limit: sync::Mutex<log_limit::LogLimit>,
     holds: sync::Mutex<recent::RecentNames>,
     run_seq: atomic::AtomicU64,
@@ -88,7 +88,7 @@
             orders: sync::Mutex::default(),
             lag: sync::Mutex::default(),
             pauses: sync::Mutex::default(),
-            watch: sync::Mutex::default(),
+            rejected: sync::Mutex::default(),
             log_limit: sync::Mutex::default(),
             holds: sync::Mutex::default(),
             run_seq: atomic::AtomicU64::new(1),
@@ -143,8 +143,8 @@
     }
 
     /// Prompts that crash servers.
-    pub(crate) fn watch(&self) -> sync::MutexGuard<'_, suspects::Watch> {
-        locks::lock(&self.watch)
+    pub(crate) fn rejected(&self) -> sync::MutexGuard<'_, rejected::Rejected> {
+        locks::lock(&self.rejected)
     }
 
     /// How far this entry lags behind its peers.
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -32,6 +32,7 @@
 mod prefill;
 mod reader;
 mod refuse;
+mod rejected;
 mod reload;
 mod reservation;
 mod rows;
--- a/crates/edge/src/peers.rs
+++ b/crates/edge/src/peers.rs
@@ -150,7 +150,7 @@
         config,
         servers,
         follows: edge.follows_store() && !edge.is_disconnected(),
-        evidence: share::Evidence::collect(&edge.watch().suspects, seq, clock::now()),
+        evidence: share::Evidence::collect(&edge.rejected().suspects, seq, clock::now()),
         ..share::Share::default()
     }
 }
--- a/crates/edge/src/prefill.rs
+++ b/crates/edge/src/prefill.rs
@@ -128,7 +128,7 @@
         responder::WaitOutcome::Expired => Err(Refusal::not_run(Reason::EngineSilent, RETRY_SOON)),
         responder::WaitOutcome::Event(Err(connections::SendError::Unsent(err))) => {
             tracing::info!(id = call.id(), server = target.id, err, "edge: prefill not sent");
-            record_outcome(call, &target.id, pool::ServerOutcome::Failure(Reason::NoServer));
+            call.record_outcome(&target.id, pool::ServerOutcome::Failure(Reason::NoServer));
             return PrefillResult::Unsent(target.id);
         }
         responder::WaitOutcome::Event(Err(connections::SendError::Leaving)) => {
@@ -166,7 +166,7 @@
         |refusal| refuse::failure_outcome(refusal.reason),
         |_| pool::ServerOutcome::Unknown,
     );
-    record_outcome(call, &target.id, outcome);
+    call.record_outcome(&target.id, outcome);
     match result {
         Ok(prefilled) => {
             let took = clock::now() - started;
@@ -250,8 +250,3 @@
         }
     }
 }
-
-/// Records the outcome of a request to a server of the call's service.
-pub(crate) fn record_outcome(call: &call::Call, server: &str, outcome: pool::ServerOutcome) {
-    call.edge.directory().service(&call.service).pool.record_outcome(server, outcome, clock::now());
-}
--- a/crates/edge/src/reservation.rs
+++ b/crates/edge/src/reservation.rs
@@ -10,7 +10,7 @@
 
 use outcome::{Outcome, Reason, Refusal};
 
-use crate::{call, cleanup, connections, directory, edge, exchange, prefill, refuse, suspects};
+use crate::{call, cleanup, connections, directory, edge, exchange, refuse, suspects};
 
 /// Slot and memory of one request at a decode engine, released when dropped.
 #[derive(Debug)]
@@ -220,12 +220,12 @@
         }
         Ok(Err(err)) => {
             tracing::info!(id = call.id(), server = id, %err, "edge: hold request failed");
-            prefill::record_outcome(call, &id, pool::ServerOutcome::Failure(Reason::NoServer));
+            call.record_outcome(&id, pool::ServerOutcome::Failure(Reason::NoServer));
             return HoldResult::Unavailable;
         }
         Err(_) => {
             tracing::info!(id = call.id(), server = id, "edge: hold request timed out");
-            prefill::record_outcome(call, &id, pool::ServerOutcome::Failure(Reason::NoServer));
+            call.record_outcome(&id, pool::ServerOutcome::Failure(Reason::NoServer));
             return HoldResult::Unavailable;
         }
     };
--- a/crates/edge/src/stream.rs
+++ b/crates/edge/src/stream.rs
@@ -239,7 +239,7 @@
                 reason = reason.name(),
                 "edge: request not sent, another server is chosen"
             );
-            prefill::record_outcome(&self.call, &target.id, refuse::failure_outcome(reason));
+            self.call.record_outcome(&target.id, refuse::failure_outcome(reason));
             tried.push(target.id.clone());
             self.reservation = None;
             let usable_until =
@@ -359,15 +359,9 @@
 
     fn record_outcome(&mut self, server: &str, event: &flow::Event) {
         match event {
-            flow::Event::Ended => {
-                prefill::record_outcome(&self.call, server, pool::ServerOutcome::Success)
-            }
+            flow::Event::Ended => self.call.record_outcome(server, pool::ServerOutcome::Success),
             flow::Event::Failed { refusal, .. } => {
-                prefill::record_outcome(
-                    &self.call,
-                    server,
-                    refuse::failure_outcome(refusal.reason),
-                );
+                self.call.record_outcome(server, refuse::failure_outcome(refusal.reason));
             }
             _ => {}
         }
@@ -397,7 +391,7 @@
         }
         if let Some(cache) = &mut self.cache {
             cache.set_fetched();
-            prefill::record_outcome(&self.call, &cache.server, pool::ServerOutcome::Success);
+            self.call.record_outcome(&cache.server, pool::ServerOutcome::Success);
         }
         if !pending.response.status().is_success() {
             return self.forward_failure(server, pending).await;
@@ -414,7 +408,7 @@
         exchange::read_all(&self.call.edge.connections, pending).await;
         if let Some(cache) = &self.cache {
             let failure = pool::ServerOutcome::Failure(Reason::LostContact);
-            prefill::record_outcome(&self.call, &cache.server, failure);
+            self.call.record_outcome(&cache.server, failure);
         }
         self.failed(Some(server.clone()), Refusal::not_run(Reason::Evicted, RETRY_SOON))
     }
--- a/crates/edge/src/suspects.rs
+++ b/crates/edge/src/suspects.rs
@@ -1,20 +1,11 @@
 //! Prompts that crash servers: what is recorded of lost requests, and which requests are rejected.
 
-use std::collections;
-
 use rhubarb_core::{ids, outcome, pool, suspects};
 use rhubarb_node::clock;
 
 use outcome::{Outcome, Reason, Refusal};
 
-use crate::{call, connections, directory, edge, prefill};
-
-/// Suspected parts of prompts, and those whose rejection was logged.
-#[derive(Debug, Default)]
-pub(crate) struct Watch {
-    pub(crate) suspects: suspects::Suspects,
-    rejected: collections::BTreeSet<ids::PartTag>,
-}
+use crate::{call, connections, directory, edge};
 
 /// Number of events after which a server has survived the begin of an answer. It may have sent the
 /// first one before it crashed.
@@ -25,7 +16,7 @@
 pub(crate) fn admit(call: &mut call::Call) -> Result<(), Refusal> {
     let (edge, now) = (call.edge.clone(), clock::now());
     let turn = edge.members().turn(now);
-    let verdict = edge.watch().suspects.admit(&call.head.parts, turn, now);
+    let verdict = edge.rejected().suspects.admit(&call.head.parts, turn, now);
     call.is_trial = verdict == suspects::Verdict::Trial;
     if call.is_trial {
         tracing::info!(
@@ -43,7 +34,7 @@
     if call.is_trial {
         return None;
     }
-    let verdict = call.edge.watch().suspects.check(&call.head.parts, clock::now());
+    let verdict = call.edge.rejected().suspects.check(&call.head.parts, clock::now());
     refusal(verdict, outcome)
 }
 
@@ -62,7 +53,7 @@
 
 /// Whether a request whose server crashed may be sent to another.
 pub(crate) fn may_repeat(call: &call::Call) -> bool {
-    call.edge.watch().suspects.may_repeat(&call.head.parts, clock::now())
+    call.edge.rejected().suspects.may_repeat(&call.head.parts, clock::now())
 }
 
 /// Records that a server has begun to answer a request.
@@ -70,14 +61,14 @@
     if call.head.parts.is_empty() {
         return;
     }
-    let mut watch = call.edge.watch();
-    let cleared = watch.suspects.record_answer(&call.head.parts, clock::now());
+    let mut rejected = call.edge.rejected();
+    let cleared = rejected.suspects.record_answer(&call.head.parts, clock::now());
     if cleared.is_empty() {
         return;
     }
     tracing::info!(id = call.id(), ?cleared, "edge: suspected parts of prompts answered");
-    watch.log_changes("answer", &call.edge);
-    drop(watch);
+    rejected.log_changes("answer", &call.edge.counters);
+    drop(rejected);
     call.edge.evidence_changed.notify_one();
 }
 
@@ -99,11 +90,11 @@
         return;
     }
     call.edge.counters.crashes.inc();
-    prefill::record_outcome(call, &target.id, pool::ServerOutcome::Failure(Reason::NoServer));
-    let mut watch = call.edge.watch();
-    watch.suspects.record_crash(&call.head.parts, crash, clock::now());
-    watch.log_changes("crash", &call.edge);
-    drop(watch);
+    call.record_outcome(&target.id, pool::ServerOutcome::Failure(Reason::NoServer));
+    let mut rejected = call.edge.rejected();
+    rejected.suspects.record_crash(&call.head.parts, crash, clock::now());
+    rejected.log_changes("crash", &call.edge.counters);
+    drop(rejected);
     call.edge.evidence_changed.notify_one();
 }
 
@@ -119,37 +110,13 @@
         return false;
     }
     let now = clock::now();
-    let mut watch = edge.watch();
+    let mut rejected = edge.rejected();
     let mut has_changed = false;
     for evidence in evidence {
-        has_changed |= watch.suspects.merge(evidence, now);
+        has_changed |= rejected.suspects.merge(evidence, now);
     }
     if has_changed {
-        watch.log_changes("peer", edge);
+        rejected.log_changes("peer", &edge.counters);
     }
     has_changed
 }
-
-impl Watch {
-    /// Forgets old crashes.
-    pub(crate) fn expire(&mut self, edge: &edge::Edge) {
-        if !self.suspects.is_empty() {
-            self.suspects.expire(clock::now());
-            self.log_changes("age", edge);
-        }
-    }
-
-    // Logs which parts are rejected from now on, or no longer.
-    fn log_changes(&mut self, source: &str, edge: &edge::Edge) {
-        let rejected: collections::BTreeSet<_> =
-            self.suspects.rejected(clock::now()).into_iter().collect();
-        for part in rejected.difference(&self.rejected) {
-            tracing::warn!(part, source, "edge: part of prompts crashes servers, rejected");
-        }
-        for part in self.rejected.difference(&rejected) {
-            tracing::info!(part, source, "edge: part of prompts no longer rejected");
-        }
-        edge.counters.rejected_parts.set(rejected.len() as i64);
-        self.rejected = rejected;
-    }
-}
--- a/crates/edge/src/verdicts.rs
+++ b/crates/edge/src/verdicts.rs
@@ -49,7 +49,7 @@
         let is_leader = edge.members().leader(clock::now()).is_none();
         let era = edge.store.era();
         stored = stored.filter(|(known, _)| is_leader && *known == era);
-        let rejected = edge.watch().suspects.rejected_evidence(clock::now());
+        let rejected = edge.rejected().suspects.rejected_evidence(clock::now());
         if !is_leader || rejected.is_empty() && stored.is_none() {
             continue;
         }
--- a/crates/edge/src/watch.rs
+++ b/crates/edge/src/watch.rs
@@ -405,7 +405,7 @@
             edge.connections.drop_idle();
         }
         edge.connections.sweep();
-        edge.watch().expire(&edge);
+        edge.rejected().expire(&edge.counters);
         let mut directory = edge.directory();
         while let Some(change) = directory.fleet.next_expired(clock::now()) {
             let version = directory.rows.version();
