Keep to the limits that servers name, all entries together

What callers saw: a server that named a limit went on getting what it had got before, 47 to 87 requests in 4 s where 28 and 35 are allowed.

Class: a bound of the whole fleet that each entry would keep for itself; a limit applied by each entry alone breaks it as many times over as there are entries.

Change: entries tell each other what servers say and how much demand they have; each sends at its part of the rate, evenly spaced and in turn, and what it does not use lapses after 1.5 s. Every request passes the check just before it is written: runs, prefills, holds, reports, orders, releases. A server at its limit is not chosen; if all are, requests wait for a turn that comes in time and are refused at once otherwise.

--- a/crates/core/src/engine.rs
+++ b/crates/core/src/engine.rs
@@ -50,6 +50,8 @@
     pub(crate) changing_until: Option<time::Instant>,
     // Time in which the engine gets no requests, because it has asked for that.
     pub(crate) paused: Option<pauses::Closed>,
+    // Time in which it gets no requests, because this entry's part of its limit is used up.
+    pub(crate) limited: Option<pauses::Closed>,
     // When the engine is expected to have read the prompts that this entry has sent.
     pub(crate) prefill_until: Option<time::Instant>,
     // After a hold that was refused to this entry or to a peer, the engine is not asked again until
@@ -181,8 +183,9 @@
         self.changing_until.is_some_and(|until| now < until)
     }
 
-    pub(crate) fn is_paused(&self, now: time::Instant) -> bool {
-        self.paused.is_some_and(|paused| now < paused.until)
+    // Time in which it gets no requests because of a pause or a limit.
+    pub(crate) fn closed(&self, now: time::Instant) -> Option<pauses::Closed> {
+        pauses::later(self.paused, self.limited, now)
     }
 
     // Memory that may be committed, in tokens.
--- a/crates/core/src/engines.rs
+++ b/crates/core/src/engines.rs
@@ -109,6 +109,7 @@
             runs: collections::BTreeMap::new(),
             changing_until: None,
             paused: None,
+            limited: None,
             prefill_until: None,
             full_until: None,
             refused_at: None,
@@ -174,14 +175,22 @@
         }
     }
 
-    /// When the first engine of `stage` may be sent to again, if all that could serve are paused.
+    /// Sends no requests to an engine at which this entry's part of the limit is used up.
+    pub fn set_limited(&mut self, id: &str, limited: Option<pauses::Closed>) {
+        if let Some(engine) = self.engines.get_mut(id) {
+            engine.limited = limited;
+        }
+    }
+
+    /// When the first engine of `stage` may be sent to again, if all that could serve are paused or at
+    /// their limits.
     pub fn paused(&self, stage: fleet::Stage, now: time::Instant) -> Option<pauses::Closed> {
         let serves = |engine: &engine::Engine| {
             engine.usable && engine.stage == stage && !engine.is_changing(now)
         };
         let serving = self.engines.values().filter(|engine| serves(engine));
-        // One that is not paused sorts first.
-        serving.map(|engine| engine.paused.filter(|paused| now < paused.until)).min().flatten()
+        // One that is open sorts first.
+        serving.map(|engine| engine.closed(now)).min().flatten()
     }
 
     // Engines of `stage` that accept new work.
@@ -191,7 +200,7 @@
         now: time::Instant,
     ) -> impl Iterator<Item = (&ids::ServerName, &engine::Engine)> + Clone {
         let accepts = move |engine: &engine::Engine| {
-            engine.usable && !engine.is_changing(now) && !engine.is_paused(now)
+            engine.usable && !engine.is_changing(now) && engine.closed(now).is_none()
         };
         self.engines.iter().filter(move |(_, engine)| engine.stage == stage && accepts(engine))
     }
@@ -379,7 +388,7 @@
         let candidates = all.map(|(id, engine)| {
             let is_changing = engine.is_changing(now);
             let stage = if is_changing { engine.stage.other() } else { engine.stage };
-            let is_fixed = is_changing || engine.is_paused(now);
+            let is_fixed = is_changing || engine.closed(now).is_some();
             stages::Candidate { id: id.clone(), zone: engine.zone.clone(), stage, is_fixed }
         });
         candidates.collect()
--- a/crates/core/src/ids.rs
+++ b/crates/core/src/ids.rs
@@ -14,6 +14,8 @@
 pub type ZoneTag = u16;
 /// Hash of the name of a backend server, for messages in which names would not fit.
 pub type ServerTag = u32;
+/// Hash of one process of a backend server: its name and its start.
+pub type ProcessTag = u32;
 /// Identifies a part of prompts, which many prompts may share.
 pub type PartTag = u64;
 /// Random number that a process draws at start and that identifies it until it exits.
@@ -53,6 +55,12 @@
     digest(&[server.as_bytes()]) as ServerTag
 }
 
+/// Tag of the process of `server` that started at `started_ms`, if that is known.
+pub fn process_tag(server: &str, started_ms: Option<u64>) -> ProcessTag {
+    let start = started_ms.unwrap_or_default().to_be_bytes();
+    digest(&[server.as_bytes(), &start]) as ProcessTag
+}
+
 /// Tag of the part of prompts with the hexadecimal id `part`.
 pub fn part_tag(part: &str) -> PartTag {
     u64::from_str_radix(part, 16).unwrap_or_else(|_| digest(&[part.as_bytes()]) as PartTag)
--- a/crates/core/src/pauses.rs
+++ b/crates/core/src/pauses.rs
@@ -80,6 +80,11 @@
     closed.until.saturating_duration_since(now) + spread.mul_f64(draw.clamp(0.0, 1.0))
 }
 
+/// The one of two closed times that ends later, unless both are over.
+pub fn later(a: Option<Closed>, b: Option<Closed>, now: time::Instant) -> Option<Closed> {
+    a.max(b).filter(|closed| now < closed.until)
+}
+
 /// How the entries return to a server after its pause.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Return {
--- a/crates/core/src/pool.rs
+++ b/crates/core/src/pool.rs
@@ -191,11 +191,18 @@
         }
     }
 
-    /// When the first server may be sent to again, if all that stay are paused.
+    /// Sends no requests to a server at which this entry's part of the limit is used up.
+    pub fn set_limited(&mut self, name: &str, limited: Option<pauses::Closed>) {
+        if let Some(server) = self.servers.get_mut(name) {
+            server.limited = limited;
+        }
+    }
+
+    /// When the first server may be sent to again, if all that stay are paused or at their limits.
     pub fn paused(&self, now: time::Instant) -> Option<pauses::Closed> {
         let staying = self.servers.values().filter(|server| !server.is_leaving());
-        // One that is not paused sorts first.
-        staying.map(|server| server.paused.filter(|paused| now < paused.until)).min().flatten()
+        // One that is open sorts first.
+        staying.map(|server| server.closed(now)).min().flatten()
     }
 
     /// Records a request sent to a server, and its expected work.
--- a/crates/core/src/retry.rs
+++ b/crates/core/src/retry.rs
@@ -51,6 +51,12 @@
         self.requests.push_back(now);
     }
 
+    /// Number of requests for the service that this entry got in the window.
+    pub fn requests(&mut self, now: time::Instant) -> u32 {
+        self.prune(now);
+        self.requests.len() as u32
+    }
+
     /// Withdraws `count` retries from the share of one of `entries` entries; returns false if
     /// too few are left.
     ///
--- a/crates/core/src/server.rs
+++ b/crates/core/src/server.rs
@@ -27,6 +27,8 @@
     pub ejected_until: Option<time::Instant>,
     /// Time in which it gets no requests, because it has asked for that.
     pub paused: Option<pauses::Closed>,
+    /// Time in which it gets no requests, because this entry's part of its limit is used up.
+    pub limited: Option<pauses::Closed>,
     /// Whether it is leaving, as last reported.
     pub leaving: bool,
     /// Whether the platform's list says that it is leaving; load reports do not change it.
@@ -58,6 +60,7 @@
             ejections: 0,
             ejected_until: None,
             paused: None,
+            limited: None,
             leaving: false,
             listed_leaving: false,
             leaver: None,
@@ -70,9 +73,15 @@
         self.leaving || self.listed_leaving
     }
 
-    /// Whether new work may be sent to the server, which neither leaves nor has asked for a pause.
+    /// Whether new work may be sent to the server, which neither leaves nor has asked for a pause or
+    /// for fewer requests.
     pub(crate) fn accepts(&self, now: time::Instant) -> bool {
-        !self.is_leaving() && self.paused.is_none_or(|paused| paused.until <= now)
+        !self.is_leaving() && self.closed(now).is_none()
+    }
+
+    /// Time in which it gets no requests because of a pause or a limit.
+    pub(crate) fn closed(&self, now: time::Instant) -> Option<pauses::Closed> {
+        pauses::later(self.paused, self.limited, now)
     }
 
     /// Ejects the server for `length`, or longer after earlier ejections if `backoff` is set.
--- a/crates/core/src/suspects.rs
+++ b/crates/core/src/suspects.rs
@@ -15,9 +15,6 @@
 
 use crate::{answered, ids};
 
-/// Identifies the crash of a server: a hash of its process.
-pub type CrashTag = u32;
-
 /// What one entry knows of crashes and the parts of prompts.
 #[derive(Clone, Debug, Default)]
 pub struct Suspects {
@@ -28,7 +25,7 @@
 #[derive(Clone, Debug)]
 struct Suspect {
     // Servers that crashed with such a request since one was last answered, and when.
-    crashes: collections::BTreeMap<CrashTag, time::Instant>,
+    crashes: collections::BTreeMap<ids::ProcessTag, time::Instant>,
     // When what is known last changed.
     changed_at: time::Instant,
     // When the part was first rejected.
@@ -73,7 +70,7 @@
     /// Time since the last of them began, if it is known.
     pub answered_ago: Option<time::Duration>,
     /// Servers that crashed with such a request since then, and the time since.
-    pub crashes: Vec<(CrashTag, time::Duration)>,
+    pub crashes: Vec<(ids::ProcessTag, time::Duration)>,
 }
 
 /// Crashes after which a part is rejected. One may come from any cause, and a request that was at one
@@ -109,7 +106,12 @@
 impl Suspects {
     /// Records that a server crashed while a request with these parts was at it, whose answer had not
     /// begun.
-    pub fn record_crash(&mut self, parts: &[ids::PartTag], crash: CrashTag, now: time::Instant) {
+    pub fn record_crash(
+        &mut self,
+        parts: &[ids::PartTag],
+        crash: ids::ProcessTag,
+        now: time::Instant,
+    ) {
         let is_known = parts.iter().any(|part| self.has_crash(*part));
         let adds_new = parts.len() <= MAX_NEW_PARTS || !is_known;
         for part in parts {
@@ -127,7 +129,7 @@
     fn add_crash(
         &mut self,
         part: ids::PartTag,
-        crash: CrashTag,
+        crash: ids::ProcessTag,
         at: time::Instant,
         now: time::Instant,
     ) -> bool {
@@ -149,7 +151,12 @@
     }
 
     // The suspect `part`, which is added if it is none yet.
-    fn suspect(&mut self, part: ids::PartTag, crash: CrashTag, now: time::Instant) -> &mut Suspect {
+    fn suspect(
+        &mut self,
+        part: ids::PartTag,
+        crash: ids::ProcessTag,
+        now: time::Instant,
+    ) -> &mut Suspect {
         if !self.suspects.contains_key(&part) {
             self.make_room(crash);
         }
@@ -158,7 +165,7 @@
 
     // Removes half of the suspects with the least evidence if there are too many. Each crash leaves
     // other ones, so that a part that is at many crashes is found sooner or later.
-    fn make_room(&mut self, crash: CrashTag) {
+    fn make_room(&mut self, crash: ids::ProcessTag) {
         if self.suspects.len() < MAX_SUSPECTS {
             return;
         }
--- a/crates/e2e/tests/platform_limits.rs
+++ b/crates/e2e/tests/platform_limits.rs
@@ -66,3 +66,79 @@
     assert!(served * 100 >= statuses.len() * 98, "{served} of {} served", statuses.len());
     Ok(())
 }
+
+// All servers have limits: what they do not take is rejected at once, as not run and with the time
+// to come back.
+#[tokio::test]
+async fn all_limited() -> anyhow::Result<()> {
+    let site = site::Site::start(sizes()).await?;
+    site.plain.iter().for_each(|server| server.set_limit(Some(2.0)));
+    let named_at = time::Instant::now();
+    let statuses = send(&site, site::UNSAFE, CONTACT + SPAN * 2).await;
+    for server in &site.plain {
+        let (most, allowed) = most(server, named_at + CONTACT, 2.0);
+        assert!(most <= allowed, "{most} requests in 4 s, {allowed} are allowed");
+    }
+    assert!(statuses.iter().all(|status| [200, 503].contains(status)), "{statuses:?}");
+    let served = statuses.iter().filter(|status| **status == 200).count();
+    assert!(served >= 20, "{served} served, the servers take four a second");
+    let start = time::Instant::now();
+    let call = call::Call { path: site::UNSAFE, attempt: "x", body: "b", headers: &[] };
+    let reply = call.send(&client::Client::new(), Method::POST, site.edges[0].frontend).await?;
+    assert!(start.elapsed() < time::Duration::from_millis(600), "{:?}", start.elapsed());
+    assert!(reply.status == 200 || reply.headers.contains_key("retry-after"), "{reply:?}");
+    Ok(())
+}
+
+#[tokio::test]
+async fn limit_ends() -> anyhow::Result<()> {
+    let mut site = site::Site::start(sizes()).await?;
+    site.plain.iter().for_each(|server| server.set_limit(Some(2.0)));
+    send(&site, site::SAFE, CONTACT).await;
+    // An entry that starts meanwhile hears of the limits from the others.
+    site.restart_edge(1)?;
+    site.wait_ready().await?;
+    let restarted_at = time::Instant::now();
+    send(&site, site::SAFE, CONTACT + SPAN).await;
+    for server in &site.plain {
+        let (most, allowed) = most(server, restarted_at, 2.0);
+        assert!(most <= allowed, "{most} requests in 4 s, {allowed} are allowed");
+    }
+    site.plain.iter().for_each(|server| server.set_limit(None));
+    send(&site, site::SAFE, CONTACT).await;
+    let statuses = send(&site, site::SAFE, time::Duration::from_millis(1_950)).await;
+    assert!(statuses.iter().all(|status| *status == 200), "{statuses:?}");
+    Ok(())
+}
+
+// Holds, prefills and answers count. A hold is followed by the answer that it is for.
+#[tokio::test]
+async fn engine_limited() -> anyhow::Result<()> {
+    let site = site::Site::start(sizes()).await?;
+    site.decode[0].set_limit(Some(4.0));
+    let named_at = time::Instant::now();
+    let statuses = send(&site, site::RESUMABLE, CONTACT + SPAN).await;
+    let (most, allowed) = most(&site.decode[0], named_at + CONTACT, 4.0);
+    assert!(most <= allowed, "{most} requests in 4 s, {allowed} are allowed");
+    assert!(statuses.iter().all(|status| [200, 503].contains(status)), "{statuses:?}");
+    let served = statuses.iter().filter(|status| **status == 200).count();
+    assert!(served * 10 >= statuses.len() * 9, "{served} of {} served", statuses.len());
+    let arrivals = site.decode[0].arrivals();
+    let holds = arrivals.iter().filter(|arrival| arrival.target == "/v1/hold-take").count();
+    let runs = site.decode[0].requests().len();
+    assert!(runs * 10 >= holds * 9, "{runs} runs after {holds} holds");
+    Ok(())
+}
+
+// What another server says at the address of one that has moved is not about the one that was
+// meant, and does not end its limit.
+#[tokio::test]
+async fn other_server_answers() -> anyhow::Result<()> {
+    let site = site::Site::start(sizes()).await?;
+    site.plain[0].set_fault(backend::Fault::Moved);
+    site.plain[0].set_limit(Some(0.1));
+    send(&site, site::SAFE, time::Duration::from_secs(1)).await;
+    site.plain[0].set_fault(backend::Fault::None);
+    assert!(!site.edges.iter().any(|edge| edge.log().contains("limit of server changed")));
+    Ok(())
+}
--- a/crates/edge/src/directory.rs
+++ b/crates/edge/src/directory.rs
@@ -3,8 +3,8 @@
 use std::{collections, net, sync, time};
 
 use rhubarb_core::{
-    cells, engines, fleet, ids, load, pauses, pool, queue_limit, retry, retry_detector, routing,
-    stamp,
+    cells, demand, engines, fleet, ids, load, pauses, pool, queue_limit, quotas, retry,
+    retry_detector, routing, stamp,
 };
 use rhubarb_wire::share;
 
@@ -16,6 +16,7 @@
     pub(crate) pool: pool::Pool,
     pub(crate) engines: engines::Engines,
     pub(crate) retry_budget: retry::SharedBudget,
+    pub(crate) demand: demand::Demand,
     queue_limit: queue_limit::QueueLimit,
     retry_detectors: collections::BTreeMap<routing::RouteName, retry_detector::RetryDetector>,
 }
@@ -41,6 +42,14 @@
     pub(crate) process: pauses::Process,
 }
 
+impl Target {
+    /// Tag of the process, for other entries.
+    pub(crate) fn process_tag(&self) -> ids::ProcessTag {
+        let (server, started_ms) = &self.process;
+        ids::process_tag(server, *started_ms)
+    }
+}
+
 /// The config and the servers in use, with the state of each service.
 #[derive(Debug)]
 pub(crate) struct Directory {
@@ -54,12 +63,28 @@
     services: collections::BTreeMap<ids::ServiceName, Service>,
     /// Number of entries that share the retry budget, this one included, if it is known.
     pub(crate) entry_count: Option<u32>,
+    /// Place of this entry among the live ones.
+    pub(crate) place: Place,
     partition: cells::Partition,
     own_cell: cells::CellId,
     // Counts the servers that were found to be leaving.
     leaving: metrics::SourceFamily,
 }
 
+/// Number of entries to count in a fleet of unknown size.
+const UNKNOWN_ENTRIES: u32 = 8;
+
+/// Place of an entry in its fleet.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub(crate) struct Place {
+    /// Number of live entries with a lower address.
+    pub(crate) rank: u32,
+    /// Number of live entries, this one included.
+    pub(crate) entries: u32,
+    /// Number of live entries of its cell, this one not included.
+    pub(crate) peers: u32,
+}
+
 /// Where an entry learned a change of the servers.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub(crate) enum Source {
@@ -108,6 +133,7 @@
             fleet_known: false,
             services: collections::BTreeMap::new(),
             entry_count: None,
+            place: Place::default(),
             partition: cells::Partition::default(),
             own_cell: cells::CellId::default(),
             leaving,
@@ -254,6 +280,7 @@
             pool: new_pool(zone),
             engines,
             retry_budget: retry::SharedBudget::new(retry_limits),
+            demand: demand::Demand::default(),
             queue_limit: queue_limit::QueueLimit::default(),
             retry_detectors: collections::BTreeMap::new(),
         };
@@ -305,6 +332,25 @@
         Some(Target { id: id.to_string(), address: instance.address, process })
     }
 
+    /// The registered server whose process has this tag.
+    pub(crate) fn target_of(&self, process: ids::ProcessTag) -> Option<Target> {
+        let is_process = |(id, instance): &(&ids::ServerName, &fleet::Instance)| {
+            ids::process_tag(id, instance.started_ms) == process
+        };
+        let (id, _) = self.fleet.instances().iter().find(is_process)?;
+        self.target(id)
+    }
+
+    /// This entry's part of the limit of a server.
+    pub(crate) fn quota_part(&self, server: &str, now: time::Instant) -> quotas::Part {
+        let Place { rank, entries, peers } = self.place;
+        let fleet = self.entry_count.unwrap_or(UNKNOWN_ENTRIES);
+        let service = self.fleet.get(server).and_then(|known| self.services.get(&known.service));
+        let sizes = demand::Sizes { peers, fleet };
+        let fraction = service.map_or(0.0, |service| service.demand.fraction(sizes, now));
+        quotas::Part { fraction, phase: f64::from(rank + 1) / f64::from(entries.max(rank + 1)) }
+    }
+
     /// Chooses a server of a plain service and records that a request is sent to it.
     pub(crate) fn pick(
         &mut self,
--- a/crates/edge/src/edge.rs
+++ b/crates/edge/src/edge.rs
@@ -8,7 +8,7 @@
 use rhubarb_node::{client, clock, locks};
 use rhubarb_platform::{settings, store};
 
-use crate::{connections, dates, directory, lag, metrics, orders, rejected};
+use crate::{connections, dates, directory, lag, limits, metrics, orders, rejected};
 
 /// State of one entry.
 #[derive(Debug)]
@@ -24,7 +24,8 @@
     pub(crate) commitments_changed: tokio_sync::Notify,
     /// Notifies the sender of commitments that this entry has released memory of an engine.
     pub(crate) memory_freed: tokio_sync::Notify,
-    /// Notifies the sender of commitments that this entry knows more of prompts that crash servers.
+    /// Notifies the sender of commitments that this entry knows more of prompts that crash servers, or
+    /// of limits of servers, which all entries need.
     pub(crate) evidence_changed: tokio_sync::Notify,
     /// Notifies the fetcher of snapshots that a peer has newer rows of the store.
     pub(crate) lag_detected: tokio_sync::Notify,
@@ -45,6 +46,7 @@
     orders: sync::Mutex<orders::Orders>,
     lag: sync::Mutex<lag::Lag>,
     pauses: sync::Mutex<pauses::Pauses>,
+    limits: sync::Mutex<limits::Limits>,
     rejected: sync::Mutex<rejected::Rejected>,
     log_limit: sync::Mutex<log_limit::LogLimit>,
     holds: sync::Mutex<recent::RecentNames>,
@@ -88,6 +90,7 @@
             orders: sync::Mutex::default(),
             lag: sync::Mutex::default(),
             pauses: sync::Mutex::default(),
+            limits: sync::Mutex::default(),
             rejected: sync::Mutex::default(),
             log_limit: sync::Mutex::default(),
             holds: sync::Mutex::default(),
@@ -142,6 +145,11 @@
         locks::lock(&self.pauses)
     }
 
+    /// Limits that servers have named; locked before the directory.
+    pub(crate) fn limits(&self) -> sync::MutexGuard<'_, limits::Limits> {
+        locks::lock(&self.limits)
+    }
+
     /// Prompts that crash servers.
     pub(crate) fn rejected(&self) -> sync::MutexGuard<'_, rejected::Rejected> {
         locks::lock(&self.rejected)
--- a/crates/edge/src/exchange.rs
+++ b/crates/edge/src/exchange.rs
@@ -1,5 +1,6 @@
 //! Requests to servers. Every request and response passes here, so that a server that leaves gets
-//! no more work at any step, and one that has asked for a pause gets no request of any kind.
+//! no more work at any step, one that has asked for a pause gets no request of any kind, and one with
+//! a limit no more than that.
 
 use bytes::Bytes;
 use http_body_util::Full;
@@ -8,7 +9,7 @@
 use rhubarb_node::{clock, response as node_response};
 use rhubarb_platform::response;
 
-use crate::{call, connections, directory, edge, pauses, suspects};
+use crate::{call, connections, directory, edge, pauses, quotas, suspects};
 
 /// Maximum size of a buffered response body, in bytes.
 const MAX_BODY_BYTES: usize = 16 * 1024 * 1024;
@@ -32,28 +33,22 @@
     }
 }
 
-/// Sends a request unless the server is leaving or paused, and waits for the head of the response.
-pub(crate) async fn send(
-    edge: &edge::Edge,
-    target: &directory::Target,
-    request: Request<Full<Bytes>>,
-) -> Result<connections::PendingResponse, connections::SendError> {
-    send_if(edge, target, request, || Ok(())).await
-}
-
-/// Sends a request with the prompt of `call` like [`send`], unless the prompt crashes servers.
+/// Sends a request with the prompt of `call`, unless the server is leaving, paused or at its limit or
+/// the prompt crashes servers, and waits for the head of the response.
 pub(crate) async fn send_prompt(
     call: &call::Call,
     target: &directory::Target,
     request: Request<Full<Bytes>>,
+    cost: quotas::Cost,
 ) -> Result<connections::PendingResponse, connections::SendError> {
-    send_if(&call.edge, target, request, || suspects::permit(call)).await
+    send_if(&call.edge, target, request, cost, || suspects::permit(call)).await
 }
 
 async fn send_if(
     edge: &edge::Edge,
     target: &directory::Target,
     request: Request<Full<Bytes>>,
+    cost: quotas::Cost,
     is_permitted: impl Fn() -> Result<(), connections::SendError>,
 ) -> Result<connections::PendingResponse, connections::SendError> {
     let permit = || {
@@ -61,20 +56,31 @@
         if edge.directory().is_leaving(&target.id) {
             return Err(connections::SendError::Leaving);
         }
-        pauses::permit(edge, target)
+        pauses::permit(edge, target)?;
+        quotas::permit(edge, target, cost)
     };
     let pending = edge.connections.send(target.address, request, permit).await?;
     observe(edge, target, &pending.response);
     Ok(pending)
 }
 
-/// Sends a request unless the server is leaving or paused, and reads the whole response.
+/// Sends a request unless the server is leaving, paused or at its limit, and reads the whole response.
 pub(crate) async fn fetch(
     edge: &edge::Edge,
     target: &directory::Target,
     request: Request<Full<Bytes>>,
 ) -> Result<BufferedResponse, connections::SendError> {
-    let pending = send(edge, target, request).await?;
+    fetch_at(edge, target, request, quotas::Cost::One).await
+}
+
+/// Sends a request that counts as `cost` like [`fetch`], and reads the whole response.
+pub(crate) async fn fetch_at(
+    edge: &edge::Edge,
+    target: &directory::Target,
+    request: Request<Full<Bytes>>,
+    cost: quotas::Cost,
+) -> Result<BufferedResponse, connections::SendError> {
+    let pending = send_if(edge, target, request, cost, || Ok(())).await?;
     Ok(read_all(&edge.connections, pending).await)
 }
 
@@ -84,18 +90,22 @@
     target: &directory::Target,
     request: Request<Full<Bytes>>,
 ) -> Result<BufferedResponse, connections::SendError> {
-    let pending = send_prompt(call, target, request).await?;
+    let pending = send_prompt(call, target, request, quotas::Cost::One).await?;
     Ok(read_all(&call.edge.connections, pending).await)
 }
 
 /// Sends a request that frees a resource, also to a server that is leaving but not to one that is
-/// paused, and reads the whole response.
+/// paused or at its limit, and reads the whole response.
 pub(crate) async fn release(
     edge: &edge::Edge,
     target: &directory::Target,
     request: Request<Full<Bytes>>,
+    cost: quotas::Cost,
 ) -> Result<BufferedResponse, connections::SendError> {
-    let permit = || pauses::permit(edge, target);
+    let permit = || {
+        pauses::permit(edge, target)?;
+        quotas::permit(edge, target, cost)
+    };
     let pending = edge.connections.send(target.address, request, permit).await?;
     observe(edge, target, &pending.response);
     Ok(read_all(&edge.connections, pending).await)
@@ -105,18 +115,13 @@
 fn observe<B>(edge: &edge::Edge, target: &directory::Target, response: &Response<B>) {
     let server = target.id.as_str();
     pauses::observe(edge, target, response);
+    quotas::observe(edge, target, response);
     let notice = response::leaving_notice(response.headers());
     if let Some(value) = notice.unexpected
         && edge.log_limit().allows(&format!("leaving {server}"), clock::now())
     {
         tracing::warn!(server, value, "edge: invalid announcement of a server");
     }
-    let limit = response::limit_notice(response.headers());
-    if let Some(rate) = limit.rate
-        && edge.log_limit().allows(&format!("limit {server} {rate}"), clock::now())
-    {
-        tracing::info!(server, rate, "edge: server limits its requests");
-    }
     if notice.is_leaving {
         edge.directory().record_leaving(server, directory::Source::Answer);
     }
--- a/crates/edge/src/leader.rs
+++ b/crates/edge/src/leader.rs
@@ -12,7 +12,7 @@
 use rhubarb_node::clock;
 use rhubarb_platform::{engine, store};
 
-use crate::{boot, directory, edge, exchange, pauses};
+use crate::{boot, directory, edge, exchange, pauses, quotas};
 
 /// Interval between plans.
 const PLAN_PERIOD: time::Duration = time::Duration::from_millis(500);
@@ -147,7 +147,8 @@
     let era = edge.store.era();
     let Some(target) = edge.directory().target(&change.id) else { return true };
     let (id, stage) = (target.id.as_str(), change.to);
-    let response = call(edge, &target, engine::report_request(id)).await;
+    // The order follows the report.
+    let response = call(edge, &target, engine::report_request(id), quotas::Cost::Two).await;
     let state = response.and_then(|response| read_state(id, &response));
     let Some(state) = state else { return true };
     if state.is_busy || state.stage == Some(stage) {
@@ -162,7 +163,7 @@
     let order =
         engine::StageOrder { engine: id, stage, holder: &holder, fence, expected_orders: orders };
     set_changing(edge, service, id);
-    let response = call(edge, &target, engine::stage_request(&order)).await;
+    let response = call(edge, &target, engine::stage_request(&order), quotas::Cost::Paid).await;
     let status = response.map(|response| response.head.status());
     let code = status.map(|status| status.as_u16());
     tracing::info!(server = id, to = ?stage, fence, orders, status = code, "edge: order sent");
@@ -188,9 +189,10 @@
     edge: &edge::Edge,
     target: &directory::Target,
     request: Request<Full<Bytes>>,
+    cost: quotas::Cost,
 ) -> Option<exchange::BufferedResponse> {
     let path = request.uri().path().to_string();
-    let sending = exchange::fetch(edge, target, request);
+    let sending = exchange::fetch_at(edge, target, request, cost);
     match tokio::time::timeout(CALL_TIMEOUT, sending).await {
         Ok(Ok(response)) => Some(response),
         Ok(Err(err)) => {
--- a/crates/edge/src/metrics.rs
+++ b/crates/edge/src/metrics.rs
@@ -29,6 +29,7 @@
     pub(crate) leaving: SourceFamily,
     pub(crate) pauses: counter::Counter,
     pub(crate) withheld: counter::Counter,
+    pub(crate) limits: counter::Counter,
     pub(crate) crashes: counter::Counter,
     pub(crate) rejected_parts: gauge::Gauge,
     pub(crate) dropped_lines: gauge::Gauge,
@@ -53,8 +54,12 @@
                 .family("leaving_servers", "Servers found to be leaving, by how it was learned"),
             pauses: registry
                 .counter("server_pauses", "Pauses that servers have asked for, and longer ones"),
-            withheld: registry
-                .counter("withheld_requests", "Requests not sent because their server was paused"),
+            withheld: registry.counter(
+                "withheld_requests",
+                "Requests not sent because of a server's pause or limit",
+            ),
+            limits: registry
+                .counter("server_limits", "Limits that servers have named, and changes of them"),
             crashes: registry.counter(
                 "crash_losses",
                 "Requests that a server's crash ended before their answers began",
--- a/crates/edge/src/peers.rs
+++ b/crates/edge/src/peers.rs
@@ -4,11 +4,11 @@
 
 use tokio::net as tokio_net;
 
-use rhubarb_core::{cells, ids, members, reports};
+use rhubarb_core::{cells, ids, members, reports, suspects};
 use rhubarb_node::clock;
 use rhubarb_wire::share;
 
-use crate::{edge, lag, suspects};
+use crate::{directory, edge, lag, quotas, suspects as watch};
 
 /// Interval between datagrams to the peers without changes; they are also the heartbeats.
 const HEARTBEAT_PERIOD: time::Duration = time::Duration::from_millis(300);
@@ -96,9 +96,12 @@
     let (count, own) = (members.count(now), members.own_cell());
     let partition = members.partition().clone();
     edge.counters.peers.set(members.live(now).count() as i64);
+    let suspects::Turn { rank, entries } = members.turn(now);
+    let peers = members.in_cell(own, now).count() as u32;
     drop(members);
     let mut directory = edge.directory();
     directory.entry_count = count;
+    directory.place = directory::Place { rank, entries, peers };
     directory.set_cells(&partition, own);
 }
 
@@ -150,6 +153,7 @@
         config,
         servers,
         follows: edge.follows_store() && !edge.is_disconnected(),
+        limits: share::Limit::collect(&edge.limits().quotas, seq, clock::now()),
         evidence: share::Evidence::collect(&edge.rejected().suspects, seq, clock::now()),
         ..share::Share::default()
     }
@@ -164,9 +168,17 @@
         share.members = sample_members(&mut members, now);
     }
     drop(members);
+    let tells_demand = !edge.limits().quotas.is_empty();
     let mut directory = edge.directory();
     let mut committed = reports::Commitments::new();
     for (name, service) in directory.named_services() {
+        if is_heartbeat {
+            let requests = service.retry_budget.requests(now);
+            service.demand.record_own(requests);
+            if tells_demand {
+                share.demand.insert(name.clone(), requests);
+            }
+        }
         committed.append(&mut service.engines.commitments(now));
         share.full.append(&mut service.engines.full(now));
         if service.engines.has_queue() {
@@ -258,7 +270,9 @@
     let (cell, own_cell) = (members.cell(from), members.own_cell());
     drop(members);
     let evidence: Vec<_> = share.evidence.iter().map(Into::into).collect();
-    if suspects::merge(edge, &evidence) && cell != Some(own_cell) {
+    let limits: Vec<_> = share.limits.iter().map(Into::into).collect();
+    let is_news = quotas::merge(edge, &limits, &share.name) | watch::merge(edge, &evidence);
+    if is_news && cell != Some(own_cell) {
         // The sender has reached only a few entries of this cell.
         edge.evidence_changed.notify_one();
     }
@@ -292,6 +306,11 @@
     let mut may_serve = false;
     let mut directory = edge.directory();
     for (name, service) in directory.named_services() {
+        if let Some(requests) = share.demand.get(name)
+            && cell == Some(own_cell)
+        {
+            service.demand.record(&share.name, *requests, now);
+        }
         let engines = &mut service.engines;
         if let Some(report) = &committed {
             may_serve |= engines.update_peer(&share.name, report, now) && engines.has_queue();
--- a/crates/edge/src/plain.rs
+++ b/crates/edge/src/plain.rs
@@ -1,6 +1,6 @@
 //! Drives plain requests, which have a single response and no stages.
 
-use std::time;
+use std::{future, time};
 
 use bytes::Bytes;
 use hyper::Response;
@@ -11,7 +11,7 @@
 
 use outcome::{Outcome, RETRY_SOON, Reason, Refusal};
 
-use crate::{call, connections, directory, exchange, refuse, reservation};
+use crate::{call, connections, directory, exchange, quotas, refuse, reservation};
 
 /// Timeout of an attempt that may be followed by another, as a multiple of the latency target.
 const ATTEMPT_TIMEOUT_FACTOR: f64 = 1.5;
@@ -77,7 +77,19 @@
     }
 
     async fn send(&mut self) -> flow::Event {
-        let target = match self.choose() {
+        let choice = loop {
+            match self.choose() {
+                // A server may be sent to again soon enough.
+                directory::Choice::Paused(closed) if closed.until <= self.wait_limit() => {
+                    let waiting = self.responder.wait(future::pending::<()>(), closed.until);
+                    if let responder::WaitOutcome::Disconnected = waiting.await {
+                        return flow::Event::CallerGone;
+                    }
+                }
+                choice => break choice,
+            }
+        };
+        let target = match choice {
             directory::Choice::Server(target) => target,
             directory::Choice::Paused(closed) => {
                 return no_server(Reason::NoRoom, refuse::pause_retry(closed));
@@ -110,7 +122,13 @@
         flow::Event::Failed { server, refusal, retry }
     }
 
+    // Time until which a server is of use that meets the latency target.
+    fn wait_limit(&self) -> time::Instant {
+        self.call.deadline.min(self.call.arrived + self.call.route.target)
+    }
+
     fn choose(&mut self) -> directory::Choice {
+        quotas::refresh(&self.call.edge);
         let (call, now) = (&self.call, clock::now());
         let mut directory = call.edge.directory();
         let choice = directory.pick(&call.service, call.route.target, self.flow.tried(), now);
@@ -162,11 +180,13 @@
                 );
                 Attempt::Unsent(Reason::Leaving)
             }
-            responder::WaitOutcome::Event(Err(connections::SendError::Paused)) => {
+            responder::WaitOutcome::Event(Err(
+                connections::SendError::Paused | connections::SendError::Limited,
+            )) => {
                 tracing::info!(
                     id = self.call.id(),
                     server = target.id,
-                    "edge: request not sent to a paused server"
+                    "edge: request not sent to a paused or limited server"
                 );
                 Attempt::Unsent(Reason::NoRoom)
             }
--- a/crates/edge/src/prefill.rs
+++ b/crates/edge/src/prefill.rs
@@ -8,7 +8,7 @@
 
 use outcome::{RETRY_SOON, Reason, Refusal};
 
-use crate::{call, cleanup, connections, directory, edge, exchange, ledger, refuse};
+use crate::{call, cleanup, connections, directory, edge, exchange, ledger, quotas, refuse};
 
 /// KV cache of a prompt at its prefill engine, freed when dropped before it was fetched.
 #[derive(Debug)]
@@ -54,7 +54,9 @@
         self.account.update(|totals| totals.count_waste(Reason::Withdrawn, u64::from(self.tokens)));
         let (edge, target) = (self.edge.clone(), self.target.clone());
         let request = engine::free_handle(&self.handle);
-        tokio::spawn(async move { cleanup::send(&edge, &target, request).await });
+        tokio::spawn(
+            async move { cleanup::send(&edge, &target, request, quotas::Cost::One).await },
+        );
     }
 }
 
@@ -139,11 +141,13 @@
             );
             return PrefillResult::Unsent(target.id);
         }
-        responder::WaitOutcome::Event(Err(connections::SendError::Paused)) => {
+        responder::WaitOutcome::Event(Err(
+            connections::SendError::Paused | connections::SendError::Limited,
+        )) => {
             tracing::info!(
                 id = call.id(),
                 server = target.id,
-                "edge: prefill not sent to a paused server"
+                "edge: prefill not sent to a paused or limited server"
             );
             return PrefillResult::Unsent(target.id);
         }
@@ -209,6 +213,7 @@
 ) -> Option<(directory::Target, time::Duration)> {
     let Prompt { call, zone, tokens } = prompt;
     let now = clock::now();
+    quotas::refresh(&call.edge);
     let mut directory = call.edge.directory();
     let service = directory.service(&call.service);
     let engines = &service.engines;
--- a/crates/edge/src/reservation.rs
+++ b/crates/edge/src/reservation.rs
@@ -10,7 +10,7 @@
 
 use outcome::{Outcome, Reason, Refusal};
 
-use crate::{call, cleanup, connections, directory, edge, exchange, refuse, suspects};
+use crate::{call, cleanup, connections, directory, edge, exchange, quotas, refuse, suspects};
 
 /// Slot and memory of one request at a decode engine, released when dropped.
 #[derive(Debug)]
@@ -48,7 +48,9 @@
         if let Some(hold) = self.hold.take() {
             let (edge, target) = (self.edge.clone(), self.target.clone());
             let request = platform_engine::release_hold(&hold);
-            tokio::spawn(async move { cleanup::send(&edge, &target, request).await });
+            tokio::spawn(async move {
+                cleanup::send(&edge, &target, request, quotas::Cost::Paid).await
+            });
         }
         let mut directory = self.edge.directory();
         let engines = &mut directory.service(&self.service).engines;
@@ -128,7 +130,7 @@
     if !has_server(call) {
         return ReserveResult::Refused(Refusal::not_run(Reason::NoServer, no_server_retry()));
     }
-    if !is_started && let Some(refusal) = paused_refusal(call) {
+    if !is_started && let Some(refusal) = paused_refusal(call, until) {
         return ReserveResult::Refused(refusal);
     }
     if is_queue_too_long(call, until) {
@@ -154,7 +156,7 @@
                 responder::WaitOutcome::Expired => break,
             }
         }
-        if !is_started && let Some(refusal) = paused_refusal(call) {
+        if !is_started && let Some(refusal) = paused_refusal(call, until) {
             return ReserveResult::Refused(refusal);
         }
         if clock::now() >= until {
@@ -177,12 +179,12 @@
     !pool.candidates(&[], |_| true, now).is_empty() || pool.paused(now).is_some()
 }
 
-// Refusal of a request whose decode engines have all asked for a pause.
-fn paused_refusal(call: &call::Call) -> Option<Refusal> {
+// Refusal of a request whose decode engines are all paused, or at their limits, beyond `until`.
+fn paused_refusal(call: &call::Call, until: time::Instant) -> Option<Refusal> {
     let mut directory = call.edge.directory();
     let engines = &directory.service(&call.service).engines;
     let closed = engines.paused(fleet::Stage::Decode, clock::now())?;
-    Some(Refusal::not_run(Reason::NoRoom, refuse::pause_retry(closed)))
+    (closed.until > until).then(|| Refusal::not_run(Reason::NoRoom, refuse::pause_retry(closed)))
 }
 
 /// Delay before the callers of a service without a server retry. Its servers are replaced within
@@ -207,14 +209,14 @@
     let Some(ttl) = hold_ttl(call) else { return HoldResult::Held };
     let id = reservation.target.id.clone();
     let request = platform_engine::create_hold(&id, need.charge(), ttl);
-    let sending = exchange::fetch(&call.edge, &reservation.target, request);
+    let sending = exchange::fetch_at(&call.edge, &reservation.target, request, quotas::Cost::Two);
     let response = match tokio::time::timeout(HOLD_TIMEOUT, sending).await {
         Ok(Ok(response)) => response,
-        Ok(Err(connections::SendError::Paused)) => {
+        Ok(Err(connections::SendError::Paused | connections::SendError::Limited)) => {
             tracing::info!(
                 id = call.id(),
                 server = id,
-                "edge: hold not requested at a paused server"
+                "edge: hold not requested at a paused or limited server"
             );
             return HoldResult::Unavailable;
         }
@@ -229,6 +231,9 @@
             return HoldResult::Unavailable;
         }
     };
+    if !response.is_success() {
+        quotas::refund(&call.edge, &reservation.target);
+    }
     let body = response.body.as_ref().filter(|_| response.is_success());
     match body.map(|body| platform_engine::read_hold(body)) {
         Some(Ok(hold)) if !call.edge.record_hold(&id, &hold) => {
@@ -320,6 +325,7 @@
     tried: &[ids::ServerName],
 ) -> Option<Reservation> {
     let now = clock::now();
+    quotas::refresh(&call.edge);
     let mut directory = call.edge.directory();
     let service = directory.service(&call.service);
     let engines = &mut service.engines;
--- a/crates/edge/src/stream.rs
+++ b/crates/edge/src/stream.rs
@@ -13,7 +13,7 @@
 use outcome::{Outcome, RETRY_SOON, Reason, Refusal};
 
 use crate::{
-    call, connections, directory, exchange, prefill, reader, refuse, reservation, suspects,
+    call, connections, directory, exchange, prefill, quotas, reader, refuse, reservation, suspects,
 };
 
 /// Model request in progress.
@@ -276,7 +276,9 @@
         };
         let request = self.call.head.to_server(&headers, self.call.body.clone());
         self.run_events = 0;
-        let sending = exchange::send_prompt(&self.call, target, request);
+        let has_hold = self.reservation.as_ref().is_some_and(|reserved| reserved.hold().is_some());
+        let cost = if has_hold { quotas::Cost::Paid } else { quotas::Cost::One };
+        let sending = exchange::send_prompt(&self.call, target, request, cost);
         SendResult::Sent(match self.responder.wait(sending, self.call.deadline).await {
             responder::WaitOutcome::Disconnected => flow::Event::CallerGone,
             responder::WaitOutcome::Expired => flow::Event::Expired,
@@ -292,7 +294,9 @@
             responder::WaitOutcome::Event(Err(connections::SendError::Leaving)) => {
                 return SendResult::NotSent(Reason::Leaving);
             }
-            responder::WaitOutcome::Event(Err(connections::SendError::Paused)) => {
+            responder::WaitOutcome::Event(Err(
+                connections::SendError::Paused | connections::SendError::Limited,
+            )) => {
                 return SendResult::NotSent(Reason::NoRoom);
             }
             responder::WaitOutcome::Event(Err(connections::SendError::Rejected)) => {
--- a/crates/edge/src/suspects.rs
+++ b/crates/edge/src/suspects.rs
@@ -1,6 +1,6 @@
 //! Prompts that crash servers: what is recorded of lost requests, and which requests are rejected.
 
-use rhubarb_core::{ids, outcome, pool, suspects};
+use rhubarb_core::{outcome, pool, suspects};
 use rhubarb_node::clock;
 
 use outcome::{Outcome, Reason, Refusal};
@@ -77,7 +77,6 @@
     if call.head.parts.is_empty() {
         return;
     }
-    let crash = crash_tag(target);
     let has_crashed = call.edge.connections.is_refused(target.address).await;
     tracing::info!(
         id = call.id(),
@@ -92,18 +91,12 @@
     call.edge.counters.crashes.inc();
     call.record_outcome(&target.id, pool::ServerOutcome::Failure(Reason::NoServer));
     let mut rejected = call.edge.rejected();
-    rejected.suspects.record_crash(&call.head.parts, crash, clock::now());
+    rejected.suspects.record_crash(&call.head.parts, target.process_tag(), clock::now());
     rejected.log_changes("crash", &call.edge.counters);
     drop(rejected);
     call.edge.evidence_changed.notify_one();
 }
 
-fn crash_tag(target: &directory::Target) -> suspects::CrashTag {
-    let (server, started_ms) = &target.process;
-    let start = started_ms.unwrap_or_default().to_be_bytes();
-    ids::digest(&[server.as_bytes(), &start]) as suspects::CrashTag
-}
-
 /// Adds what a peer knows; returns whether anything was new.
 pub(crate) fn merge(edge: &edge::Edge, evidence: &[suspects::Evidence]) -> bool {
     if evidence.is_empty() {
--- a/crates/wire/src/share.rs
+++ b/crates/wire/src/share.rs
@@ -5,7 +5,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use rhubarb_core::{engine, ids, members, reports, stages, stamp, suspects};
+use rhubarb_core::{engine, ids, members, quotas, reports, stages, stamp, suspects};
 
 /// Maximum size of a datagram, in bytes; fits into one packet.
 pub const MAX_DATAGRAM_BYTES: usize = 1_400;
@@ -35,6 +35,11 @@
     pub members: Vec<Heartbeat>,
     /// What the sender knows of prompts that crash servers.
     pub evidence: Vec<Evidence>,
+    /// What the sender knows of limits that servers have named.
+    pub limits: Vec<Limit>,
+    /// Requests that the sender got in the last seconds, by service; empty without limits, and in
+    /// datagrams to other cells.
+    pub demand: collections::BTreeMap<ids::ServiceName, u32>,
     /// Commitments of the sender; absent in datagrams to entries that share no engines with it.
     pub committed: Option<Commitments>,
     /// Engine time used by the sender's requests, by service.
@@ -88,7 +93,7 @@
     /// Time since the last of them began in milliseconds, if it is known.
     pub answered_ms: Option<u64>,
     /// Servers that crashed with such a request since then, and the time since in milliseconds.
-    pub crashes: Vec<(suspects::CrashTag, u64)>,
+    pub crashes: Vec<(ids::ProcessTag, u64)>,
 }
 
 /// Pieces of evidence in one datagram; with the commitments they fit into one packet.
@@ -129,6 +134,45 @@
     }
 }
 
+/// What a server said last of its limit.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Limit {
+    /// Process of the server.
+    pub process: ids::ProcessTag,
+    /// Requests a thousand seconds from all entries; none if there is no limit any more.
+    pub milli_rate: Option<u64>,
+    /// Time since the server said so, in milliseconds.
+    pub ago_ms: u64,
+}
+
+/// Limits in one datagram.
+pub const MAX_LIMITS: usize = 8;
+
+impl Limit {
+    /// Limits for the datagram with number `seq`.
+    pub fn collect(known: &quotas::Quotas, seq: u64, now: time::Instant) -> Vec<Limit> {
+        known.statements(MAX_LIMITS, seq, now).into_iter().map(Into::into).collect()
+    }
+}
+
+impl From<quotas::Statement> for Limit {
+    fn from(said: quotas::Statement) -> Limit {
+        let quotas::Statement { process, rate, ago } = said;
+        let milli_rate = rate.map(|rate| (rate * 1e3).round() as u64);
+        Limit { process, milli_rate, ago_ms: ago.as_millis() as u64 }
+    }
+}
+
+impl From<&Limit> for quotas::Statement {
+    fn from(limit: &Limit) -> quotas::Statement {
+        quotas::Statement {
+            process: limit.process,
+            rate: limit.milli_rate.map(|rate| rate as f64 / 1e3),
+            ago: time::Duration::from_millis(limit.ago_ms),
+        }
+    }
+}
+
 /// Commitments to the engines whose tags are in a range; one that is not listed has none.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Commitments {
@@ -195,8 +239,8 @@
 }
 
 impl Share {
-    /// Encodes the datagram. Relayed heartbeats, then evidence are removed until it fits into a
-    /// packet.
+    /// Encodes the datagram. Relayed heartbeats, then evidence and limits are removed until it fits
+    /// into a packet.
     ///
     /// # Errors
     /// Returns an error if the state cannot be encoded, or does not fit without them.
@@ -207,7 +251,9 @@
             if excess == 0 {
                 return Ok(bytes);
             }
-            if self.members.is_empty() && self.evidence.pop().is_some() {
+            let is_reduced = self.members.is_empty()
+                && (self.evidence.pop().is_some() || self.limits.pop().is_some());
+            if is_reduced {
                 continue;
             }
             if self.members.is_empty() {
--- a/crates/wire/tests/shares.rs
+++ b/crates/wire/tests/shares.rs
@@ -53,6 +53,8 @@
     };
     let mut share = datagram(40, 44);
     share.evidence = (0..share::MAX_EVIDENCE as u64).map(evidence).collect();
+    let limit = |process| share::Limit { process, milli_rate: Some(u64::MAX), ago_ms: u64::MAX };
+    share.limits = (0..share::MAX_LIMITS as u32).map(limit).collect();
     let bytes = share.encode().unwrap();
     assert!(bytes.len() <= share::MAX_DATAGRAM_BYTES, "{} bytes", bytes.len());
     let decoded = share::Share::decode(&bytes).unwrap();
