Bound what is read of a server's answer, for the whole process too

What callers would see: while servers send informational responses without end, requests of other callers are not answered either. Of 24 requests to such a server none was answered within 20 s: the HTTP library reads and drops them, and each connection kept the process busy.

Cause: bounds were per response and in bytes of the parsed head or body; none held for what is dropped, for an event, or for all responses together, and the body of a rejection was read without a limit in time.

--- a/crates/core/src/sse.rs
+++ b/crates/core/src/sse.rs
@@ -29,6 +29,12 @@
         Some(Event { id: event_id(&bytes), bytes })
     }
 
+    /// Number of bytes in the buffer, which belong to an incomplete event once
+    /// [`Decoder::next_event`] returns none.
+    pub fn buffered(&self) -> usize {
+        self.buffer.len()
+    }
+
     /// Whether the buffer holds the beginning of an incomplete event.
     pub fn is_partial(&self) -> bool {
         !self.buffer.is_empty()
--- a/crates/e2e/src/edge.rs
+++ b/crates/e2e/src/edge.rs
@@ -40,6 +40,18 @@
         Ok(time::Duration::from_millis(ticks * 10))
     }
 
+    /// Largest resident memory of the process so far, in bytes.
+    ///
+    /// # Errors
+    /// Returns an error if `/proc` has no entry for the process, for example because it has ended.
+    pub fn peak_memory(&self) -> anyhow::Result<u64> {
+        let status = fs::read_to_string(format!("/proc/{}/status", self.child.id()))?;
+        let line = status.lines().find_map(|line| line.strip_prefix("VmHWM:"));
+        let kilobytes = line.and_then(|line| line.split_whitespace().next());
+        let kilobytes = kilobytes.ok_or_else(|| anyhow::anyhow!("the process has ended"))?;
+        Ok(kilobytes.parse::<u64>()? << 10)
+    }
+
     /// Reads the value of a counter from the metrics endpoint.
     ///
     /// # Errors
--- a/crates/edge/src/connections.rs
+++ b/crates/edge/src/connections.rs
@@ -12,9 +12,13 @@
 use rhubarb_node::{clock, locks};
 use rhubarb_platform::{request, response};
 
+use crate::{buffer, socket};
+
 /// Idle connections by server address.
 #[derive(Debug)]
 pub(crate) struct ConnectionPool {
+    /// Memory for the bodies of responses.
+    pub(crate) buffers: buffer::Buffers,
     // Counts responses that belong to another request than the one they were received for.
     strays: counter::Counter,
     idle: sync::Mutex<collections::BTreeMap<net::SocketAddr, Vec<Connection>>>,
@@ -26,6 +30,7 @@
 #[derive(Debug)]
 pub(crate) struct Connection {
     sender: http1::SendRequest<Full<Bytes>>,
+    bound: socket::ReadBound,
     address: net::SocketAddr,
     idle_until: time::Instant,
     // Number of requests sent on it.
@@ -82,6 +87,11 @@
     }
 }
 
+/// Maximum size of the buffer for what is received, in bytes; a longer head is invalid.
+const MAX_BUFFER_BYTES: usize = 64 * 1024;
+/// Maximum number of bytes that are read until the head of a response is complete: informational
+/// responses, the head, and the begin of the body.
+const MAX_HEAD_BYTES: usize = 256 * 1024;
 /// Timeout for opening a connection. A reachable server accepts within milliseconds; the rest is
 /// for one retransmission of the first packet.
 const CONNECT_TIMEOUT: time::Duration = time::Duration::from_millis(1_300);
@@ -109,7 +119,7 @@
     /// Creates an empty pool, which counts responses to other requests with `strays`.
     pub(crate) fn new(strays: counter::Counter) -> ConnectionPool {
         let (idle, stuttering) = (sync::Mutex::default(), sync::Mutex::default());
-        ConnectionPool { strays, idle, stuttering }
+        ConnectionPool { buffers: buffer::Buffers::new(), strays, idle, stuttering }
     }
 
     /// Sends `request` on an idle or a new connection and waits for the head of the response.
@@ -266,6 +276,7 @@
         }
         self.requests += 1;
         let attempt_id = request::attempt_id(request.headers()).cloned();
+        self.bound.set(MAX_HEAD_BYTES);
         let sending = self.sender.try_send_request(request);
         let response = sending.await.map_err(|mut err| {
             let unsent = err.take_message();
@@ -275,6 +286,7 @@
                 None => SendFailure::Sent(text),
             }
         })?;
+        self.bound.set(usize::MAX);
         self.check(&response, attempt_id)?;
         Ok(response)
     }
@@ -309,8 +321,11 @@
     // Closing discards unsent data, so that an abandoned request does not arrive after a network
     // partition has healed.
     socket2::SockRef::from(&stream).set_linger(Some(time::Duration::ZERO))?;
-    let (sender, connection) =
-        http1::handshake(rt::TokioIo::new(stream)).await.map_err(io::Error::other)?;
+    let bound = socket::ReadBound::unlimited();
+    let socket = rt::TokioIo::new(socket::Socket::new(stream, bound.clone()));
+    let mut builder = http1::Builder::new();
+    builder.max_buf_size(MAX_BUFFER_BYTES);
+    let (sender, connection) = builder.handshake(socket).await.map_err(io::Error::other)?;
     tokio::spawn(async move {
         if let Err(err) = connection.await {
             tracing::debug!("edge: connection to {address} ended: {err}");
@@ -318,6 +333,7 @@
     });
     Ok(Connection {
         sender,
+        bound,
         address,
         idle_until: clock::now(),
         requests: 0,
--- a/crates/edge/src/exchange.rs
+++ b/crates/edge/src/exchange.rs
@@ -2,11 +2,13 @@
 //! no more work at any step, one that has asked for a pause gets no request of any kind, and one with
 //! a limit no more than that.
 
+use std::time;
+
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::{Request, Response, StatusCode};
 
-use rhubarb_node::{clock, response as node_response};
+use rhubarb_node::clock;
 use rhubarb_platform::response;
 
 use crate::{call, connections, directory, edge, pauses, quotas, suspects};
@@ -14,6 +16,9 @@
 /// Maximum size of a buffered response body, in bytes.
 const MAX_BODY_BYTES: usize = 16 * 1024 * 1024;
 
+/// Timeout for the body of a rejection, which has few bytes. A longer one costs its connection.
+const REJECTION_TIMEOUT: time::Duration = time::Duration::from_millis(100);
+
 /// Buffered response; without a body if that was interrupted or too large.
 #[derive(Debug)]
 pub(crate) struct BufferedResponse {
@@ -127,6 +132,16 @@
     }
 }
 
+/// Reads the rest of a rejection, whose body is not used.
+pub(crate) async fn read_rejection(
+    pool: &connections::ConnectionPool,
+    pending: connections::PendingResponse,
+) {
+    if tokio::time::timeout(REJECTION_TIMEOUT, read_all(pool, pending)).await.is_err() {
+        tracing::info!("edge: rejection of a server not read in time, connection closed");
+    }
+}
+
 /// Reads a response to the end and returns its connection to the pool.
 pub(crate) async fn read_all(
     pool: &connections::ConnectionPool,
@@ -134,7 +149,7 @@
 ) -> BufferedResponse {
     let idle_timeout = connections::idle_timeout(&pending.response);
     let (parts, body) = pending.response.into_parts();
-    let body = node_response::read_body(body, MAX_BODY_BYTES).await;
+    let body = pool.buffers.read(body, MAX_BODY_BYTES).await;
     match &body {
         Ok(_) => pool.put_back(pending.connection, idle_timeout),
         Err(err) => tracing::info!(%err, "edge: response of a server not read"),
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -11,6 +11,7 @@
 //! ```
 
 mod boot;
+mod buffer;
 mod call;
 mod cleanup;
 mod connections;
@@ -40,6 +41,7 @@
 mod rows;
 mod run;
 mod snapshots;
+mod socket;
 mod stream;
 mod suspects;
 mod verdicts;
--- a/crates/edge/src/reader.rs
+++ b/crates/edge/src/reader.rs
@@ -24,6 +24,9 @@
     Interrupted(String),
 }
 
+/// Maximum size of an event, in bytes; those of engines have some hundreds.
+const MAX_EVENT_BYTES: usize = 256 * 1024;
+
 impl Reader {
     pub(crate) fn new(body: body::Incoming) -> Reader {
         Reader { body, decoder: sse::Decoder::default() }
@@ -35,6 +38,9 @@
             if let Some(event) = self.decoder.next_event() {
                 return Item::Event(event);
             }
+            if self.decoder.buffered() > MAX_EVENT_BYTES {
+                return Item::Interrupted(format!("an event exceeds {MAX_EVENT_BYTES} bytes"));
+            }
             match self.next_bytes().await {
                 Some(Ok(bytes)) => self.decoder.push(&bytes),
                 Some(Err(err)) => return Item::Interrupted(err.to_string()),
--- a/crates/edge/src/stream.rs
+++ b/crates/edge/src/stream.rs
@@ -332,7 +332,7 @@
         server: &ids::ServerName,
         pending: connections::PendingResponse,
     ) -> SendResult {
-        exchange::read_all(&self.call.edge.connections, pending).await;
+        exchange::read_rejection(&self.call.edge.connections, pending).await;
         let refusal = Refusal::not_run(Reason::NoRoom, RETRY_SOON);
         let goes_on = self.flow.may_retry(Some(server), &refusal, clock::now())
             && self.call.withdraw_retry(Some(server), 1, refusal.reason);
@@ -409,7 +409,7 @@
         server: &ids::ServerName,
         pending: connections::PendingResponse,
     ) -> flow::Event {
-        exchange::read_all(&self.call.edge.connections, pending).await;
+        exchange::read_rejection(&self.call.edge.connections, pending).await;
         if let Some(cache) = &self.cache {
             let failure = pool::ServerOutcome::Failure(Reason::LostContact);
             self.call.record_outcome(&cache.server, failure);
--- a/crates/fakes/src/lib.rs
+++ b/crates/fakes/src/lib.rs
@@ -23,6 +23,7 @@
 pub mod objects;
 pub mod pause;
 pub mod plain;
+pub mod raw;
 pub mod routes;
 pub mod store;
 pub mod stutter;
--- /dev/null
+++ b/crates/fakes/src/raw.rs
@@ -0,0 +1,156 @@
+//! Server that answers with bytes as given: without a length, cut off, or without end.
+
+use std::{io, net, sync, sync::atomic, time};
+
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net as tcp,
+};
+
+use rhubarb_node::locks;
+
+/// How it answers requests.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Answer {
+    /// A head that does not end.
+    EndlessHead,
+    /// Informational responses without end.
+    EndlessInterim,
+    /// A body of a successful answer that does not end, in chunks or until the connection closes.
+    EndlessBody {
+        /// Whether it comes in chunks.
+        chunked: bool,
+    },
+    /// A rejection whose body does not end.
+    EndlessRejection,
+    /// An event that does not end.
+    EndlessEvent,
+    /// This body without a length, which ends with the connection.
+    Unframed(String),
+    /// The same, but the connection is reset at its end.
+    Reset(String),
+}
+
+/// A server on its own port; clones share their state.
+#[derive(Clone, Debug)]
+pub struct Raw {
+    /// Its address.
+    pub address: net::SocketAddr,
+    answer: sync::Arc<sync::Mutex<Answer>>,
+    // Number of holds granted.
+    holds: sync::Arc<atomic::AtomicU64>,
+}
+
+const BUFFER_BYTES: usize = 16 * 1024;
+/// Size of the pieces of answers without end, in bytes, and the pause after each.
+const PIECE_BYTES: usize = 64 * 1024;
+const PIECE_PAUSE: time::Duration = time::Duration::from_millis(1);
+
+impl Raw {
+    /// Starts a server on `ip`.
+    ///
+    /// # Errors
+    /// Returns an error if no port is free.
+    pub async fn start(ip: net::IpAddr, answer: Answer) -> io::Result<Raw> {
+        let listener = tcp::TcpListener::bind((ip, 0)).await?;
+        let address = listener.local_addr()?;
+        let answer = sync::Arc::new(sync::Mutex::new(answer));
+        let raw = Raw { address, answer, holds: sync::Arc::default() };
+        let shared = raw.clone();
+        tokio::spawn(async move {
+            while let Ok((client, _)) = listener.accept().await {
+                let raw = shared.clone();
+                // A connection that fails is closed, which its client sees.
+                tokio::spawn(async move { raw.serve(client).await });
+            }
+        });
+        Ok(raw)
+    }
+
+    /// Sets how it answers from now on.
+    pub fn set_answer(&self, answer: Answer) {
+        *locks::lock(&self.answer) = answer;
+    }
+
+    async fn serve(&self, mut client: tcp::TcpStream) -> io::Result<()> {
+        let mut pending = Vec::new();
+        loop {
+            let Some(head) = read_head(&mut client, &mut pending).await? else { return Ok(()) };
+            let line = head.lines().next().unwrap_or_default();
+            if line.contains(" /v1/") {
+                let number = self.holds.fetch_add(1, atomic::Ordering::Relaxed);
+                let body = format!("{{\"hold\":\"raw-{number}\"}}");
+                let length = body.len();
+                let reply = format!("HTTP/1.1 200 OK\r\ncontent-length: {length}\r\n\r\n{body}");
+                client.write_all(reply.as_bytes()).await?;
+                continue;
+            }
+            let id = head.lines().find(|line| line.starts_with("x-attempt-id:"));
+            return self.answer(&mut client, id.unwrap_or("x-none: 1")).await;
+        }
+    }
+
+    async fn answer(&self, client: &mut tcp::TcpStream, id: &str) -> io::Result<()> {
+        let sealed = format!("HTTP/1.1 200 OK\r\n{id}\r\nx-response-seal: raw\r\n");
+        let answer = locks::lock(&self.answer).clone();
+        let (head, piece) = match &answer {
+            Answer::EndlessHead => (sealed, "x-pad: pad\r\n".repeat(PIECE_BYTES / 12)),
+            Answer::EndlessInterim => {
+                (String::new(), "HTTP/1.1 103 Early Hints\r\n\r\n".repeat(PIECE_BYTES / 28))
+            }
+            Answer::EndlessBody { chunked: false } => {
+                (format!("{sealed}\r\n"), "x".repeat(PIECE_BYTES))
+            }
+            Answer::EndlessBody { chunked: true } => (
+                format!("{sealed}transfer-encoding: chunked\r\n\r\n"),
+                format!("{PIECE_BYTES:x}\r\n{}\r\n", "x".repeat(PIECE_BYTES)),
+            ),
+            Answer::EndlessRejection => (
+                format!("HTTP/1.1 503 Busy\r\n{id}\r\nx-not-executed: 1\r\n\r\n"),
+                "x".repeat(PIECE_BYTES),
+            ),
+            Answer::EndlessEvent => (
+                format!("{sealed}content-type: text/event-stream\r\n\r\nid: 0\ndata: "),
+                "x".repeat(PIECE_BYTES),
+            ),
+            Answer::Unframed(body) | Answer::Reset(body) => {
+                client.write_all(format!("{sealed}\r\n{body}").as_bytes()).await?;
+                tokio::time::sleep(PIECE_PAUSE * 50).await;
+                if matches!(answer, Answer::Reset(_)) {
+                    client.set_zero_linger()?;
+                }
+                return Ok(());
+            }
+        };
+        client.write_all(head.as_bytes()).await?;
+        loop {
+            client.write_all(piece.as_bytes()).await?;
+            tokio::time::sleep(PIECE_PAUSE).await;
+        }
+    }
+}
+
+// Reads one request with its body, if that has a length; `None` at the end of the connection. Returns
+// the head in lower case.
+async fn read_head(
+    client: &mut tcp::TcpStream,
+    pending: &mut Vec<u8>,
+) -> io::Result<Option<String>> {
+    let mut buffer = [0; BUFFER_BYTES];
+    loop {
+        let text = String::from_utf8_lossy(pending).to_ascii_lowercase();
+        if let Some((head, body)) = text.split_once("\r\n\r\n") {
+            let length = head.lines().find_map(|line| line.strip_prefix("content-length:"));
+            let length = length.and_then(|length| length.trim().parse().ok()).unwrap_or(0);
+            if body.len() >= length {
+                pending.drain(..head.len() + 4 + length);
+                return Ok(Some(head.to_string()));
+            }
+        }
+        let read = client.read(&mut buffer).await?;
+        if read == 0 {
+            return Ok(None);
+        }
+        pending.extend_from_slice(&buffer[..read]);
+    }
+}
