Wait between attempts to reserve memory while no engine can be reached

What callers saw: nothing but late answers; an entry whose engines were all down asked them for memory without a pause, some 3,000 times a second, and wrote a line for each.

--- a/crates/e2e/tests/platform_prompts.rs
+++ b/crates/e2e/tests/platform_prompts.rs
@@ -22,7 +22,8 @@
 const MAX_LATE: usize = 3;
 
 async fn start(edges: usize) -> anyhow::Result<site::Site> {
-    let sizes = site::Sizes { edges, plain: 0, prefill: 2, decode: 6, relays: false };
+    let sizes =
+        site::Sizes { edges, plain: 0, prefill: 2, decode: 6, relays: false, direct: false };
     let site = site::Site::start(sizes).await?;
     site.decode.iter().for_each(|engine| engine.set_deadly_part(DEADLY));
     tokio::spawn(register_again(site.store.clone(), site.decode.clone()));
@@ -198,3 +199,22 @@
     }
     Ok(())
 }
+
+// Guards against requests that ask engines for memory without a pause while all of them are down.
+#[tokio::test]
+async fn engines_down() -> anyhow::Result<()> {
+    let site = start(1).await?;
+    send(&site, 0, "first", &[FIRST]).await?;
+    site.decode.iter().for_each(backend::Backend::crash);
+    let mut calls = task::JoinSet::new();
+    for number in 0..5 {
+        let address = site.edges[0].frontend;
+        let attempt = format!("sound-{number}");
+        calls.spawn(async move { post(address, &attempt, &[FIRST]).await });
+    }
+    calls.join_all().await;
+    let log = site.edges[0].log();
+    let asked = log.lines().filter(|line| line.contains("hold request failed")).count();
+    assert!(asked < 300, "{asked} requests for memory within a second");
+    Ok(())
+}
--- a/crates/edge/src/reservation.rs
+++ b/crates/edge/src/reservation.rs
@@ -1,6 +1,6 @@
 //! Reservations of a slot and memory at a decode engine.
 
-use std::{sync, time};
+use std::{future, sync, time};
 
 use hyper::StatusCode;
 
@@ -142,7 +142,8 @@
             return ReserveResult::Refused(refusal);
         }
         let slot_freed = call.edge.slot_freed.notified();
-        while let Some(mut reservation) = try_reserve(call, position, need, &tried) {
+        let mut unavailable = Vec::new();
+        while let Some(mut reservation) = try_reserve(call, position, need, &tried, &unavailable) {
             match responder.wait(request_hold(call, &mut reservation, need), call.deadline).await {
                 responder::WaitOutcome::Event(HoldResult::Held) => {
                     log_estimate(call, &reservation.target.id, need, "edge: slot reserved");
@@ -150,7 +151,8 @@
                 }
                 responder::WaitOutcome::Event(HoldResult::Full) => {}
                 responder::WaitOutcome::Event(HoldResult::Unavailable) => {
-                    tried.push(reservation.target.id.clone())
+                    tried.push(reservation.target.id.clone());
+                    unavailable.push(reservation.target.id.clone());
                 }
                 responder::WaitOutcome::Disconnected => return ReserveResult::Disconnected,
                 responder::WaitOutcome::Expired => break,
@@ -166,7 +168,14 @@
             return ReserveResult::Refused(Refusal::not_run(Reason::NoServer, no_server_retry()));
         }
         let wake_at = until.min(clock::now() + RECHECK_INTERVAL);
-        if let responder::WaitOutcome::Disconnected = responder.wait(slot_freed, wake_at).await {
+        let waiting = async {
+            // The slots of servers that were not available have just been freed again.
+            match unavailable.is_empty() {
+                true => slot_freed.await,
+                false => future::pending().await,
+            }
+        };
+        if let responder::WaitOutcome::Disconnected = responder.wait(waiting, wake_at).await {
             return ReserveResult::Disconnected;
         }
     }
@@ -323,6 +332,7 @@
     position: engines::Position,
     need: engine::Need,
     tried: &[ids::ServerName],
+    unavailable: &[ids::ServerName],
 ) -> Option<Reservation> {
     let now = clock::now();
     quotas::refresh(&call.edge);
@@ -337,6 +347,8 @@
     let is_decode = |id: &str| engines.stage(id) == Some(fleet::Stage::Decode);
     // In order of their names.
     let candidates: Vec<_> = service.pool.candidates(tried, is_decode, now);
+    let is_available = |id: &ids::ServerName| !unavailable.contains(id);
+    let candidates: Vec<_> = candidates.into_iter().filter(|id| is_available(id)).collect();
     let allowed = |id: &str| candidates.binary_search_by(|other| other.as_str().cmp(id)).is_ok();
     let Some(id) = engines.reserve(position, need, allowed, rand::random(), now) else {
         engines.enqueue(position);
