Take a stream that ends before its first event for interrupted

A stream without a length that an engine breaks off before its first event ends like a complete one. It was counted as answered, though the caller got 502, and a crash of the engine was not noticed.

--- a/crates/edge/src/stream.rs
+++ b/crates/edge/src/stream.rs
@@ -473,6 +473,11 @@
                     );
                     return self.lost(target).await;
                 }
+                // Not even one event is no answer: the server ended before it.
+                responder::WaitOutcome::Event(reader::Item::End) if self.run_events == 0 => {
+                    tracing::info!(id = self.call.id(), server, "edge: stream without an event");
+                    return self.lost(target).await;
+                }
                 responder::WaitOutcome::Event(reader::Item::End) => {
                     if (1..suspects::BEGUN_EVENTS).contains(&self.run_events) {
                         suspects::record_answer(&self.call);
