Try rejected parts again after seconds, one entry at a time

A rejected part is tried again 15 s after its last crash, twice as long for each further crash. Entries tell each other of the trial and wait for its result; the engine that answers it reads the prompt itself, so that a trial reaches one server. A server that crashes again counts again though its new start is not registered, as while the store is away.

--- a/crates/core/src/suspects.rs
+++ b/crates/core/src/suspects.rs
@@ -25,7 +25,7 @@
 #[derive(Clone, Debug)]
 struct Suspect {
     // Servers that crashed with such a request since one was last answered, and when.
-    crashes: collections::BTreeMap<ids::ProcessTag, time::Instant>,
+    crashes: Vec<Crash>,
     // When what is known last changed.
     changed_at: time::Instant,
     // When the part was first rejected.
@@ -34,6 +34,13 @@
     tried_at: Option<time::Instant>,
 }
 
+/// Crash of a server.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+struct Crash {
+    server: ids::ProcessTag,
+    at: time::Instant,
+}
+
 /// Result of a check of a prompt.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Verdict {
@@ -71,6 +78,8 @@
     pub answered_ago: Option<time::Duration>,
     /// Servers that crashed with such a request since then, and the time since.
     pub crashes: Vec<(ids::ProcessTag, time::Duration)>,
+    /// Time since a request with the part was last admitted as a trial.
+    pub tried_ago: Option<time::Duration>,
 }
 
 /// Crashes after which a part is rejected. One may come from any cause, and a request that was at one
@@ -82,12 +91,19 @@
 /// Answers that make a part trusted.
 pub const TRUSTED_ANSWERS: u32 = 4;
 /// Most crashes kept for a part; each one above the minimum doubles the term.
-const MAX_CRASHES: usize = 8;
+const MAX_CRASHES: usize = 16;
+/// Most crashes of a part that others are told, the last ones.
+const MAX_TOLD: usize = 8;
 /// Time from the last crash after which a rejected part may be tried again, for the least number of
-/// crashes.
-pub const TERM: time::Duration = time::Duration::from_secs(600);
+/// crashes. A part that is rejected wrongly is rejected for about as long.
+pub const TERM: time::Duration = time::Duration::from_secs(15);
+/// Maximum number of times that the term doubles.
+const MAX_DOUBLINGS: u32 = 10;
 /// Time for which a crash counts; longer than the longest term.
 const CRASH_TTL: time::Duration = time::Duration::from_secs(6 * 3_600);
+/// Crashes of one process that are further apart are different ones, though its start may not be
+/// registered yet. All entries notice a crash within this time, and a start takes longer.
+const SAME_CRASH: time::Duration = time::Duration::from_millis(800);
 /// Time within which an entry hears of answers that others have begun: some heartbeats.
 pub const SETTLE_TIME: time::Duration = time::Duration::from_secs(2);
 /// Length of each entry's turn, in which it may try a rejected part: a trial is answered, or crashes
@@ -139,9 +155,11 @@
         }
         let needed = self.needed(part, now);
         let suspect = self.suspect(part, crash, now);
-        if suspect.crashes.insert(crash, at).is_some() {
+        let crash = Crash { server: crash, at };
+        if suspect.has(&crash) {
             return false;
         }
+        suspect.crashes.push(crash);
         suspect.changed_at = now;
         suspect.drop_oldest();
         if suspect.crashes.len() >= needed {
@@ -199,7 +217,7 @@
     fn clear(&mut self, part: ids::PartTag, at: time::Instant, now: time::Instant) -> bool {
         let Some(suspect) = self.suspects.get_mut(&part) else { return false };
         let before = suspect.crashes.len();
-        suspect.crashes.retain(|_, crashed_at| *crashed_at > at);
+        suspect.crashes.retain(|crash| crash.at > at);
         if suspect.crashes.len() == before {
             return false;
         }
@@ -222,9 +240,7 @@
     fn is_explained(&self, part: ids::PartTag, parts: &[ids::PartTag]) -> bool {
         let Some(suspect) = self.suspects.get(&part) else { return false };
         let others = self.suspects.iter().filter(|(other, _)| !parts.contains(other));
-        others
-            .into_iter()
-            .any(|(_, other)| suspect.crashes.keys().all(|crash| other.crashes.contains_key(crash)))
+        others.into_iter().any(|(_, other)| suspect.crashes.iter().all(|crash| other.has(crash)))
     }
 
     /// Whether a request with these parts may be sent.
@@ -287,7 +303,7 @@
     /// Forgets old crashes; to be called regularly.
     pub fn expire(&mut self, now: time::Instant) {
         self.suspects.retain(|_, suspect| {
-            suspect.crashes.retain(|_, at| now < *at + CRASH_TTL);
+            suspect.crashes.retain(|crash| now < crash.at + CRASH_TTL);
             !suspect.crashes.is_empty() || now < suspect.changed_at + FRESH_TIME
         });
     }
@@ -319,14 +335,17 @@
 
     fn describe(&self, part: ids::PartTag, suspect: &Suspect, now: time::Instant) -> Evidence {
         let answers = self.answered.get(part, now);
-        let crashes = suspect.crashes.iter();
+        let ago = |at: time::Instant| now.saturating_duration_since(at);
+        let crashes = suspect.crashes.iter().map(|crash| (crash.server, ago(crash.at)));
+        let mut crashes: Vec<_> = crashes.collect();
+        crashes.sort_by_key(|(_, ago)| *ago);
+        crashes.truncate(MAX_TOLD);
         Evidence {
             part,
             answers: answers.map_or(0, |answers| answers.count),
-            answered_ago: answers.map(|answers| now.saturating_duration_since(answers.last_at)),
-            crashes: crashes
-                .map(|(crash, at)| (*crash, now.saturating_duration_since(*at)))
-                .collect(),
+            answered_ago: answers.map(|answers| ago(answers.last_at)),
+            crashes,
+            tried_ago: suspect.tried_at.map(ago),
         }
     }
 
@@ -348,6 +367,10 @@
             is_outdated |= Some(at) > last_at && own.is_some_and(|own| own.last_at >= at);
             has_changed |= self.add_crash(part, *crash, at, now);
         }
+        let tried_at = evidence.tried_ago.and_then(|ago| now.checked_sub(ago));
+        if let (Some(suspect), Some(_)) = (self.suspects.get_mut(&part), tried_at) {
+            suspect.tried_at = suspect.tried_at.max(tried_at);
+        }
         if is_outdated && !self.suspects.contains_key(&part) {
             self.suspect(part, 0, now);
             has_changed = true;
@@ -356,27 +379,35 @@
     }
 }
 
+impl Crash {
+    fn is_same(&self, other: &Crash) -> bool {
+        let (earlier, later) = (self.at.min(other.at), self.at.max(other.at));
+        self.server == other.server && later <= earlier + SAME_CRASH
+    }
+}
+
 impl Suspect {
     fn new(now: time::Instant) -> Suspect {
-        Suspect {
-            crashes: collections::BTreeMap::new(),
-            changed_at: now,
-            rejected_at: None,
-            tried_at: None,
-        }
+        Suspect { crashes: Vec::new(), changed_at: now, rejected_at: None, tried_at: None }
+    }
+
+    fn has(&self, crash: &Crash) -> bool {
+        self.crashes.iter().any(|known| known.is_same(crash))
     }
 
     fn drop_oldest(&mut self) {
         while self.crashes.len() > MAX_CRASHES {
-            let oldest = self.crashes.iter().min_by_key(|(_, at)| **at).map(|(crash, _)| *crash);
-            oldest.and_then(|crash| self.crashes.remove(&crash));
+            let ages = self.crashes.iter().enumerate();
+            let oldest = ages.min_by_key(|(_, crash)| crash.at).map(|(index, _)| index);
+            oldest.map(|index| self.crashes.swap_remove(index));
         }
     }
 
     // Time from which the part may be tried again.
     fn trial_at(&self, needed: usize) -> Option<time::Instant> {
         let doublings = self.crashes.len().saturating_sub(needed) as u32;
-        Some(*self.crashes.values().max()? + TERM * 2_u32.pow(doublings))
+        let last = self.crashes.iter().map(|crash| crash.at).max()?;
+        Some(last + TERM * 2_u32.pow(doublings.min(MAX_DOUBLINGS)))
     }
 }
 
--- a/crates/core/tests/suspects.rs
+++ b/crates/core/tests/suspects.rs
@@ -104,6 +104,31 @@
     assert!(known.may_repeat(&[OTHER], now));
 }
 
+// A server that crashes again is counted again, whether or not its new start is registered.
+#[test]
+fn same_server_again() {
+    let (mut known, mut now) = (suspects::Suspects::default(), time::Instant::now());
+    for _ in 0..3 {
+        now += SECOND;
+        known.record_crash(&[DEADLY], 7, now);
+        known.record_crash(&[DEADLY], 7, now + SECOND / 10);
+    }
+    assert!(is_rejected(&known, &[DEADLY], now));
+}
+
+// Entries that hear of a trial wait for its result.
+#[test]
+fn trials_told() {
+    let (mut known, mut now) = (suspects::Suspects::default(), time::Instant::now());
+    crash(&mut known, &[DEADLY], 0..3, &mut now);
+    let mut other = known.clone();
+    now += suspects::TERM;
+    assert_eq!(known.admit(&[DEADLY], lone_turn(), now), Verdict::Trial);
+    known.evidence(8, 0, now).iter().for_each(|evidence| _ = other.merge(evidence, now));
+    assert_ne!(other.admit(&[DEADLY], lone_turn(), now + SECOND), Verdict::Trial);
+    assert_eq!(other.admit(&[DEADLY], lone_turn(), now + SECOND * 10), Verdict::Trial);
+}
+
 #[test]
 fn trusted_parts() {
     let (mut known, mut now) = (suspects::Suspects::default(), time::Instant::now());
@@ -289,7 +314,8 @@
             evidence.iter().for_each(|evidence| _ = entries[to].merge(evidence, now));
         };
         for event in events {
-            now += SECOND / 10;
+            // All within the time in which crashes of one process are the same one.
+            now += SECOND / 100;
             match event {
                 Event::Crash(at, parts, tag) => {
                     entries[at].record_crash(&parts, tag, now);
--- a/crates/e2e/tests/platform_prompts.rs
+++ b/crates/e2e/tests/platform_prompts.rs
@@ -218,3 +218,21 @@
     assert!(asked < 300, "{asked} requests for memory within a second");
     Ok(())
 }
+
+// A rejected part that is sound, or no longer crashes servers, is found out by a trial.
+#[tokio::test]
+async fn wrong_verdict_ends() -> anyhow::Result<()> {
+    let site = start(2).await?;
+    spread_crashes(&site, 12).await?;
+    site.decode.iter().for_each(|engine| engine.set_deadly_part(""));
+    let start = time::Instant::now();
+    let mut number = 0;
+    while send(&site, number, &format!("late-{number}"), &[FIRST, DEADLY]).await?.status != 200 {
+        assert!(start.elapsed() < time::Duration::from_secs(80), "the part is still rejected");
+        tokio::time::sleep(time::Duration::from_millis(100)).await;
+        number += 1;
+    }
+    let reply = send(&site, number + 1, "last", &[FIRST, DEADLY]).await?;
+    assert_eq!(reply.status, 200, "the other entry knows it, too");
+    Ok(())
+}
--- a/crates/edge/src/stream.rs
+++ b/crates/edge/src/stream.rs
@@ -177,7 +177,8 @@
     }
 
     async fn prefill(&mut self) -> flow::Event {
-        if self.is_decode_prefill_faster() {
+        // A trial that crashes its server is to have cost no other one a prefill.
+        if self.call.is_trial || self.is_decode_prefill_faster() {
             tracing::info!(id = self.call.id(), "edge: prefill at the decode engine");
             let tokens = u64::from(self.need.prompt);
             self.call.account().update(|totals| totals.prefill_tokens += tokens);
--- a/crates/edge/src/suspects.rs
+++ b/crates/edge/src/suspects.rs
@@ -24,6 +24,7 @@
             parts = ?call.head.parts,
             "edge: rejected part of prompts tried again"
         );
+        edge.evidence_changed.notify_one();
     }
     refusal(verdict, Outcome::NotRun).map_or(Ok(()), Err)
 }
--- a/crates/wire/src/share.rs
+++ b/crates/wire/src/share.rs
@@ -94,6 +94,8 @@
     pub answered_ms: Option<u64>,
     /// Servers that crashed with such a request since then, and the time since in milliseconds.
     pub crashes: Vec<(ids::ProcessTag, u64)>,
+    /// Time since a request with the part was last sent as a trial in milliseconds.
+    pub tried_ms: Option<u64>,
 }
 
 /// Pieces of evidence in one datagram; with the commitments they fit into one packet.
@@ -110,11 +112,12 @@
 impl From<suspects::Evidence> for Evidence {
     fn from(evidence: suspects::Evidence) -> Evidence {
         let millis = |age: time::Duration| age.as_millis() as u64;
-        let suspects::Evidence { part, answers, answered_ago, crashes } = evidence;
+        let suspects::Evidence { part, answers, answered_ago, crashes, tried_ago } = evidence;
         Evidence {
             part,
             answers,
             answered_ms: answered_ago.map(millis),
+            tried_ms: tried_ago.map(millis),
             crashes: crashes.into_iter().map(|(crash, ago)| (crash, millis(ago))).collect(),
         }
     }
@@ -127,6 +130,7 @@
             part: evidence.part,
             answers: evidence.answers,
             answered_ago: evidence.answered_ms.map(time::Duration::from_millis),
+            tried_ago: evidence.tried_ms.map(time::Duration::from_millis),
             crashes: crashes
                 .map(|(crash, ms)| (*crash, time::Duration::from_millis(*ms)))
                 .collect(),
--- a/crates/wire/tests/shares.rs
+++ b/crates/wire/tests/shares.rs
@@ -49,6 +49,7 @@
         part: u64::MAX - part,
         answers: u32::MAX,
         answered_ms: Some(600_000),
+        tried_ms: Some(600_000),
         crashes: crashes.clone(),
     };
     let mut share = datagram(40, 44);
