Crash engines by prompts and name limits in the soak

Half of the plans have a part that crashes engines and crashes of other causes; all have limits. Entries reach the decode engines of these without relays, which accept connections while an engine refuses them. Two invariants: no more requests with the part after five crashes, and no more requests than a limit allows. A stand-in that crashes no longer completes the stream first.

--- a/crates/e2e/src/site.rs
+++ b/crates/e2e/src/site.rs
@@ -46,11 +46,14 @@
     pub decode: usize,
     /// Whether entries reach the servers and the store through relays.
     pub relays: bool,
+    /// Whether they reach decode engines without relays nevertheless: a relay accepts connections also
+    /// while its engine refuses them.
+    pub direct: bool,
 }
 
 impl Default for Sizes {
     fn default() -> Sizes {
-        Sizes { edges: 1, plain: 2, prefill: 1, decode: 2, relays: false }
+        Sizes { edges: 1, plain: 2, prefill: 1, decode: 2, relays: false, direct: false }
     }
 }
 
@@ -119,7 +122,8 @@
         };
         for backend in site.servers() {
             let address = backend.serve(site.ip(1)).await?;
-            if sizes.relays {
+            let is_direct = sizes.direct && backend.stage().0 == "decode";
+            if sizes.relays && !is_direct {
                 let relay = relay::Relay::start(address).await?;
                 site.relays.insert(backend.id.clone(), relay);
             }
--- a/crates/e2e/tests/platform_eras.rs
+++ b/crates/e2e/tests/platform_eras.rs
@@ -416,6 +416,7 @@
 
 // One engine reads all prompts, so that others are ordered to change their stage.
 async fn start_unbalanced() -> anyhow::Result<site::Site> {
-    let sizes = site::Sizes { edges: 2, plain: 1, prefill: 1, decode: 9, relays: false };
+    let sizes =
+        site::Sizes { edges: 2, plain: 1, prefill: 1, decode: 9, relays: false, direct: false };
     site::Site::start(sizes).await
 }
--- a/crates/fakes/src/backend.rs
+++ b/crates/fakes/src/backend.rs
@@ -53,6 +53,8 @@
     limit: Option<f64>,
     // Id of the part of prompts that crashes the server; empty for none.
     deadly_part: String,
+    // When it crashed by a request with that part.
+    deadly_crashes: Vec<time::Instant>,
 }
 
 /// Maximum size of a request body in bytes; a longer body is read as empty.
@@ -93,6 +95,21 @@
         self.inner.crash.crash();
     }
 
+    // Several requests that begin together cause one crash.
+    fn crash_by_request(&self) {
+        let (mut state, now) = (self.state(), clock::now());
+        if state.deadly_crashes.last().is_none_or(|last| now >= *last + crash::DOWN_TIME) {
+            state.deadly_crashes.push(now);
+        }
+        drop(state);
+        self.crash();
+    }
+
+    /// When it crashed by a request with a part that crashes it.
+    pub fn deadly_crashes(&self) -> Vec<time::Instant> {
+        self.state().deadly_crashes.clone()
+    }
+
     /// Crashes the server from now on whenever it begins to answer a request whose prompt holds
     /// `part` before its last part; never if `part` is empty.
     pub fn set_deadly_part(&self, part: &str) {
@@ -395,7 +412,9 @@
             let _running = running.start();
             if is_deadly {
                 tokio::time::sleep(events::EVENT_INTERVAL).await;
-                return backend.crash();
+                backend.crash_by_request();
+                // An end of the stream would complete the answer before the connection breaks.
+                return sender.closed().await;
             }
             tokio::select! {
                 () = events::send(&sender, first, fault) => {}
--- a/crates/soak/src/arrival_checks.rs
+++ b/crates/soak/src/arrival_checks.rs
@@ -14,6 +14,15 @@
 const DRAIN: time::Duration = time::Duration::from_millis(2_000);
 /// Time for which a disturbance excuses an entry, the platform's `contact_ms`.
 const CONTACT: time::Duration = time::Duration::from_millis(3_000);
+/// Number of crashes by requests with one part after which the entries must know it, and of such
+/// requests that may still reach servers.
+const KNOWN_AFTER: usize = 5;
+const MAX_KNOWN: usize = 3;
+/// Span in which requests to a server with a limit are counted.
+const LIMIT_SPAN: time::Duration = time::Duration::from_secs(4);
+/// Factor and number by which a limit may be exceeded.
+const LIMIT_FACTOR: f64 = 1.5;
+const LIMIT_SLACK: f64 = 5.0;
 /// Number of requests that an entry may send to a server in a pause.
 const MAX_IN_PAUSE: usize = 2;
 
@@ -23,6 +32,8 @@
     violations.extend(check_told(history));
     violations.extend(check_departures(history));
     violations.extend(check_pauses(history));
+    violations.extend(check_isolated(history));
+    violations.extend(check_limits(history));
     violations
 }
 
@@ -159,6 +170,60 @@
     violations
 }
 
+// Checks that requests with the part that crashes engines no longer reach servers.
+fn check_isolated(history: &record::History) -> Vec<Violation> {
+    let Some(known_at) = history.crashes.get(KNOWN_AFTER - 1).map(|at| *at + CONTACT) else {
+        return Vec::new();
+    };
+    let late: Vec<_> = client_arrivals(history)
+        .filter(|(_, arrival, sent)| {
+            arrival.attempt.starts_with(record::DEADLY_PREFIX)
+                && arrival.at > known_at
+                && !has_fault(history, sent.edge, arrival.at - CONTACT, arrival.at)
+        })
+        .map(|(server, arrival, sent)| {
+            let late = arrival.at - known_at;
+            format!("{} from entry {} at {server}, {late:?}", arrival.attempt, sent.edge)
+        })
+        .collect();
+    if late.len() <= MAX_KNOWN {
+        return Vec::new();
+    }
+    let detail = format!("{} requests too late: {late:?}", late.len());
+    vec![Violation { invariant: Invariant::Isolated, detail }]
+}
+
+// Checks that servers get no more requests than the limits that they name. Requests without an
+// attempt id, and those of entries that were not in touch, do not count.
+fn check_limits(history: &record::History) -> Vec<Violation> {
+    let mut violations = Vec::new();
+    for limit in &history.limits {
+        let (from, until) = (limit.from + CONTACT, limit.until);
+        let counted: Vec<_> = client_arrivals(history)
+            .filter(|(server, arrival, sent)| {
+                *server == limit.server
+                    && arrival.at >= from
+                    && until.is_none_or(|until| arrival.at < until)
+                    && !has_fault(history, sent.edge, limit.from, arrival.at)
+            })
+            .map(|(_, arrival, _)| arrival.at)
+            .collect();
+        let within = |at: time::Instant| {
+            counted.iter().filter(|other| **other >= at && **other < at + LIMIT_SPAN).count()
+        };
+        let most = counted.iter().map(|at| within(*at)).max().unwrap_or(0);
+        let allowed = LIMIT_FACTOR * f64::from(limit.rate) * LIMIT_SPAN.as_secs_f64() + LIMIT_SLACK;
+        if most as f64 > allowed {
+            let record::Limit { server, rate, .. } = limit;
+            let detail = format!(
+                "{most} requests in {LIMIT_SPAN:?} at {server}, which takes {rate} a second"
+            );
+            violations.push(Violation { invariant: Invariant::Limited, detail });
+        }
+    }
+    violations
+}
+
 // Whether a server in a pause rejects such a request.
 fn counts_in_pause(arrival: &arrivals::Arrival) -> bool {
     !arrival.misdirected && arrival.is_work()
--- a/crates/soak/src/callers.rs
+++ b/crates/soak/src/callers.rs
@@ -24,12 +24,18 @@
     pub(crate) stopped: atomic::AtomicBool,
     /// Number of the next attempt id.
     pub(crate) next_attempt: atomic::AtomicU64,
+    /// Whether some requests have a part in their prompts that crashes engines.
+    pub(crate) deadly: atomic::AtomicBool,
 }
 
 /// Share of the callers that send all requests to one entry.
 const STAY_RATIO: f64 = 0.5;
 /// Share of the requests that their caller abandons.
 const ABANDON_RATIO: f64 = 0.1;
+/// Share of the model requests with a part that crashes engines, while there is one.
+const DEADLY_RATIO: f64 = 0.1;
+/// Number of other parts that prompts have in common.
+const SOUND_PARTS: u64 = 50;
 /// Time after which a caller abandons a request.
 const ABANDON_AFTER_MS: std::ops::Range<u64> = 10..400;
 /// Pause between two requests of a caller.
@@ -66,7 +72,10 @@
     while !shared.is_stopped() {
         let edge = if stays { home } else { rand::random_range(0..shared.edges.len()) };
         let kind = record::KINDS[rand::random_range(0..record::KINDS.len())];
-        let record = call(&shared, &client, edge, kind).await;
+        let is_deadly = shared.deadly.load(atomic::Ordering::Relaxed)
+            && kind.is_model()
+            && rand::random_bool(DEADLY_RATIO);
+        let record = call(&shared, &client, edge, kind, is_deadly).await;
         shared.history().records.push(record);
         let pause = rand::rng().random_range(PAUSE_MS);
         tokio::time::sleep(time::Duration::from_millis(pause)).await;
@@ -79,10 +88,19 @@
     client: &client::Client,
     edge: usize,
     kind: record::Kind,
+    is_deadly: bool,
 ) -> record::Record {
-    let attempt = format!("s{}", shared.next_attempt.fetch_add(1, atomic::Ordering::Relaxed));
+    let number = shared.next_attempt.fetch_add(1, atomic::Ordering::Relaxed);
+    let prefix = if is_deadly { record::DEADLY_PREFIX } else { "s" };
+    let attempt = format!("{prefix}{number}");
     let body = format!("body of {attempt}");
-    let call = call::Call { path: kind.path(), attempt: &attempt, body: &body, headers: &[] };
+    // Sound requests share their first parts with those that crash engines.
+    let own = number % SOUND_PARTS;
+    let second = if is_deadly { record::DEADLY_PART.to_string() } else { format!("{own:x}") };
+    let prompt = format!("f1:200,{second}:100,{number:x}:50");
+    let headers = [("x-prompt-prefix", prompt.as_str())];
+    let headers = if kind.is_model() { &headers[..] } else { &[] };
+    let call = call::Call { path: kind.path(), attempt: &attempt, body: &body, headers };
     let began = time::Instant::now();
     shared.note_sent(&attempt, edge);
     let abandons = rand::random_bool(ABANDON_RATIO);
--- a/crates/soak/src/injector.rs
+++ b/crates/soak/src/injector.rs
@@ -27,6 +27,8 @@
     restore: Option<task::JoinHandle<()>>,
     // Servers that leave, as their answers or rows say.
     leaving: collections::BTreeSet<usize>,
+    // Starts of the servers, by id.
+    starts: collections::BTreeMap<String, u64>,
 }
 
 /// Time limit of a graceful stop: the grace period of 8 s and a margin.
@@ -50,6 +52,7 @@
             copy,
             restore: None,
             leaving: collections::BTreeSet::new(),
+            starts: collections::BTreeMap::new(),
         }
     }
 
@@ -57,6 +60,7 @@
     pub(crate) async fn wait_until(&mut self, at: tokio::time::Instant) -> anyhow::Result<()> {
         loop {
             self.follow_processes()?;
+            self.follow_servers();
             let now = tokio::time::Instant::now();
             if now >= at {
                 return Ok(());
@@ -106,7 +110,8 @@
                 let server = self.server(number);
                 server.restart();
                 self.leaving.remove(&number);
-                self.site.relays[&server.id].disconnect();
+                self.end_limit(&server.id);
+                self.on_relay(number, relay::Relay::disconnect);
                 self.disturb(Place::Server(server.id.clone()));
                 self.announce(number, true);
             }
@@ -119,7 +124,9 @@
             plan::Change::ReplaceServer(number) => {
                 let server = self.server(number);
                 self.depart(&server.id);
+                self.end_limit(&server.id);
                 self.site.replace_server(&server).await?;
+                self.set_deadly();
                 self.leaving.remove(&number);
             }
             change => self.apply_to_server(change),
@@ -147,18 +154,31 @@
             plan::Change::Pause(number, length) => self.server(number).set_pause(length, None),
             plan::Change::HoldTraffic(number, is_held) => {
                 let mode = if is_held { relay::Mode::Buffer } else { relay::Mode::Forward };
-                self.relay(number).set_modes(mode, mode);
+                self.on_relay(number, |relay| relay.set_modes(mode, mode));
                 self.set_disturbed(Place::Server(self.server(number).id), is_held);
             }
             plan::Change::CloseConnections(number) => {
-                self.relay(number).disconnect();
+                self.on_relay(number, relay::Relay::disconnect);
                 self.disturb(Place::Server(self.server(number).id));
             }
             plan::Change::Blackhole(number) => {
-                self.relay(number).blackhole();
+                self.on_relay(number, relay::Relay::blackhole);
                 self.disturb(Place::Server(self.server(number).id));
             }
-            plan::Change::Double(number, doubles) => self.relay(number).set_doubles(doubles),
+            plan::Change::Double(number, doubles) => {
+                self.on_relay(number, |relay| relay.set_doubles(doubles));
+            }
+            plan::Change::Deadly(is_deadly) => {
+                self.shared.deadly.store(is_deadly, atomic::Ordering::Relaxed);
+                self.set_deadly();
+            }
+            plan::Change::Crash(number) => self.server(number).crash(),
+            plan::Change::Limit(number, 0) => {
+                let server = self.server(number);
+                server.set_limit(None);
+                self.end_limit(&server.id);
+            }
+            plan::Change::Limit(number, rate) => self.limit(&self.server(number), rate),
             plan::Change::Leave(number) => {
                 self.server(number).set_leaving(true);
                 self.leaving.insert(number);
@@ -187,8 +207,46 @@
         self.site.servers()[number].clone()
     }
 
-    fn relay(&self, number: usize) -> &relay::Relay {
-        &self.site.relays[&self.server(number).id]
+    // Applies a change to the relay of a server, if it has one.
+    fn on_relay(&self, number: usize, change: impl Fn(&relay::Relay)) {
+        if let Some(relay) = self.site.relays.get(&self.server(number).id) {
+            change(relay);
+        }
+    }
+
+    fn limit(&self, server: &backend::Backend, rate: u32) {
+        self.end_limit(&server.id);
+        server.set_limit(Some(f64::from(rate)));
+        let (id, from) = (server.id.clone(), time::Instant::now());
+        let limit = record::Limit { server: id, rate, from, until: None };
+        self.shared.history().limits.push(limit);
+    }
+
+    fn end_limit(&self, server: &str) {
+        let now = Some(time::Instant::now());
+        let mut history = self.shared.history();
+        let limits = history.limits.iter_mut().filter(|limit| limit.server == server);
+        limits.for_each(|limit| limit.until = limit.until.or(now));
+    }
+
+    // Makes the engines, also new ones, crash as the plan says.
+    fn set_deadly(&self) {
+        let is_deadly = self.shared.deadly.load(atomic::Ordering::Relaxed);
+        let part = if is_deadly { record::DEADLY_PART } else { "" };
+        self.site.decode.iter().for_each(|engine| engine.set_deadly_part(part));
+    }
+
+    // Writes the rows of engines that have crashed and started again.
+    fn follow_servers(&mut self) {
+        for number in 0..self.site.servers().len() {
+            let server = self.server(number);
+            let known = self.starts.insert(server.id.clone(), server.born());
+            if known.is_some_and(|born| born != server.born()) {
+                self.end_limit(&server.id);
+                self.leaving.remove(&number);
+                self.announce(number, true);
+            }
+        }
     }
 
     // Writes the row of a server to the store, as ready or draining.
@@ -364,7 +422,9 @@
             restore.await?;
         }
         self.apply(plan::Change::Store(store::Mode::Up)).await?;
+        self.apply(plan::Change::Deadly(false)).await?;
         for number in 0..self.site.servers().len() {
+            self.apply(plan::Change::Limit(number, 0)).await?;
             self.apply(plan::Change::ServerFault(number, backend::Fault::None)).await?;
             self.apply(plan::Change::HoldTraffic(number, false)).await?;
             self.apply(plan::Change::Double(number, false)).await?;
--- a/crates/soak/src/invariant.rs
+++ b/crates/soak/src/invariant.rs
@@ -27,6 +27,10 @@
     Leaving,
     /// A server gets at most two requests from an entry in the pause that it asked for.
     Paused,
+    /// After five crashes by requests with one part, no more of these reach servers.
+    Isolated,
+    /// A server that names a limit gets no more requests than that, and half as many.
+    Limited,
     /// An entry never goes back to an older config.
     NoRollback,
     /// Each entry serves all kinds of requests again soon after the last fault.
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -41,6 +41,12 @@
     Pause(usize, time::Duration),
     /// Makes a server send its last answer on a connection again, late; or ends that.
     Double(usize, bool),
+    /// Makes a part of prompts, which some callers send, crash the engines that answer it.
+    Deadly(bool),
+    /// Crashes an engine.
+    Crash(usize),
+    /// Makes a server name a limit in requests a second in all its answers; none if it is 0.
+    Limit(usize, u32),
     /// Makes a server say in its answers that it leaves.
     Leave(usize),
     /// Buffers the traffic of a server in both directions, or forwards it again.
@@ -99,6 +105,13 @@
 const DEPARTURE_MS: std::ops::Range<u64> = 1_500..6_500;
 /// Duration of a pause, beyond the time in which requests may still be on their way (0.5 s).
 const PAUSE_MS: std::ops::Range<u64> = 500..4_000;
+/// Interval between the faults that are drawn apart.
+const LATER_INTERVAL_MS: std::ops::Range<u64> = 300..3_000;
+/// Duration of a limit, beyond the time in which more may still arrive (3 s), and its rate.
+const LIMIT_MS: std::ops::Range<u64> = 2_000..12_000;
+const LIMIT_RATE: std::ops::Range<u32> = 1..15;
+/// Added to the seed for the faults that are drawn apart.
+const LATER_FAULTS: u64 = 0x9e37_79b9_7f4a_7c15;
 /// Time from a copy of the store to the restore from it.
 const COPY_AGE_MS: std::ops::Range<u64> = 500..5_000;
 /// Time after a restore of the store within which the operator and the servers write again.
@@ -148,6 +161,7 @@
             prefill: random.random_range(1..4),
             decode: random.random_range(1..5),
             relays: true,
+            direct: false,
         };
         let callers = random.random_range(6..40);
         Plan::draw_steps(seed, length, sizes, callers, random)
@@ -162,6 +176,7 @@
             prefill: random.random_range(3..6),
             decode: random.random_range(8..13),
             relays: true,
+            direct: false,
         };
         let callers = random.random_range(30..50);
         Plan::draw_steps(seed, length, sizes, callers, random)
@@ -175,7 +190,8 @@
         random: rngs::StdRng,
     ) -> Plan {
         let servers = sizes.plain + sizes.prefill + sizes.decode;
-        let mut generator = Generator { random, edges: sizes.edges, servers, steps: Vec::new() };
+        let (edges, steps) = (sizes.edges, Vec::new());
+        let mut generator = Generator { random, edges, servers, steps };
         let mut at = time::Duration::ZERO;
         loop {
             at += generator.millis(FAULT_INTERVAL_MS);
@@ -184,6 +200,11 @@
             }
             generator.draw_fault(at);
         }
+        // Drawn apart from the others, so that the plans of seeds that have failed stay the same.
+        generator.random = rngs::StdRng::seed_from_u64(seed ^ LATER_FAULTS);
+        let is_deadly = generator.random.random_bool(0.5);
+        let sizes = site::Sizes { direct: is_deadly, ..sizes };
+        generator.draw_later(length, sizes, is_deadly);
         generator.steps.sort_by_key(|step| step.at);
         Plan { seed, length, sizes, callers, steps: generator.steps }
     }
@@ -260,6 +281,31 @@
         }
     }
 
+    // Prompts that crash engines, crashes of other causes, and limits of servers.
+    fn draw_later(&mut self, length: time::Duration, sizes: site::Sizes, is_deadly: bool) {
+        let mut at = self.millis(LATER_INTERVAL_MS);
+        if is_deadly {
+            self.push(at, Change::Deadly(true));
+        }
+        while at < length {
+            let server = self.random.random_range(0..self.servers);
+            let engine = sizes.plain + sizes.prefill + self.random.random_range(0..sizes.decode);
+            match self.random.random_range(0..2) {
+                0 if is_deadly => self.push(at, Change::Crash(engine)),
+                _ => {
+                    let until = at + self.millis(LIMIT_MS);
+                    let rate = self.random.random_range(LIMIT_RATE);
+                    self.push_pair(
+                        [at, until],
+                        Change::Limit(server, rate),
+                        Change::Limit(server, 0),
+                    );
+                }
+            }
+            at += self.millis(LATER_INTERVAL_MS);
+        }
+    }
+
     fn draw_store_fault(&mut self, span: [time::Duration; 2]) {
         let mode = self.pick(&STORE_MODES);
         self.push_pair(span, Change::Store(mode), Change::Store(store::Mode::Up));
--- a/crates/soak/src/record.rs
+++ b/crates/soak/src/record.rs
@@ -21,7 +21,17 @@
 /// All kinds.
 pub const KINDS: [Kind; 4] = [Kind::Safe, Kind::Unsafe, Kind::Resumable, Kind::Stream];
 
+/// Id of the part of prompts that crashes engines.
+pub const DEADLY_PART: &str = "dead";
+/// Prefix of the attempt ids of requests with that part.
+pub const DEADLY_PREFIX: &str = "d";
+
 impl Kind {
+    /// Whether the requests are for model engines.
+    pub fn is_model(self) -> bool {
+        matches!(self, Kind::Resumable | Kind::Stream)
+    }
+
     /// Path of the requests of this kind.
     pub fn path(self) -> &'static str {
         match self {
@@ -181,6 +191,19 @@
     pub until: Option<time::Instant>,
 }
 
+/// Period in which a server named a limit.
+#[derive(Clone, Debug)]
+pub struct Limit {
+    /// Id of the server.
+    pub server: String,
+    /// Requests a second.
+    pub rate: u32,
+    /// When it first named it.
+    pub from: time::Instant,
+    /// When it no longer did; `None` until then.
+    pub until: Option<time::Instant>,
+}
+
 /// Everything that was observed in a soak.
 #[derive(Clone, Debug, Default)]
 pub struct History {
@@ -200,6 +223,10 @@
     pub departures: Vec<Departure>,
     /// What arrived at each server, by its id.
     pub arrivals: collections::BTreeMap<String, Vec<arrivals::Arrival>>,
+    /// Limits that servers named.
+    pub limits: Vec<Limit>,
+    /// When engines crashed by a request.
+    pub crashes: Vec<time::Instant>,
     /// Requests that named the handle of another attempt.
     pub foreign: Vec<handles::Foreign>,
 }
