Report a pause of a server once when several rejections tell it together

Two rejections were on their way when the pause began, and the second made its end later by their distance. The end is still moved, but an end less than 100 ms later is the same pause for the log and the counter.

--- a/crates/core/src/pauses.rs
+++ b/crates/core/src/pauses.rs
@@ -60,6 +60,9 @@
 /// Rounds of a server's slots that all entries together send before it has answered: one runs while
 /// the next is queued.
 pub const TRIAL_ROUNDS: u32 = 2;
+/// Ends of pauses of one process that are closer than this are of one pause; the time left that a
+/// server tells is rounded, and its answers overtake each other.
+pub const SAME_END: time::Duration = time::Duration::from_millis(100);
 /// Time after which requests that are not answered are no longer waited for.
 pub const TRIAL_TIMEOUT: time::Duration = time::Duration::from_millis(1_000);
 /// Time after a pause for which a server without requests is met with care.
@@ -120,7 +123,8 @@
 impl Pauses {
     /// Records that a process asked for a pause of `length`, which is bounded by [`MAX_PAUSE`].
     ///
-    /// Returns the time used if it changes the end: an earlier end does not replace a later one.
+    /// Returns the time used if it is a new pause, or makes the end notably later: rejections that were
+    /// on their way together tell of one pause. An earlier end does not replace a later one.
     pub fn record(
         &mut self,
         process: &Process,
@@ -134,6 +138,7 @@
         if used.is_zero() || old.is_some_and(|old| until <= old.until) {
             return None;
         }
+        let is_known = old.is_some_and(|old| until < old.until + SAME_END);
         let open = old.filter(|old| now < old.resume_at);
         let pause = Pause {
             since: open.map_or(now, |old| old.since),
@@ -147,7 +152,7 @@
             has_ended: false,
         };
         self.pauses.insert(process.clone(), pause);
-        Some(used)
+        (!is_known).then_some(used)
     }
 
     /// Whether no process has a pause, not even one that has ended lately.
--- a/crates/core/tests/pauses.rs
+++ b/crates/core/tests/pauses.rs
@@ -19,6 +19,17 @@
     ("s-0".into(), Some(started_ms))
 }
 
+// Guards against two reports of one pause that two rejections told at the same time.
+#[test]
+fn one_pause_told_twice() {
+    let (mut pauses, now) = (pauses::Pauses::default(), time::Instant::now());
+    let later = now + time::Duration::from_micros(400);
+    assert_eq!(pauses.record(&process(1), SECOND, RETURN, now), Some(SECOND));
+    assert_eq!(pauses.record(&process(1), SECOND, RETURN, later), None);
+    assert!(pauses.closed(&process(1), later + SECOND - time::Duration::from_micros(1)).is_some());
+    assert_eq!(pauses.record(&process(1), 2 * SECOND, RETURN, later), Some(2 * SECOND));
+}
+
 #[test]
 fn longest_counts() {
     let now = time::Instant::now();
