Count a crash once at an entry that reads old datagrams late

Found while reading: crashes of one process were told apart by their times, and an entry that was frozen takes the ages in the datagrams that waited for it for current ones. A crash has a tag now: that of the process, counted up only by an entry that notices a second crash itself.

--- a/crates/core/src/suspects.rs
+++ b/crates/core/src/suspects.rs
@@ -15,6 +15,11 @@
 
 use crate::{answered, ids};
 
+/// Identifies a crash: the tag of the server's process, plus the number of its crashes before, if its
+/// new start was not registered. Ages alone do not tell crashes apart: an entry that was frozen reads
+/// them late.
+pub type CrashTag = u32;
+
 /// What one entry knows of crashes and the parts of prompts.
 #[derive(Clone, Debug, Default)]
 pub struct Suspects {
@@ -25,7 +30,7 @@
 #[derive(Clone, Debug)]
 struct Suspect {
     // Servers that crashed with such a request since one was last answered, and when.
-    crashes: Vec<Crash>,
+    crashes: collections::BTreeMap<CrashTag, time::Instant>,
     // When what is known last changed.
     changed_at: time::Instant,
     // When the part was first rejected.
@@ -34,13 +39,6 @@
     tried_at: Option<time::Instant>,
 }
 
-/// Crash of a server.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-struct Crash {
-    server: ids::ProcessTag,
-    at: time::Instant,
-}
-
 /// Result of a check of a prompt.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Verdict {
@@ -77,7 +75,7 @@
     /// Time since the last of them began, if it is known.
     pub answered_ago: Option<time::Duration>,
     /// Servers that crashed with such a request since then, and the time since.
-    pub crashes: Vec<(ids::ProcessTag, time::Duration)>,
+    pub crashes: Vec<(CrashTag, time::Duration)>,
     /// Time since a request with the part was last admitted as a trial.
     pub tried_ago: Option<time::Duration>,
 }
@@ -101,8 +99,8 @@
 const MAX_DOUBLINGS: u32 = 10;
 /// Time for which a crash counts; longer than the longest term.
 const CRASH_TTL: time::Duration = time::Duration::from_secs(6 * 3_600);
-/// Crashes of one process that are further apart are different ones, though its start may not be
-/// registered yet. All entries notice a crash within this time, and a start takes longer.
+/// Losses at one process that this entry notices further apart are of different crashes. All its
+/// connections break within this time, and a start takes longer.
 const SAME_CRASH: time::Duration = time::Duration::from_millis(800);
 /// Time within which an entry hears of answers that others have begun: some heartbeats.
 pub const SETTLE_TIME: time::Duration = time::Duration::from_secs(2);
@@ -125,18 +123,36 @@
     pub fn record_crash(
         &mut self,
         parts: &[ids::PartTag],
-        crash: ids::ProcessTag,
+        server: ids::ProcessTag,
         now: time::Instant,
     ) {
         let is_known = parts.iter().any(|part| self.has_crash(*part));
         let adds_new = parts.len() <= MAX_NEW_PARTS || !is_known;
         for part in parts {
             if adds_new || self.has_crash(*part) {
+                let crash = self.crash_tag(*part, server, now);
                 self.add_crash(*part, crash, now, now);
             }
         }
     }
 
+    // Tag of the crash of a server in which a request with `part` was lost now.
+    fn crash_tag(
+        &self,
+        part: ids::PartTag,
+        server: ids::ProcessTag,
+        now: time::Instant,
+    ) -> CrashTag {
+        let Some(suspect) = self.suspects.get(&part) else { return server };
+        let is_over =
+            |tag: &CrashTag| suspect.crashes.get(tag).is_some_and(|at| *at + SAME_CRASH < now);
+        let mut tag = server;
+        while is_over(&tag) {
+            tag = tag.wrapping_add(1);
+        }
+        tag
+    }
+
     fn has_crash(&self, part: ids::PartTag) -> bool {
         self.suspects.get(&part).is_some_and(|suspect| !suspect.crashes.is_empty())
     }
@@ -145,7 +161,7 @@
     fn add_crash(
         &mut self,
         part: ids::PartTag,
-        crash: ids::ProcessTag,
+        crash: CrashTag,
         at: time::Instant,
         now: time::Instant,
     ) -> bool {
@@ -155,11 +171,10 @@
         }
         let needed = self.needed(part, now);
         let suspect = self.suspect(part, crash, now);
-        let crash = Crash { server: crash, at };
-        if suspect.has(&crash) {
+        if suspect.crashes.contains_key(&crash) {
             return false;
         }
-        suspect.crashes.push(crash);
+        suspect.crashes.insert(crash, at);
         suspect.changed_at = now;
         suspect.drop_oldest();
         if suspect.crashes.len() >= needed {
@@ -169,12 +184,7 @@
     }
 
     // The suspect `part`, which is added if it is none yet.
-    fn suspect(
-        &mut self,
-        part: ids::PartTag,
-        crash: ids::ProcessTag,
-        now: time::Instant,
-    ) -> &mut Suspect {
+    fn suspect(&mut self, part: ids::PartTag, crash: CrashTag, now: time::Instant) -> &mut Suspect {
         if !self.suspects.contains_key(&part) {
             self.make_room(crash);
         }
@@ -183,7 +193,7 @@
 
     // Removes half of the suspects with the least evidence if there are too many. Each crash leaves
     // other ones, so that a part that is at many crashes is found sooner or later.
-    fn make_room(&mut self, crash: ids::ProcessTag) {
+    fn make_room(&mut self, crash: CrashTag) {
         if self.suspects.len() < MAX_SUSPECTS {
             return;
         }
@@ -217,7 +227,7 @@
     fn clear(&mut self, part: ids::PartTag, at: time::Instant, now: time::Instant) -> bool {
         let Some(suspect) = self.suspects.get_mut(&part) else { return false };
         let before = suspect.crashes.len();
-        suspect.crashes.retain(|crash| crash.at > at);
+        suspect.crashes.retain(|_, crashed_at| *crashed_at > at);
         if suspect.crashes.len() == before {
             return false;
         }
@@ -240,7 +250,9 @@
     fn is_explained(&self, part: ids::PartTag, parts: &[ids::PartTag]) -> bool {
         let Some(suspect) = self.suspects.get(&part) else { return false };
         let others = self.suspects.iter().filter(|(other, _)| !parts.contains(other));
-        others.into_iter().any(|(_, other)| suspect.crashes.iter().all(|crash| other.has(crash)))
+        others
+            .into_iter()
+            .any(|(_, other)| suspect.crashes.keys().all(|crash| other.crashes.contains_key(crash)))
     }
 
     /// Whether a request with these parts may be sent.
@@ -303,7 +315,7 @@
     /// Forgets old crashes; to be called regularly.
     pub fn expire(&mut self, now: time::Instant) {
         self.suspects.retain(|_, suspect| {
-            suspect.crashes.retain(|crash| now < crash.at + CRASH_TTL);
+            suspect.crashes.retain(|_, at| now < *at + CRASH_TTL);
             !suspect.crashes.is_empty() || now < suspect.changed_at + FRESH_TIME
         });
     }
@@ -336,7 +348,7 @@
     fn describe(&self, part: ids::PartTag, suspect: &Suspect, now: time::Instant) -> Evidence {
         let answers = self.answered.get(part, now);
         let ago = |at: time::Instant| now.saturating_duration_since(at);
-        let crashes = suspect.crashes.iter().map(|crash| (crash.server, ago(crash.at)));
+        let crashes = suspect.crashes.iter().map(|(crash, at)| (*crash, ago(*at)));
         let mut crashes: Vec<_> = crashes.collect();
         crashes.sort_by_key(|(_, ago)| *ago);
         crashes.truncate(MAX_TOLD);
@@ -379,35 +391,27 @@
     }
 }
 
-impl Crash {
-    fn is_same(&self, other: &Crash) -> bool {
-        let (earlier, later) = (self.at.min(other.at), self.at.max(other.at));
-        self.server == other.server && later <= earlier + SAME_CRASH
-    }
-}
-
 impl Suspect {
     fn new(now: time::Instant) -> Suspect {
-        Suspect { crashes: Vec::new(), changed_at: now, rejected_at: None, tried_at: None }
-    }
-
-    fn has(&self, crash: &Crash) -> bool {
-        self.crashes.iter().any(|known| known.is_same(crash))
+        Suspect {
+            crashes: collections::BTreeMap::new(),
+            changed_at: now,
+            rejected_at: None,
+            tried_at: None,
+        }
     }
 
     fn drop_oldest(&mut self) {
         while self.crashes.len() > MAX_CRASHES {
-            let ages = self.crashes.iter().enumerate();
-            let oldest = ages.min_by_key(|(_, crash)| crash.at).map(|(index, _)| index);
-            oldest.map(|index| self.crashes.swap_remove(index));
+            let oldest = self.crashes.iter().min_by_key(|(_, at)| **at).map(|(crash, _)| *crash);
+            oldest.and_then(|crash| self.crashes.remove(&crash));
         }
     }
 
     // Time from which the part may be tried again.
     fn trial_at(&self, needed: usize) -> Option<time::Instant> {
         let doublings = self.crashes.len().saturating_sub(needed) as u32;
-        let last = self.crashes.iter().map(|crash| crash.at).max()?;
-        Some(last + TERM * 2_u32.pow(doublings.min(MAX_DOUBLINGS)))
+        Some(*self.crashes.values().max()? + TERM * 2_u32.pow(doublings.min(MAX_DOUBLINGS)))
     }
 }
 
--- a/crates/core/tests/suspects.rs
+++ b/crates/core/tests/suspects.rs
@@ -116,6 +116,26 @@
     assert!(is_rejected(&known, &[DEADLY], now));
 }
 
+// Guards against one crash that counts several times at an entry that was frozen and then reads what
+// others have sent for seconds.
+#[test]
+fn late_datagrams() {
+    let (mut known, mut now) = (suspects::Suspects::default(), time::Instant::now());
+    known.record_crash(&[DEADLY], 7, now);
+    let mut frozen = suspects::Suspects::default();
+    let datagrams: Vec<_> = (0..20)
+        .flat_map(|_| {
+            now += SECOND / 3;
+            known.evidence(8, 0, now)
+        })
+        .collect();
+    datagrams.iter().for_each(|evidence| _ = frozen.merge(evidence, now));
+    let told = frozen.evidence(8, 0, now);
+    assert_eq!(told[0].crashes.len(), 1);
+    told.iter().for_each(|evidence| _ = known.merge(evidence, now));
+    assert_eq!(known.evidence(8, 0, now)[0].crashes.len(), 1);
+}
+
 // Entries that hear of a trial wait for its result.
 #[test]
 fn trials_told() {
--- a/crates/wire/src/share.rs
+++ b/crates/wire/src/share.rs
@@ -93,7 +93,7 @@
     /// Time since the last of them began in milliseconds, if it is known.
     pub answered_ms: Option<u64>,
     /// Servers that crashed with such a request since then, and the time since in milliseconds.
-    pub crashes: Vec<(ids::ProcessTag, u64)>,
+    pub crashes: Vec<(suspects::CrashTag, u64)>,
     /// Time since a request with the part was last sent as a trial in milliseconds.
     pub tried_ms: Option<u64>,
 }
