End a resumed stream that has nothing left as complete

It is complete: the caller has all events. nothing_left got 502 or a cut stream before and the empty stream now; streams without ids of events, and an answer that ends before anything, are in platform_bytes.

--- a/crates/e2e/tests/platform_bytes.rs
+++ b/crates/e2e/tests/platform_bytes.rs
@@ -127,11 +127,17 @@
     raw.set_answer(raw::Answer::Unframed(whole.clone()));
     let reply = site.edges[0].call(Method::POST, site::STREAM, "whole", "b").await?;
     assert_eq!((reply.status, reply.body.as_deref()), (200, Some(whole.as_str())));
+    // Events need no ids.
+    let unnumbered = "data: a\n\ndata: b\n\n".to_string();
+    raw.set_answer(raw::Answer::Unframed(unnumbered.clone()));
+    let reply = site.edges[0].call(Method::POST, site::STREAM, "unnumbered", "b").await?;
+    assert_eq!((reply.status, reply.body.as_deref()), (200, Some(unnumbered.as_str())));
     let partial = whole[..whole.len() - 5].to_string();
     for answer in [
         raw::Answer::Unframed(partial.clone()),
         raw::Answer::Reset(partial),
         raw::Answer::Reset(whole.clone()),
+        raw::Answer::Unframed(String::new()),
     ] {
         raw.set_answer(answer.clone());
         let attempt = format!("cut-{}", rand::random::<u32>());
--- a/crates/e2e/tests/platform_streams.rs
+++ b/crates/e2e/tests/platform_streams.rs
@@ -180,3 +180,16 @@
     assert_eq!(site.runs("late"), 0);
     Ok(())
 }
+
+// Guards against a resumed stream that is cut off though its caller has all events already.
+#[tokio::test]
+async fn nothing_left() -> anyhow::Result<()> {
+    let site = site::Site::start(site::Sizes::default()).await?;
+    let last = (backend::EVENTS - 1).to_string();
+    let headers = [("last-event-id", last.as_str())];
+    let edge = &site.edges[0];
+    let reply = edge.call_with(Method::POST, site::RESUMABLE, "a1", "b", &headers).await?;
+    assert_eq!((reply.status, reply.body.as_deref()), (200, Some("")));
+    assert_eq!(site.runs("a1"), 1);
+    Ok(())
+}
--- a/crates/edge/src/stream.rs
+++ b/crates/edge/src/stream.rs
@@ -474,12 +474,17 @@
                     );
                     return self.lost(target).await;
                 }
-                // Not even one event is no answer: the server ended before it.
-                responder::WaitOutcome::Event(reader::Item::End) if self.run_events == 0 => {
+                // Without an event there is no answer, unless the caller has them all already.
+                responder::WaitOutcome::Event(reader::Item::End)
+                    if self.run_events == 0 && self.last_event.is_none() =>
+                {
                     tracing::info!(id = self.call.id(), server, "edge: stream without an event");
                     return self.lost(target).await;
                 }
                 responder::WaitOutcome::Event(reader::Item::End) => {
+                    if !self.responder.has_started() {
+                        self.responder.start_stream(head.clone());
+                    }
                     if (1..suspects::BEGUN_EVENTS).contains(&self.run_events) {
                         suspects::record_answer(&self.call);
                     }
