Find the server of a limit that a peer tells by an index

Found while reading: each limit in each datagram was looked up by hashing the names of all servers, at the target 12,000 times eight times a datagram, while any server had a limit. The directory keeps the tags of the processes now. No behaviour changes; not measured at that size.

--- a/crates/edge/src/directory.rs
+++ b/crates/edge/src/directory.rs
@@ -60,6 +60,8 @@
     pub(crate) rows: rows::Rows,
     pub(crate) fleet: fleet::Fleet,
     fleet_known: bool,
+    // Servers by the tags of their processes.
+    processes: collections::BTreeMap<ids::ProcessTag, ids::ServerName>,
     services: collections::BTreeMap<ids::ServiceName, Service>,
     /// Number of entries that share the retry budget, this one included, if it is known.
     pub(crate) entry_count: Option<u32>,
@@ -131,6 +133,7 @@
             rows: rows::Rows::default(),
             fleet: fleet::Fleet::default(),
             fleet_known: false,
+            processes: collections::BTreeMap::new(),
             services: collections::BTreeMap::new(),
             entry_count: None,
             place: Place::default(),
@@ -244,6 +247,7 @@
     }
 
     fn remove_server(&mut self, id: &str) {
+        self.processes.retain(|_, known| known != id);
         for service in self.services.values_mut() {
             service.pool.remove(id);
             service.engines.remove(id);
@@ -252,6 +256,11 @@
 
     fn update_server(&mut self, id: &str) {
         let Some(instance) = self.fleet.get(id).cloned() else { return };
+        let process = ids::process_tag(id, instance.started_ms);
+        if self.processes.get(&process).is_none_or(|known| known != id) {
+            self.processes.retain(|_, known| known != id);
+            self.processes.insert(process, id.to_string());
+        }
         let config = self.config.clone();
         let engine = config
             .as_ref()
@@ -334,11 +343,8 @@
 
     /// The registered server whose process has this tag.
     pub(crate) fn target_of(&self, process: ids::ProcessTag) -> Option<Target> {
-        let is_process = |(id, instance): &(&ids::ServerName, &fleet::Instance)| {
-            ids::process_tag(id, instance.started_ms) == process
-        };
-        let (id, _) = self.fleet.instances().iter().find(is_process)?;
-        self.target(id)
+        let target = self.target(self.processes.get(&process)?);
+        target.filter(|target| target.process_tag() == process)
     }
 
     /// This entry's part of the limit of a server.
