--- a/crates/edge/src/reservation.rs
+++ b/crates/edge/src/reservation.rs
@@ -169,7 +169,7 @@
         }
         let wake_at = until.min(clock::now() + RECHECK_INTERVAL);
         let waiting = async {
-            // The slots of servers that were not available have just been freed again.
+            // Giving up the slots of unavailable servers has notified this request as well.
             match unavailable.is_empty() {
                 true => slot_freed.await,
                 false => future::pending().await,
--- a/crates/edge/src/stream.rs
+++ b/crates/edge/src/stream.rs
@@ -177,7 +177,7 @@
     }
 
     async fn prefill(&mut self) -> flow::Event {
-        // A trial that crashes its server is to have cost no other one a prefill.
+        // The decode engine of a trial reads the prompt itself, so that no other server is involved.
         if self.call.is_trial || self.is_decode_prefill_faster() {
             tracing::info!(id = self.call.id(), "edge: prefill at the decode engine");
             let tokens = u64::from(self.need.prompt);
@@ -474,7 +474,7 @@
                     );
                     return self.lost(target).await;
                 }
-                // Without an event there is no answer, unless the caller has them all already.
+                // A stream without an event is no answer, unless the caller has all events already.
                 responder::WaitOutcome::Event(reader::Item::End)
                     if self.run_events == 0 && self.last_event.is_none() =>
                 {
--- a/crates/fakes/src/backend.rs
+++ b/crates/fakes/src/backend.rs
@@ -413,7 +413,7 @@
             if is_deadly {
                 tokio::time::sleep(events::EVENT_INTERVAL).await;
                 backend.crash_by_request();
-                // An end of the stream would complete the answer before the connection breaks.
+                // Dropping the sender would complete the answer before the connection breaks.
                 return sender.closed().await;
             }
             tokio::select! {
