Recognize customers by their keys on the users' platform

Cause: the configuration's customers were not read, so a request without a known key ran, and servers got the caller's key and whatever customer it named. Change: core::customers keeps customers by digests of their keys; an entry rejects a request without a known key at once (401), removes the key, and names the customer to servers itself. A route may be public. The rank of a call is the customer's, else the route's.

--- a/crates/core/src/ids.rs
+++ b/crates/core/src/ids.rs
@@ -8,6 +8,8 @@
 pub type ServiceName = String;
 /// Name of a caller in the service list.
 pub type CallerName = String;
+/// Name of a customer.
+pub type CustomerName = String;
 /// Name of an availability zone.
 pub type ZoneName = String;
 /// Hash of the name of an availability zone.
--- a/crates/core/src/routing.rs
+++ b/crates/core/src/routing.rs
@@ -2,7 +2,7 @@
 
 use std::{collections, time};
 
-use crate::ids;
+use crate::{customers, ids, urgency};
 
 /// Name of a route.
 pub type RouteName = String;
@@ -56,8 +56,10 @@
     pub target: time::Duration,
     /// Longest gap between the events of a stream that meets its target, where the route sets one.
     pub max_gap: Option<time::Duration>,
-    /// Priority; 0 is the most urgent.
-    pub priority: u8,
+    /// Rank of its requests, unless their customer has one.
+    pub rank: urgency::Rank,
+    /// Whether its requests need no key of a customer.
+    pub is_public: bool,
     /// Services of the route, with their weights.
     pub splits: Vec<Split>,
     /// Maximum number of servers at which one request may run.
@@ -124,6 +126,8 @@
     pub routes: Vec<Route>,
     /// Services by name.
     pub services: collections::BTreeMap<ids::ServiceName, Service>,
+    /// Customers; without any, all requests are served.
+    pub customers: customers::Customers,
     /// Limits on what callers send.
     pub limits: Limits,
 }
--- a/crates/core/tests/routing.rs
+++ b/crates/core/tests/routing.rs
@@ -2,7 +2,7 @@
 
 use std::{collections, time};
 
-use rhubarb_core::routing;
+use rhubarb_core::{customers, routing};
 
 fn route(name: &str, host: &str, prefix: &str) -> routing::Route {
     routing::Route {
@@ -13,7 +13,8 @@
         timeout: time::Duration::from_secs(1),
         target: time::Duration::from_millis(300),
         max_gap: None,
-        priority: 1,
+        rank: 1,
+        is_public: false,
         splits: vec![routing::Split { service: "board".into(), weight: 1 }],
         attempts: 2,
     }
@@ -27,6 +28,7 @@
             route("long", "a.example", "/x/y/"),
             route("other", "b.example", "/x/y/z/"),
         ],
+        customers: customers::Customers::default(),
         services: collections::BTreeMap::new(),
         limits: routing::Limits { header_bytes: 1, body_bytes: 1 },
     }
--- a/crates/edge/src/call.rs
+++ b/crates/edge/src/call.rs
@@ -5,7 +5,7 @@
 use bytes::Bytes;
 use hyper::header;
 
-use rhubarb_core::{cause, flow, ids, outcome, pool, routing};
+use rhubarb_core::{cause, flow, ids, outcome, pool, routing, urgency};
 use rhubarb_node::{clock, metrics};
 use rhubarb_platform::request;
 
@@ -22,6 +22,8 @@
     /// Version of the config that it was routed with.
     pub(crate) version: ids::ListVersion,
     pub(crate) arrived: time::Instant,
+    /// Rank among the requests that compete with it: the customer's, else the route's.
+    pub(crate) rank: urgency::Rank,
     /// Address from which the caller sent it.
     pub(crate) caller: Option<net::IpAddr>,
     /// Whether its timeout indicates the retry of a refused request, which can no longer meet its
--- a/crates/edge/src/ingress.rs
+++ b/crates/edge/src/ingress.rs
@@ -38,7 +38,7 @@
     let arrived = clock::now();
     edge.counters.requests.received.inc();
     let (parts, body) = request.into_parts();
-    let head = request::Head::read(&parts);
+    let mut head = request::Head::read(&parts);
     let caller = parts.extensions.get().map(|server::Peer(address)| address.ip());
     let attempt_id = head.attempt_id.clone();
     let refuse = |refusal| refuse::ingress_response(edge, attempt_id.as_ref(), refusal);
@@ -48,6 +48,15 @@
     let Some(route) = config.route(&head.host, &head.path).cloned() else {
         return refuse(Refusal::permanent(Reason::NoService));
     };
+    let customer = if route.is_public || config.customers.is_empty() {
+        None
+    } else {
+        match config.customers.identify(head.key) {
+            Ok(customer) => Some(customer),
+            Err(refusal) => return refuse(refusal),
+        }
+    };
+    head.customer = customer.as_ref().map(|customer| customer.name.clone());
     let Some(service) = route.service(rand::random()).cloned() else {
         return refuse(Refusal::not_run(Reason::NoServer, CONFIG_RETRY));
     };
@@ -72,6 +81,7 @@
     start(call::Call {
         is_retry,
         is_trial: false,
+        rank: customer.and_then(|customer| customer.rank).unwrap_or(route.rank),
         causes: sync::OnceLock::new(),
         edge: edge.clone(),
         deadline: arrived + timeout,
--- a/crates/edge/src/refuse.rs
+++ b/crates/edge/src/refuse.rs
@@ -45,6 +45,8 @@
         id = call.id(),
         route = call.route.name,
         config = call.version,
+        customer = call.head.customer,
+        rank = call.rank,
         reason = refusal.reason.name(),
         outcome = refusal.outcome.name(),
         is_retry = call.is_retry,
@@ -90,6 +92,8 @@
         (Reason::CrashingPrompt | Reason::CrashingRequest, _) if refusal.retry.is_none() => {
             StatusCode::BAD_REQUEST
         }
+        (Reason::UnknownCaller, _) => StatusCode::UNAUTHORIZED,
+        (Reason::OverRate, Outcome::NotRun) => StatusCode::TOO_MANY_REQUESTS,
         (Reason::BadRequest, _) => StatusCode::BAD_REQUEST,
         (Reason::TooLarge, _) => StatusCode::PAYLOAD_TOO_LARGE,
         (_, Outcome::NotRun) => StatusCode::SERVICE_UNAVAILABLE,
