Pass on removals that are applied after newer rows

Now only the end of a batch raises that version. What makes an era over is still the first row of the next one.

Ruled out: the feed, whose rows come in the order of their versions; a peer that has read the whole table, whose removals have the version of that read, which is newer than what its peers know.

`copied_between_rows` and `era_begun_by_row` in core failed before the change and pass after it. `lower_version_applied` asserted that one row alone raises the version; it now ends the batch first, as followers do, and asserts the same.

--- a/crates/core/src/row_stamps.rs
+++ b/crates/core/src/row_stamps.rs
@@ -27,7 +27,6 @@
             return false;
         }
         self.unproven.remove(key);
-        self.complete = self.complete.max(stamp);
         self.newest_change = self.newest_change.max(stamp);
         let (target, other) = match exists {
             true => (&mut self.rows, &mut self.removed),
@@ -41,7 +40,11 @@
     // Whether the newest state of a row is known. Rows of an era that is over are obsolete.
     fn is_known(&self, key: &str, stamp: stamp::Stamp) -> bool {
         let known = self.rows.get(key).max(self.removed.get(key));
-        known.is_some_and(|known| *known >= stamp) || stamp.era < self.complete.era
+        known.is_some_and(|known| *known >= stamp) || self.is_over(stamp.era)
+    }
+
+    fn is_over(&self, era: stamp::Era) -> bool {
+        era < self.complete.era.max(self.newest_change.era)
     }
 
     // A row of the copy was written before its removal, so its version is lower.
@@ -61,7 +64,7 @@
     /// Records that a row does not exist as of `stamp`; true if it was known.
     pub fn remove(&mut self, key: &str, stamp: stamp::Stamp) -> bool {
         let known = self.rows.get(key).max(self.removed.get(key));
-        if known.is_some_and(|known| *known > stamp) || stamp.era < self.complete.era {
+        if known.is_some_and(|known| *known > stamp) || self.is_over(stamp.era) {
             return false;
         }
         let is_known = self.rows.remove(key).is_some();
@@ -83,7 +86,8 @@
         self.rows.iter().filter(is_missing).map(|(key, _)| key.clone()).collect()
     }
 
-    /// Records that all rows are known as of `stamp`.
+    /// Records that all rows are known as of `stamp`. A row alone does not show that, as rows of one
+    /// batch come in any order and copies are taken between them.
     pub fn set_complete(&mut self, stamp: stamp::Stamp) {
         self.complete = self.complete.max(stamp);
     }
--- a/crates/core/tests/row_stamps.rs
+++ b/crates/core/tests/row_stamps.rs
@@ -51,6 +51,7 @@
     read(&mut stamps, &[("a", 90), ("b", 95)], at(1, 100));
     read(&mut stamps, &[("a", 40), ("b", 50)], at(2, 60));
     assert!(stamps.update("a", at(2, 61), true));
+    stamps.set_complete(at(2, 61));
     assert_eq!((stamps.complete(), stamps.newest_change()), (at(2, 61), at(2, 61)));
 }
 
@@ -96,6 +97,53 @@
     assert!(stamps.update("gone", at(2, 91), true), "no row of the copy is newer than its removal");
 }
 
+// Copies what `from` has over `to`, which knows all rows as of `after`, as a peer does.
+fn copy(
+    from: &row_stamps::RowStamps,
+    to: &mut row_stamps::RowStamps,
+    rows: &[(&str, u64)],
+    after: stamp::Stamp,
+) {
+    for (key, version) in rows.iter().filter(|(_, version)| at(0, *version) > after) {
+        to.update(key, at(0, *version), true);
+    }
+    for (key, removed) in from.removed_since(after) {
+        to.remove(key, *removed);
+    }
+    to.set_complete(from.complete());
+}
+
+// Guards against a removal that a peer never learns: it copied the rows of a batch between a newer
+// row and the removal, and took itself to know all that is older than the row.
+#[test]
+fn copied_between_rows() {
+    let mut first = row_stamps::RowStamps::default();
+    read(&mut first, &[("a", 40), ("gone", 50)], at(0, 60));
+    let mut peer = first.clone();
+    assert!(first.update("a", at(0, 70), true));
+    let known = peer.complete();
+    copy(&first, &mut peer, &[("a", 70), ("gone", 50)], known);
+    assert!(peer.complete() < at(0, 65), "it does not know all as of 65");
+    assert!(first.update("gone", at(0, 65), false));
+    first.set_complete(at(0, 70));
+    assert!(peer.complete() < first.newest_change(), "it copies again");
+    let known = peer.complete();
+    copy(&first, &mut peer, &[("a", 70)], known);
+    assert!(!peer.missing_from(&["a"].into(), at(0, 70)).contains(&"gone".to_string()));
+    assert_eq!(peer.complete(), at(0, 70));
+}
+
+// An era is over as soon as one row of the next is known, though not all are.
+#[test]
+fn era_begun_by_row() {
+    let mut stamps = row_stamps::RowStamps::default();
+    read(&mut stamps, &[("a", 40), ("b", 50)], at(1, 60));
+    assert!(stamps.update("a", at(2, 30), true));
+    assert!(!stamps.update("b", at(1, 90), true));
+    assert!(!stamps.remove("b", at(1, 90)));
+    assert_eq!(stamps.complete(), at(1, 60));
+}
+
 proptest! {
     #![proptest_config(random::config(256))]
 
