Weigh what engines keep of a prompt in the choice of the prefill engine

Cause: a prompt goes to the engine of the shortest wait, also where another of like wait holds its first parts and need not read them again.

Change: each entry notes which beginnings its requests have left at which engines, bounded, and tells its cell those that several prompts had, in its heartbeats. The steps that are saved weigh against the steps of the wait; among like waits the engine that keeps more is preferred. The committed prefill time and the decode engine's own reading count what is kept. The format of datagrams becomes 6. Requests without shared parts are placed as before.

--- a/crates/core/src/engines.rs
+++ b/crates/core/src/engines.rs
@@ -3,7 +3,7 @@
 //! Engines report their load with a delay. An entry therefore counts the work that it has sent
 //! itself and adds the commitments that its peers report.
 
-use std::{collections, time};
+use std::{cmp, collections, time};
 
 use crate::{cells, engine, fleet, ids, pauses, reports, stages};
 
@@ -431,13 +431,16 @@
 
     /// Chooses the prefill engine with the shortest backlog; one outside `zone` gets a penalty.
     ///
-    /// `allowed` limits the choice, and `draw` breaks ties. Returns the engine and the expected
-    /// time until it has read the prompt.
+    /// `allowed` limits the choice, `kept` tells the tokens of the prompt that an engine need not read,
+    /// and `draw` breaks ties. Of engines with like waits one that keeps more is preferred; what it
+    /// saves weighs against a longer wait. Returns the engine and the expected time until it has read
+    /// the prompt.
     pub fn pick_prefill(
         &self,
         tokens: u32,
         zone: &str,
         allowed: impl Fn(&str) -> bool,
+        kept: impl Fn(&str) -> u32,
         draw: u64,
         now: time::Instant,
     ) -> Option<(ids::ServerName, time::Duration)> {
@@ -447,10 +450,15 @@
         };
         let sources = self.available(fleet::Stage::Prefill, now);
         let sources = sources.filter(|(id, engine)| engine.is_reported(now) && allowed(id));
-        let step = |engine: &engine::Engine| wait(engine).as_millis() / PREFILL_STEP.as_millis();
-        let (id, engine) =
-            sources.min_by_key(|(id, engine)| (step(engine), tie_break(id, draw)))?;
-        let expected = engine.prefill_backlog(now) + prefill_time(tokens);
+        let rank = |id: &str, engine: &engine::Engine| {
+            let kept = kept(id).min(tokens);
+            let saved = prefill_time(tokens) - prefill_time(tokens - kept);
+            let steps = |time: time::Duration| (time.as_millis() / PREFILL_STEP.as_millis()) as i64;
+            (steps(wait(engine)) - steps(saved), cmp::Reverse(kept), tie_break(id, draw))
+        };
+        let (id, engine) = sources.min_by_key(|(id, engine)| rank(id, engine))?;
+        let read = tokens - kept(id).min(tokens);
+        let expected = engine.prefill_backlog(now) + prefill_time(read);
         Some((id.clone(), expected))
     }
 
@@ -471,19 +479,22 @@
     }
 
     /// Shortest expected time until a prefill engine, of the version `software` if one is given, has
-    /// read a prompt of `tokens`.
+    /// read a prompt of `tokens`, without those that it has `kept`.
     pub fn shortest_prefill(
         &self,
         tokens: u32,
         software: Option<ids::SoftwareTag>,
+        kept: impl Fn(&str) -> u32,
         now: time::Instant,
     ) -> Option<time::Duration> {
         let sources = self.available(fleet::Stage::Prefill, now);
         let is_alike =
             |engine: &engine::Engine| software.is_none_or(|wanted| engine.software == wanted);
         let known = sources.filter(|(_, engine)| engine.is_reported(now) && is_alike(engine));
-        let wait = known.map(|(_, engine)| engine.prefill_backlog(now)).min();
-        wait.map(|wait| wait + prefill_time(tokens))
+        let time = |id: &str, engine: &engine::Engine| {
+            engine.prefill_backlog(now) + prefill_time(tokens.saturating_sub(kept(id)))
+        };
+        known.map(|(id, engine)| time(id, engine)).min()
     }
 
     /// Updates the mean time per token with an answer of `tokens`; `duration` is the time from
--- a/crates/core/src/ids.rs
+++ b/crates/core/src/ids.rs
@@ -20,6 +20,8 @@
 pub type ProcessTag = u32;
 /// Identifies a part of prompts, which many prompts may share.
 pub type PartTag = u64;
+/// Hash of the first parts of a prompt, in order.
+pub type BeginningTag = u64;
 /// Name of a version of the software of backend servers.
 pub type SoftwareName = String;
 /// Hash of a service and a version of its servers' software.
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod abandoned;
 pub mod answered;
 pub mod backoff;
+pub mod beginnings;
 pub mod budget;
 pub mod cause;
 pub mod cells;
--- a/crates/core/tests/engines.rs
+++ b/crates/core/tests/engines.rs
@@ -48,6 +48,11 @@
     true
 }
 
+// Tokens that an engine keeps of a prompt.
+fn nothing(_: &str) -> u32 {
+    0
+}
+
 #[test]
 fn full_memory_refuses() {
     let now = time::Instant::now();
@@ -151,7 +156,7 @@
     let mut engines = engines(2, 1);
     engines.set_changing("p-0", now + 1_000 * MILLI);
     for draw in 0..20 {
-        let (id, _) = engines.pick_prefill(1_000, "hall-a", any, draw, now).unwrap();
+        let (id, _) = engines.pick_prefill(1_000, "hall-a", any, nothing, draw, now).unwrap();
         assert_eq!(id, "p-1");
     }
     let candidates = engines.candidates(now);
@@ -165,7 +170,7 @@
     let mut engines = engines(2, 1);
     engines.record_prefill("p-0", 6_600, now);
     for draw in 0..20 {
-        let (id, wait) = engines.pick_prefill(3_300, "hall-a", any, draw, now).unwrap();
+        let (id, wait) = engines.pick_prefill(3_300, "hall-a", any, nothing, draw, now).unwrap();
         assert_eq!(id, "p-1");
         assert!(wait < 150 * MILLI, "{wait:?}");
     }
@@ -177,17 +182,17 @@
     let now = time::Instant::now();
     let mut engines = engines(1, 1);
     assert!(
-        engines.shortest_prefill(3_300, None, now).unwrap()
+        engines.shortest_prefill(3_300, None, nothing, now).unwrap()
             < engines::Engines::decode_prefill_time(3_300)
     );
     for _ in 0..5 {
         engines.record_prefill("p-0", 3_300, now);
     }
     assert!(
-        engines.shortest_prefill(3_300, None, now).unwrap()
+        engines.shortest_prefill(3_300, None, nothing, now).unwrap()
             > engines::Engines::decode_prefill_time(3_300)
     );
-    assert_eq!(engines::Engines::default().shortest_prefill(3_300, None, now), None);
+    assert_eq!(engines::Engines::default().shortest_prefill(3_300, None, nothing, now), None);
 }
 
 #[test]
--- a/crates/core/tests/pauses.rs
+++ b/crates/core/tests/pauses.rs
@@ -165,8 +165,8 @@
         engines.set_paused(id, closed(now, now + SECOND));
     }
     assert_eq!(engines.reserve(position(2), need, |_| true, 0, now), None);
-    assert_eq!(engines.pick_prefill(1_000, "hall-a", |_| true, 0, now), None);
-    assert_eq!(engines.shortest_prefill(1_000, None, now), None);
+    assert_eq!(engines.pick_prefill(1_000, "hall-a", |_| true, |_| 0, 0, now), None);
+    assert_eq!(engines.shortest_prefill(1_000, None, |_| 0, now), None);
     assert_eq!(engines.paused(fleet::Stage::Decode, now), closed(now, now + SECOND));
     // The planner counts it, and gives it no order.
     let candidates = engines.candidates(now);
--- a/crates/edge/src/directory.rs
+++ b/crates/edge/src/directory.rs
@@ -3,8 +3,8 @@
 use std::{collections, net, sync, time};
 
 use rhubarb_core::{
-    cells, demand, engines, fleet, ids, load, pauses, pool, queue_limit, quotas, releases, retry,
-    retry_detector, routing, stamp,
+    beginnings, cells, demand, engines, fleet, ids, load, pauses, pool, queue_limit, quotas,
+    releases, retry, retry_detector, routing, stamp,
 };
 use rhubarb_wire::share;
 
@@ -15,6 +15,7 @@
 pub(crate) struct Service {
     pub(crate) pool: pool::Pool,
     pub(crate) engines: engines::Engines,
+    pub(crate) beginnings: beginnings::Beginnings,
     pub(crate) retry_budget: retry::SharedBudget,
     pub(crate) demand: demand::Demand,
     queue_limit: queue_limit::QueueLimit,
@@ -287,6 +288,7 @@
         for service in self.services.values_mut() {
             service.pool.remove(id);
             service.engines.remove(id);
+            service.beginnings.remove(id);
         }
     }
 
@@ -318,6 +320,9 @@
         service.pool.set_leaving(id, instance.leaving);
         if let Some(engine) = engine {
             service.engines.set(id, &instance, engine.slots, engine.memory);
+            if let Some(stage) = instance.stage {
+                service.beginnings.set(id, (process, software), stage, engine.memory);
+            }
         }
     }
 
@@ -329,6 +334,7 @@
         let new_service = || Service {
             pool: new_pool(zone),
             engines,
+            beginnings: beginnings::Beginnings::default(),
             retry_budget: retry::SharedBudget::new(retry_limits),
             demand: demand::Demand::default(),
             queue_limit: queue_limit::QueueLimit::default(),
@@ -365,6 +371,17 @@
         self.config.as_ref()?.services.get(service)?.engine.as_ref()
     }
 
+    /// Tokens of a prompt that engines of a service are expected to keep.
+    pub(crate) fn kept(
+        &mut self,
+        service: &str,
+        prompt: &[beginnings::Beginning],
+        now: time::Instant,
+    ) -> collections::BTreeMap<ids::ServerName, u32> {
+        let entries = self.place.peers + 1;
+        self.service(service).beginnings.kept(prompt, entries, now)
+    }
+
     /// Time that an engine of a service takes to change its stage.
     pub(crate) fn switch_time(&self, service: &str) -> time::Duration {
         self.engine(service).map_or(time::Duration::ZERO, |engine| engine.switch_time)
--- a/crates/edge/src/metrics.rs
+++ b/crates/edge/src/metrics.rs
@@ -25,6 +25,7 @@
     pub(crate) shares_sent: counter::Counter,
     pub(crate) bytes_sent: counter::Counter,
     pub(crate) engine_full: counter::Counter,
+    pub(crate) kept_tokens: counter::Counter,
     pub(crate) stray_responses: counter::Counter,
     pub(crate) leaving: SourceFamily,
     pub(crate) pauses: counter::Counter,
@@ -48,6 +49,10 @@
             bytes_sent: registry.counter("share_bytes_sent", "Bytes of these datagrams"),
             engine_full: registry
                 .counter("engine_full", "Times that an engine had no memory to set aside"),
+            kept_tokens: registry.counter(
+                "kept_tokens",
+                "Tokens of prompts that the engines which were to read them were expected to keep",
+            ),
             stray_responses: registry
                 .counter("stray_responses", "Answers of servers that belonged to another request"),
             leaving: registry
--- a/crates/edge/src/peers.rs
+++ b/crates/edge/src/peers.rs
@@ -4,7 +4,7 @@
 
 use tokio::net as tokio_net;
 
-use rhubarb_core::{cells, ids, members, reports};
+use rhubarb_core::{beginnings, cells, ids, members, reports};
 use rhubarb_node::clock;
 use rhubarb_wire::{origins as wire_origins, share};
 
@@ -188,6 +188,10 @@
         if service.engines.has_queue() {
             share.waiting.insert(name.clone());
         }
+        if is_heartbeat && share.kept.len() < beginnings::MAX_TOLD {
+            share.kept.append(&mut service.beginnings.take_news(now));
+            share.kept.truncate(beginnings::MAX_TOLD);
+        }
         let usage = service.engines.usage(now);
         if usage.prompts > 0 {
             share.usage.insert(name.clone(), usage);
@@ -331,6 +335,9 @@
         for tag in &share.full {
             engines.set_full_for_peer(*tag, now);
         }
+        for place in share.kept.iter().take(beginnings::MAX_TOLD) {
+            service.beginnings.record_told(*place, now);
+        }
         for tag in &share.changing {
             if let Some(id) = engines.name(*tag).cloned() {
                 engines.set_changing(&id, now + CHANGING_TTL);
--- a/crates/edge/src/prefill.rs
+++ b/crates/edge/src/prefill.rs
@@ -2,7 +2,7 @@
 
 use std::{sync, time};
 
-use rhubarb_core::{fleet, ids, outcome, pool};
+use rhubarb_core::{engines, fleet, ids, outcome, pool};
 use rhubarb_node::{clock, metrics, responder};
 use rhubarb_platform::{engine, request, response as platform_response};
 
@@ -117,10 +117,12 @@
     tried: &[ids::ServerName],
 ) -> PrefillResult {
     let call = prompt.call;
-    let Some((target, expected)) = choose(prompt, tried) else {
+    let Some(Choice { target, expected, kept }) = choose(prompt, tried) else {
         return PrefillResult::Failed(None, Refusal::not_run(Reason::NoServer, RETRY_SOON));
     };
-    let deadline = call.deadline.min(clock::now() + expected * 2 + TIMEOUT_MARGIN);
+    // What was expected to be kept may have to be read.
+    let longest = expected + engines::prefill_time(kept);
+    let deadline = call.deadline.min(clock::now() + longest * 2 + TIMEOUT_MARGIN);
     let headers = request::ServerHeaders {
         server: &target.id,
         time_left: deadline.saturating_duration_since(clock::now()),
@@ -190,10 +192,16 @@
                 server = target.id,
                 handle = prefilled.handle,
                 tokens = prefilled.tokens,
+                kept,
                 expected_ms = expected.as_millis() as u64,
                 took_ms = took.as_millis() as u64,
                 "edge: prefill completed"
             );
+            let read = prompt.tokens.saturating_sub(kept);
+            let mut directory = call.edge.directory();
+            let beginnings = &mut directory.service(&call.service).beginnings;
+            beginnings.record(&target.id, &call.head.beginnings, read, clock::now());
+            drop(directory);
             call.account().update(|totals| totals.prefill_tokens += u64::from(prefilled.tokens));
             PrefillResult::Completed(KvCache {
                 account: call.account(),
@@ -218,14 +226,22 @@
     }
 }
 
-fn choose(
-    prompt: Prompt<'_>,
-    tried: &[ids::ServerName],
-) -> Option<(directory::Target, time::Duration)> {
+// Engine that reads a prompt.
+struct Choice {
+    target: directory::Target,
+    // Time until it is expected to have read it.
+    expected: time::Duration,
+    // Tokens of the prompt that it is expected to keep.
+    kept: u32,
+}
+
+fn choose(prompt: Prompt<'_>, tried: &[ids::ServerName]) -> Option<Choice> {
     let Prompt { call, zone, software, tokens } = prompt;
     let now = clock::now();
     quotas::refresh(&call.edge);
     let mut directory = call.edge.directory();
+    let kept = directory.kept(&call.service, &call.head.beginnings, now);
+    let kept = |id: &str| kept.get(id).copied().unwrap_or_default();
     let service = directory.service(&call.service);
     let engines = &service.engines;
     let is_prefill = |id: &str| {
@@ -234,10 +250,12 @@
     };
     let candidates = service.pool.candidates(tried, is_prefill, now);
     let allowed = |id: &str| candidates.binary_search_by(|other| other.as_str().cmp(id)).is_ok();
-    let (id, expected) = engines.pick_prefill(tokens, zone, allowed, rand::random(), now)?;
-    service.engines.record_prefill(&id, tokens, now);
+    let (id, expected) = engines.pick_prefill(tokens, zone, allowed, kept, rand::random(), now)?;
+    let kept = kept(&id).min(tokens);
+    service.engines.record_prefill(&id, tokens - kept, now);
+    call.edge.counters.kept_tokens.inc_by(u64::from(kept));
     call.edge.commitments_changed.notify_one();
-    Some((directory.target(&id)?, expected))
+    Some(Choice { target: directory.target(&id)?, expected, kept })
 }
 
 fn read_response(
--- a/crates/edge/src/stream.rs
+++ b/crates/edge/src/stream.rs
@@ -156,7 +156,7 @@
         let engines = &directory.service(&self.call.service).engines;
         let at_decode = engines::Engines::decode_prefill_time(self.need.prompt);
         let prefill = engines
-            .shortest_prefill(self.need.prompt, self.software, now)
+            .shortest_prefill(self.need.prompt, self.software, |_| 0, now)
             .map_or(at_decode, |at_prefill| at_prefill.min(at_decode));
         let target = self.call.route.target;
         let target = if overdue { target.max(OVERDUE_TARGET) } else { target };
@@ -251,11 +251,16 @@
 
     // Whether the decode engine prefills the prompt sooner than any prefill engine.
     fn is_decode_prefill_faster(&self) -> bool {
+        let (now, tokens) = (clock::now(), self.need.prompt);
         let mut directory = self.call.edge.directory();
+        let kept = directory.kept(&self.call.service, &self.call.head.beginnings, now);
+        let kept = |id: &str| kept.get(id).copied().unwrap_or_default();
         let engines = &directory.service(&self.call.service).engines;
         let software = self.reserved_software();
-        let at_prefill = engines.shortest_prefill(self.need.prompt, software, clock::now());
-        at_prefill.is_none_or(|time| time > engines::Engines::decode_prefill_time(self.need.prompt))
+        let here = self.reservation.as_ref().map_or(0, |reserved| kept(&reserved.target.id));
+        let at_decode = engines::Engines::decode_prefill_time(tokens.saturating_sub(here));
+        let at_prefill = engines.shortest_prefill(tokens, software, kept, now);
+        at_prefill.is_none_or(|time| time > at_decode)
     }
 
     fn decode_zone(&self) -> ids::ZoneName {
@@ -461,9 +466,19 @@
         if !pending.response.status().is_success() {
             return self.forward_failure(server, pending).await;
         }
+        self.record_beginnings(server);
         self.forward_events(target, pending).await
     }
 
+    // The engine has fetched or read the prompt and keeps it as well as the answer.
+    fn record_beginnings(&self, server: &str) {
+        let prompt = &self.call.head.beginnings;
+        let tokens = self.need.total();
+        let mut directory = self.call.edge.directory();
+        let beginnings = &mut directory.service(&self.call.service).beginnings;
+        beginnings.record(server, prompt, tokens, clock::now());
+    }
+
     // The engine did not run the request: it is full, or could not fetch the KV cache.
     async fn handle_not_run(
         &mut self,
--- a/crates/wire/src/share.rs
+++ b/crates/wire/src/share.rs
@@ -5,7 +5,9 @@
 
 use serde::{Deserialize, Serialize};
 
-use rhubarb_core::{cause, engine, ids, members, quotas, reports, stages, stamp, suspects};
+use rhubarb_core::{
+    beginnings, cause, engine, ids, members, quotas, reports, stages, stamp, suspects,
+};
 
 /// Maximum size of a datagram, in bytes; fits into one packet.
 pub const MAX_DATAGRAM_BYTES: usize = 1_400;
@@ -50,13 +52,16 @@
     pub waiting: collections::BTreeSet<ids::ServiceName>,
     /// Engines that have just refused memory to the sender.
     pub full: Vec<ids::ServerTag>,
+    /// Engines that keep beginnings of prompts which several requests have; at most
+    /// [`beginnings::MAX_TOLD`].
+    pub kept: Vec<beginnings::Place>,
     /// Commitments of all entries to the engines of the sender's cell, and the engine time that the
     /// cell's requests have used; absent in datagrams within the cell.
     pub digest: Option<Digest>,
 }
 
 /// Version of the format of [`Share`].
-pub const FORMAT: u8 = 5;
+pub const FORMAT: u8 = 6;
 
 /// Heartbeat of one entry.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -248,8 +253,8 @@
 }
 
 impl Share {
-    /// Encodes the datagram. Relayed heartbeats, then evidence and limits are removed until it fits
-    /// into a packet.
+    /// Encodes the datagram. Places of beginnings, relayed heartbeats, then evidence and limits are
+    /// removed until it fits into a packet.
     ///
     /// # Errors
     /// Returns an error if the state cannot be encoded, or does not fit without them.
@@ -260,6 +265,9 @@
             if excess == 0 {
                 return Ok(bytes);
             }
+            if self.kept.pop().is_some() {
+                continue;
+            }
             let is_reduced = self.members.is_empty()
                 && (self.evidence.pop().is_some() || self.limits.pop().is_some());
             if is_reduced {
--- a/crates/wire/tests/shares.rs
+++ b/crates/wire/tests/shares.rs
@@ -2,7 +2,7 @@
 
 use std::{collections, time};
 
-use rhubarb_core::{cause, engine, ids, reports, stamp};
+use rhubarb_core::{beginnings, cause, engine, ids, reports, stamp};
 use rhubarb_wire::share;
 
 fn commitments(count: u32) -> reports::Commitments {
@@ -64,6 +64,22 @@
     assert!(decoded.evidence.len() >= 4, "{} pieces", decoded.evidence.len());
 }
 
+// Places of beginnings yield before anything else.
+#[test]
+fn places_dropped_first() {
+    let place = |number| (u64::MAX - number, u32::MAX);
+    let mut share = datagram(40, 0);
+    share.kept = (0..beginnings::MAX_TOLD as u64).map(place).collect();
+    assert_eq!(share::Share::decode(&share.encode().unwrap()).unwrap(), share);
+    assert_eq!(share.kept.len(), beginnings::MAX_TOLD);
+    let mut full = datagram(40, 90);
+    let without = share::Share::decode(&full.clone().encode().unwrap()).unwrap();
+    full.kept = share.kept.clone();
+    let with = share::Share::decode(&full.encode().unwrap()).unwrap();
+    assert_eq!(with, without);
+    assert!(with.kept.is_empty() && with.members.len() >= 30, "{} heartbeats", with.members.len());
+}
+
 #[test]
 fn too_large() {
     let mut share = datagram(40, 44);
