Serve the most urgent requests first where decode memory is short

Cause: ranks of routes and customers were read and used by no decision, so that the requests with the shortest targets, which can wait least, were refused most.

The queue for decode memory is ordered by urgency first; the expected wait counts only what comes before. Datagrams tell the urgency of the most urgent request that waits at the sender, and a less urgent one leaves it the last free place of an engine. Prefill engines get the same order as a priority; decode engines only for requests without a hold. Metric of refusals by rank, rank in the log lines.

A request that can meet its target no longer counts overdue ones in its expected wait, also where all ranks are equal: it is served before them.

--- a/crates/core/src/engines.rs
+++ b/crates/core/src/engines.rs
@@ -5,16 +5,17 @@
 
 use std::{cmp, collections, time};
 
-use crate::{cells, engine, fleet, ids, pauses, reports, stages};
+use crate::{cells, engine, fleet, ids, pauses, reports, stages, urgency};
 
 /// Engines of one service.
 #[derive(Clone, Debug, Default)]
 pub struct Engines {
     engines: collections::BTreeMap<ids::ServerName, engine::Engine>,
-    // Requests that wait for decode memory: overdue ones last, the others in order of arrival.
+    // Requests that wait for decode memory.
     queue: collections::BTreeSet<Position>,
-    // When this entry's last requests were granted memory.
-    grants: collections::VecDeque<time::Instant>,
+    turns: urgency::Turns,
+    // When this entry's last requests were granted memory, and their urgency.
+    grants: collections::VecDeque<(time::Instant, urgency::Urgency)>,
     // Mean charge of the last requests, in tokens.
     mean_charge: Option<f64>,
     // Mean time for which a run holds memory, in seconds.
@@ -32,10 +33,13 @@
     own_cell: cells::CellId,
 }
 
-/// Position of a request in the queue for decode memory.
+/// Position of a request in the queue for decode memory: the most urgent first; among these, those
+/// that can meet their latency targets; among these, in order of arrival.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub struct Position {
-    /// Whether it can no longer meet its latency target; it is served after all that can.
+    /// Urgency.
+    pub urgency: urgency::Urgency,
+    /// Whether it can no longer meet its latency target; it is served after those that can.
     pub overdue: bool,
     /// When the request arrived.
     pub arrived: time::Instant,
@@ -231,30 +235,55 @@
         self.queue.remove(&position);
     }
 
-    /// Expected time until a new request gets memory, from the recent rate of grants and the
-    /// length of the queue.
+    /// Expected time until a new request at `position` gets memory, from the number of requests
+    /// before it and the recent rate of grants, without those to more urgent requests.
     ///
-    /// Zero if the queue is empty.
-    pub fn expected_wait(&self, now: time::Instant) -> time::Duration {
-        let recent = self.grants.iter().filter(|at| now <= **at + GRANT_WINDOW).count();
-        GRANT_WINDOW * self.queue.len() as u32 / recent.max(1) as u32
+    /// Zero if none is before it.
+    pub fn expected_wait(&self, position: Position, now: time::Instant) -> time::Duration {
+        let is_recent = |at: time::Instant| now <= at + GRANT_WINDOW;
+        let grants = self
+            .grants
+            .iter()
+            .filter(|(at, urgency)| is_recent(*at) && *urgency >= position.urgency);
+        GRANT_WINDOW * self.before(position) as u32 / grants.count().max(1) as u32
     }
 
-    /// Whether no other request in the queue comes before the one at `position`.
+    /// Number of requests in the queue before the one at `position`.
+    pub fn before(&self, position: Position) -> usize {
+        self.queue.range(..position).count()
+    }
+
+    /// Whether it is the turn of the request at `position`: none in the queue comes before it, or
+    /// enough more urgent ones have been served while it was the first of its urgency.
     pub fn is_next(&self, position: Position) -> bool {
-        self.queue.first().is_none_or(|first| *first >= position)
+        let due = self.turns.due();
+        match self.queue.iter().find(|waiting| Some(waiting.urgency) == due) {
+            Some(first) => first.urgency == position.urgency && *first >= position,
+            None => self.queue.first().is_none_or(|first| *first >= position),
+        }
+    }
+
+    /// Urgency of the most urgent request that waits for decode memory.
+    pub fn most_urgent(&self) -> Option<urgency::Urgency> {
+        self.queue.first().map(|first| first.urgency)
+    }
+
+    /// Whether a request of this urgency leaves room for a more urgent one that waits at a peer.
+    pub fn yields(&self, urgency: urgency::Urgency) -> bool {
+        self.turns.due() != Some(urgency)
+            && self.peers.most_urgent().is_some_and(|waiting| waiting < urgency)
     }
 
     /// Whether freed memory is to be reported at once: a peer's requests wait for it, or runs are
     /// short.
     pub fn reports_at_once(&self) -> bool {
         let are_short = self.run_time.is_none_or(|time| time < SHORT_RUN_TIME);
-        are_short || self.peers.has_waiting()
+        are_short || self.peers.most_urgent().is_some()
     }
 
-    /// Records whether requests wait for decode memory at a peer.
-    pub fn set_peer_waiting(&mut self, peer: &str, waits: bool) {
-        self.peers.set_waiting(peer, waits);
+    /// Records the urgency of the most urgent request that waits for decode memory at a peer.
+    pub fn set_peer_waiting(&mut self, peer: &str, waiting: Option<urgency::Urgency>) {
+        self.peers.set_waiting(peer, waiting);
     }
 
     /// Whether requests wait for decode memory.
@@ -266,8 +295,8 @@
     ///
     /// `allowed` limits the choice; `draw` is random, so that entries that see the same state
     /// choose different engines among equal ones. Requests are granted memory in the order of the
-    /// queue. An overdue request is granted memory only where another request still fits beside
-    /// it, since entries do not see each other's queues.
+    /// queue. A request that is overdue, or less urgent than one that waits at a peer, is granted
+    /// memory only where another request still fits beside it.
     pub fn reserve(
         &mut self,
         position: Position,
@@ -295,8 +324,9 @@
         self.expire_peers(now);
         let charge = need.charge();
         let decode = self.available(fleet::Stage::Decode, now);
-        // An overdue request leaves memory for one that can meet its target.
-        let spare = self.mean_charge.filter(|_| position.overdue).map_or(0, |tokens| tokens as u32);
+        // Left for a request that can meet its target, or a more urgent one.
+        let leaves_room = position.overdue || self.yields(position.urgency);
+        let spare = self.mean_charge.filter(|_| leaves_room).map_or(0, |tokens| tokens as u32);
         let mean = self.mean_charge.map_or(charge, |tokens| tokens as u32);
         let needed = |engine: &engine::Engine| {
             charge + if engine.is_home { spare } else { spare.max(FOREIGN_SPARE * mean) }
@@ -310,10 +340,12 @@
         let (id, _) = fitting.min_by_key(|(id, engine)| (step(engine), tie_break(id, draw)))?;
         let id = id.clone();
         self.queue.remove(&position);
-        while self.grants.front().is_some_and(|at| *at + GRANT_WINDOW < now) {
+        while self.grants.front().is_some_and(|(at, _)| *at + GRANT_WINDOW < now) {
             self.grants.pop_front();
         }
-        self.grants.push_back(now);
+        self.grants.push_back((now, position.urgency));
+        let waiting = self.queue.iter().map(|waiting| waiting.urgency).collect();
+        self.turns.record(position.urgency, &waiting);
         let mean = self.mean_charge.unwrap_or(f64::from(charge));
         self.mean_charge = Some(mean + CHARGE_WEIGHT * (f64::from(charge) - mean));
         if let Some(engine) = self.engines.get_mut(&id) {
--- a/crates/core/src/reports.rs
+++ b/crates/core/src/reports.rs
@@ -2,7 +2,7 @@
 
 use std::{collections, time};
 
-use crate::{engine, ids};
+use crate::{engine, ids, urgency};
 
 /// Commitments by engine, of one entry or of a whole cell.
 pub type Commitments = collections::BTreeMap<ids::ServerTag, engine::Commitment>;
@@ -36,15 +36,16 @@
 #[derive(Clone, Debug)]
 struct PeerReport {
     commitments: Commitments,
-    // Whether requests wait for memory at the peer.
-    waits: bool,
+    // Urgency of the most urgent request that waits for memory at the peer.
+    waiting: Option<urgency::Urgency>,
     received_at: time::Instant,
 }
 
 impl Reports {
     /// Replaces the commitments of a peer with those of its newest report.
     pub fn update(&mut self, peer: &str, report: &Report, now: time::Instant) -> Vec<Change> {
-        let new = || PeerReport { commitments: Commitments::new(), waits: false, received_at: now };
+        let new =
+            || PeerReport { commitments: Commitments::new(), waiting: None, received_at: now };
         let known = self.peers.entry(peer.to_string()).or_insert_with(new);
         known.received_at = now;
         let (first, last) = report.range;
@@ -92,15 +93,16 @@
         ages.max().unwrap_or_default()
     }
 
-    /// Records whether requests wait for decode memory at a peer.
-    pub fn set_waiting(&mut self, peer: &str, waits: bool) {
+    /// Records the urgency of the most urgent request that waits for decode memory at a peer; it
+    /// counts until the peer's report expires.
+    pub fn set_waiting(&mut self, peer: &str, waiting: Option<urgency::Urgency>) {
         if let Some(report) = self.peers.get_mut(peer) {
-            report.waits = waits;
+            report.waiting = waiting;
         }
     }
 
-    /// Whether requests wait for decode memory at a peer.
-    pub fn has_waiting(&self) -> bool {
-        self.peers.values().any(|peer| peer.waits)
+    /// Urgency of the most urgent request that waits for decode memory at any peer.
+    pub fn most_urgent(&self) -> Option<urgency::Urgency> {
+        self.peers.values().filter_map(|peer| peer.waiting).min()
     }
 }
--- a/crates/core/src/routing.rs
+++ b/crates/core/src/routing.rs
@@ -4,6 +4,8 @@
 
 use crate::{customers, ids, urgency};
 
+use urgency::Urgency;
+
 /// Name of a route.
 pub type RouteName = String;
 /// Host of a request, without a port.
@@ -117,6 +119,9 @@
     pub body_bytes: usize,
 }
 
+/// Highest number of a priority, which engines serve last.
+const MAX_PRIORITY: usize = 9;
+
 /// One version of the configuration of routes and services.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Config {
@@ -140,4 +145,21 @@
         };
         self.routes.iter().filter(matches).max_by_key(|route| route.prefix.len())
     }
+
+    /// Place of `urgency` among those of the requests to `service`, 0 for the most urgent ones; none
+    /// if all are equally urgent.
+    pub fn priority(&self, service: &str, urgency: Urgency) -> Option<u8> {
+        let serves = |route: &&Route| route.splits.iter().any(|split| split.service == service);
+        let mut all = collections::BTreeSet::new();
+        for route in self.routes.iter().filter(serves) {
+            let of_rank = |rank| Urgency { rank, route: route.rank };
+            if route.is_public || self.customers.is_empty() {
+                all.insert(of_rank(route.rank));
+            } else {
+                let ranks = self.customers.iter().map(|one| one.rank.unwrap_or(route.rank));
+                all.extend(ranks.map(of_rank));
+            }
+        }
+        (all.len() > 1).then(|| all.range(..urgency).count().min(MAX_PRIORITY) as u8)
+    }
 }
--- a/crates/core/tests/burst.rs
+++ b/crates/core/tests/burst.rs
@@ -5,7 +5,7 @@
 
 use rand::rngs;
 
-use rhubarb_core::{engine, engines, fleet, ids, reports};
+use rhubarb_core::{engine, engines, fleet, ids, reports, urgency};
 
 const TICK: time::Duration = time::Duration::from_millis(5);
 const BATCH_DELAY: time::Duration = time::Duration::from_millis(20);
@@ -81,7 +81,12 @@
             if rand::RngExt::random::<f64>(&mut random) < rate * TICK.as_secs_f64() / ENTRIES as f64
             {
                 run += 1;
-                let position = engines::Position { overdue: false, arrived: now, run };
+                let position = engines::Position {
+                    urgency: urgency::Urgency::default(),
+                    overdue: false,
+                    arrived: now,
+                    run,
+                };
                 entry.waiting.push_back(Waiting { position, check_at: now });
             }
             let given_up =
@@ -152,7 +157,7 @@
         entries[number].send_at = now + HEARTBEAT;
         let commitments = entries[number].engines.commitments(now);
         let full = entries[number].engines.full(now);
-        let waits = entries[number].engines.has_queue();
+        let waiting = entries[number].engines.most_urgent();
         let report = reports::Report { range: (0, ids::ServerTag::MAX), commitments };
         for (_, other) in entries.iter_mut().enumerate().filter(|(other, _)| *other != number) {
             for tag in &full {
@@ -160,7 +165,7 @@
             }
             let peer = format!("peer-{number}");
             let has_freed = other.engines.update_peer(&peer, &report, now);
-            other.engines.set_peer_waiting(&peer, waits);
+            other.engines.set_peer_waiting(&peer, waiting);
             if has_freed {
                 other.waiting.iter_mut().take(1).for_each(|one| one.check_at = now);
             }
--- a/crates/core/tests/cells.rs
+++ b/crates/core/tests/cells.rs
@@ -2,7 +2,7 @@
 
 use std::{collections, net, time};
 
-use rhubarb_core::{cells, engine, engines, fleet, ids, members, reports};
+use rhubarb_core::{cells, engine, engines, fleet, ids, members, reports, urgency};
 
 const MILLI: time::Duration = time::Duration::from_millis(1);
 const NEED: engine::Need = engine::Need { prompt: 3_000, output: 1_000 };
@@ -168,7 +168,12 @@
 }
 
 fn fill(engines: &mut engines::Engines, now: time::Instant) -> Vec<ids::ServerName> {
-    let position = |run| engines::Position { overdue: false, arrived: now, run };
+    let position = |run| engines::Position {
+        urgency: urgency::Urgency::default(),
+        overdue: false,
+        arrived: now,
+        run,
+    };
     (0..40).map_while(|run| engines.reserve(position(run), NEED, |_| true, 0, now)).collect()
 }
 
@@ -204,7 +209,12 @@
     first.set_full("near", now);
     let full = first.full(now);
     assert_eq!(full, [ids::server_tag("near")]);
-    let run = engines::Position { overdue: false, arrived: now, run: 99 };
+    let run = engines::Position {
+        urgency: urgency::Urgency::default(),
+        overdue: false,
+        arrived: now,
+        run: 99,
+    };
     let id = second.reserve(run, NEED, |_| true, 0, now).unwrap();
     second.record_progress(&id, 99, 1);
     second.release(&id, 99, now + 3_000 * MILLI);
--- a/crates/core/tests/datagram_loss.rs
+++ b/crates/core/tests/datagram_loss.rs
@@ -4,7 +4,7 @@
 
 use proptest::prelude::*;
 
-use rhubarb_core::{engine, engines, fleet, ids, members, reports};
+use rhubarb_core::{engine, engines, fleet, ids, members, reports, urgency};
 
 mod random;
 
@@ -74,8 +74,12 @@
         for (seq, step) in (1u64..).zip(steps) {
             now += step.pause_ms * MILLI;
             if step.reserves {
-                let position =
-                    engines::Position { overdue: false, arrived: now, run: ids::RunId::from(seq) };
+                let position = engines::Position {
+                    urgency: urgency::Urgency::default(),
+                    overdue: false,
+                    arrived: now,
+                    run: ids::RunId::from(seq),
+                };
                 let id = peer.reserve(position, NEED, |_| true, seq, now);
                 runs.extend(id.map(|id| (id, position.run)));
             } else if let Some((id, run)) = runs.pop() {
--- a/crates/core/tests/engines.rs
+++ b/crates/core/tests/engines.rs
@@ -2,7 +2,7 @@
 
 use std::{collections, time};
 
-use rhubarb_core::{engine, engines, fleet, ids, reports};
+use rhubarb_core::{engine, engines, fleet, ids, reports, urgency};
 
 const MILLI: time::Duration = time::Duration::from_millis(1);
 const NEED: engine::Need = engine::Need { prompt: 3_000, output: 1_000 };
@@ -31,11 +31,11 @@
 }
 
 fn position(arrived: time::Instant, run: ids::RunId) -> engines::Position {
-    engines::Position { overdue: false, arrived, run }
+    engines::Position { urgency: urgency::Urgency::default(), overdue: false, arrived, run }
 }
 
 fn overdue(arrived: time::Instant, run: ids::RunId) -> engines::Position {
-    engines::Position { overdue: true, arrived, run }
+    engines::Position { urgency: urgency::Urgency::default(), overdue: true, arrived, run }
 }
 
 // A report of all commitments of a peer.
@@ -261,7 +261,8 @@
     // With a long queue a new request is rejected at once instead of after a wasted wait.
     let now = time::Instant::now();
     let mut engines = engines(1, 1);
-    assert_eq!(engines.expected_wait(now), time::Duration::ZERO);
+    let new = position(now + 2 * MILLI, 30);
+    assert_eq!(engines.expected_wait(new, now), time::Duration::ZERO);
     for run in 0..5 {
         assert!(engines.reserve(position(now, run), NEED, any, 0, now).is_some());
     }
@@ -269,7 +270,7 @@
         engines.enqueue(position(now + MILLI, run));
     }
     assert_eq!(
-        engines.expected_wait(now),
+        engines.expected_wait(new, now),
         4_000 * MILLI,
         "five grants in two seconds, ten requests queued"
     );
--- a/crates/core/tests/pauses.rs
+++ b/crates/core/tests/pauses.rs
@@ -5,7 +5,7 @@
 
 use rand::rngs;
 
-use rhubarb_core::{engine, engines, fleet, load, outcome, pauses, pool};
+use rhubarb_core::{engine, engines, fleet, load, outcome, pauses, pool, urgency};
 
 const SECOND: time::Duration = time::Duration::from_secs(1);
 const MILLI: time::Duration = time::Duration::from_millis(1);
@@ -158,7 +158,12 @@
         engines.set(id, &instance, 6, 20_000);
     }
     let need = engine::Need { prompt: 1_000, output: 100 };
-    let position = |run| engines::Position { overdue: false, arrived: now, run };
+    let position = |run| engines::Position {
+        urgency: urgency::Urgency::default(),
+        overdue: false,
+        arrived: now,
+        run,
+    };
     assert!(engines.reserve(position(1), need, |_| true, 0, now).is_some());
     let planned = engines.candidates(now).len();
     for id in ["d-0", "p-0"] {
--- a/crates/edge/src/call.rs
+++ b/crates/edge/src/call.rs
@@ -22,8 +22,10 @@
     /// Version of the config that it was routed with.
     pub(crate) version: ids::ListVersion,
     pub(crate) arrived: time::Instant,
-    /// Rank among the requests that compete with it: the customer's, else the route's.
-    pub(crate) rank: urgency::Rank,
+    /// Urgency among the requests that compete with it.
+    pub(crate) urgency: urgency::Urgency,
+    /// Priority for engines; none if all requests to the service are equally urgent.
+    pub(crate) priority: Option<u8>,
     /// Address from which the caller sent it.
     pub(crate) caller: Option<net::IpAddr>,
     /// Whether its timeout indicates the retry of a refused request, which can no longer meet its
--- a/crates/edge/src/ingress.rs
+++ b/crates/edge/src/ingress.rs
@@ -4,7 +4,7 @@
 
 use hyper::{Request, Response, StatusCode, body, header};
 
-use rhubarb_core::{outcome, routing};
+use rhubarb_core::{outcome, routing, urgency};
 use rhubarb_node::{clock, responder, response, server};
 use rhubarb_platform::request;
 
@@ -77,11 +77,14 @@
         }
     };
     let timeout = head.timeout.unwrap_or(route.timeout).min(route.timeout);
+    let rank = customer.and_then(|customer| customer.rank).unwrap_or(route.rank);
+    let urgency = urgency::Urgency { rank, route: route.rank };
     let is_retry = edge.directory().record_request(&service, &route.name, timeout);
     start(call::Call {
         is_retry,
         is_trial: false,
-        rank: customer.and_then(|customer| customer.rank).unwrap_or(route.rank),
+        urgency,
+        priority: config.priority(&service, urgency),
         causes: sync::OnceLock::new(),
         edge: edge.clone(),
         deadline: arrived + timeout,
--- a/crates/edge/src/metrics.rs
+++ b/crates/edge/src/metrics.rs
@@ -15,6 +15,16 @@
 /// Counter with one series per source.
 pub(crate) type SourceFamily = family::Family<SourceLabels, counter::Counter>;
 
+/// Label set of a counter by the rank of requests.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub(crate) struct RankLabels {
+    /// Rank; 0 is the most urgent.
+    pub(crate) rank: u8,
+}
+
+/// Counter with one series per rank.
+pub(crate) type RankFamily = family::Family<RankLabels, counter::Counter>;
+
 /// Registry and the metrics in it.
 #[derive(Debug)]
 pub(crate) struct Counters {
@@ -27,6 +37,7 @@
     pub(crate) engine_full: counter::Counter,
     pub(crate) kept_tokens: counter::Counter,
     pub(crate) stray_responses: counter::Counter,
+    pub(crate) refused_ranks: RankFamily,
     pub(crate) leaving: SourceFamily,
     pub(crate) pauses: counter::Counter,
     pub(crate) withheld: counter::Counter,
@@ -55,6 +66,7 @@
             ),
             stray_responses: registry
                 .counter("stray_responses", "Answers of servers that belonged to another request"),
+            refused_ranks: registry.family("refused_ranks", "Requests refused, by rank"),
             leaving: registry
                 .family("leaving_servers", "Servers found to be leaving, by how it was learned"),
             pauses: registry
--- a/crates/edge/src/peers.rs
+++ b/crates/edge/src/peers.rs
@@ -185,8 +185,8 @@
         }
         committed.append(&mut service.engines.commitments(now));
         share.full.append(&mut service.engines.full(now));
-        if service.engines.has_queue() {
-            share.waiting.insert(name.clone());
+        if let Some(urgency) = service.engines.most_urgent() {
+            share.waiting.insert(name.clone(), urgency);
         }
         if is_heartbeat && share.kept.len() < beginnings::MAX_TOLD {
             share.kept.append(&mut service.beginnings.take_news(now));
@@ -326,8 +326,8 @@
         let engines = &mut service.engines;
         if let Some(report) = &committed {
             may_serve |= engines.update_peer(&share.name, report, now) && engines.has_queue();
-            let waits = share.waiting.contains(name) && cell == Some(own_cell);
-            engines.set_peer_waiting(&share.name, waits);
+            let waiting = share.waiting.get(name).filter(|_| cell == Some(own_cell));
+            engines.set_peer_waiting(&share.name, waiting.copied());
         }
         if let (Some(report), Some(cell)) = (&digest, cell) {
             engines.update_digest(cell, report, now);
--- a/crates/edge/src/prefill.rs
+++ b/crates/edge/src/prefill.rs
@@ -126,6 +126,7 @@
     let headers = request::ServerHeaders {
         server: &target.id,
         time_left: deadline.saturating_duration_since(clock::now()),
+        priority: call.priority,
         ..request::ServerHeaders::default()
     };
     let request = call.head.to_prefill(&headers, call.body.clone());
--- a/crates/edge/src/refuse.rs
+++ b/crates/edge/src/refuse.rs
@@ -10,7 +10,7 @@
 
 use outcome::{Outcome, Reason, Refusal};
 
-use crate::{call, edge};
+use crate::{call, edge, metrics as edge_metrics};
 
 /// Records the refusal of a request that is not a call yet, and returns the response.
 pub(crate) fn ingress_response(
@@ -40,13 +40,16 @@
         .refused
         .get_or_create(&metrics::reason_labels(refusal.reason))
         .inc();
+    let labels = edge_metrics::RankLabels { rank: call.urgency.rank };
+    call.edge.counters.refused_ranks.get_or_create(&labels).inc();
     let retry_ms = refusal.retry.map(|retry| retry.as_millis() as u64);
     tracing::info!(
         id = call.id(),
         route = call.route.name,
         config = call.version,
         customer = call.head.customer,
-        rank = call.rank,
+        rank = call.urgency.rank,
+        route_rank = call.urgency.route,
         reason = refusal.reason.name(),
         outcome = refusal.outcome.name(),
         is_retry = call.is_retry,
--- a/crates/edge/src/reservation.rs
+++ b/crates/edge/src/reservation.rs
@@ -130,7 +130,12 @@
         let reason = if software.is_some() { Reason::VersionGone } else { Reason::NoServer };
         ReserveResult::Refused(Refusal::not_run(reason, no_server_retry()))
     };
-    let position = engines::Position { overdue, arrived: call.arrived, run: call.edge.next_run() };
+    let position = engines::Position {
+        urgency: call.urgency,
+        overdue,
+        arrived: call.arrived,
+        run: call.edge.next_run(),
+    };
     let _ticket = QueueTicket { call, position };
     if !has_server(call, software) {
         return no_server();
@@ -138,7 +143,7 @@
     if !is_started && let Some(refusal) = paused_refusal(call, until) {
         return ReserveResult::Refused(refusal);
     }
-    if software.is_none() && is_queue_too_long(call, until) {
+    if software.is_none() && is_queue_too_long(call, position, until) {
         return ReserveResult::Refused(no_slot());
     }
     let mut tried = tried.to_vec();
@@ -297,6 +302,8 @@
         id = call.id(),
         server,
         need = need.charge(),
+        rank = call.urgency.rank,
+        route_rank = call.urgency.route,
         fill = estimate.map(|estimate| estimate.fill),
         report_age_ms = estimate.map(|estimate| estimate.age.as_millis() as u64),
         is_retry = call.is_retry,
@@ -311,15 +318,23 @@
 }
 
 // Whether the expected wait exceeds the time that the request can wait.
-fn is_queue_too_long(call: &call::Call, until: time::Instant) -> bool {
+fn is_queue_too_long(call: &call::Call, position: engines::Position, until: time::Instant) -> bool {
     let now = clock::now();
     let mut directory = call.edge.directory();
-    let wait = directory.service(&call.service).engines.expected_wait(now);
+    let engines = &directory.service(&call.service).engines;
+    let (before, wait) = (engines.before(position), engines.expected_wait(position, now));
+    drop(directory);
     let is_too_long = now + wait > until + WAIT_MARGIN;
     if is_too_long {
-        let wait_ms = wait.as_millis() as u64;
-        let is_retry = call.is_retry;
-        tracing::info!(id = call.id(), wait_ms, is_retry, "edge: slot queue too long");
+        tracing::info!(
+            id = call.id(),
+            rank = position.urgency.rank,
+            route_rank = position.urgency.route,
+            before,
+            wait_ms = wait.as_millis() as u64,
+            is_retry = call.is_retry,
+            "edge: slot queue too long"
+        );
     }
     is_too_long
 }
@@ -357,7 +372,7 @@
         engines.enqueue(position);
         return None;
     }
-    let had_queue = engines.has_queue();
+    let most_urgent = engines.most_urgent();
     let is_decode = |id: &str| {
         engines.stage(id) == Some(fleet::Stage::Decode)
             && software.is_none_or(|software| engines.software(id) == Some(software))
@@ -378,7 +393,7 @@
             return None;
         }
         engines.enqueue(position);
-        if !had_queue {
+        if engines.most_urgent() != most_urgent {
             call.edge.commitments_changed.notify_one();
         }
         return None;
--- a/crates/edge/src/stream.rs
+++ b/crates/edge/src/stream.rs
@@ -326,18 +326,19 @@
 
     async fn send(&mut self, target: &directory::Target) -> SendResult {
         let source = self.cache.as_ref().map(prefill::KvCache::source);
+        let hold = self.reservation.as_ref().and_then(reservation::Reservation::hold);
         let headers = request::ServerHeaders {
             server: &target.id,
             time_left: self.call.time_left(),
+            // A hold is admitted before all that wait, so that no other run need be preempted.
+            priority: self.call.priority.filter(|_| hold.is_none()),
             kv_source: source.as_deref(),
-            hold: self.reservation.as_ref().and_then(reservation::Reservation::hold),
+            hold,
             last_event: self.last_event,
-            ..request::ServerHeaders::default()
         };
         let request = self.call.head.to_server(&headers, self.call.body.clone());
         self.run_events = 0;
-        let has_hold = self.reservation.as_ref().is_some_and(|reserved| reserved.hold().is_some());
-        let cost = if has_hold { quotas::Cost::Paid } else { quotas::Cost::One };
+        let cost = if hold.is_some() { quotas::Cost::Paid } else { quotas::Cost::One };
         let sending = exchange::send_call(&self.call, target, request, cost);
         SendResult::Sent(match self.responder.wait(sending, self.call.deadline).await {
             responder::WaitOutcome::Disconnected => flow::Event::CallerGone,
--- a/crates/wire/src/share.rs
+++ b/crates/wire/src/share.rs
@@ -6,7 +6,7 @@
 use serde::{Deserialize, Serialize};
 
 use rhubarb_core::{
-    beginnings, cause, engine, ids, members, quotas, reports, stages, stamp, suspects,
+    beginnings, cause, engine, ids, members, quotas, reports, stages, stamp, suspects, urgency,
 };
 
 /// Maximum size of a datagram, in bytes; fits into one packet.
@@ -48,8 +48,9 @@
     pub usage: collections::BTreeMap<ids::ServiceName, stages::Usage>,
     /// Engines whose stage the sender has ordered to change.
     pub changing: Vec<ids::ServerTag>,
-    /// Services whose requests wait for memory at the sender.
-    pub waiting: collections::BTreeSet<ids::ServiceName>,
+    /// Services whose requests wait for memory at the sender, with the urgency of the most urgent
+    /// one.
+    pub waiting: collections::BTreeMap<ids::ServiceName, urgency::Urgency>,
     /// Engines that have just refused memory to the sender.
     pub full: Vec<ids::ServerTag>,
     /// Engines that keep beginnings of prompts which several requests have; at most
