Hold customers to their limits over all entries together

Cause: limits of customers were read and not enforced, so a greedy customer used more than the rule QUOTA allows and took the servers from the others. Change: core::allowance gives each entry a token bucket by its part of the demand, which it may overdraw while the debts that all entries tell stay under a part of what the platform tolerates. Over the limit an entry answers 429 before it reads the body; units are given back if no server was reached. Evidence of crashes by caller is by customer where there is one.

--- a/crates/core/src/ids.rs
+++ b/crates/core/src/ids.rs
@@ -10,6 +10,8 @@
 pub type CallerName = String;
 /// Name of a customer.
 pub type CustomerName = String;
+/// Hash of the name of a customer.
+pub type CustomerTag = u32;
 /// Name of an availability zone.
 pub type ZoneName = String;
 /// Hash of the name of an availability zone.
@@ -69,6 +71,11 @@
     digest(&[server.as_bytes()]) as ServerTag
 }
 
+/// Hash of the name of a customer.
+pub fn customer_tag(customer: &str) -> CustomerTag {
+    digest(&[b"customer", customer.as_bytes()]) as CustomerTag
+}
+
 /// Tag of the process of `server` that started at `started_ms`, if that is known.
 pub fn process_tag(server: &str, started_ms: Option<u64>) -> ProcessTag {
     let start = started_ms.unwrap_or_default().to_be_bytes();
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -12,6 +12,7 @@
 //! ```
 
 pub mod abandoned;
+pub mod allowance;
 pub mod answered;
 pub mod backoff;
 pub mod beginnings;
--- a/crates/edge/src/call.rs
+++ b/crates/edge/src/call.rs
@@ -9,7 +9,7 @@
 use rhubarb_node::{clock, metrics};
 use rhubarb_platform::request;
 
-use crate::{edge, ledger};
+use crate::{charge, edge, ledger};
 
 /// Request that has been read and routed.
 #[derive(Debug)]
@@ -33,6 +33,8 @@
     pub(crate) is_trial: bool,
     /// Result of [`Call::causes`], which reads the whole body.
     pub(crate) causes: sync::OnceLock<Vec<cause::Cause>>,
+    /// What it counts for its customer's limit, if there is one.
+    pub(crate) charge: Option<charge::Charge>,
     /// Deadline of the final answer.
     pub(crate) deadline: time::Instant,
 }
@@ -55,7 +57,10 @@
         self.causes.get_or_init(|| {
             let content = self.head.content_tag(&self.body);
             let address = self.caller.map(|ip| ip.to_string()).unwrap_or_default();
-            let caller: [&[u8]; 2] = [address.as_bytes(), &self.head.credentials];
+            let caller: [&[u8]; 2] = match &self.head.customer {
+                Some(customer) => [b"customer", customer.as_bytes()],
+                None => [address.as_bytes(), &self.head.credentials],
+            };
             let request = ids::request_tag(content, &caller);
             let whole = [cause::Cause::Content(content), cause::Cause::Request(request)];
             self.parts().into_iter().chain(whole).collect()
--- a/crates/edge/src/edge.rs
+++ b/crates/edge/src/edge.rs
@@ -4,7 +4,7 @@
 
 use tokio::{net as tokio_net, sync as tokio_sync};
 
-use rhubarb_core::{ids, log_limit, members, origins, pauses, recent, releases, usage};
+use rhubarb_core::{allowance, ids, log_limit, members, origins, pauses, recent, releases, usage};
 use rhubarb_node::{client, clock, locks};
 use rhubarb_platform::{settings, store};
 
@@ -51,6 +51,9 @@
     lag: sync::Mutex<lag::Lag>,
     pauses: sync::Mutex<pauses::Pauses>,
     limits: sync::Mutex<limits::Limits>,
+    allowances: sync::Mutex<allowance::Allowances>,
+    // When this entry last had news of the store, or a peer that has them.
+    in_touch_at: sync::Mutex<time::Instant>,
     rejected: sync::Mutex<rejected::Rejected>,
     origins: sync::Mutex<origins::Origins>,
     answers: sync::Mutex<answers::Answers>,
@@ -102,6 +105,8 @@
             lag: sync::Mutex::default(),
             pauses: sync::Mutex::default(),
             limits: sync::Mutex::default(),
+            allowances: sync::Mutex::new(allowance::Allowances::new(settings.tolerance)),
+            in_touch_at: sync::Mutex::new(clock::now()),
             rejected: sync::Mutex::default(),
             origins: sync::Mutex::default(),
             answers: sync::Mutex::default(),
@@ -122,6 +127,7 @@
     /// Applies reloaded settings.
     pub(crate) fn set_settings(&self, settings: settings::Settings) {
         self.directory().set_retry_limits(settings.retry_limits);
+        self.allowances().set_tolerance(settings.tolerance);
         *locks::lock(&self.settings) = sync::Arc::new(settings);
     }
 
@@ -164,6 +170,21 @@
         locks::lock(&self.limits)
     }
 
+    /// This entry's parts of the limits of customers.
+    pub(crate) fn allowances(&self) -> sync::MutexGuard<'_, allowance::Allowances> {
+        locks::lock(&self.allowances)
+    }
+
+    /// Records that this entry has news of the store, or a peer that has them.
+    pub(crate) fn record_touch(&self, now: time::Instant) {
+        *locks::lock(&self.in_touch_at) = now;
+    }
+
+    /// Time since this entry last had news of the store, or a peer that has them.
+    pub(crate) fn touch_age(&self, now: time::Instant) -> time::Duration {
+        now.saturating_duration_since(*locks::lock(&self.in_touch_at))
+    }
+
     /// Prompts that crash servers.
     pub(crate) fn rejected(&self) -> sync::MutexGuard<'_, rejected::Rejected> {
         locks::lock(&self.rejected)
--- a/crates/edge/src/exchange.rs
+++ b/crates/edge/src/exchange.rs
@@ -46,7 +46,14 @@
     request: Request<Full<Bytes>>,
     cost: quotas::Cost,
 ) -> Result<connections::PendingResponse, connections::SendError> {
-    send_if(&call.edge, target, request, cost, || suspects::permit(call)).await
+    let permit = || suspects::permit(call);
+    let sending = send_if(&call.edge, target, request, cost, permit).await;
+    let may_have_reached =
+        matches!(sending, Ok(_) | Err(connections::SendError::ConnectionLost(_)));
+    if let Some(charge) = call.charge.as_ref().filter(|_| may_have_reached) {
+        charge.keep();
+    }
+    sending
 }
 
 async fn send_if(
--- a/crates/edge/src/ingress.rs
+++ b/crates/edge/src/ingress.rs
@@ -10,7 +10,7 @@
 
 use outcome::{Reason, Refusal};
 
-use crate::{call, edge, plain, refuse, stream};
+use crate::{call, charge, edge, plain, refuse, stream};
 
 /// Retry delay without a usable config; one arrives within this time after the store recovers.
 const CONFIG_RETRY: time::Duration = time::Duration::from_secs(1);
@@ -63,17 +63,29 @@
     if edge.is_out_of_rotation() && matches!(route.kind, routing::Kind::Stream { .. }) {
         return refuse(Refusal::not_run(Reason::Leaving, STOPPING_RETRY));
     }
+    let ttl = edge.settings().keys_ttl.filter(|_| customer.is_some());
+    if ttl.is_some_and(|ttl| edge.touch_age(arrived) > ttl) {
+        return refuse(Refusal::not_run(Reason::NoList, CONFIG_RETRY));
+    }
     let limit = config.limits.body_bytes;
     if body::Body::size_hint(&body).lower() > limit as u64 {
         return refuse(Refusal::permanent(Reason::TooLarge));
     }
+    let charge = match charge::Charge::take(edge, &head) {
+        Ok(charge) => charge,
+        Err(refusal) => return refuse(refusal),
+    };
+    let refuse_charged = |refusal| {
+        charge.iter().for_each(|charge| charge.refund(edge));
+        refuse(refusal)
+    };
     let body = match response::read_body(body, limit).await {
         Ok(body) => body,
         Err(response::BodyError::TooLarge(_)) => {
-            return refuse(Refusal::permanent(Reason::TooLarge));
+            return refuse_charged(Refusal::permanent(Reason::TooLarge));
         }
         Err(response::BodyError::Interrupted(_)) => {
-            return refuse(Refusal::permanent(Reason::BadRequest));
+            return refuse_charged(Refusal::permanent(Reason::BadRequest));
         }
     };
     let timeout = head.timeout.unwrap_or(route.timeout).min(route.timeout);
@@ -83,6 +95,7 @@
         is_trial: false,
         rank: customer.and_then(|customer| customer.rank).unwrap_or(route.rank),
         causes: sync::OnceLock::new(),
+        charge,
         edge: edge.clone(),
         deadline: arrived + timeout,
         head,
--- a/crates/edge/src/peers.rs
+++ b/crates/edge/src/peers.rs
@@ -98,7 +98,12 @@
     edge.counters.peers.set(members.live(now).count() as i64);
     let members::Rank { rank, entries } = members.rank(now);
     let peers = members.in_cell(own, now).count() as u32;
+    let has_source = members.has_source(now);
     drop(members);
+    if has_source || !edge.is_disconnected() {
+        edge.record_touch(now);
+    }
+    edge.allowances().set_sizes(peers, count, now);
     let mut directory = edge.directory();
     directory.entry_count = count;
     directory.place = directory::Place { rank, entries, peers };
@@ -199,6 +204,7 @@
     }
     drop(directory);
     share.committed = Some(share::Commitments::new(&committed, seq));
+    share.used = share::Used::collect(&mut edge.allowances(), now);
     let changing = edge.orders().changing(now);
     share.changing = changing.iter().map(|id| ids::server_tag(id)).collect();
     share
@@ -288,6 +294,9 @@
         // The sender has reached only a few entries of this cell.
         edge.evidence_changed.notify_one();
     }
+    if let Some(used) = share.used.as_ref().filter(|_| cell == Some(own_cell)) {
+        edge.allowances().record(&share.name, &used.statements(), used.is_complete, now);
+    }
     if is_new {
         edge.commitments_changed.notify_one();
         let is_near = cell == Some(own_cell);
--- a/crates/edge/src/refuse.rs
+++ b/crates/edge/src/refuse.rs
@@ -33,6 +33,9 @@
 
 /// Counts and logs the refusal of a call.
 pub(crate) fn record(call: &call::Call, refusal: Refusal) {
+    if let Some(charge) = call.charge.as_ref().filter(|_| refusal.outcome == Outcome::NotRun) {
+        charge.refund(&call.edge);
+    }
     call.account().update(|totals| totals.count_outcome(refusal.outcome, Some(refusal.reason)));
     call.edge
         .counters
--- a/crates/edge/src/watch.rs
+++ b/crates/edge/src/watch.rs
@@ -315,6 +315,11 @@
                 let (key, value) = (row.key.clone(), value.clone());
                 directory.rows.set_config(version, share::Row { key, version: row.version, value });
                 edge.counters.config_version.set(version as i64);
+                let config = directory.config();
+                drop(directory);
+                for config in config.iter() {
+                    edge.allowances().set_limits(&config.customers, clock::now());
+                }
                 tracing::info!(version, routes, "edge: config applied");
             }
         }
--- a/crates/wire/src/share.rs
+++ b/crates/wire/src/share.rs
@@ -6,7 +6,7 @@
 use serde::{Deserialize, Serialize};
 
 use rhubarb_core::{
-    beginnings, cause, engine, ids, members, quotas, reports, stages, stamp, suspects,
+    allowance, beginnings, cause, engine, ids, members, quotas, reports, stages, stamp, suspects,
 };
 
 /// Maximum size of a datagram, in bytes; fits into one packet.
@@ -52,6 +52,8 @@
     pub waiting: collections::BTreeSet<ids::ServiceName>,
     /// Engines that have just refused memory to the sender.
     pub full: Vec<ids::ServerTag>,
+    /// What the sender's requests have used of customers' limits; absent in datagrams to other cells.
+    pub used: Option<Used>,
     /// Engines that keep beginnings of prompts which several requests have; at most
     /// [`beginnings::MAX_TOLD`].
     pub kept: Vec<beginnings::Place>,
@@ -187,6 +189,62 @@
     }
 }
 
+/// What an entry's requests have used of the limits of customers.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Used {
+    /// Use by customer.
+    pub customers: Vec<CustomerUse>,
+    /// Whether requests of other customers have used nothing.
+    pub is_complete: bool,
+}
+
+/// What requests have used of the limit of one customer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct CustomerUse {
+    /// Tag of the customer.
+    pub customer: ids::CustomerTag,
+    /// Units asked for in the last window.
+    pub asked: u32,
+    /// Units used beyond the sender's part.
+    pub debt: u32,
+}
+
+/// Customers in one datagram: about a sixth of a packet.
+pub const MAX_CUSTOMERS: usize = 16;
+
+impl Used {
+    /// Use for the next datagram; `None` without limits.
+    pub fn collect(known: &mut allowance::Allowances, now: time::Instant) -> Option<Used> {
+        if known.is_empty() {
+            return None;
+        }
+        let (said, is_complete) = known.statements(MAX_CUSTOMERS, now);
+        let customers = said.into_iter().map(|said| CustomerUse {
+            customer: said.customer,
+            asked: said.asked,
+            debt: said.debt,
+        });
+        Some(Used { customers: customers.collect(), is_complete })
+    }
+
+    /// Converts what was received.
+    pub fn statements(&self) -> Vec<allowance::Statement> {
+        let convert = |used: &CustomerUse| allowance::Statement {
+            customer: used.customer,
+            asked: used.asked,
+            debt: used.debt,
+        };
+        self.customers.iter().map(convert).collect()
+    }
+
+    // Removes the customer with the least use; false if there is none.
+    fn reduce(&mut self) -> bool {
+        let is_reduced = self.customers.pop().is_some();
+        self.is_complete &= !is_reduced;
+        is_reduced
+    }
+}
+
 /// Commitments to the engines whose tags are in a range; one that is not listed has none.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Commitments {
@@ -253,8 +311,8 @@
 }
 
 impl Share {
-    /// Encodes the datagram. Places of beginnings, relayed heartbeats, then evidence and limits are
-    /// removed until it fits into a packet.
+    /// Encodes the datagram. Places of beginnings, the use of customers, relayed heartbeats, then
+    /// evidence and limits are removed until it fits into a packet.
     ///
     /// # Errors
     /// Returns an error if the state cannot be encoded, or does not fit without them.
@@ -265,7 +323,7 @@
             if excess == 0 {
                 return Ok(bytes);
             }
-            if self.kept.pop().is_some() {
+            if self.kept.pop().is_some() || self.used.as_mut().is_some_and(Used::reduce) {
                 continue;
             }
             let is_reduced = self.members.is_empty()
--- a/crates/wire/tests/shares.rs
+++ b/crates/wire/tests/shares.rs
@@ -80,6 +80,24 @@
     assert!(with.kept.is_empty() && with.members.len() >= 30, "{} heartbeats", with.members.len());
 }
 
+// Customers fit beside all else, or those with least use are dropped, and the rest is not complete.
+#[test]
+fn customers_fit_packet() {
+    let customer = |customer| share::CustomerUse { customer, asked: u32::MAX, debt: u32::MAX };
+    let customers: Vec<_> = (0..share::MAX_CUSTOMERS as u32).map(customer).collect();
+    let used = share::Used { customers, is_complete: true };
+    let mut share = datagram(10, 20);
+    share.used = Some(used.clone());
+    let decoded = share::Share::decode(&share.encode().unwrap()).unwrap();
+    assert_eq!(decoded.used, Some(used.clone()));
+    let mut full = share::Share { members: heartbeats(60), ..datagram(40, 0) };
+    full.used = Some(used);
+    let bytes = full.encode().unwrap();
+    assert!(bytes.len() <= share::MAX_DATAGRAM_BYTES, "{} bytes", bytes.len());
+    let used = share::Share::decode(&bytes).unwrap().used.unwrap();
+    assert!(used.customers.len() < share::MAX_CUSTOMERS && !used.is_complete);
+}
+
 #[test]
 fn too_large() {
     let mut share = datagram(40, 44);
