Choose plain servers by the expected time of an answer

Servers tell in a fourth figure of their load report how long work takes there at this moment, and differ in speed by nature. The choice went by the number of requests alone, and believed a report until the next one: an entry that had heard of full queues refused requests though it had not heard of the servers for a second.

The expected time counts the reported queue, less with its age, the server's own time and its present slowness with the report's age. A request that finds no room looks again while an answer could still be in time. Servers of the own path are compared as before.

--- a/crates/bench/src/server.rs
+++ b/crates/bench/src/server.rs
@@ -57,6 +57,7 @@
     let tuning = pool::Tuning {
         suspect_after: policy.health_checks.then_some(SUSPECT_AFTER),
         backoff: policy.health_checks,
+        by_time: false,
     };
     let mut pool = pool::Pool::new(format!("zone-{zone}"));
     pool.set_tuning(tuning);
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -40,6 +40,7 @@
 pub mod outcome;
 pub mod outlier;
 pub mod owner;
+pub mod pace;
 pub mod parse;
 pub mod pauses;
 pub mod pool;
--- a/crates/core/src/load.rs
+++ b/crates/core/src/load.rs
@@ -19,6 +19,25 @@
     pub leaving: bool,
 }
 
+/// What a server says of its load in an answer.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Report {
+    /// Its load.
+    pub load: Load,
+    /// Time that work takes there at present, as a multiple of what is usual.
+    pub pace: f64,
+}
+
+/// Range of the pace in a report: beyond it the outcomes of a server tell more.
+const PACE_RANGE: (f64, f64) = (0.2, 5.0);
+
+impl Report {
+    /// Report of `load` by a server at which work takes `pace` times what is usual.
+    pub fn new(load: Load, pace: f64) -> Report {
+        Report { load, pace: pace.clamp(PACE_RANGE.0, PACE_RANGE.1) }
+    }
+}
+
 /// Number of fields of a report, which is written as a tuple.
 const FIELDS: usize = 5;
 
--- a/crates/core/src/pool.rs
+++ b/crates/core/src/pool.rs
@@ -13,6 +13,9 @@
     pub suspect_after: Option<time::Duration>,
     /// Whether consecutive ejections double in length.
     pub backoff: bool,
+    /// Whether servers are compared by the expected time of an answer instead of their number of
+    /// requests, and load reports lose their meaning with time.
+    pub by_time: bool,
 }
 
 /// Outcome of a request as far as its server is concerned.
@@ -27,12 +30,14 @@
 }
 
 /// Estimated load of a server.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Estimate {
     /// Requests running or queued at the server.
     pub busy: u32,
     /// Age of the last load report.
     pub age: time::Duration,
+    /// Expected time of an answer as a multiple of the service's mean.
+    pub pace: f64,
 }
 
 /// Servers of one service and role.
@@ -41,6 +46,8 @@
     zone: ids::ZoneName,
     tuning: Tuning,
     servers: collections::BTreeMap<ids::ServerName, server::Server>,
+    // Mean time of an answer of any server, in seconds.
+    usual: Option<f64>,
 }
 
 /// Criteria for the choice of a server.
@@ -57,6 +64,11 @@
     pub by_work: bool,
 }
 
+/// Weight of one answer in the moving average of a service: about forty answers count.
+const USUAL_WEIGHT: f64 = 0.05;
+/// Answers, one after another, in whose time a load report loses most of its meaning: about as long
+/// as a queue that is within a latency target takes to be worked off.
+const REPORT_ANSWERS: f64 = 20.0;
 /// Consecutive failures that eject a server.
 const EJECT_AFTER: u32 = 3;
 /// Length of the first ejection of a server that cannot be reached.
@@ -77,8 +89,8 @@
 impl Pool {
     /// Creates an empty pool for an entry in `zone`.
     pub fn new(zone: ids::ZoneName) -> Pool {
-        let tuning = Tuning { suspect_after: None, backoff: false };
-        Pool { zone, tuning, servers: collections::BTreeMap::new() }
+        let tuning = Tuning { suspect_after: None, backoff: false, by_time: false };
+        Pool { zone, tuning, servers: collections::BTreeMap::new(), usual: None }
     }
 
     /// Sets the parameters of the health checks.
@@ -298,17 +310,46 @@
     }
 
     /// Estimated number of requests at a server: the last report and what was sent since.
-    pub fn busy(&self, name: &str) -> u32 {
+    pub fn busy(&self, name: &str, now: time::Instant) -> u32 {
         let server = self.servers.get(name);
-        server.map_or(0, |server| {
-            (server.load.held + server.load.waiting + server.sent).max(server.open)
-        })
+        let life = self.report_life();
+        server.map_or(0, |server| life.map_or(server.busy(), |life| server.busy_now(life, now)))
     }
 
     /// Estimated load of a server; `None` before its first report.
     pub fn estimate(&self, name: &str, now: time::Instant) -> Option<Estimate> {
         let reported_at = self.servers.get(name)?.reported_at?;
-        Some(Estimate { busy: self.busy(name), age: now.saturating_duration_since(reported_at) })
+        let age = now.saturating_duration_since(reported_at);
+        Some(Estimate { busy: self.busy(name, now), age, pace: self.pace(name, now) })
+    }
+
+    /// Updates a server with the report in one of its answers, which took `elapsed`.
+    pub fn record_report(
+        &mut self,
+        name: &str,
+        report: load::Report,
+        elapsed: Option<time::Duration>,
+        now: time::Instant,
+    ) {
+        self.update_load(name, report.load, now);
+        let Some(server) = self.servers.get_mut(name) else { return };
+        server.pace.set_present(report.pace, now);
+        // While requests wait, the time includes that in the queue.
+        let Some(elapsed) = elapsed.filter(|_| report.load.waiting == 0) else { return };
+        let seconds = elapsed.as_secs_f64();
+        server.pace.record(seconds, report.pace);
+        let usual = self.usual.unwrap_or(seconds);
+        self.usual = Some(usual + USUAL_WEIGHT * (seconds / report.pace - usual));
+    }
+
+    /// Mean time of an answer without a queue; `None` before the first one.
+    pub fn usual(&self) -> Option<time::Duration> {
+        self.usual.map(time::Duration::from_secs_f64)
+    }
+
+    /// Expected time of an answer of a server as a multiple of the service's mean.
+    pub fn pace(&self, name: &str, now: time::Instant) -> f64 {
+        self.servers.get(name).map_or(1.0, |server| server.pace.at(self.usual, now))
     }
 
     /// Servers to choose from among those that are `allowed`, in the order of [`Pool::pick`]:
@@ -337,6 +378,12 @@
         (0..3).map(by_rank).find(|names| !names.is_empty()).unwrap_or_default()
     }
 
+    // Time over which a load report loses most of its meaning.
+    fn report_life(&self) -> Option<time::Duration> {
+        let usual = self.usual.filter(|_| self.tuning.by_time)?;
+        Some(time::Duration::from_secs_f64(usual * REPORT_ANSWERS))
+    }
+
     fn is_suspect(&self, server: &server::Server, now: time::Instant) -> bool {
         let (Some(after), Some(at)) = (self.tuning.suspect_after, server.reported_at) else {
             return false;
@@ -346,7 +393,11 @@
 
     fn score(&self, name: &ids::ServerName, by_work: bool, now: time::Instant) -> u64 {
         let server = &self.servers[name];
-        let mut score = if by_work { server.work_score(now) } else { server.busy_score() };
+        let mut score = match self.report_life() {
+            _ if by_work => server.work_score(now),
+            Some(life) => server.time_score(server.pace.at(self.usual, now), life, now),
+            None => server.busy_score(),
+        };
         if server.zone != self.zone {
             score += REMOTE_PENALTY;
         }
--- a/crates/core/src/server.rs
+++ b/crates/core/src/server.rs
@@ -2,7 +2,7 @@
 
 use std::time;
 
-use crate::{ids, load, outlier, pauses};
+use crate::{ids, load, outlier, pace, pauses};
 
 /// One server, as an entry knows it.
 #[derive(Clone, Debug)]
@@ -37,12 +37,16 @@
     pub leaver: Option<ids::Incarnation>,
     /// Rate of failures among its own answers to requests.
     pub failure_rate: outlier::FailureRate,
+    /// Time that its answers take beside those of the others.
+    pub pace: pace::Pace,
 }
 
 /// Maximum number of times that the length of an ejection doubles.
 const MAX_DOUBLINGS: u32 = 3;
 /// Score of a server whose slots are all taken.
 const SCALE: u64 = 1000;
+/// Added to all scores by time, so that those of fast servers are not below zero, in scales.
+const FASTEST_ALLOWANCE: f64 = 1.0;
 /// Pending work that scores as much as a server whose slots are all taken.
 const WORK_SCALE_MS: u64 = 1000;
 
@@ -65,6 +69,7 @@
             listed_leaving: false,
             leaver: None,
             failure_rate: outlier::FailureRate::default(),
+            pace: pace::Pace::default(),
         }
     }
 
@@ -100,6 +105,36 @@
         busy.max(u64::from(self.open)) * SCALE / u64::from(self.load.slots.max(1))
     }
 
+    /// Score by the expected time of an answer, which is `pace` times the usual one; what was
+    /// reported loses its meaning over `life`. Equals that by the number of requests at a server
+    /// with the usual pace and a new report.
+    pub(crate) fn time_score(&self, pace: f64, life: time::Duration, now: time::Instant) -> u64 {
+        let reported = f64::from(self.load.held + 2 * self.load.waiting);
+        let busy = reported * self.trust(life, now) + f64::from(self.sent);
+        let fill = busy.max(f64::from(self.open)) / f64::from(self.load.slots.max(1));
+        // At a faster server than usual the time of the answer itself is below zero.
+        let score = (pace * (1.0 + fill) - 1.0 + FASTEST_ALLOWANCE) * SCALE as f64;
+        score.max(0.0).round() as u64
+    }
+
+    /// Estimated number of requests at the server: what it reported and what was sent since.
+    pub(crate) fn busy(&self) -> u32 {
+        (self.load.held + self.load.waiting + self.sent).max(self.open)
+    }
+
+    /// The same when what was reported loses its meaning over `life`.
+    pub(crate) fn busy_now(&self, life: time::Duration, now: time::Instant) -> u32 {
+        let reported = f64::from(self.load.held + self.load.waiting) * self.trust(life, now);
+        (reported.round() as u32 + self.sent).max(self.open)
+    }
+
+    // Part of the last report that still holds.
+    fn trust(&self, life: time::Duration, now: time::Instant) -> f64 {
+        let age =
+            self.reported_at.map_or(time::Duration::ZERO, |at| now.saturating_duration_since(at));
+        (-age.div_duration_f64(life)).exp()
+    }
+
     /// Score by pending work, which the server works off from the time of its report.
     pub(crate) fn work_score(&self, now: time::Instant) -> u64 {
         let reported = time::Duration::from_millis(u64::from(self.load.queue_ms));
--- a/crates/core/tests/choice.rs
+++ b/crates/core/tests/choice.rs
@@ -10,7 +10,11 @@
 
 fn pool(count: usize, now: time::Instant) -> pool::Pool {
     let mut pool = pool::Pool::new("zone-1".into());
-    pool.set_tuning(pool::Tuning { suspect_after: Some(3 * SECOND), backoff: true });
+    pool.set_tuning(pool::Tuning {
+        suspect_after: Some(3 * SECOND),
+        backoff: true,
+        by_time: false,
+    });
     for number in 0..count {
         let name = format!("s-{number}");
         pool.add(&name, "zone-1");
--- a/crates/edge/src/directory.rs
+++ b/crates/edge/src/directory.rs
@@ -123,7 +123,7 @@
 /// Makes a pool in which consecutive ejections of a server get longer.
 fn new_pool(zone: &str) -> pool::Pool {
     let mut pool = pool::Pool::new(zone.to_string());
-    pool.set_tuning(pool::Tuning { suspect_after: None, backoff: true });
+    pool.set_tuning(pool::Tuning { suspect_after: None, backoff: true, by_time: true });
     pool
 }
 
@@ -483,13 +483,15 @@
         };
         let is_saturated = |id: &str| {
             let slots = pool.get(id).map_or(0, |server| server.load.slots);
-            queue_limit.limit(slots, target).is_some_and(|limit| pool.busy(id) >= limit)
+            let target = target.div_f64(pool.pace(id, now));
+            queue_limit.limit(slots, target).is_some_and(|limit| pool.busy(id, now) >= limit)
         };
         if is_saturated(&id) {
             let all = pool.candidates(tried, |_| true, now);
-            let Some(least) = all.into_iter().min_by_key(|id| pool.busy(id)).cloned() else {
-                return Choice::NoServer;
-            };
+            let wait =
+                |id: &ids::ServerName| pool.pace(id, now) * f64::from(1 + pool.busy(id, now));
+            let least = all.into_iter().min_by(|a, b| wait(a).total_cmp(&wait(b)));
+            let Some(least) = least.cloned() else { return Choice::NoServer };
             if is_saturated(&least) {
                 return Choice::Saturated;
             }
@@ -510,27 +512,28 @@
         detectors.entry(route.to_string()).or_default().record(remaining)
     }
 
-    /// Records the duration of a plain request and the load that its server reported.
-    pub(crate) fn record_service_time(
-        &mut self,
-        service: &str,
-        duration: time::Duration,
-        load: load::Load,
-    ) {
-        self.service(service).queue_limit.record(duration, load);
-    }
-
-    /// Records the load that a server reported with a response.
-    pub(crate) fn update_load(
+    /// Records the load that a server reported with an answer, which took `elapsed` if it succeeded.
+    pub(crate) fn record_report(
         &mut self,
         service: &str,
         id: &str,
-        load: load::Load,
+        report: load::Report,
+        elapsed: Option<time::Duration>,
         now: time::Instant,
     ) {
         // The load does not tell whether the server is leaving.
         let leaving = self.fleet.get(id).is_none_or(|instance| instance.leaving);
-        self.service(service).pool.update_load(id, load::Load { leaving, ..load }, now);
+        let report = load::Report { load: load::Load { leaving, ..report.load }, ..report };
+        let Service { pool, queue_limit, .. } = self.service(service);
+        pool.record_report(id, report, elapsed, now);
+        if let Some(elapsed) = elapsed {
+            queue_limit.record(elapsed.div_f64(report.pace), report.load);
+        }
+    }
+
+    /// Expected time of an answer of a plain service without a queue; zero before the first answer.
+    pub(crate) fn usual_time(&mut self, service: &str) -> time::Duration {
+        self.service(service).pool.usual().unwrap_or_default()
     }
 
     /// Sets the limits of the retry budgets.
--- a/crates/edge/src/plain.rs
+++ b/crates/edge/src/plain.rs
@@ -18,6 +18,10 @@
 /// Maximum number of attempts after the first, including those that did not run.
 const MAX_RETRIES: u32 = 2;
 
+/// Interval at which a request waits for room in the queues of a plain service: some of its answers
+/// arrive in that time.
+const ROOM_RECHECK: time::Duration = time::Duration::from_millis(10);
+
 /// Plain request in progress.
 #[derive(Debug)]
 pub(crate) struct Plain {
@@ -82,6 +86,7 @@
         {
             return flow::Event::Failed { server: None, refusal, retry: false };
         }
+        let room_limit = self.room_limit();
         let choice = loop {
             match self.choose() {
                 // A server may be sent to again soon enough.
@@ -91,6 +96,14 @@
                         return flow::Event::CallerGone;
                     }
                 }
+                // An answer, or the age of a report, may show room that is soon enough.
+                directory::Choice::Saturated if clock::now() + ROOM_RECHECK <= room_limit => {
+                    let until = clock::now() + ROOM_RECHECK;
+                    let waiting = self.responder.wait(future::pending::<()>(), until);
+                    if let responder::WaitOutcome::Disconnected = waiting.await {
+                        return flow::Event::CallerGone;
+                    }
+                }
                 choice => break choice,
             }
         };
@@ -138,6 +151,13 @@
         self.call.deadline.min(self.call.arrived + self.call.route.target)
     }
 
+    // Time until which room in a queue is of use: its answer still meets the latency target.
+    fn room_limit(&self) -> time::Instant {
+        let usual = self.call.edge.directory().usual_time(&self.call.service);
+        let limit = self.wait_limit();
+        limit.checked_sub(usual).unwrap_or(limit)
+    }
+
     fn choose(&mut self) -> directory::Choice {
         quotas::refresh(&self.call.edge);
         let (call, now) = (&self.call, clock::now());
@@ -224,12 +244,11 @@
         sent_at: time::Instant,
         response: exchange::BufferedResponse,
     ) -> Attempt {
-        if let Some(load) = platform_response::reported_load(response.head.headers()) {
+        if let Some(report) = platform_response::reported_load(response.head.headers()) {
+            let now = clock::now();
+            let elapsed = response.is_success().then(|| now - sent_at);
             let mut directory = self.call.edge.directory();
-            if response.is_success() {
-                directory.record_service_time(&self.call.service, clock::now() - sent_at, load);
-            }
-            directory.update_load(&self.call.service, &target.id, load, clock::now());
+            directory.record_report(&self.call.service, &target.id, report, elapsed, now);
         }
         match platform_response::classify(&response.head, self.call.head.attempt_id.as_ref()) {
             platform_response::HeadClass::NotRun => {
@@ -305,6 +324,7 @@
             server = response.server,
             busy = self.estimate.map(|estimate| estimate.busy),
             report_age_ms = self.estimate.map(|estimate| estimate.age.as_millis() as u64),
+            pace = self.estimate.map(|estimate| estimate.pace),
             attempts = self.flow.retries() + 1,
             status = response.head.status().as_u16(),
             age_ms = call.age_ms(),
--- a/crates/entry/src/view.rs
+++ b/crates/entry/src/view.rs
@@ -159,7 +159,11 @@
         let followed: usize = self.pools.values().map(|pool| pool.names().count()).sum();
         let suspect_after = subset::period(followed) * MAX_MISSED_REPORTS + REPORT_SLACK;
         for pool in self.pools.values_mut() {
-            pool.set_tuning(pool::Tuning { suspect_after: Some(suspect_after), backoff: true });
+            pool.set_tuning(pool::Tuning {
+                suspect_after: Some(suspect_after),
+                backoff: true,
+                by_time: false,
+            });
         }
     }
 
