Estimate the speed of each engine and choose by it

All engines of a service counted as alike.

Estimates follow the median, few samples pull to the service's usual, a new process starts from there, and differences below a quarter count as none. Prompts go by expected end, backlogs count in the engine's own time, answers fill fast engines first.

--- a/crates/core/src/engines.rs
+++ b/crates/core/src/engines.rs
@@ -5,7 +5,7 @@
 
 use std::{cmp, collections, time};
 
-use crate::{cells, engine, fleet, ids, pauses, reports, stages, urgency};
+use crate::{cells, engine, fleet, ids, pauses, reports, speeds, stages, urgency};
 
 /// Engines of one service.
 #[derive(Clone, Debug, Default)]
@@ -22,6 +22,7 @@
     run_time: Option<f64>,
     // Mean time to generate one token, in seconds.
     token_time: Option<f64>,
+    speeds: speeds::Speeds,
     usage: stages::Usage,
     peer_usage: collections::BTreeMap<String, stages::Usage>,
     // Usage of other cells, as their speakers report it.
@@ -147,6 +148,7 @@
     pub fn remove(&mut self, id: &str) {
         self.engines.remove(id);
         self.names.remove(&ids::server_tag(id));
+        self.speeds.forget(ids::server_tag(id));
     }
 
     /// Sets the partition of the fleet, and the cell of this entry in it.
@@ -337,7 +339,12 @@
             let filled = engine.committed(now) / (engine.memory / MEMORY_STEPS).max(1);
             if engine.is_home { filled } else { filled + FOREIGN_STEPS }
         };
-        let (id, _) = fitting.min_by_key(|(id, engine)| (step(engine), tie_break(id, draw)))?;
+        // At a fast engine the memory is free again sooner.
+        let rank = |id: &str, engine: &engine::Engine| {
+            let factor = self.speeds.factor(ids::server_tag(id), speeds::Work::Answer);
+            (f64::from(step(engine) + 1) * factor) as u32
+        };
+        let (id, _) = fitting.min_by_key(|(id, engine)| (rank(id, engine), tie_break(id, draw)))?;
         let id = id.clone();
         self.queue.remove(&position);
         while self.grants.front().is_some_and(|(at, _)| *at + GRANT_WINDOW < now) {
@@ -482,15 +489,20 @@
         };
         let sources = self.available(fleet::Stage::Prefill, now);
         let sources = sources.filter(|(id, engine)| engine.is_reported(now) && allowed(id));
+        // Engines of the usual speed rank by their waits and by what they keep alone.
+        let usual = prefill_time(tokens).as_millis() as i64;
         let rank = |id: &str, engine: &engine::Engine| {
             let kept = kept(id).min(tokens);
-            let saved = prefill_time(tokens) - prefill_time(tokens - kept);
-            let steps = |time: time::Duration| (time.as_millis() / PREFILL_STEP.as_millis()) as i64;
-            (steps(wait(engine)) - steps(saved), cmp::Reverse(kept), tie_break(id, draw))
+            let own = self.prefill_time_at(id, tokens);
+            let saved = own - self.prefill_time_at(id, tokens - kept);
+            let steps = |millis: i64| millis.div_euclid(PREFILL_STEP.as_millis() as i64);
+            let end = wait(engine).as_millis() as i64 + own.as_millis() as i64 - usual;
+            let step = steps(end) - steps(saved.as_millis() as i64);
+            (step, cmp::Reverse(kept), tie_break(id, draw))
         };
         let (id, engine) = sources.min_by_key(|(id, engine)| rank(id, engine))?;
         let read = tokens - kept(id).min(tokens);
-        let expected = engine.prefill_backlog(now) + prefill_time(read);
+        let expected = engine.prefill_backlog(now) + self.prefill_time_at(id, read);
         Some((id.clone(), expected))
     }
 
@@ -498,10 +510,60 @@
     pub fn record_prefill(&mut self, id: &str, tokens: u32, now: time::Instant) {
         self.usage.prompts += 1;
         self.usage.prefill += prefill_time(tokens);
+        let own = self.prefill_time_at(id, tokens);
         if let Some(engine) = self.engines.get_mut(id) {
             let from = engine.prefill_until.map_or(now, |until| until.max(now));
-            engine.prefill_until = Some(from + prefill_time(tokens));
+            engine.prefill_until = Some(from + own);
+        }
+    }
+
+    // Time that one engine needs to read a prompt when it is idle.
+    fn prefill_time_at(&self, id: &str, tokens: u32) -> time::Duration {
+        let factor = self.speeds.factor(ids::server_tag(id), speeds::Work::Prompt);
+        prefill_time(tokens).mul_f64(factor)
+    }
+
+    /// Records that an engine took `took` to read a prompt when `expected` was expected. If others were
+    /// to be read before it, that tells nothing of the engine's speed.
+    pub fn record_prompt_time(
+        &mut self,
+        id: &str,
+        tokens: u32,
+        took: time::Duration,
+        expected: time::Duration,
+    ) {
+        if expected > self.prefill_time_at(id, tokens) + PREFILL_BASE {
+            return;
         }
+        let reading = took.saturating_sub(PREFILL_BASE);
+        let server = ids::server_tag(id);
+        let sample = speeds::Sample::new(server, speeds::Work::Prompt, tokens, reading);
+        self.record_speed(sample);
+    }
+
+    /// Records that an engine took `took` to generate an answer of `tokens`.
+    pub fn record_answer_time(&mut self, id: &str, tokens: u32, took: time::Duration) {
+        let server = ids::server_tag(id);
+        let sample = speeds::Sample::new(server, speeds::Work::Answer, tokens, took);
+        self.record_speed(sample);
+    }
+
+    fn record_speed(&mut self, sample: Option<speeds::Sample>) {
+        if let Some(sample) = sample.filter(|sample| self.names.contains_key(&sample.server)) {
+            self.speeds.record(sample);
+        }
+    }
+
+    /// Records the time that a peer measured at an engine.
+    pub fn merge_speed(&mut self, sample: speeds::Sample) {
+        if self.names.contains_key(&sample.server) {
+            self.speeds.merge(sample);
+        }
+    }
+
+    /// Removes and returns at most `max` of the times that this entry has measured, for its peers.
+    pub fn take_speeds(&mut self, max: usize) -> Vec<speeds::Sample> {
+        self.speeds.take(max)
     }
 
     /// Time that a decode engine needs to read a prompt itself, between its decode steps.
@@ -524,7 +586,7 @@
             |engine: &engine::Engine| software.is_none_or(|wanted| engine.software == wanted);
         let known = sources.filter(|(_, engine)| engine.is_reported(now) && is_alike(engine));
         let time = |id: &str, engine: &engine::Engine| {
-            engine.prefill_backlog(now) + prefill_time(tokens.saturating_sub(kept(id)))
+            engine.prefill_backlog(now) + self.prefill_time_at(id, tokens.saturating_sub(kept(id)))
         };
         known.map(|(id, engine)| time(id, engine)).min()
     }
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -61,6 +61,7 @@
 pub mod section;
 pub mod server;
 pub mod slots;
+pub mod speeds;
 pub mod sse;
 pub mod stages;
 pub mod stale_rows;
--- a/crates/edge/src/peers.rs
+++ b/crates/edge/src/peers.rs
@@ -188,6 +188,11 @@
         if let Some(urgency) = service.engines.most_urgent() {
             share.waiting.insert(name.clone(), urgency);
         }
+        if is_heartbeat {
+            let room = share::MAX_SPEEDS - share.speeds.len();
+            let speeds = service.engines.take_speeds(room);
+            share.speeds.extend(speeds.into_iter().map(share::Speed::from));
+        }
         if is_heartbeat && share.kept.len() < beginnings::MAX_TOLD {
             share.kept.append(&mut service.beginnings.take_news(now));
             share.kept.truncate(beginnings::MAX_TOLD);
@@ -338,6 +343,11 @@
         for place in share.kept.iter().take(beginnings::MAX_TOLD) {
             service.beginnings.record_told(*place, now);
         }
+        if cell == Some(own_cell) {
+            for speed in share.speeds.iter().take(share::MAX_SPEEDS) {
+                engines.merge_speed((*speed).into());
+            }
+        }
         for tag in &share.changing {
             if let Some(id) = engines.name(*tag).cloned() {
                 engines.set_changing(&id, now + CHANGING_TTL);
--- a/crates/edge/src/prefill.rs
+++ b/crates/edge/src/prefill.rs
@@ -188,6 +188,10 @@
     match result {
         Ok(prefilled) => {
             let took = clock::now() - started;
+            let mut directory = call.edge.directory();
+            let engines = &mut directory.service(&call.service).engines;
+            engines.record_prompt_time(&target.id, prompt.tokens, took, expected);
+            drop(directory);
             tracing::info!(
                 id = call.id(),
                 server = target.id,
--- a/crates/edge/src/stream.rs
+++ b/crates/edge/src/stream.rs
@@ -693,7 +693,15 @@
             // The longest gap is more likely due to a fault than to the engines' speed.
             let duration = (last - first).saturating_sub(self.longest_gap);
             let mut directory = call.edge.directory();
-            directory.service(&call.service).engines.record_answer(tokens, duration);
+            let engines = &mut directory.service(&call.service).engines;
+            engines.record_answer(tokens, duration);
+            // An answer that went on elsewhere is the work of two engines.
+            if let Some(reservation) =
+                self.reservation.as_ref().filter(|_| self.flow.retries() == 0)
+            {
+                let tokens = u32::try_from(tokens).unwrap_or(u32::MAX);
+                engines.record_answer_time(&reservation.target.id, tokens, duration);
+            }
         }
         call.account().update(|totals| {
             totals.count_outcome(Outcome::Answered, None);
--- a/crates/wire/src/share.rs
+++ b/crates/wire/src/share.rs
@@ -6,7 +6,8 @@
 use serde::{Deserialize, Serialize};
 
 use rhubarb_core::{
-    beginnings, cause, engine, ids, members, quotas, reports, stages, stamp, suspects, urgency,
+    beginnings, cause, engine, ids, members, quotas, reports, speeds, stages, stamp, suspects,
+    urgency,
 };
 
 /// Maximum size of a datagram, in bytes; fits into one packet.
@@ -53,6 +54,8 @@
     pub waiting: collections::BTreeMap<ids::ServiceName, urgency::Urgency>,
     /// Engines that have just refused memory to the sender.
     pub full: Vec<ids::ServerTag>,
+    /// Times per token that the sender has measured since its last heartbeat.
+    pub speeds: Vec<Speed>,
     /// Engines that keep beginnings of prompts which several requests have; at most
     /// [`beginnings::MAX_TOLD`].
     pub kept: Vec<beginnings::Place>,
@@ -188,6 +191,35 @@
     }
 }
 
+/// Time per token that the sender has measured at an engine.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Speed {
+    /// Tag of the server that runs the engine.
+    pub server: ids::ServerTag,
+    /// Whether it generated an answer; it read a prompt otherwise.
+    pub is_answer: bool,
+    /// Time per token, in nanoseconds.
+    pub nanos: u32,
+}
+
+/// Speeds in one datagram.
+pub const MAX_SPEEDS: usize = 12;
+
+impl From<speeds::Sample> for Speed {
+    fn from(sample: speeds::Sample) -> Speed {
+        let speeds::Sample { server, work, nanos } = sample;
+        Speed { server, is_answer: work == speeds::Work::Answer, nanos }
+    }
+}
+
+impl From<Speed> for speeds::Sample {
+    fn from(speed: Speed) -> speeds::Sample {
+        let Speed { server, is_answer, nanos } = speed;
+        let work = if is_answer { speeds::Work::Answer } else { speeds::Work::Prompt };
+        speeds::Sample { server, work, nanos }
+    }
+}
+
 /// Commitments to the engines whose tags are in a range; one that is not listed has none.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Commitments {
@@ -254,8 +286,8 @@
 }
 
 impl Share {
-    /// Encodes the datagram. Places of beginnings, relayed heartbeats, then evidence and limits are
-    /// removed until it fits into a packet.
+    /// Encodes the datagram. Places of beginnings and speeds, relayed heartbeats, then evidence and
+    /// limits are removed until it fits into a packet.
     ///
     /// # Errors
     /// Returns an error if the state cannot be encoded, or does not fit without them.
@@ -266,7 +298,7 @@
             if excess == 0 {
                 return Ok(bytes);
             }
-            if self.kept.pop().is_some() {
+            if self.kept.pop().is_some() || self.speeds.pop().is_some() {
                 continue;
             }
             let is_reduced = self.members.is_empty()
--- a/crates/wire/tests/shares.rs
+++ b/crates/wire/tests/shares.rs
@@ -80,6 +80,21 @@
     assert!(with.kept.is_empty() && with.members.len() >= 30, "{} heartbeats", with.members.len());
 }
 
+#[test]
+fn speeds_dropped_first() {
+    let speed = |server| share::Speed { server, is_answer: true, nanos: u32::MAX };
+    let mut share = datagram(40, 44);
+    share.speeds = (0..share::MAX_SPEEDS as u32).map(|number| speed(u32::MAX - number)).collect();
+    let mut without = datagram(40, 44);
+    without.encode().unwrap();
+    assert!(share.encode().unwrap().len() <= share::MAX_DATAGRAM_BYTES);
+    assert_eq!(share.members, without.members, "heartbeats stay");
+    let mut share = datagram(10, 4);
+    share.speeds = vec![speed(7)];
+    let bytes = share.encode().unwrap();
+    assert_eq!(share::Share::decode(&bytes).unwrap().speeds, [speed(7)]);
+}
+
 #[test]
 fn too_large() {
     let mut share = datagram(40, 44);
