Carry speeds of engines beside the use of customers in one datagram

Both lists are bounded, and dropped from a full packet after places of beginnings: speeds first, then the use of customers.

--- a/crates/wire/src/share.rs
+++ b/crates/wire/src/share.rs
@@ -6,8 +6,8 @@
 use serde::{Deserialize, Serialize};
 
 use rhubarb_core::{
-    allowance, beginnings, cause, engine, ids, members, quotas, reports, stages, stamp, suspects,
-    urgency,
+    allowance, beginnings, cause, engine, ids, members, quotas, reports, speeds, stages, stamp,
+    suspects, urgency,
 };
 
 /// Maximum size of a datagram, in bytes; fits into one packet.
@@ -56,6 +56,8 @@
     pub full: Vec<ids::ServerTag>,
     /// What the sender's requests have used of customers' limits; absent in datagrams to other cells.
     pub used: Option<Used>,
+    /// Times per token that the sender has measured since its last heartbeat.
+    pub speeds: Vec<Speed>,
     /// Engines that keep beginnings of prompts which several requests have; at most
     /// [`beginnings::MAX_TOLD`].
     pub kept: Vec<beginnings::Place>,
@@ -247,6 +249,35 @@
     }
 }
 
+/// Time per token that the sender has measured at an engine.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Speed {
+    /// Tag of the server that runs the engine.
+    pub server: ids::ServerTag,
+    /// Whether it generated an answer; it read a prompt otherwise.
+    pub is_answer: bool,
+    /// Time per token, in nanoseconds.
+    pub nanos: u32,
+}
+
+/// Speeds in one datagram.
+pub const MAX_SPEEDS: usize = 12;
+
+impl From<speeds::Sample> for Speed {
+    fn from(sample: speeds::Sample) -> Speed {
+        let speeds::Sample { server, work, nanos } = sample;
+        Speed { server, is_answer: work == speeds::Work::Answer, nanos }
+    }
+}
+
+impl From<Speed> for speeds::Sample {
+    fn from(speed: Speed) -> speeds::Sample {
+        let Speed { server, is_answer, nanos } = speed;
+        let work = if is_answer { speeds::Work::Answer } else { speeds::Work::Prompt };
+        speeds::Sample { server, work, nanos }
+    }
+}
+
 /// Commitments to the engines whose tags are in a range; one that is not listed has none.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Commitments {
@@ -313,7 +344,7 @@
 }
 
 impl Share {
-    /// Encodes the datagram. Places of beginnings, the use of customers, relayed heartbeats, then
+    /// Encodes the datagram. Places of beginnings, speeds, the use of customers, relayed heartbeats, then
     /// evidence and limits are removed until it fits into a packet.
     ///
     /// # Errors
@@ -325,7 +356,10 @@
             if excess == 0 {
                 return Ok(bytes);
             }
-            if self.kept.pop().is_some() || self.used.as_mut().is_some_and(Used::reduce) {
+            let is_reduced = self.kept.pop().is_some()
+                || self.speeds.pop().is_some()
+                || self.used.as_mut().is_some_and(Used::reduce);
+            if is_reduced {
                 continue;
             }
             let is_reduced = self.members.is_empty()
