Count only what an engine has read towards its speed

After the merge with kept beginnings a prompt is read in part; its time is divided by the tokens that were read.

--- a/crates/edge/src/prefill.rs
+++ b/crates/edge/src/prefill.rs
@@ -190,7 +190,7 @@
             let took = clock::now() - started;
             let mut directory = call.edge.directory();
             let engines = &mut directory.service(&call.service).engines;
-            engines.record_prompt_time(&target.id, prompt.tokens, took, expected);
+            engines.record_prompt_time(&target.id, prompt.tokens - kept, took, expected);
             drop(directory);
             tracing::info!(
                 id = call.id(),
