Test keys and limits of customers with real processes

Cause: keys, names and limits of customers were tested without a network only.

Change: the stand-ins learn customers. A site can write a config with customers, their keys and limits, and a public route; servers record for each arrival which customer it names and whether it carries a key. The config of other tests is unchanged.

With a limit of 4 requests a second, and as much burst, and no tolerance in the settings, a single entry that does not know the number of entries served none of 30 requests: it counts eight entries, so that its bucket holds 0.425 of a request.

--- a/crates/e2e/src/call.rs
+++ b/crates/e2e/src/call.rs
@@ -9,7 +9,7 @@
 use rhubarb_node::{client, response};
 
 /// Host that the default routes of a site match.
-pub(crate) const HOST: &str = "x.example";
+pub const HOST: &str = "x.example";
 /// Timeout of a request; longer than the timeout of any route.
 pub(crate) const CALL_TIMEOUT: time::Duration = time::Duration::from_secs(20);
 /// Maximum size of a response body in bytes; a longer one counts as cut off.
--- a/crates/e2e/src/site.rs
+++ b/crates/e2e/src/site.rs
@@ -67,6 +67,29 @@
     }
 }
 
+/// A customer in [`Site::config_with_customers`].
+#[derive(Clone, Copy, Debug)]
+pub struct Customer<'a> {
+    /// Name.
+    pub name: &'a str,
+    /// Keys of its callers.
+    pub keys: &'a [&'a str],
+    /// Limit in requests a second, also the most at once; `None` without limit.
+    pub rate: Option<u32>,
+}
+
+impl Customer<'_> {
+    fn row(&self) -> serde_json::Value {
+        let mut row = json!({"name": self.name, "api_keys": self.keys, "priority": 1});
+        if let Some(rate) = self.rate {
+            row["rate_per_s"] = json!(rate);
+            row["burst"] = json!(rate);
+            row["unit"] = json!("requests");
+        }
+        row
+    }
+}
+
 /// Maximum number of servers that may run one request.
 pub const MAX_ATTEMPTS: u32 = 2;
 /// Timeout of a plain request.
@@ -84,6 +107,9 @@
 /// Path on the route whose streams run at most once.
 pub const STREAM: &str = "/stream/x";
 
+/// Path on the route of [`Site::config_with_customers`] whose requests need no key.
+pub const PUBLIC: &str = "/public/x";
+
 /// Time after which an engine releases an unused hold.
 pub const HOLD_LIFETIME: time::Duration = time::Duration::from_secs(2);
 
@@ -271,6 +297,22 @@
         })
     }
 
+    /// The same with customers, and a route for [`PUBLIC`] whose requests need no key.
+    pub fn config_with_customers(
+        &self,
+        version: u64,
+        customers: &[Customer<'_>],
+    ) -> serde_json::Value {
+        let mut config = self.config(version);
+        let mut route = config["routes"][0].clone();
+        route["name"] = json!("public");
+        route["prefix"] = json!("/public/");
+        route["public"] = json!(true);
+        config["routes"].as_array_mut().expect("routes are a list").push(route);
+        config["tenants"] = customers.iter().map(Customer::row).collect();
+        config
+    }
+
     /// Puts a relay between the store and the entries started from now on.
     ///
     /// # Errors
--- a/crates/fakes/src/arrivals.rs
+++ b/crates/fakes/src/arrivals.rs
@@ -9,6 +9,9 @@
 
 use crate::replies;
 
+/// Header that names the customer of a request.
+const CUSTOMER: &str = "x-tenant";
+
 /// A request of any kind that reached a server.
 #[derive(Clone, Debug)]
 pub struct Arrival {
@@ -22,6 +25,10 @@
     pub method: Method,
     /// Path and query.
     pub target: String,
+    /// Name of the caller's customer; `None` if it names none.
+    pub customer: Option<String>,
+    /// Whether it carries the key of a customer.
+    pub has_key: bool,
     /// Whether it was rejected with status 421.
     pub misdirected: bool,
     /// Time until which the answer asked for a pause, if it was a rejection with `Retry-After`.
@@ -36,12 +43,15 @@
 
     /// Arrival of `request` now, at a server in its start `born`.
     pub(crate) fn new<B>(request: &Request<B>, born: u64) -> Arrival {
+        let names_customer = request.headers().contains_key(CUSTOMER);
         Arrival {
             at: clock::now(),
             born,
             attempt: replies::header_text(request.headers(), replies::ATTEMPT_ID),
             method: request.method().clone(),
             target: request.uri().to_string(),
+            customer: names_customer.then(|| replies::header_text(request.headers(), CUSTOMER)),
+            has_key: request.headers().contains_key("x-key"),
             misdirected: false,
             paused_until: None,
         }
