--- a/crates/core/tests/allowances.rs
+++ b/crates/core/tests/allowances.rs
@@ -396,3 +396,17 @@
     }
     assert_eq!(seen.len(), 100);
 }
+
+// A limit of which the part of one entry is less than a request: some of it has to be usable.
+#[test]
+fn small_limit_served() {
+    let start = time::Instant::now() + 60 * SECOND;
+    let mut known = allowance::Allowances::new(allowance::Tolerance::default());
+    let limit = customers::Limit { rate: 4.0, burst: 4.0, unit: customers::Unit::Requests };
+    known.set_limits(&customers(limit), start);
+    known.set_sizes(0, None, start);
+    let at = |number| start + number * SECOND;
+    let served =
+        (0..30).filter(|number| known.request(tag(), None, at(*number)).unwrap().wait.is_none());
+    assert!(served.count() >= 10, "of 30 requests in 30 s");
+}
