Draw customers in the soak

Callers of a soak belong to two customers from the first change of the config on. The new invariant is that no server gets a key, or the name of another customer than the caller's.

--- a/crates/soak/src/arrival_checks.rs
+++ b/crates/soak/src/arrival_checks.rs
@@ -37,6 +37,7 @@
     violations.extend(check_isolated(history));
     violations.extend(check_repeated(history));
     violations.extend(check_limits(history));
+    violations.extend(check_customers(history));
     violations
 }
 
@@ -118,6 +119,25 @@
     violations
 }
 
+// Checks that servers see no keys, and callers count for nobody else.
+fn check_customers(history: &record::History) -> Vec<Violation> {
+    let mut violations = Vec::new();
+    for (server, arrival, sent) in client_arrivals(history) {
+        let expected = record::customer(&arrival.attempt).name;
+        let is_other = arrival.customer.as_ref().is_some_and(|name| name != expected);
+        if arrival.has_key || is_other {
+            let arrivals::Arrival { attempt, customer, has_key, .. } = arrival;
+            let detail = format!(
+                "{attempt} of {expected} from entry {} at {server}: customer {customer:?}, \
+                 has_key {has_key}",
+                sent.edge
+            );
+            violations.push(Violation { invariant: Invariant::Customer, detail });
+        }
+    }
+    violations
+}
+
 fn leaving(
     server: &str,
     arrival: &arrivals::Arrival,
--- a/crates/soak/src/injector.rs
+++ b/crates/soak/src/injector.rs
@@ -327,7 +327,8 @@
 
     fn update_config(&self) {
         let version = self.shared.version.fetch_add(1, atomic::Ordering::Relaxed) + 1;
-        self.site.store.put("op", "config", self.site.config(version).to_string());
+        let config = self.site.config_with_customers(version, &record::CUSTOMERS);
+        self.site.store.put("op", "config", config.to_string());
     }
 
     // Sends a signal to an entry that runs, and records the fault unless it has it already.
--- a/crates/soak/src/invariant.rs
+++ b/crates/soak/src/invariant.rs
@@ -35,6 +35,8 @@
     Repeated,
     /// A server that names a limit gets no more requests than that, and half as many.
     Limited,
+    /// No server gets the key of a customer, or the name of another than the caller's.
+    Customer,
     /// An entry never goes back to an older config.
     NoRollback,
     /// Each entry serves all kinds of requests again soon after the last fault.
--- a/crates/soak/src/record.rs
+++ b/crates/soak/src/record.rs
@@ -26,6 +26,18 @@
 /// Prefix of the attempt ids of requests with that part.
 pub const DEADLY_PREFIX: &str = "d";
 
+/// Customers of the callers, from the first change of the config on.
+pub const CUSTOMERS: [site::Customer<'_>; 2] = [
+    site::Customer { name: "first", keys: &["key of the first"], rate: None },
+    site::Customer { name: "second", keys: &["key of the second"], rate: None },
+];
+
+/// Customer that sends the request with the attempt id `attempt`, by the last digit of its number.
+pub fn customer(attempt: &str) -> site::Customer<'static> {
+    let digit = attempt.bytes().last().unwrap_or_default();
+    CUSTOMERS[usize::from(digit) % CUSTOMERS.len()]
+}
+
 /// Body of the requests that are sent again and again and crash each server that runs them, and the
 /// prefixes of their attempt ids at plain servers and at engines.
 pub const REPEATED_BODY: &str = "sent again";
--- a/crates/soak/tests/arrivals.rs
+++ b/crates/soak/tests/arrivals.rs
@@ -45,6 +45,8 @@
             target: "/safe/x".to_string(),
             misdirected: false,
             paused_until: None,
+            customer: None,
+            has_key: false,
         };
         let arrivals = self.history.arrivals.entry("i-1".to_string()).or_default();
         arrivals.push(arrival);
@@ -324,3 +326,21 @@
     frozen.fault(EntryFault::Frozen, 500, 1_000);
     assert_eq!(frozen.violated(), []);
 }
+
+#[test]
+fn customer_told() {
+    let names: [(Option<&str>, bool, bool); 5] = [
+        (None, false, true),
+        (Some("first"), false, true),
+        (Some("second"), false, false),
+        (Some("first"), true, false),
+        (None, true, false),
+    ];
+    for (name, has_key, is_sound) in names {
+        let mut story = Story::new();
+        let arrival = story.sent("s10", 0);
+        (arrival.customer, arrival.has_key) = (name.map(str::to_string), has_key);
+        let expected: &[Invariant] = if is_sound { &[] } else { &[Invariant::Customer] };
+        assert_eq!(story.violated(), expected, "{name:?} {has_key}");
+    }
+}
