Keep the name of the key's header in the stand-ins

Callers' headers are constants of the stand-ins, as the others are. A type is named through its module in routing as well. Measured: names_confined and clippy pass.

--- a/crates/core/src/routing.rs
+++ b/crates/core/src/routing.rs
@@ -4,8 +4,6 @@
 
 use crate::{customers, ids, urgency};
 
-use urgency::Urgency;
-
 /// Name of a route.
 pub type RouteName = String;
 /// Host of a request, without a port.
@@ -148,11 +146,11 @@
 
     /// Place of `urgency` among those of the requests to `service`, 0 for the most urgent ones; none
     /// if all are equally urgent.
-    pub fn priority(&self, service: &str, urgency: Urgency) -> Option<u8> {
+    pub fn priority(&self, service: &str, urgency: urgency::Urgency) -> Option<u8> {
         let serves = |route: &&Route| route.splits.iter().any(|split| split.service == service);
         let mut all = collections::BTreeSet::new();
         for route in self.routes.iter().filter(serves) {
-            let of_rank = |rank| Urgency { rank, route: route.rank };
+            let of_rank = |rank| urgency::Urgency { rank, route: route.rank };
             if route.is_public || self.customers.is_empty() {
                 all.insert(of_rank(route.rank));
             } else {
--- a/crates/e2e/tests/platform_customers.rs
+++ b/crates/e2e/tests/platform_customers.rs
@@ -9,8 +9,6 @@
 use rhubarb_fakes::{arrivals, caller};
 use rhubarb_node::client;
 
-/// Header with the key of a customer.
-const KEY: &str = "x-key";
 /// Header with the name of a customer, which servers get.
 const NAME: &str = "x-tenant";
 /// Time within which entries use a changed config, as in the tests of the store.
@@ -34,7 +32,7 @@
 // Waits until an entry rejects the key.
 async fn wait_rejected(site: &site::Site, edge: usize, key: &str) -> anyhow::Result<()> {
     let start = time::Instant::now();
-    while send(site, edge, site::SAFE, "probe", &[(KEY, key)]).await?.status != 401 {
+    while send(site, edge, site::SAFE, "probe", &[(caller::KEY, key)]).await?.status != 401 {
         anyhow::ensure!(start.elapsed() < CONFIG_TIME, "{key} is still served at entry {edge}");
         tokio::time::sleep(POLL_INTERVAL).await;
     }
@@ -61,7 +59,7 @@
         headers.insert(name.parse::<header::HeaderName>()?, value.parse()?);
     }
     for key in keys {
-        headers.append(KEY, key.parse()?);
+        headers.append(caller::KEY, key.parse()?);
     }
     let reply = client::Client::new().send(request, CONFIG_TIME).await?;
     Ok(reply.status().as_u16())
@@ -86,7 +84,7 @@
 #[tokio::test]
 async fn keys_checked() -> anyhow::Result<()> {
     let site = start(1, &[ACME]).await?;
-    let key = [(KEY, "acme-first")];
+    let key = [(caller::KEY, "acme-first")];
     let reply = send(&site, 0, site::UNSAFE, "plain", &key).await?;
     assert_eq!(reply.status, 200, "{reply:?}");
     check_named(&site, "plain", 1, Some("acme"));
@@ -95,7 +93,7 @@
     assert_eq!((reply.status, reply.body), (200, Some(site::full_stream())));
     check_named(&site, "stream", 2, Some("acme"));
     for (number, path) in [site::SAFE, site::UNSAFE, site::STREAM].into_iter().enumerate() {
-        for (kind, headers) in [("unknown", vec![(KEY, "other")]), ("missing", vec![])] {
+        for (kind, headers) in [("unknown", vec![(caller::KEY, "other")]), ("missing", vec![])] {
             let attempt = format!("{kind}-{number}");
             let reply = send(&site, 0, path, &attempt, &headers).await?;
             assert!(reply.status == 401 && reply.is_local(), "{attempt}: {reply:?}");
@@ -119,7 +117,7 @@
     let site = start(2, &[ACME]).await?;
     for edge in 0..2 {
         let attempt = format!("before-{edge}");
-        let reply = send(&site, edge, site::SAFE, &attempt, &[(KEY, "acme-first")]).await?;
+        let reply = send(&site, edge, site::SAFE, &attempt, &[(caller::KEY, "acme-first")]).await?;
         assert_eq!(reply.status, 200, "{reply:?}");
     }
     let left = site::Customer { keys: &["acme-second"], ..ACME };
@@ -127,11 +125,12 @@
     for edge in 0..2 {
         wait_rejected(&site, edge, "acme-first").await?;
         let attempt = format!("taken-{edge}");
-        let reply = send(&site, edge, site::SAFE, &attempt, &[(KEY, "acme-first")]).await?;
+        let reply = send(&site, edge, site::SAFE, &attempt, &[(caller::KEY, "acme-first")]).await?;
         assert_eq!(reply.status, 401, "{reply:?}");
         assert!(arrivals(&site, &attempt).is_empty());
         let attempt = format!("left-{edge}");
-        let reply = send(&site, edge, site::SAFE, &attempt, &[(KEY, "acme-second")]).await?;
+        let reply =
+            send(&site, edge, site::SAFE, &attempt, &[(caller::KEY, "acme-second")]).await?;
         assert_eq!(reply.status, 200, "{reply:?}");
         check_named(&site, &attempt, 1, Some("acme"));
     }
@@ -147,7 +146,7 @@
     let (mut served, mut rejected) = (0, 0);
     for number in 0..30 {
         let attempt = format!("small-{number}");
-        let reply = send(&site, 0, site::SAFE, &attempt, &[(KEY, "small-key")]).await?;
+        let reply = send(&site, 0, site::SAFE, &attempt, &[(caller::KEY, "small-key")]).await?;
         if reply.status == 200 {
             served += 1;
             check_named(&site, &attempt, 1, Some("small"));
@@ -160,7 +159,7 @@
         rejected += 1;
         // The other customer is served meanwhile.
         let attempt = format!("other-{number}");
-        let reply = send(&site, 0, site::SAFE, &attempt, &[(KEY, "acme-first")]).await?;
+        let reply = send(&site, 0, site::SAFE, &attempt, &[(caller::KEY, "acme-first")]).await?;
         assert_eq!(reply.status, 200, "{reply:?}");
     }
     assert!(served >= 1 && rejected >= 1, "{served} served, {rejected} rejected");
@@ -171,7 +170,7 @@
 #[tokio::test]
 async fn name_overwritten() -> anyhow::Result<()> {
     let site = start(1, &[ACME]).await?;
-    let headers = [(KEY, "acme-first"), (NAME, "forged")];
+    let headers = [(caller::KEY, "acme-first"), (NAME, "forged")];
     let cases = [
         ("plain", site::SAFE, 1, Some("acme")),
         ("stream", site::RESUMABLE, 2, Some("acme")),
--- a/crates/fakes/src/caller.rs
+++ b/crates/fakes/src/caller.rs
@@ -2,6 +2,8 @@
 
 use hyper::HeaderMap;
 
+/// Header with the key of the caller's customer.
+pub const KEY: &str = "x-key";
 /// Header with the parts of the prompt.
 pub const PROMPT: &str = "x-prompt-prefix";
 /// Headers of a request whose attempt id is `attempt`.
--- a/crates/soak/src/callers.rs
+++ b/crates/soak/src/callers.rs
@@ -41,8 +41,6 @@
     Repeated,
 }
 
-/// Header with the key of a customer.
-const KEY: &str = "x-key";
 /// Share of the callers that send all requests to one entry.
 const STAY_RATIO: f64 = 0.5;
 /// Share of the requests that their caller abandons.
@@ -132,7 +130,7 @@
         (caller::PROMPT, prompt.as_str()),
         ("last-event-id", last.as_str()),
         ("resumes", first.as_str()),
-        (KEY, record::customer(&attempt).keys[0]),
+        (caller::KEY, record::customer(&attempt).keys[0]),
     ];
     let kind = record::Kind::Resumable;
     let call = call::Call { path: kind.path(), attempt: &attempt, body: &body, headers: &headers };
@@ -175,7 +173,7 @@
     };
     let last = if flavor == Flavor::Repeated { 1 } else { number };
     let prompt = format!("f1:200,{second}:100,{last:x}:50");
-    let key = (KEY, record::customer(&attempt).keys[0]);
+    let key = (caller::KEY, record::customer(&attempt).keys[0]);
     let headers = [key, (caller::PROMPT, prompt.as_str())];
     let headers = if kind.is_model() { &headers[..] } else { &headers[..1] };
     let call = call::Call { path: kind.path(), attempt: &attempt, body: &body, headers };
@@ -214,7 +212,7 @@
 ) -> Option<record::ConfigProbe> {
     let host = site::version_host(version);
     let attempt = format!("look{}", shared.next_attempt.fetch_add(1, atomic::Ordering::Relaxed));
-    let headers = [("host", host.as_str()), (KEY, record::customer(&attempt).keys[0])];
+    let headers = [("host", host.as_str()), (caller::KEY, record::customer(&attempt).keys[0])];
     let call = call::Call { path: "/", attempt: &attempt, body: "", headers: &headers };
     shared.note_sent(&attempt, edge);
     let reply = call.send(client, Method::GET, shared.edges[edge]).await.ok()?;
