Refuse late requests that a stopping entry could cut off

An entry got SIGTERM and, while old streams kept it open, served plain requests on new connections until its drain ended.

After the balancer's notice a plain request is now refused as not run if its deadline is after the end of the drain; the others are served. A request that is read during the stop gets its answer before the end. New connections during the drain were, by chance, closed unread; each gets the answer to one request now.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -67,6 +67,7 @@
 pub mod stages;
 pub mod stale_rows;
 pub mod stamp;
+pub mod stopping;
 pub mod subset;
 pub mod suspects;
 pub mod suspension;
--- /dev/null
+++ b/crates/core/src/stopping.rs
@@ -0,0 +1,55 @@
+//! The planned stop of an entry: which requests it still serves before the platform ends it.
+
+use std::time;
+
+use crate::routing;
+
+/// Time after which the balancer has stopped sending: it needs two of its checks, which come once a
+/// second.
+pub const BALANCER_DELAY: time::Duration = time::Duration::from_millis(2_500);
+/// Time reserved for the last usage record before the platform ends the process.
+const KILL_MARGIN: time::Duration = time::Duration::from_millis(300);
+/// Time in which the answers of the last requests reach their callers.
+const ANSWER_MARGIN: time::Duration = time::Duration::from_millis(100);
+
+/// A stop that the platform asked for.
+#[derive(Clone, Copy, Debug)]
+pub struct Stop {
+    started_at: time::Instant,
+    grace: time::Duration,
+}
+
+impl Stop {
+    /// A stop asked for at `started_at`, after which the platform waits for `grace`.
+    pub fn new(started_at: time::Instant, grace: time::Duration) -> Stop {
+        Stop { started_at, grace }
+    }
+
+    /// Time at which the drain ends.
+    pub fn drained_by(&self) -> time::Instant {
+        self.started_at + self.grace.saturating_sub(KILL_MARGIN)
+    }
+
+    /// Time by which requests need their answers.
+    pub fn answered_by(&self) -> time::Instant {
+        self.started_at + self.grace.saturating_sub(KILL_MARGIN + ANSWER_MARGIN)
+    }
+
+    /// Whether the balancer no longer sends to this entry.
+    pub fn is_out_of_rotation(&self, now: time::Instant) -> bool {
+        now >= self.started_at + BALANCER_DELAY
+    }
+
+    /// Whether a request that has been read at `now`, and may be answered as late as `deadline`, is
+    /// served.
+    ///
+    /// While the balancer sends requests here, a retry may come here too, so all are served.
+    /// Later ones only if they cannot be cut off.
+    pub fn admits(&self, kind: routing::Kind, deadline: time::Instant, now: time::Instant) -> bool {
+        match kind {
+            _ if !self.is_out_of_rotation(now) => true,
+            routing::Kind::Stream { .. } => false,
+            routing::Kind::Safe | routing::Kind::Unsafe => deadline <= self.answered_by(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/tests/stopping.rs
@@ -0,0 +1,48 @@
+//! Which requests a stopping entry serves.
+
+use std::time;
+
+use rhubarb_core::{routing, stopping};
+
+const KIND: routing::Kind = routing::Kind::Unsafe;
+const GRACE: time::Duration = time::Duration::from_secs(8);
+
+fn millis(millis: u64) -> time::Duration {
+    time::Duration::from_millis(millis)
+}
+
+#[test]
+fn early_served() {
+    let start = time::Instant::now();
+    let stop = stopping::Stop::new(start, GRACE);
+    let now = start + millis(2_400);
+    assert!(!stop.is_out_of_rotation(now));
+    assert!(stop.admits(KIND, now + millis(60_000), now));
+}
+
+// Guards against a request that is sent to a server and cut off at the end of the drain: it came
+// after the balancer's delay and had more time than the entry.
+#[test]
+fn late_refused() {
+    let start = time::Instant::now();
+    let stop = stopping::Stop::new(start, GRACE);
+    for after in [2_500, 7_560, 7_900, 9_000] {
+        let now = start + millis(after);
+        assert!(stop.is_out_of_rotation(now));
+        assert!(!stop.admits(KIND, stop.answered_by() + millis(1), now), "{after} ms");
+    }
+    let now = start + millis(2_600);
+    assert!(stop.admits(KIND, now + millis(1_500), now));
+    let stream = routing::Kind::Stream { resumable: true };
+    assert!(!stop.admits(stream, now + millis(1_500), now));
+    assert!(stop.answered_by() < stop.drained_by());
+    assert!(stop.drained_by() < start + GRACE);
+}
+
+#[test]
+fn short_grace() {
+    let start = time::Instant::now();
+    let stop = stopping::Stop::new(start, millis(200));
+    assert_eq!((stop.answered_by(), stop.drained_by()), (start, start));
+    assert!(stop.admits(KIND, start + millis(100), start));
+}
--- a/crates/e2e/tests/platform_stops.rs
+++ b/crates/e2e/tests/platform_stops.rs
@@ -5,8 +5,11 @@
 use hyper::Method;
 use rustix::process::Signal;
 
-use rhubarb_e2e::site;
+use rhubarb_e2e::{call, site};
 use rhubarb_fakes::{backend, store};
+use rhubarb_node::client;
+
+use tokio::task;
 
 #[tokio::test]
 async fn drain_completes() -> anyhow::Result<()> {
@@ -116,3 +119,64 @@
     assert_eq!(site.edges[0].exit_code(), None);
     Ok(())
 }
+
+// Guards against a request that a stopping entry sends to a server although it ends before the server
+// may answer: its connection was closed without a response. Seen in a hunt (lainesahel-brokerage, mix,
+// seed 4174905448).
+#[tokio::test]
+async fn late_request_refused() -> anyhow::Result<()> {
+    let site = site::Site::start(site::Sizes::default()).await?;
+    let edge = &site.edges[0];
+    edge.edit_settings("contract_params.grace_s=8", "contract_params.grace_s=4")?;
+    edge.signal(Signal::HUP);
+    while !edge.log().contains("settings read again and in force") {
+        tokio::time::sleep(time::Duration::from_millis(20)).await;
+    }
+    for engine in &site.decode {
+        engine.set_fault(backend::Fault::Stalls);
+    }
+    for plain in &site.plain {
+        plain.set_fault(backend::Fault::Hangs);
+    }
+    // A stream that stalls keeps the entry from ending early.
+    let stream = edge.call(Method::POST, site::STREAM, "stream", "b");
+    let calls = async {
+        tokio::time::sleep(time::Duration::from_millis(300)).await;
+        edge.signal(Signal::TERM);
+        let stopped_at = time::Instant::now();
+        let at = |millis| {
+            tokio::time::Instant::from_std(stopped_at + time::Duration::from_millis(millis))
+        };
+        tokio::time::sleep_until(at(2_700)).await;
+        let short = [("x-deadline-ms", "300")];
+        let short = edge.call_with(Method::POST, site::UNSAFE, "short", "b", &short).await?;
+        assert_eq!((short.status, site.runs("short")), (504, 1), "{}", edge.log());
+        let (mut late, frontend) = (task::JoinSet::new(), edge.frontend);
+        for number in 0..16u64 {
+            let at = at(3_100 + number * 50);
+            late.spawn(async move {
+                tokio::time::sleep_until(at).await;
+                let id = format!("late-{number:02}");
+                let call = call::Call { path: site::UNSAFE, attempt: &id, body: "b", headers: &[] };
+                let reply = call.send(&client::Client::new(), Method::POST, frontend).await;
+                (id, reply)
+            });
+        }
+        let mut replies = late.join_all().await;
+        replies.sort_by(|(left, _), (right, _)| left.cmp(right));
+        anyhow::Ok(replies)
+    };
+    let (_, late) = tokio::join!(stream, calls);
+    let late = late?;
+    for (id, reply) in &late {
+        assert_eq!(site.runs(id), 0, "{id}: {reply:?}");
+    }
+    // The last ones may come after the end.
+    for (id, reply) in &late[..4] {
+        let reply = reply.as_ref().map_err(|err| anyhow::anyhow!("{id}: {err}"))?;
+        assert_eq!(reply.status, 503, "{id}: {reply:?}");
+        assert!(reply.headers.contains_key("retry-after"), "{id}: {reply:?}");
+        assert_eq!(reply.headers["connection"], "close", "{id}: {reply:?}");
+    }
+    Ok(())
+}
--- a/crates/edge/src/edge.rs
+++ b/crates/edge/src/edge.rs
@@ -4,7 +4,9 @@
 
 use tokio::{net as tokio_net, sync as tokio_sync};
 
-use rhubarb_core::{allowance, ids, log_limit, members, origins, pauses, recent, releases, usage};
+use rhubarb_core::{
+    allowance, ids, log_limit, members, origins, pauses, recent, releases, stopping, usage,
+};
 use rhubarb_node::{client, clock, locks};
 use rhubarb_platform::{settings, store};
 
@@ -61,13 +63,9 @@
     log_limit: sync::Mutex<log_limit::LogLimit>,
     holds: sync::Mutex<recent::RecentNames>,
     run_seq: atomic::AtomicU64,
-    stopping_since: sync::OnceLock<time::Instant>,
+    stopping: sync::OnceLock<stopping::Stop>,
 }
 
-/// Time after which the balancer has stopped sending: it needs two of its checks, which come once a
-/// second.
-pub(crate) const BALANCER_DELAY: time::Duration = time::Duration::from_millis(2_500);
-
 impl Edge {
     pub(crate) fn new(settings: settings::Settings) -> Edge {
         let counters = metrics::Counters::new();
@@ -114,7 +112,7 @@
             log_limit: sync::Mutex::default(),
             holds: sync::Mutex::default(),
             run_seq: atomic::AtomicU64::new(1),
-            stopping_since: sync::OnceLock::new(),
+            stopping: sync::OnceLock::new(),
             settings: sync::Mutex::new(sync::Arc::new(settings)),
         }
     }
@@ -249,18 +247,18 @@
     }
 
     /// Starts the planned stop.
-    pub(crate) fn stop(&self) {
-        self.stopping_since.get_or_init(clock::now);
+    pub(crate) fn stop(&self) -> stopping::Stop {
+        let grace = self.settings().grace;
+        *self.stopping.get_or_init(|| stopping::Stop::new(clock::now(), grace))
     }
 
-    /// Whether the entry is stopping and the balancer no longer sends to it; new streams are then
-    /// rejected.
-    pub(crate) fn is_out_of_rotation(&self) -> bool {
-        self.stopping_since.get().is_some_and(|at| clock::now() >= *at + BALANCER_DELAY)
+    /// The planned stop, once it has started.
+    pub(crate) fn stopping(&self) -> Option<&stopping::Stop> {
+        self.stopping.get()
     }
 
     /// Whether the entry is stopping.
     pub(crate) fn is_stopping(&self) -> bool {
-        self.stopping_since.get().is_some()
+        self.stopping().is_some()
     }
 }
--- a/crates/edge/src/ingress.rs
+++ b/crates/edge/src/ingress.rs
@@ -60,9 +60,6 @@
     let Some(service) = route.service(rand::random()).cloned() else {
         return refuse(Refusal::not_run(Reason::NoServer, CONFIG_RETRY));
     };
-    if edge.is_out_of_rotation() && matches!(route.kind, routing::Kind::Stream { .. }) {
-        return refuse(Refusal::not_run(Reason::Leaving, STOPPING_RETRY));
-    }
     let ttl = edge.settings().keys_ttl.filter(|_| customer.is_some());
     if ttl.is_some_and(|ttl| edge.touch_age(arrived) > ttl) {
         return refuse(Refusal::not_run(Reason::NoList, CONFIG_RETRY));
@@ -89,6 +86,13 @@
         }
     };
     let timeout = head.timeout.unwrap_or(route.timeout).min(route.timeout);
+    let mut deadline = arrived + timeout;
+    if let Some(stop) = edge.stopping() {
+        if !stop.admits(route.kind, deadline, clock::now()) {
+            return refuse_charged(Refusal::not_run(Reason::Leaving, STOPPING_RETRY));
+        }
+        deadline = deadline.min(stop.answered_by());
+    }
     let rank = customer.and_then(|customer| customer.rank).unwrap_or(route.rank);
     let urgency = urgency::Urgency { rank, route: route.rank };
     let is_retry = edge.directory().record_request(&service, &route.name, timeout);
@@ -100,7 +104,7 @@
         causes: sync::OnceLock::new(),
         charge,
         edge: edge.clone(),
-        deadline: arrived + timeout,
+        deadline,
         head,
         body,
         route,
--- a/crates/edge/src/run.rs
+++ b/crates/edge/src/run.rs
@@ -4,6 +4,7 @@
 
 use hyper::{Request, Response, StatusCode, body};
 
+use rhubarb_core::stopping;
 use rhubarb_node::{clock, logs, metrics, response, server, signals};
 use rhubarb_platform::{paths, settings, store};
 
@@ -20,8 +21,6 @@
 const IDLE_TIMEOUT: time::Duration = time::Duration::from_secs(20);
 /// Maximum size of the headers of a request in bytes; the limit in the config is lower.
 const MAX_HEADER_BYTES: usize = 64 * 1024;
-/// Time reserved for the last usage record before the platform kills the process.
-const KILL_MARGIN: time::Duration = time::Duration::from_millis(300);
 /// Interval between checks of a drain.
 const DRAIN_POLL: time::Duration = time::Duration::from_millis(20);
 
@@ -80,8 +79,8 @@
         }));
     }
     signals::wait_for_stop().await?;
-    edge.stop();
-    drain(&edge, &close, serving).await;
+    let stop = edge.stop();
+    drain(&edge, stop, &close, serving).await;
     // A write in progress must not replace the last record.
     records.abort();
     ledger::finish(&edge).await;
@@ -105,18 +104,17 @@
 // none is cut off while the last record is written.
 async fn drain(
     edge: &edge::Edge,
+    stop: stopping::Stop,
     close: &tokio_sync::watch::Sender<bool>,
     serving: task::JoinHandle<()>,
 ) {
     let open = || edge.open_requests.load(atomic::Ordering::Relaxed);
     let started_at = clock::now();
-    let limit = edge.settings().grace.saturating_sub(KILL_MARGIN);
     tracing::info!(open = open(), "edge: stopping");
-    tokio::time::sleep(edge::BALANCER_DELAY).await;
+    tokio::time::sleep(stopping::BALANCER_DELAY).await;
     close.send_replace(true);
     let wait = async |receivers: usize| {
-        while clock::now() - started_at < limit
-            && (open() > 0 || close.receiver_count() > receivers)
+        while clock::now() < stop.drained_by() && (open() > 0 || close.receiver_count() > receivers)
         {
             tokio::time::sleep(DRAIN_POLL).await;
         }
--- a/crates/node/src/server.rs
+++ b/crates/node/src/server.rs
@@ -30,6 +30,8 @@
 }
 
 const BIND_ATTEMPTS: u32 = 20;
+/// Timeout for the headers on a connection accepted during a shutdown.
+const LATE_TIMEOUT: time::Duration = time::Duration::from_millis(500);
 const ACCEPT_RETRY_DELAY: time::Duration = time::Duration::from_millis(50);
 
 /// Binds a TCP listener to `address`.
@@ -73,7 +75,7 @@
 }
 
 /// Serves like [`serve`]; once `shutdown` is true, busy connections close after the request in
-/// flight and idle ones at once.
+/// flight, idle ones at once and new ones after one request.
 pub async fn serve_with_shutdown<H, F>(
     listener: tokio_net::TcpListener,
     limits: Limits,
@@ -131,11 +133,20 @@
         let response = handler(request);
         async move { Ok::<_, convert::Infallible>(response.await) }
     });
-    let connection = http1::Builder::new()
+    let mut builder = http1::Builder::new();
+    builder
         .timer(rt::TokioTimer::new())
         .header_read_timeout(limits.header_timeout)
-        .max_buf_size(limits.header_bytes)
-        .serve_connection(rt::TokioIo::new(stream), service);
+        .max_buf_size(limits.header_bytes);
+    let is_late = *shutdown.borrow();
+    if is_late {
+        // Its first request may not have arrived yet, and gets an answer instead of a closed connection.
+        builder.keep_alive(false).header_read_timeout(limits.header_timeout.min(LATE_TIMEOUT));
+    }
+    let connection = builder.serve_connection(rt::TokioIo::new(stream), service);
+    if is_late {
+        return connection.await;
+    }
     let mut connection = pin::pin!(connection);
     tokio::select! {
         ended = &mut connection => return ended,
