Wait in stopped_while_running until the entries find the restarted agent

The agent starts again at another address. An entry reads the instance list every 2 s and counts a server as usable for 5 s after its last report, so wait_usable could return while both entries knew the old address only. Both then answered the first key no-server, which the test took for the refusal of the restarted agent (503, unknown), and the other key as well.

--- a/crates/e2e/tests/once.rs
+++ b/crates/e2e/tests/once.rs
@@ -100,8 +100,13 @@
     stack.wait_agents().await;
     stack.wait_usable().await;
     for entry in [0, 1] {
-        let reply = stack.caller(entry).confirm(&key).await.unwrap();
+        // Until it reads the instance list again, an entry knows only the address before the restart.
+        let call = async || stack.caller(entry).confirm(&key).await.unwrap();
+        let finds_agent = async || call().await.reason() != "no-server";
+        stack.wait_until("the entry finds the restarted agent", finds_agent).await;
+        let reply = call().await;
         assert_eq!((reply.status, reply.outcome()), (503, Some("unknown")), "{}", reply.body);
+        assert_eq!(reply.reason(), "key-uncertain", "{}", reply.body);
     }
     assert_eq!(stack.runs(&key).await, 1);
     // The records were handed over, so other keys run at once.
