Make the work of customers' limits proportional to what a datagram says

Each datagram went through all customers and, for each, all entries heard; each datagram sent filled the buckets of all customers. Now only the customers named are touched, an entry that tells all it has stands for the rest, and a limit that no entry asks for keeps a constant part and is filled when it is asked for.

--- /dev/null
+++ b/crates/core/src/account.rs
@@ -0,0 +1,146 @@
+//! One customer's limit at this entry: the bucket with this entry's part, and what the others told.
+
+use std::{collections, time};
+
+use crate::{customers, demand, terms, voices};
+
+/// What another entry told last of the customer.
+#[derive(Clone, Copy, Debug)]
+pub struct Told {
+    /// Units asked for in the last window.
+    pub asked: u32,
+    /// Units used beyond the bucket and not yet made up for.
+    pub debt: u32,
+    /// When it told them.
+    pub at: time::Instant,
+}
+
+/// This entry's part of one limit.
+#[derive(Clone, Debug)]
+pub struct Account {
+    /// The limit.
+    pub limit: customers::Limit,
+    /// Units that may be used; below 0 in debt.
+    pub level: f64,
+    /// Other entries that told of requests or of a debt; the others have neither, or told nothing.
+    pub told: collections::BTreeMap<voices::EntryTag, Told>,
+    // Requests of the window: when they came, and their units.
+    asked: collections::VecDeque<(time::Instant, f64)>,
+    // Sum of their units.
+    asked_sum: f64,
+    // Demand as this entry told it last.
+    demand: u32,
+    created_at: time::Instant,
+    updated_at: time::Instant,
+    // Growth of the debt that other entries may not know: when it grew, and by how much.
+    untold: collections::VecDeque<(time::Instant, f64)>,
+}
+
+/// Time in which a debt reaches the other entries, with one datagram lost.
+const TELL_TIME: time::Duration = time::Duration::from_millis(600);
+/// Requests of one customer and window that are counted one by one.
+const MAX_ASKED: usize = 4_096;
+
+impl Account {
+    /// Creates an account with an empty bucket.
+    pub fn new(limit: customers::Limit, now: time::Instant) -> Account {
+        Account {
+            limit,
+            level: 0.0,
+            told: collections::BTreeMap::new(),
+            asked: collections::VecDeque::new(),
+            asked_sum: 0.0,
+            demand: 0,
+            created_at: now,
+            updated_at: now,
+            untold: collections::VecDeque::new(),
+        }
+    }
+
+    /// Counts a request that was asked for.
+    pub fn record_asked(&mut self, cost: f64, window: time::Duration, now: time::Instant) {
+        while let Some((at, oldest)) = self.asked.front()
+            && (*at + window <= now || self.asked.len() >= MAX_ASKED)
+        {
+            self.asked_sum -= oldest;
+            self.asked.pop_front();
+        }
+        if self.asked.is_empty() {
+            self.asked_sum = 0.0;
+        }
+        if cost > 0.0 {
+            self.asked.push_back((now, cost));
+            self.asked_sum += cost;
+        }
+    }
+
+    /// Adds what has flowed into the bucket, and returns this entry's fraction of the limit.
+    pub fn refill(
+        &mut self,
+        terms: terms::Terms,
+        voices: &voices::Voices,
+        sizes: demand::Sizes,
+        now: time::Instant,
+    ) -> f64 {
+        let fraction = demand::fraction(self.demand, self.demands(voices, now), sizes);
+        let elapsed = now.saturating_duration_since(self.updated_at);
+        self.updated_at = self.updated_at.max(now);
+        self.level += terms.rate * fraction * elapsed.as_secs_f64();
+        self.level = self.level.min(terms.burst * fraction);
+        fraction
+    }
+
+    // Demand of the other entries.
+    fn demands(&self, voices: &voices::Voices, now: time::Instant) -> demand::Demands {
+        let entries = voices.idle_count(self.created_at, now);
+        let mut demands = demand::Demands { entries, requests: 0 };
+        for (entry, told) in self.told.iter().filter(|(_, told)| now < told.at + voices::TTL) {
+            demands.entries += u32::from(!voices.is_idle(*entry, self.created_at, now));
+            demands.requests += u64::from(told.asked.saturating_add(told.debt));
+        }
+        demands
+    }
+
+    /// Units used beyond the bucket and not yet made up for.
+    pub fn debt(&self) -> f64 {
+        (-self.level).max(0.0)
+    }
+
+    /// Debts of other entries.
+    pub fn debts(&self, now: time::Instant) -> f64 {
+        let fresh = self.told.values().filter(|told| now < told.at + voices::TTL);
+        fresh.map(|told| f64::from(told.debt)).sum()
+    }
+
+    /// Takes units for a request, of which `growth` are beyond the bucket.
+    pub fn take(&mut self, cost: f64, growth: f64, now: time::Instant) {
+        self.level -= cost;
+        if growth > 0.0 {
+            self.untold.push_back((now, growth));
+        }
+    }
+
+    /// Growth of the debt of which the others may not know.
+    pub fn borrowed(&mut self, now: time::Instant) -> f64 {
+        while self.untold.front().is_some_and(|(at, _)| *at + TELL_TIME <= now) {
+            self.untold.pop_front();
+        }
+        self.untold.iter().map(|(_, growth)| growth).sum()
+    }
+
+    /// Units asked for and the debt, which the other entries are told and which then count as this
+    /// entry's demand.
+    pub fn tell(&mut self, window: time::Duration, now: time::Instant) -> (u32, u32) {
+        self.record_asked(0.0, window, now);
+        let (asked, debt) = (self.asked_sum.ceil() as u32, self.debt().ceil() as u32);
+        self.demand = asked.saturating_add(debt);
+        self.told.retain(|_, told| now < told.at + voices::TTL);
+        (asked, debt)
+    }
+
+    /// Whether this entry or another one has requests or a debt. Otherwise its part depends on the
+    /// number of entries alone.
+    pub fn is_active(&self) -> bool {
+        self.demand > 0 || !self.told.is_empty()
+    }
+}
--- a/crates/core/src/allowance.rs
+++ b/crates/core/src/allowance.rs
@@ -7,24 +7,9 @@
 
 use std::{collections, time};
 
-use crate::{customers, demand, ids};
+use crate::{account, customers, demand, ids, terms, voices};
 
-/// What the platform tolerates beyond a limit, in any window.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub struct Tolerance {
-    /// Length of the sliding window.
-    pub window: time::Duration,
-    /// Fraction of the limit.
-    pub over: f64,
-    /// Units.
-    pub slack: f64,
-}
-
-impl Default for Tolerance {
-    fn default() -> Tolerance {
-        Tolerance { window: DEFAULT_WINDOW, over: 0.0, slack: 0.0 }
-    }
-}
+pub use terms::Tolerance;
 
 /// What an entry tells the others of one customer, in units.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -59,52 +44,24 @@
 pub struct Allowances {
     tolerance: Tolerance,
     sizes: demand::Sizes,
-    accounts: collections::BTreeMap<ids::CustomerTag, Account>,
-    // When each entry of the cell last told what it has used.
-    heard: collections::BTreeMap<String, time::Instant>,
+    accounts: collections::BTreeMap<ids::CustomerTag, account::Account>,
+    // Customers with requests or a debt at some entry. The part of each other limit is constant, so
+    // that its bucket is filled when it is asked for.
+    active: collections::BTreeSet<ids::CustomerTag>,
+    // The other entries of the cell.
+    voices: voices::Voices,
     // Customers told so far, which are told in turn.
     told: usize,
 }
 
-#[derive(Clone, Debug)]
-struct Account {
-    limit: customers::Limit,
-    demand: demand::Demand,
-    // Requests of the window: when they came, and their units.
-    asked: collections::VecDeque<(time::Instant, f64)>,
-    // Sum of their units.
-    asked_sum: f64,
-    // Units that may be used; below 0 in debt.
-    level: f64,
-    updated_at: time::Instant,
-    // Growth of the debt that other entries may not know: when it grew, and by how much.
-    untold: collections::VecDeque<(time::Instant, f64)>,
-    // Debts of other entries.
-    debts: collections::BTreeMap<String, (f64, time::Instant)>,
-}
-
-/// Window without one in the settings: a few times as long as what an entry told counts.
-const DEFAULT_WINDOW: time::Duration = time::Duration::from_secs(10);
-/// Time for which what an entry told counts, as for its demand.
-const TTL: time::Duration = time::Duration::from_secs(3);
 /// Age from which an entry counts as silent: more than three heartbeats, of which two may be lost.
 const FRESH_TIME: time::Duration = time::Duration::from_secs(1);
-/// Time in which a debt reaches the other entries, with one datagram lost.
-const TELL_TIME: time::Duration = time::Duration::from_millis(600);
-/// Part of what is tolerated that is lent out. An entry that starts again has lost its debt, so that
-/// all may borrow twice in one window.
-const LENT_SHARE: f64 = 0.45;
-/// Least tolerance as a fraction of a limit; the limit is used only in part if the platform tolerates
-/// less.
-const LEAST_TOLERANCE: f64 = 0.15;
 /// Part of what is left to lend that one request may take at once, while little is lent.
 const REQUEST_SHARE: f64 = 0.25;
 /// Part of what can be lent that is not lent while little is lent.
 const CALM_SHARE: f64 = 0.5;
 /// Longest time told to a caller until there is room.
 const MAX_WAIT: time::Duration = time::Duration::from_secs(10);
-/// Requests of one customer and window that are counted one by one.
-const MAX_ASKED: usize = 4_096;
 /// Maximum number of customers with a limit, over all versions of the config.
 const MAX_CUSTOMERS: usize = 4_096;
 
@@ -115,7 +72,8 @@
             tolerance,
             sizes: demand::Sizes { peers: 0, fleet: UNKNOWN_ENTRIES },
             accounts: collections::BTreeMap::new(),
-            heard: collections::BTreeMap::new(),
+            active: collections::BTreeSet::new(),
+            voices: voices::Voices::default(),
             told: 0,
         }
     }
@@ -127,8 +85,11 @@
 
     /// Sets the number of entries; `fleet` is `None` while it is unknown.
     pub fn set_sizes(&mut self, peers: u32, fleet: Option<u32>, now: time::Instant) {
-        self.refill(now);
-        self.sizes = demand::Sizes { peers, fleet: fleet.unwrap_or(UNKNOWN_ENTRIES) };
+        let sizes = demand::Sizes { peers, fleet: fleet.unwrap_or(UNKNOWN_ENTRIES) };
+        if sizes != self.sizes {
+            self.refill(now);
+            self.sizes = sizes;
+        }
     }
 
     /// Applies the limits of a version of the config. A bucket begins empty, as another entry may have
@@ -140,8 +101,10 @@
             .filter_map(|customer| Some((ids::customer_tag(&customer.name), customer.limit?)));
         let limits: collections::BTreeMap<_, _> = limits.take(MAX_CUSTOMERS).collect();
         self.accounts.retain(|tag, _| limits.contains_key(tag));
+        self.active.retain(|tag| limits.contains_key(tag));
         for (tag, limit) in limits {
-            let account = self.accounts.entry(tag).or_insert_with(|| Account::new(limit, now));
+            let account =
+                self.accounts.entry(tag).or_insert_with(|| account::Account::new(limit, now));
             account.limit = limit;
         }
         self.refill(now);
@@ -161,16 +124,19 @@
         now: time::Instant,
     ) -> Option<Verdict> {
         let (tolerance, sizes) = (self.tolerance, self.sizes);
-        let silent = self.silent(now);
+        let silent = sizes.peers.saturating_sub(self.voices.count(FRESH_TIME, now));
+        let age = self.voices.oldest().map(|at| now.saturating_duration_since(at));
         let account = self.accounts.get_mut(&customer)?;
-        let terms = account.terms(tolerance);
+        self.voices.tick(now);
+        self.active.insert(customer);
+        let terms = terms::Terms::new(account.limit, tolerance);
         let cost = account.limit.unit.cost(tokens);
         account.record_asked(cost, tolerance.window, now);
-        let fraction = account.refill(terms, sizes, now);
+        let fraction = account.refill(terms, &self.voices, sizes, now);
         let cell = f64::from(sizes.peers + 1) / f64::from(sizes.fleet.max(sizes.peers + 1));
         let reserve = terms.reserve * cell;
         let entries = f64::from(sizes.peers + 1);
-        let told = account.told(now) + reserve * f64::from(silent) / entries;
+        let told = account.debts(now) + reserve * f64::from(silent) / entries;
         let left = reserve - told - account.debt();
         let growth = cost - account.level.clamp(0.0, cost);
         let borrowed = account.borrowed(now);
@@ -179,15 +145,11 @@
         let is_calm = borrowed == 0.0 || left >= reserve * CALM_SHARE;
         let most = if is_calm { part.max(left * REQUEST_SHARE) } else { part };
         let is_allowed = growth <= 0.0 || borrowed + growth <= most;
-        let wait = (!is_allowed).then(|| account.wait(terms, fraction, growth));
+        let wait = (!is_allowed).then(|| wait(account, terms, fraction, growth));
         if is_allowed {
-            account.level -= cost;
-            if growth > 0.0 {
-                account.untold.push_back((now, growth));
-            }
+            account.take(cost, growth, now);
         }
         let level = if is_allowed { account.level + cost } else { account.level };
-        let age = account.debts.values().map(|(_, at)| now.saturating_duration_since(*at)).max();
         Some(Verdict { cost, level, fraction, told, age, wait })
     }
 
@@ -195,8 +157,9 @@
     pub fn refund(&mut self, customer: ids::CustomerTag, cost: f64, now: time::Instant) {
         let (tolerance, sizes) = (self.tolerance, self.sizes);
         let Some(account) = self.accounts.get_mut(&customer) else { return };
+        self.voices.tick(now);
         account.level += cost;
-        account.refill(account.terms(tolerance), sizes, now);
+        account.refill(terms::Terms::new(account.limit, tolerance), &self.voices, sizes, now);
     }
 
     /// Records what another entry of the cell tells. If it `is_complete`, the entry has nothing to tell
@@ -208,33 +171,48 @@
         is_complete: bool,
         now: time::Instant,
     ) {
-        self.heard.retain(|_, at| now < *at + TTL);
-        self.heard.insert(peer.to_string(), now);
-        for (tag, account) in &mut self.accounts {
-            let statement = said.iter().find(|statement| statement.customer == *tag);
-            let statement = match statement {
-                Some(statement) => *statement,
-                None if is_complete => Statement::default(),
-                None => continue,
-            };
-            let weight = statement.asked.saturating_add(statement.debt);
-            account.demand.record(peer, weight, now);
-            account.debts.retain(|_, (_, at)| now < *at + TTL);
-            account.debts.insert(peer.to_string(), (f64::from(statement.debt), now));
+        self.voices.tick(now);
+        let known = said.iter().filter(|statement| self.accounts.contains_key(&statement.customer));
+        let known: Vec<_> = known.copied().collect();
+        // Until now the limits that become active had their constant parts.
+        for statement in &known {
+            if !self.active.contains(&statement.customer) {
+                self.refill_one(statement.customer, now);
+            }
+        }
+        let entry = voices::entry_tag(peer);
+        let named = known.iter().map(|statement| statement.customer);
+        let ended = self.voices.record(entry, named, is_complete, now);
+        for statement in &known {
+            let Statement { customer, asked, debt } = *statement;
+            let told = account::Told { asked, debt, at: now };
+            if let Some(account) = self.accounts.get_mut(&customer) {
+                account.told.insert(entry, told);
+                self.active.insert(customer);
+            }
+        }
+        for customer in &ended {
+            if let Some(account) = self.accounts.get_mut(customer) {
+                account.told.remove(&entry);
+            }
         }
     }
 
     /// Up to `count` statements for the other entries, of the customers with most demand or, if there
     /// are more, in turn; and whether these are all that there is to tell.
     pub fn statements(&mut self, count: usize, now: time::Instant) -> (Vec<Statement>, bool) {
-        self.refill(now);
+        self.voices.tick(now);
         let window = self.tolerance.window;
         let mut said = Vec::new();
-        for (customer, account) in &mut self.accounts {
-            let statement = account.statement(*customer, window, now);
-            account.demand.record_own(statement.asked.saturating_add(statement.debt));
-            if statement.asked > 0 || statement.debt > 0 {
-                said.push(statement);
+        for customer in self.active.clone() {
+            self.refill_one(customer, now);
+            let Some(account) = self.accounts.get_mut(&customer) else { continue };
+            let (asked, debt) = account.tell(window, now);
+            if asked > 0 || debt > 0 {
+                said.push(Statement { customer, asked, debt });
+            }
+            if !account.is_active() {
+                self.active.remove(&customer);
             }
         }
         let is_complete = said.len() <= count;
@@ -250,115 +228,34 @@
         (said, is_complete)
     }
 
-    // Live entries of the cell that told nothing lately.
-    fn silent(&self, now: time::Instant) -> u32 {
-        let fresh = self.heard.values().filter(|at| now < **at + FRESH_TIME).count();
-        self.sizes.peers.saturating_sub(fresh as u32)
-    }
-
     fn refill(&mut self, now: time::Instant) {
+        self.voices.tick(now);
         for account in self.accounts.values_mut() {
-            account.refill(account.terms(self.tolerance), self.sizes, now);
-        }
-    }
-}
-
-/// Number of entries to count in a fleet of unknown size.
-const UNKNOWN_ENTRIES: u32 = 8;
-
-// What all entries may use of a limit, in units.
-#[derive(Clone, Copy)]
-struct Terms {
-    rate: f64,
-    burst: f64,
-    // Sum of the debts of all entries.
-    reserve: f64,
-}
-
-impl Account {
-    fn new(limit: customers::Limit, now: time::Instant) -> Account {
-        let (asked, untold) = Default::default();
-        Account {
-            limit,
-            demand: demand::Demand::default(),
-            asked,
-            asked_sum: 0.0,
-            level: 0.0,
-            updated_at: now,
-            untold,
-            debts: collections::BTreeMap::new(),
+            let terms = terms::Terms::new(account.limit, self.tolerance);
+            account.refill(terms, &self.voices, self.sizes, now);
         }
     }
 
-    fn terms(&self, tolerance: Tolerance) -> Terms {
-        let customers::Limit { rate, burst, .. } = self.limit;
-        let whole = rate * tolerance.window.as_secs_f64() + burst;
-        let tolerated = whole * tolerance.over + tolerance.slack;
-        let missing = (whole * LEAST_TOLERANCE - tolerated).max(0.0);
-        let used = 1.0 - missing / whole.max(f64::MIN_POSITIVE);
-        let reserve = LENT_SHARE * (tolerated + missing);
-        Terms { rate: rate * used, burst: burst * used, reserve }
-    }
-
-    fn record_asked(&mut self, cost: f64, window: time::Duration, now: time::Instant) {
-        while let Some((at, oldest)) = self.asked.front()
-            && (*at + window <= now || self.asked.len() >= MAX_ASKED)
-        {
-            self.asked_sum -= oldest;
-            self.asked.pop_front();
-        }
-        if self.asked.is_empty() {
-            self.asked_sum = 0.0;
+    fn refill_one(&mut self, customer: ids::CustomerTag, now: time::Instant) {
+        if let Some(account) = self.accounts.get_mut(&customer) {
+            let terms = terms::Terms::new(account.limit, self.tolerance);
+            account.refill(terms, &self.voices, self.sizes, now);
         }
-        if cost > 0.0 {
-            self.asked.push_back((now, cost));
-            self.asked_sum += cost;
-        }
-    }
-
-    // Adds what has flowed into the bucket, and returns this entry's fraction of the limit.
-    fn refill(&mut self, terms: Terms, sizes: demand::Sizes, now: time::Instant) -> f64 {
-        let fraction = self.demand.fraction(sizes, now);
-        let elapsed = now.saturating_duration_since(self.updated_at);
-        self.updated_at = self.updated_at.max(now);
-        self.level += terms.rate * fraction * elapsed.as_secs_f64();
-        self.level = self.level.min(terms.burst * fraction);
-        fraction
-    }
-
-    fn debt(&self) -> f64 {
-        (-self.level).max(0.0)
-    }
-
-    // Debts of other entries.
-    fn told(&self, now: time::Instant) -> f64 {
-        let fresh = self.debts.values().filter(|(_, at)| now < *at + TTL);
-        fresh.map(|(debt, _)| debt).sum()
-    }
-
-    // Growth of the debt of which the others may not know.
-    fn borrowed(&mut self, now: time::Instant) -> f64 {
-        while self.untold.front().is_some_and(|(at, _)| *at + TELL_TIME <= now) {
-            self.untold.pop_front();
-        }
-        self.untold.iter().map(|(_, growth)| growth).sum()
     }
+}
 
-    // Time until this entry's bucket, or what the entries make up of their debts, has room.
-    fn wait(&self, terms: Terms, fraction: f64, growth: f64) -> time::Duration {
-        let own = (growth + self.debt()) / (terms.rate * fraction).max(f64::MIN_POSITIVE);
-        let shared = growth / REQUEST_SHARE / terms.rate.max(f64::MIN_POSITIVE);
-        let wait = own.min(shared).min(MAX_WAIT.as_secs_f64());
-        time::Duration::from_secs_f64(wait)
-    }
+/// Number of entries to count in a fleet of unknown size.
+const UNKNOWN_ENTRIES: u32 = 8;
 
-    fn statement(
-        &mut self,
-        customer: ids::CustomerTag,
-        window: time::Duration,
-        now: time::Instant,
-    ) -> Statement {
-        self.record_asked(0.0, window, now);
-        Statement { customer, asked: self.asked_sum.ceil() as u32, debt: self.debt().ceil() as u32 }
-    }
+// Time until this entry's bucket, or what the entries make up of their debts, has room.
+fn wait(
+    account: &account::Account,
+    terms: terms::Terms,
+    fraction: f64,
+    growth: f64,
+) -> time::Duration {
+    let own = (growth + account.debt()) / (terms.rate * fraction).max(f64::MIN_POSITIVE);
+    let shared = growth / REQUEST_SHARE / terms.rate.max(f64::MIN_POSITIVE);
+    let wait = own.min(shared).min(MAX_WAIT.as_secs_f64());
+    time::Duration::from_secs_f64(wait)
 }
--- a/crates/core/src/demand.rs
+++ b/crates/core/src/demand.rs
@@ -36,17 +36,36 @@
     }
 
     /// Fraction of a common limit for this entry.
-    ///
-    /// Each cell gets a part by its size, and divides that by demand. Peers that have told nothing
-    /// count like this entry.
     pub fn fraction(&self, sizes: Sizes, now: time::Instant) -> f64 {
-        // Entries without demand keep a small part, with which they notice the end of a limit.
-        let weight = |requests: u32| f64::from(requests) + 1.0;
         let told = self.peers.values().filter(|(_, at)| now < *at + TTL);
-        let told: Vec<_> = told.map(|(requests, _)| weight(*requests)).collect();
-        let silent = sizes.peers.saturating_sub(told.len() as u32);
-        let sum = weight(self.own) * f64::from(1 + silent) + told.iter().sum::<f64>();
-        let cell = f64::from(sizes.peers + 1) / f64::from(sizes.fleet.max(sizes.peers + 1));
-        weight(self.own) / sum * cell
+        let (mut entries, mut requests) = (0, 0);
+        for (count, _) in told {
+            entries += 1;
+            requests += u64::from(*count);
+        }
+        fraction(self.own, Demands { entries, requests }, sizes)
     }
 }
+
+/// Demand of the other entries of the cell.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Demands {
+    /// Entries that told theirs, also if they have none.
+    pub entries: u32,
+    /// Sum of what they told.
+    pub requests: u64,
+}
+
+/// Fraction of a common limit for an entry with the demand `own`.
+///
+/// Each cell gets a part by its size, and divides that by demand. Peers that have told nothing count
+/// like this entry.
+pub fn fraction(own: u32, others: Demands, sizes: Sizes) -> f64 {
+    // Entries without demand keep a small part, with which they notice the end of a limit.
+    let weight = f64::from(own) + 1.0;
+    let silent = sizes.peers.saturating_sub(others.entries);
+    let told = others.requests as f64 + f64::from(others.entries);
+    let sum = weight * f64::from(1 + silent) + told;
+    let cell = f64::from(sizes.peers + 1) / f64::from(sizes.fleet.max(sizes.peers + 1));
+    weight / sum * cell
+}
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -12,6 +12,7 @@
 //! ```
 
 pub mod abandoned;
+pub mod account;
 pub mod allowance;
 pub mod answered;
 pub mod backoff;
@@ -70,5 +71,7 @@
 pub mod subset;
 pub mod suspects;
 pub mod suspension;
+pub mod terms;
 pub mod urgency;
 pub mod usage;
+pub mod voices;
--- /dev/null
+++ b/crates/core/src/voices.rs
@@ -0,0 +1,101 @@
+//! When the other entries last told what their customers' requests have used.
+
+use std::{collections, time};
+
+use crate::ids;
+
+/// Tag of an entry, by its name.
+pub type EntryTag = u64;
+
+/// Time for which what an entry told counts, as for its demand.
+pub const TTL: time::Duration = time::Duration::from_secs(3);
+
+/// The other entries of the cell, as far as they tell something.
+#[derive(Clone, Debug, Default)]
+pub struct Voices {
+    entries: collections::BTreeMap<EntryTag, Voice>,
+    // Entries that told all that there is to tell, as of the last tick.
+    idle: collections::BTreeSet<EntryTag>,
+    // Until then none of them becomes too old.
+    fresh_until: Option<time::Instant>,
+}
+
+// What is known of one entry.
+#[derive(Clone, Debug)]
+struct Voice {
+    at: time::Instant,
+    // When it last told all that there is to tell.
+    complete_at: Option<time::Instant>,
+    // Customers that it named since then.
+    named: collections::BTreeSet<ids::CustomerTag>,
+}
+
+/// Tag of the entry with this name.
+pub fn entry_tag(name: &str) -> EntryTag {
+    ids::digest(&[name.as_bytes()]) as EntryTag
+}
+
+impl Voices {
+    /// Records that an entry named some customers. Returns those of which it has nothing to tell any
+    /// more, which are some only if it told all that there is.
+    pub fn record(
+        &mut self,
+        entry: EntryTag,
+        named: impl Iterator<Item = ids::CustomerTag>,
+        is_complete: bool,
+        now: time::Instant,
+    ) -> Vec<ids::CustomerTag> {
+        let new = Voice { at: now, complete_at: None, named: collections::BTreeSet::new() };
+        let voice = self.entries.entry(entry).or_insert(new);
+        voice.at = now;
+        self.fresh_until.get_or_insert(now + TTL);
+        if !is_complete {
+            voice.named.extend(named);
+            return Vec::new();
+        }
+        voice.complete_at = Some(now);
+        let before = std::mem::replace(&mut voice.named, named.collect());
+        self.idle.insert(entry);
+        before.difference(&voice.named).copied().collect()
+    }
+
+    /// Forgets what has become too old.
+    pub fn tick(&mut self, now: time::Instant) {
+        if self.fresh_until.is_none_or(|until| now < until) {
+            return;
+        }
+        let is_fresh = |at: &time::Instant| now < *at + TTL;
+        self.entries.retain(|_, voice| is_fresh(&voice.at));
+        for voice in self.entries.values_mut() {
+            voice.complete_at = voice.complete_at.filter(is_fresh);
+        }
+        let idle = self.entries.iter().filter(|(_, voice)| voice.complete_at.is_some());
+        self.idle = idle.map(|(entry, _)| *entry).collect();
+        let oldest = self.entries.values().map(|voice| voice.complete_at.unwrap_or(voice.at)).min();
+        self.fresh_until = oldest.map(|at| at + TTL);
+    }
+
+    /// Number of entries that told all that there is to tell, after `from`.
+    pub fn idle_count(&self, from: time::Instant, now: time::Instant) -> u32 {
+        if from + TTL <= now {
+            return self.idle.len() as u32;
+        }
+        self.idle.iter().filter(|entry| self.is_idle(**entry, from, now)).count() as u32
+    }
+
+    /// Whether an entry told all that there is to tell, after `from`.
+    pub fn is_idle(&self, entry: EntryTag, from: time::Instant, now: time::Instant) -> bool {
+        let known = self.entries.get(&entry).and_then(|voice| voice.complete_at);
+        known.is_some_and(|at| from <= at && now < at + TTL)
+    }
+
+    /// Number of entries that told something within the last `age`.
+    pub fn count(&self, age: time::Duration, now: time::Instant) -> u32 {
+        self.entries.values().filter(|voice| now < voice.at + age).count() as u32
+    }
+
+    /// When the entry that has been quiet longest told something.
+    pub fn oldest(&self) -> Option<time::Instant> {
+        self.entries.values().map(|voice| voice.at).min()
+    }
+}
