Tell the use of customers with the heartbeats alone

Each datagram carried it, also the many that tell a change of the commitments at engines; what the entries divide by it is made for heartbeats.

--- a/crates/edge/src/peers.rs
+++ b/crates/edge/src/peers.rs
@@ -209,7 +209,9 @@
     }
     drop(directory);
     share.committed = Some(share::Commitments::new(&committed, seq));
-    share.used = share::Used::collect(&mut edge.allowances(), now);
+    if is_heartbeat {
+        share.used = share::Used::collect(&mut edge.allowances(), now);
+    }
     let changing = edge.orders().changing(now);
     share.changing = changing.iter().map(|id| ids::server_tag(id)).collect();
     share
--- a/crates/wire/src/share.rs
+++ b/crates/wire/src/share.rs
@@ -54,7 +54,8 @@
     pub waiting: collections::BTreeMap<ids::ServiceName, urgency::Urgency>,
     /// Engines that have just refused memory to the sender.
     pub full: Vec<ids::ServerTag>,
-    /// What the sender's requests have used of customers' limits; absent in datagrams to other cells.
+    /// What the sender's requests have used of customers' limits; absent in datagrams to other cells and
+    /// between heartbeats.
     pub used: Option<Used>,
     /// Times per token that the sender has measured since its last heartbeat.
     pub speeds: Vec<Speed>,
