Measure the rate at which the engines of a service read prompts

Cause: expected ends, backlogs, waits and the balance of stages took 33 tokens a millisecond for every service; where engines read 55, all of them were too long by 1.7.

Change: core::reading follows the median of the prompt times that are measured and told anyway (prompts of 1,000 tokens and more that had none before them), from the 32nd on. Differences that queues make leave the constant; near the limit the rate changes little by little; it is bounded by a factor of four. Usage is still accounted at the constant and scaled by the leader, so that entries which know different rates can be added.

--- a/crates/core/src/engines.rs
+++ b/crates/core/src/engines.rs
@@ -5,7 +5,7 @@
 
 use std::{cmp, collections, time};
 
-use crate::{cells, engine, fleet, ids, pauses, reports, speeds, stages, urgency};
+use crate::{cells, engine, fleet, ids, pauses, reading, reports, speeds, stages, urgency};
 
 /// Engines of one service.
 #[derive(Clone, Debug, Default)]
@@ -52,13 +52,6 @@
 const FULL_RETRY: time::Duration = time::Duration::from_millis(150);
 /// The same for an engine of another cell, whose commitments are known less well.
 const FOREIGN_RETRY: time::Duration = time::Duration::from_millis(1_000);
-/// Prompt tokens that an engine reads in a millisecond.
-const TOKENS_PER_MS: u64 = 33;
-/// Factor on the prefill time at a decode engine, which reads prompts at half the speed and runs
-/// its decode steps in between.
-const DECODE_PREFILL_FACTOR: u64 = 3;
-/// Fixed cost of a prefill: the call and the first step.
-const PREFILL_BASE: time::Duration = time::Duration::from_millis(10);
 /// Steps into which the fill of an engine is divided; engines in the same step rank as equal.
 const MEMORY_STEPS: u32 = 16;
 /// Prefill engines whose waits fall into the same step of this length rank as equal.
@@ -96,11 +89,6 @@
     hash ^ (hash >> 33)
 }
 
-/// Time that an idle prefill engine needs to read a prompt.
-pub fn prefill_time(tokens: u32) -> time::Duration {
-    PREFILL_BASE + time::Duration::from_millis(u64::from(tokens) / TOKENS_PER_MS)
-}
-
 impl Engines {
     /// Adds or updates an engine.
     pub fn set(&mut self, id: &str, instance: &fleet::Instance, slots: u32, memory: u32) {
@@ -490,7 +478,7 @@
         let sources = self.available(fleet::Stage::Prefill, now);
         let sources = sources.filter(|(id, engine)| engine.is_reported(now) && allowed(id));
         // Engines of the usual speed rank by their waits and by what they keep alone.
-        let usual = prefill_time(tokens).as_millis() as i64;
+        let usual = self.reading().prefill_time(tokens).as_millis() as i64;
         let rank = |id: &str, engine: &engine::Engine| {
             let kept = kept(id).min(tokens);
             let own = self.prefill_time_at(id, tokens);
@@ -509,7 +497,7 @@
     /// Records a prompt sent to a prefill engine.
     pub fn record_prefill(&mut self, id: &str, tokens: u32, now: time::Instant) {
         self.usage.prompts += 1;
-        self.usage.prefill += prefill_time(tokens);
+        self.usage.prefill += reading::assumed_time(tokens);
         let own = self.prefill_time_at(id, tokens);
         if let Some(engine) = self.engines.get_mut(id) {
             let from = engine.prefill_until.map_or(now, |until| until.max(now));
@@ -520,7 +508,12 @@
     // Time that one engine needs to read a prompt when it is idle.
     fn prefill_time_at(&self, id: &str, tokens: u32) -> time::Duration {
         let factor = self.speeds.factor(ids::server_tag(id), speeds::Work::Prompt);
-        prefill_time(tokens).mul_f64(factor)
+        self.reading().prefill_time(tokens).mul_f64(factor)
+    }
+
+    /// Rate at which the engines read prompts.
+    pub fn reading(&self) -> reading::Rate {
+        self.speeds.reading()
     }
 
     /// Records that an engine took `took` to read a prompt when `expected` was expected. If others were
@@ -532,10 +525,11 @@
         took: time::Duration,
         expected: time::Duration,
     ) {
-        if expected > self.prefill_time_at(id, tokens) + PREFILL_BASE {
+        let base = self.reading().base();
+        if expected > self.prefill_time_at(id, tokens) + base {
             return;
         }
-        let reading = took.saturating_sub(PREFILL_BASE);
+        let reading = took.saturating_sub(base);
         let server = ids::server_tag(id);
         let sample = speeds::Sample::new(server, speeds::Work::Prompt, tokens, reading);
         self.record_speed(sample);
@@ -566,12 +560,6 @@
         self.speeds.take(max)
     }
 
-    /// Time that a decode engine needs to read a prompt itself, between its decode steps.
-    pub fn decode_prefill_time(tokens: u32) -> time::Duration {
-        PREFILL_BASE
-            + time::Duration::from_millis(u64::from(tokens) * DECODE_PREFILL_FACTOR / TOKENS_PER_MS)
-    }
-
     /// Shortest expected time until a prefill engine, of the version `software` if one is given, has
     /// read a prompt of `tokens`, without those that it has `kept`.
     pub fn shortest_prefill(
--- a/crates/edge/src/leader.rs
+++ b/crates/edge/src/leader.rs
@@ -67,6 +67,7 @@
         let planner = planners.entry(name.clone()).or_default();
         let usage = service.engines.total_usage(now);
         let Some(costs) = planner.costs(usage, now) else { continue };
+        let costs = service.engines.reading().apply(costs);
         let candidates = service.engines.candidates(now);
         let planned = planner.plan(costs, &candidates, now);
         if !planned.is_empty() {
