Leave a free place to an entry that has fewer than its part

An entry that has more than its part among the entries at which requests of the same urgency wait now leaves the only free place to them, for a report each way (parts::LEAVE_TIME); if no peer takes it, it takes it itself and leaves none for a second. Nothing changes where no peer waits or no entry is beyond its part.

--- a/crates/core/src/engine.rs
+++ b/crates/core/src/engine.rs
@@ -212,4 +212,9 @@
         let total = self.total(now);
         total.runs < self.slots && total.tokens + charge <= self.capacity()
     }
+
+    // Whether a request that needs `spare` fits beside one that needs `charge`.
+    pub(crate) fn fits_beside(&self, charge: u32, spare: u32, now: time::Instant) -> bool {
+        self.fits(charge + spare, now) && self.total(now).runs + 1 < self.slots
+    }
 }
--- a/crates/core/src/engines.rs
+++ b/crates/core/src/engines.rs
@@ -5,7 +5,7 @@
 
 use std::{cmp, collections, time};
 
-use crate::{cells, engine, fleet, ids, pauses, reports, speeds, stages, urgency};
+use crate::{cells, engine, fleet, ids, parts, pauses, reports, speeds, stages, urgency};
 
 /// Engines of one service.
 #[derive(Clone, Debug, Default)]
@@ -14,6 +14,7 @@
     // Requests that wait for decode memory.
     queue: collections::BTreeSet<Position>,
     turns: urgency::Turns,
+    parts: parts::Parts,
     // When this entry's last requests were granted memory, and their urgency.
     grants: collections::VecDeque<(time::Instant, urgency::Urgency)>,
     // Mean charge of the last requests, in tokens.
@@ -298,7 +299,8 @@
     /// `allowed` limits the choice; `draw` is random, so that entries that see the same state
     /// choose different engines among equal ones. Requests are granted memory in the order of the
     /// queue. A request that is overdue, or less urgent than one that waits at a peer, is granted
-    /// memory only where another request still fits beside it.
+    /// memory only where another request still fits beside it. An entry that has more than its part
+    /// leaves a place to peers at which equally urgent requests wait.
     pub fn reserve(
         &mut self,
         position: Position,
@@ -310,9 +312,59 @@
         if !self.is_next(position) {
             return None;
         }
+        self.expire_peers(now);
+        if self.leaves_place(position.urgency, need.charge(), &allowed, now) {
+            return None;
+        }
         self.reserve_beside(position, need, allowed, draw, now)
     }
 
+    /// Whether a place was left to a peer since the last call.
+    pub fn take_left(&mut self) -> bool {
+        self.parts.take_news()
+    }
+
+    // Whether a request leaves the only place that is free to a peer.
+    fn leaves_place(
+        &mut self,
+        urgency: urgency::Urgency,
+        charge: u32,
+        allowed: impl Fn(&str) -> bool,
+        now: time::Instant,
+    ) -> bool {
+        if !self.is_beyond_part(urgency, now) || !self.has_one_place(charge, allowed, now) {
+            self.parts.clear();
+            return false;
+        }
+        self.parts.leaves(now)
+    }
+
+    // Whether this entry has more than its part among those at which requests of this urgency wait.
+    fn is_beyond_part(&self, urgency: urgency::Urgency, now: time::Instant) -> bool {
+        if self.turns.due() == Some(urgency) {
+            return false;
+        }
+        let own = self.engines.values().map(|engine| engine.runs.len() as u32).sum();
+        let waiters = self.peers.waiters(urgency, |tag| self.names.contains_key(&tag));
+        self.parts.is_beyond(own, &waiters, now)
+    }
+
+    // Whether a request that needs `charge` fits, and no other beside it.
+    fn has_one_place(
+        &self,
+        charge: u32,
+        allowed: impl Fn(&str) -> bool,
+        now: time::Instant,
+    ) -> bool {
+        let mean = self.mean_charge.map_or(charge, |tokens| tokens as u32);
+        let decode = self.available(fleet::Stage::Decode, now);
+        let known = decode.filter(|(id, engine)| engine.is_reported(now) && allowed(id));
+        let mut free = known.filter(|(_, engine)| engine.fits(charge, now));
+        let first = free.next();
+        first.is_some_and(|(_, engine)| !engine.fits_beside(charge, mean, now))
+            && free.next().is_none()
+    }
+
     /// Like [`Engines::reserve`], for a request that few engines can serve: it does not wait in the
     /// queue, and so does not keep those behind it from other engines.
     pub fn reserve_beside(
@@ -404,6 +456,7 @@
         // A run that generated no token, because it was refused or cancelled, does not count.
         if run.generated > 0 {
             self.usage.runs += 1;
+            self.parts.record_end(now);
             let time = now.saturating_duration_since(run.started_at).as_secs_f64();
             let mean = self.run_time.unwrap_or(time);
             self.run_time = Some(mean + RUN_TIME_WEIGHT * (time - mean));
@@ -646,10 +699,14 @@
         self.expire_peers(now);
         let changes = self.peers.update(peer, report, now);
         self.apply_changes(&changes);
+        let is_known = |change: &reports::Change| self.names.contains_key(&change.tag);
+        if changes.iter().any(|change| is_known(change) && change.new.runs > 0) {
+            self.peers.set_served(peer, now);
+        }
         let has_freed = |change: &reports::Change| {
             change.new.tokens < change.old.tokens || change.new.runs < change.old.runs
         };
-        changes.iter().any(|change| self.names.contains_key(&change.tag) && has_freed(change))
+        changes.iter().any(|change| is_known(change) && has_freed(change))
     }
 
     fn apply_changes(&mut self, changes: &[reports::Change]) {
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -43,6 +43,7 @@
 pub mod owner;
 pub mod pace;
 pub mod parse;
+pub mod parts;
 pub mod pauses;
 pub mod pool;
 pub mod prefill_time;
--- a/crates/core/src/reports.rs
+++ b/crates/core/src/reports.rs
@@ -2,7 +2,7 @@
 
 use std::{collections, time};
 
-use crate::{engine, ids, urgency};
+use crate::{engine, ids, parts, urgency};
 
 /// Commitments by engine, of one entry or of a whole cell.
 pub type Commitments = collections::BTreeMap<ids::ServerTag, engine::Commitment>;
@@ -38,14 +38,20 @@
     commitments: Commitments,
     // Urgency of the most urgent request that waits for memory at the peer.
     waiting: Option<urgency::Urgency>,
+    // When it last reported a run at the service's engines.
+    served_at: Option<time::Instant>,
     received_at: time::Instant,
 }
 
 impl Reports {
     /// Replaces the commitments of a peer with those of its newest report.
     pub fn update(&mut self, peer: &str, report: &Report, now: time::Instant) -> Vec<Change> {
-        let new =
-            || PeerReport { commitments: Commitments::new(), waiting: None, received_at: now };
+        let new = || PeerReport {
+            commitments: Commitments::new(),
+            waiting: None,
+            served_at: None,
+            received_at: now,
+        };
         let known = self.peers.entry(peer.to_string()).or_insert_with(new);
         known.received_at = now;
         let (first, last) = report.range;
@@ -101,6 +107,29 @@
         }
     }
 
+    /// Records that a peer has runs at the service's engines.
+    pub fn set_served(&mut self, peer: &str, now: time::Instant) {
+        if let Some(report) = self.peers.get_mut(peer) {
+            report.served_at = Some(now);
+        }
+    }
+
+    /// Peers whose most urgent waiting request has this urgency; their runs are those at the engines
+    /// that `is_known` tells.
+    pub fn waiters(
+        &self,
+        urgency: urgency::Urgency,
+        is_known: impl Fn(ids::ServerTag) -> bool,
+    ) -> Vec<parts::Waiter> {
+        let waiting = self.peers.values().filter(|peer| peer.waiting == Some(urgency));
+        let waiters = waiting.map(|peer| {
+            let known = peer.commitments.iter().filter(|(tag, _)| is_known(**tag));
+            let runs = known.map(|(_, commitment)| commitment.runs).sum();
+            parts::Waiter { runs, served_at: peer.served_at }
+        });
+        waiters.collect()
+    }
+
     /// Urgency of the most urgent request that waits for decode memory at any peer.
     pub fn most_urgent(&self) -> Option<urgency::Urgency> {
         self.peers.values().filter_map(|peer| peer.waiting).min()
--- a/crates/edge/src/reservation.rs
+++ b/crates/edge/src/reservation.rs
@@ -393,6 +393,9 @@
             return None;
         }
         engines.enqueue(position);
+        if engines.take_left() {
+            tracing::info!(id = call.id(), age_ms = call.age_ms(), "edge: slot left to a peer");
+        }
         if engines.most_urgent() != most_urgent {
             call.edge.commitments_changed.notify_one();
         }
