Leave one place to each peer with more urgent requests, not one at each engine

Cause: while any peer reported a more urgent request, a less urgent one took memory only at an engine in which another still fitted beside it, so that as many places stayed free as there were engines; and the expected wait counted only grants that were not more urgent, though all of them go to those before.

Change: places are counted over all engines, and one is left to each peer with a more urgent request; the expected wait counts all grants.

--- a/crates/core/src/engine.rs
+++ b/crates/core/src/engine.rs
@@ -213,6 +213,16 @@
         total.runs < self.slots && total.tokens + charge <= self.capacity()
     }
 
+    // Requests that need `charge` each and fit.
+    pub(crate) fn places(&self, charge: u32, now: time::Instant) -> u32 {
+        if !self.fits(charge, now) {
+            return 0;
+        }
+        let total = self.total(now);
+        let free = self.capacity().saturating_sub(total.tokens);
+        (free / charge.max(1)).min(self.slots.saturating_sub(total.runs))
+    }
+
     // Whether a request that needs `spare` fits beside one that needs `charge`.
     pub(crate) fn fits_beside(&self, charge: u32, spare: u32, now: time::Instant) -> bool {
         self.fits(charge + spare, now) && self.total(now).runs + 1 < self.slots
--- a/crates/core/src/engines.rs
+++ b/crates/core/src/engines.rs
@@ -15,8 +15,8 @@
     queue: collections::BTreeSet<Position>,
     turns: urgency::Turns,
     parts: parts::Parts,
-    // When this entry's last requests were granted memory, and their urgency.
-    grants: collections::VecDeque<(time::Instant, urgency::Urgency)>,
+    // When this entry's last requests were granted memory.
+    grants: collections::VecDeque<time::Instant>,
     // Mean charge of the last requests, in tokens.
     mean_charge: Option<f64>,
     // Mean time for which a run holds memory, in seconds.
@@ -227,15 +227,11 @@
     }
 
     /// Expected time until a new request at `position` gets memory, from the number of requests
-    /// before it and the recent rate of grants, without those to more urgent requests.
+    /// before it and the recent rate of grants.
     ///
     /// Zero if none is before it.
     pub fn expected_wait(&self, position: Position, now: time::Instant) -> time::Duration {
-        let is_recent = |at: time::Instant| now <= at + GRANT_WINDOW;
-        let grants = self
-            .grants
-            .iter()
-            .filter(|(at, urgency)| is_recent(*at) && *urgency >= position.urgency);
+        let grants = self.grants.iter().filter(|at| now <= **at + GRANT_WINDOW);
         GRANT_WINDOW * self.before(position) as u32 / grants.count().max(1) as u32
     }
 
@@ -259,10 +255,23 @@
         self.queue.first().map(|first| first.urgency)
     }
 
-    /// Whether a request of this urgency leaves room for a more urgent one that waits at a peer.
-    pub fn yields(&self, urgency: urgency::Urgency) -> bool {
-        self.turns.due() != Some(urgency)
-            && self.peers.most_urgent().is_some_and(|waiting| waiting < urgency)
+    // Whether the places that are free are left to peers at which more urgent requests wait.
+    fn yields(
+        &self,
+        urgency: urgency::Urgency,
+        charge: u32,
+        allowed: impl Fn(&str) -> bool,
+        now: time::Instant,
+    ) -> bool {
+        let waiting = self.peers.more_urgent(urgency);
+        if waiting == 0 || self.turns.due() == Some(urgency) {
+            return false;
+        }
+        let decode = self.available(fleet::Stage::Decode, now);
+        let known = decode.filter(|(id, engine)| engine.is_reported(now) && allowed(id));
+        let places = known.map(|(_, engine)| engine.places(charge, now) as usize);
+        // No more than one for each peer.
+        places.sum::<usize>() <= waiting
     }
 
     /// Whether freed memory is to be reported at once: a peer's requests wait for it, or runs are
@@ -286,9 +295,10 @@
     ///
     /// `allowed` limits the choice; `draw` is random, so that entries that see the same state
     /// choose different engines among equal ones. Requests are granted memory in the order of the
-    /// queue. A request that is overdue, or less urgent than one that waits at a peer, is granted
-    /// memory only where another request still fits beside it. An entry that has more than its part
-    /// leaves a place to peers at which equally urgent requests wait.
+    /// queue. A request that is overdue is granted memory only where another request still fits
+    /// beside it. An entry that has more than its part leaves a place to peers at which requests
+    /// wait that are as urgent, and one that is less urgent leaves a place to each peer at which a
+    /// more urgent one waits.
     pub fn reserve(
         &mut self,
         position: Position,
@@ -301,6 +311,10 @@
             return None;
         }
         self.expire_peers(now);
+        let mean = self.mean_charge.map_or(need.charge(), |tokens| tokens as u32);
+        if self.yields(position.urgency, mean, &allowed, now) {
+            return None;
+        }
         if self.leaves_place(position.urgency, need.charge(), &allowed, now) {
             return None;
         }
@@ -366,9 +380,8 @@
         self.expire_peers(now);
         let charge = need.charge();
         let decode = self.available(fleet::Stage::Decode, now);
-        // Left for a request that can meet its target, or a more urgent one.
-        let leaves_room = position.overdue || self.yields(position.urgency);
-        let spare = self.mean_charge.filter(|_| leaves_room).map_or(0, |tokens| tokens as u32);
+        // Left for a request that can meet its target.
+        let spare = self.mean_charge.filter(|_| position.overdue).map_or(0, |tokens| tokens as u32);
         let mean = self.mean_charge.map_or(charge, |tokens| tokens as u32);
         let needed = |engine: &engine::Engine| {
             charge + if engine.is_home { spare } else { spare.max(FOREIGN_SPARE * mean) }
@@ -387,10 +400,10 @@
         let (id, _) = fitting.min_by_key(|(id, engine)| (rank(id, engine), tie_break(id, draw)))?;
         let id = id.clone();
         self.queue.remove(&position);
-        while self.grants.front().is_some_and(|(at, _)| *at + GRANT_WINDOW < now) {
+        while self.grants.front().is_some_and(|at| *at + GRANT_WINDOW < now) {
             self.grants.pop_front();
         }
-        self.grants.push_back((now, position.urgency));
+        self.grants.push_back(now);
         let waiting = self.queue.iter().map(|waiting| waiting.urgency).collect();
         self.turns.record(position.urgency, &waiting);
         let mean = self.mean_charge.unwrap_or(f64::from(charge));
--- a/crates/core/src/reports.rs
+++ b/crates/core/src/reports.rs
@@ -130,6 +130,12 @@
         waiters.collect()
     }
 
+    /// Number of peers at which a more urgent request waits for decode memory.
+    pub fn more_urgent(&self, urgency: urgency::Urgency) -> usize {
+        let waiting = self.peers.values().filter_map(|peer| peer.waiting);
+        waiting.filter(|waiting| *waiting < urgency).count()
+    }
+
     /// Urgency of the most urgent request that waits for decode memory at any peer.
     pub fn most_urgent(&self) -> Option<urgency::Urgency> {
         self.peers.values().filter_map(|peer| peer.waiting).min()
