Look at the lease again just before an order is written

A leader that is frozen between its check of the lease and the order, for example while it waits for the report that comes before, sent the order with a fencing number whose lease had expired meanwhile. The lease and the store's era are now asked for when the connection to the engine is open, right before the order is written.

A freeze between the check and the write of the same request, microseconds, stays possible; the engines' own fence is for that.

--- a/crates/e2e/tests/platform_eras.rs
+++ b/crates/e2e/tests/platform_eras.rs
@@ -8,7 +8,7 @@
 use serde_json::json;
 
 use rhubarb_e2e::site;
-use rhubarb_fakes::copy;
+use rhubarb_fakes::{backend, copy};
 
 /// Longest time in which a config is in force and a change of the servers is known.
 const APPLY_TIME: time::Duration = time::Duration::from_millis(3_000);
@@ -353,6 +353,20 @@
     anyhow::bail!("no order in {}", site.edges[edge].log())
 }
 
+// Fencing numbers of the orders that engines received, oldest first.
+fn orders(site: &site::Site) -> Vec<u64> {
+    let mut orders: Vec<_> = site.decode.iter().flat_map(backend::Backend::orders).collect();
+    orders.sort();
+    orders.into_iter().map(|(_, fence)| fence).collect()
+}
+
+// Fencing numbers of the leases that an entry acquired.
+fn lease_fences(log: &str) -> Vec<u64> {
+    let lines = log.lines().filter(|line| line.contains("lease for changing stages acquired"));
+    let values = lines.filter_map(|line| serde_json::from_str::<serde_json::Value>(line).ok());
+    values.filter_map(|line| line["fields"]["fence"].as_u64()).collect()
+}
+
 fn order_fences(log: &str) -> Vec<u64> {
     let lines = log.lines().filter(|line| line.contains("edge: order sent"));
     let values = lines.filter_map(|line| serde_json::from_str::<serde_json::Value>(line).ok());
@@ -365,16 +379,42 @@
 async fn leader_frozen() -> anyhow::Result<()> {
     let site = start_unbalanced().await?;
     let copy = copy_before_writes(&site);
-    let fences = || order_fences(&site.edges[0].log());
-    send_streams(&site, 0, || !fences().is_empty()).await?;
+    send_streams(&site, 0, || !orders(&site).is_empty()).await?;
     site.edges[0].signal(Signal::STOP);
-    let first = fences();
     site.store.restore(copy);
     undo_orders(&site);
     pause(millis(1_000)).await;
+    // What was written before the freeze has arrived, also if the entry did not log it yet.
+    let first = orders(&site);
     site.edges[0].signal(Signal::CONT);
-    send_streams(&site, 0, || fences().len() > first.len()).await?;
-    let later = fences().split_off(first.len());
+    send_streams(&site, 0, || orders(&site).len() > first.len()).await?;
+    let later = orders(&site).split_off(first.len());
+    assert!(later.iter().min() > first.iter().max(), "{first:?}, then {later:?}");
+    Ok(())
+}
+
+// Guards against an order whose lease has expired: the leader is frozen while it waits for the report
+// that comes before the order.
+#[tokio::test]
+async fn frozen_before_order() -> anyhow::Result<()> {
+    let site = start_unbalanced().await?;
+    // Shorter than a lease is used without being renewed.
+    site.decode.iter().for_each(|engine| engine.delay_reports(millis(300)));
+    let thawed = async {
+        wait_log(&site, 0, "lease for changing stages acquired").await?;
+        site.edges[0].signal(Signal::STOP);
+        // Longer than that, and shorter than the timeout of the report.
+        pause(millis(700)).await;
+        let first = lease_fences(&site.edges[0].log());
+        let received = orders(&site).len();
+        site.edges[0].signal(Signal::CONT);
+        anyhow::Ok((first, received))
+    };
+    let (thawed, sent) = tokio::join!(thawed, send_streams(&site, 0, || !orders(&site).is_empty()));
+    let (first, received) = thawed?;
+    sent?;
+    send_streams(&site, 0, || orders(&site).len() > received).await?;
+    let later = orders(&site).split_off(received);
     assert!(later.iter().min() > first.iter().max(), "{first:?}, then {later:?}");
     Ok(())
 }
--- a/crates/edge/src/exchange.rs
+++ b/crates/edge/src/exchange.rs
@@ -88,7 +88,18 @@
     request: Request<Full<Bytes>>,
     cost: quotas::Cost,
 ) -> Result<BufferedResponse, connections::SendError> {
-    let pending = send_if(edge, target, request, cost, || Ok(())).await?;
+    fetch_if(edge, target, request, cost, || Ok(())).await
+}
+
+/// Sends a request like [`fetch_at`] if `is_permitted` allows it just before it is written.
+pub(crate) async fn fetch_if(
+    edge: &edge::Edge,
+    target: &directory::Target,
+    request: Request<Full<Bytes>>,
+    cost: quotas::Cost,
+    is_permitted: impl Fn() -> Result<(), connections::SendError>,
+) -> Result<BufferedResponse, connections::SendError> {
+    let pending = send_if(edge, target, request, cost, is_permitted).await?;
     Ok(read_all(&edge.connections, pending).await)
 }
 
--- a/crates/edge/src/leader.rs
+++ b/crates/edge/src/leader.rs
@@ -12,7 +12,7 @@
 use rhubarb_node::clock;
 use rhubarb_platform::{engine, store};
 
-use crate::{boot, directory, edge, exchange, pauses, quotas};
+use crate::{boot, connections, directory, edge, exchange, pauses, quotas};
 
 /// Interval between plans.
 const PLAN_PERIOD: time::Duration = time::Duration::from_millis(500);
@@ -42,7 +42,7 @@
                 tokio::time::sleep(clock::jitter(LEASE_BACKOFF)).await;
                 break;
             };
-            if !send_order(&edge, &service, &change, fence).await {
+            if !send_order(&edge, &lease, &service, &change, fence).await {
                 lease.lost();
                 break;
             }
@@ -140,6 +140,7 @@
 // Sends one order; false if the engine rejected the fencing number or the lease may be lost.
 async fn send_order(
     edge: &edge::Edge,
+    lease: &lease::Lease,
     service: &str,
     change: &stages::Change,
     fence: lease::Fence,
@@ -148,23 +149,33 @@
     let Some(target) = edge.directory().target(&change.id) else { return true };
     let (id, stage) = (target.id.as_str(), change.to);
     // The order follows the report.
-    let response = call(edge, &target, engine::report_request(id), quotas::Cost::Two).await;
-    let state = response.and_then(|response| read_state(id, &response));
+    let report = engine::report_request(id);
+    let response = call(edge, &target, report, quotas::Cost::Two, || Ok(())).await;
+    let state = response.ok().and_then(|response| read_state(id, &response));
     let Some(state) = state else { return true };
     if state.is_busy || state.stage == Some(stage) {
         tracing::info!(server = id, to = ?stage, busy = state.is_busy, "edge: order not needed");
         return true;
     }
-    if edge.store.era() != era {
-        tracing::info!(server = id, "edge: order not sent, the store has begun a new era");
-        return false;
-    }
     let (holder, orders) = (edge.settings().name.clone(), state.accepted_orders);
     let order =
         engine::StageOrder { engine: id, stage, holder: &holder, fence, expected_orders: orders };
     set_changing(edge, service, id);
-    let response = call(edge, &target, engine::stage_request(&order), quotas::Cost::Paid).await;
-    let status = response.map(|response| response.head.status());
+    // Asked just before the order is written: this process may have been suspended since the lease
+    // was acquired.
+    let permit = || match lease.fence(boot::time()) == Some(fence) && edge.store.era() == era {
+        true => Ok(()),
+        false => Err(connections::SendError::Expired),
+    };
+    let request = engine::stage_request(&order);
+    let response = call(edge, &target, request, quotas::Cost::Paid, permit).await;
+    if let Err(connections::SendError::Expired) = response {
+        let new_era = edge.store.era() != era;
+        tracing::info!(server = id, to = ?stage, fence, new_era, "edge: order not sent");
+        clear_changing(edge, service, id);
+        return false;
+    }
+    let status = response.ok().map(|response| response.head.status());
     let code = status.map(|status| status.as_u16());
     tracing::info!(server = id, to = ?stage, fence, orders, status = code, "edge: order sent");
     let is_paused = pauses::is_paused(edge, &target);
@@ -190,20 +201,18 @@
     target: &directory::Target,
     request: Request<Full<Bytes>>,
     cost: quotas::Cost,
-) -> Option<exchange::BufferedResponse> {
+    is_permitted: impl Fn() -> Result<(), connections::SendError>,
+) -> Result<exchange::BufferedResponse, connections::SendError> {
     let path = request.uri().path().to_string();
-    let sending = exchange::fetch_at(edge, target, request, cost);
-    match tokio::time::timeout(CALL_TIMEOUT, sending).await {
-        Ok(Ok(response)) => Some(response),
-        Ok(Err(err)) => {
-            tracing::warn!(server = target.id, path, %err, "edge: engine not reached");
-            None
-        }
-        Err(_) => {
-            tracing::warn!(server = target.id, path, "edge: call to engine timed out");
-            None
-        }
+    let sending = exchange::fetch_if(edge, target, request, cost, is_permitted);
+    let timeout = tokio::time::timeout(CALL_TIMEOUT, sending);
+    let result = timeout.await.unwrap_or_else(|_| {
+        Err(connections::SendError::ConnectionLost("no response in time".to_string()))
+    });
+    if let Err(err) = &result {
+        tracing::warn!(server = target.id, path, %err, "edge: engine not reached");
     }
+    result
 }
 
 fn set_changing(edge: &edge::Edge, service: &str, id: &str) {
--- a/crates/edge/src/plain.rs
+++ b/crates/edge/src/plain.rs
@@ -211,7 +211,9 @@
                 Attempt::Unsent(Reason::Leaving)
             }
             responder::WaitOutcome::Event(Err(
-                connections::SendError::Paused | connections::SendError::Limited,
+                connections::SendError::Paused
+                | connections::SendError::Limited
+                | connections::SendError::Expired,
             )) => {
                 tracing::info!(
                     id = self.call.id(),
--- a/crates/edge/src/prefill.rs
+++ b/crates/edge/src/prefill.rs
@@ -155,7 +155,9 @@
             return PrefillResult::Unsent(target.id);
         }
         responder::WaitOutcome::Event(Err(
-            connections::SendError::Paused | connections::SendError::Limited,
+            connections::SendError::Paused
+            | connections::SendError::Limited
+            | connections::SendError::Expired,
         )) => {
             tracing::info!(
                 id = call.id(),
--- a/crates/edge/src/stream.rs
+++ b/crates/edge/src/stream.rs
@@ -356,7 +356,9 @@
                 return SendResult::NotSent(Reason::Leaving);
             }
             responder::WaitOutcome::Event(Err(
-                connections::SendError::Paused | connections::SendError::Limited,
+                connections::SendError::Paused
+                | connections::SendError::Limited
+                | connections::SendError::Expired,
             )) => {
                 return SendResult::NotSent(Reason::NoRoom);
             }
--- a/crates/fakes/src/backend.rs
+++ b/crates/fakes/src/backend.rs
@@ -276,6 +276,16 @@
         (state.stage.name.clone(), state.stage.orders)
     }
 
+    /// When orders were received, and their fencing numbers.
+    pub fn orders(&self) -> Vec<(time::Instant, u64)> {
+        self.state().stage.received.clone()
+    }
+
+    /// Makes each report take `report_time`.
+    pub fn delay_reports(&self, report_time: time::Duration) {
+        self.state().stage.report_time = report_time;
+    }
+
     fn state(&self) -> sync::MutexGuard<'_, State> {
         locks::lock(&self.inner.state)
     }
@@ -332,7 +342,7 @@
         }
         match (&parts.method, path.as_str()) {
             (&Method::POST, "/v1/hold-take") => self.create_hold(fault),
-            (&Method::GET, "/v1/report") => self.report(),
+            (&Method::GET, "/v1/report") => self.report().await,
             (&Method::POST, "/v1/order") => self.order(&content),
             (&Method::DELETE, _) if path.starts_with("/v1/") => self.release(&path),
             _ => {
@@ -368,7 +378,9 @@
         response::text(if is_known { StatusCode::OK } else { StatusCode::NOT_FOUND }, "")
     }
 
-    fn report(&self) -> Response<response::Body> {
+    async fn report(&self) -> Response<response::Body> {
+        let report_time = self.state().stage.report_time;
+        tokio::time::sleep(report_time).await;
         response::json(StatusCode::OK, &self.state().stage.report(self.running()))
     }
 
--- a/crates/fakes/src/stage.rs
+++ b/crates/fakes/src/stage.rs
@@ -1,5 +1,7 @@
 //! Stage of a fake engine, which orders change.
 
+use std::time;
+
 use bytes::Bytes;
 use hyper::StatusCode;
 use serde_json::json;
@@ -11,6 +13,10 @@
     pub(crate) name: String,
     /// Number of accepted orders since the start.
     pub(crate) orders: u64,
+    /// When orders were received, and their fencing numbers, restarts included.
+    pub(crate) received: Vec<(time::Instant, u64)>,
+    /// Time that a report takes.
+    pub(crate) report_time: time::Duration,
     // Highest fencing number of an accepted order.
     fence: u64,
 }
@@ -20,6 +26,7 @@
     pub(crate) fn order(&mut self, content: &Bytes) -> StatusCode {
         let order: serde_json::Value = serde_json::from_slice(content).unwrap_or_default();
         let fence = order["fence"].as_u64().unwrap_or(0);
+        self.received.push((time::Instant::now(), fence));
         if fence < self.fence {
             return StatusCode::PRECONDITION_FAILED;
         }
