Lend each entry one request of a limit that is too small to be divided

An entry's part of a small limit's burst was less than a request, and nothing was lent beyond it: a limit of 4 requests a second, without tolerance, served none. Each entry may now owe one request, paid for by a smaller flow, so that the rule holds with losses, cuts, freezes and a restart of all; where that covers too few entries they take turns. Requests are reckoned in thousandths, since a debt told as a whole request was several times what it was. Larger limits decide as before.

--- a/crates/core/src/account.rs
+++ b/crates/core/src/account.rs
@@ -2,7 +2,7 @@
 
 use std::{collections, time};
 
-use crate::{customers, demand, terms, voices};
+use crate::{customers, demand, ids, terms, voices};
 
 /// What another entry told last of the customer.
 #[derive(Clone, Copy, Debug)]
@@ -18,9 +18,9 @@
 /// This entry's part of one limit.
 #[derive(Clone, Debug)]
 pub struct Account {
-    /// The limit.
-    pub limit: customers::Limit,
-    /// Units that may be used; below 0 in debt.
+    // The limit, in parts of a unit, as all that follows.
+    limit: customers::Limit,
+    /// What may be used; below 0 in debt.
     pub level: f64,
     /// Other entries that told of requests or of a debt; the others have neither, or told nothing.
     pub told: collections::BTreeMap<voices::EntryTag, Told>,
@@ -28,6 +28,10 @@
     asked: collections::VecDeque<(time::Instant, f64)>,
     // Sum of their units.
     asked_sum: f64,
+    // Mean units of a request, of the last ones.
+    usual: Option<f64>,
+    // Whether a request that may have been borrowed before the start is not counted yet.
+    is_new: bool,
     // Demand as this entry told it last.
     demand: u32,
     created_at: time::Instant,
@@ -38,6 +42,10 @@
 
 /// Time in which a debt reaches the other entries, with one datagram lost.
 const TELL_TIME: time::Duration = time::Duration::from_millis(600);
+/// Weight of a request in the mean of the last ones.
+const USUAL_WEIGHT: f64 = 0.1;
+/// Windows for which an entry is in turn or not.
+const TURN_WINDOWS: u32 = 2;
 /// Requests of one customer and window that are counted one by one.
 const MAX_ASKED: usize = 4_096;
 
@@ -45,11 +53,13 @@
     /// Creates an account with an empty bucket.
     pub fn new(limit: customers::Limit, now: time::Instant) -> Account {
         Account {
-            limit,
+            limit: in_parts(limit),
             level: 0.0,
             told: collections::BTreeMap::new(),
             asked: collections::VecDeque::new(),
             asked_sum: 0.0,
+            usual: None,
+            is_new: true,
             demand: 0,
             created_at: now,
             updated_at: now,
@@ -57,6 +67,29 @@
         }
     }
 
+    /// Changes the limit.
+    pub fn set_limit(&mut self, limit: customers::Limit) {
+        self.limit = in_parts(limit);
+    }
+
+    /// Parts of a unit in which the account is kept.
+    pub fn parts(&self) -> f64 {
+        self.limit.unit.parts()
+    }
+
+    /// What a request counts for.
+    pub fn cost(&self, tokens: Option<u32>) -> f64 {
+        self.limit.unit.cost(tokens) * self.parts()
+    }
+
+    /// What all entries may use of the limit.
+    pub fn terms(&self, tolerance: terms::Tolerance, sizes: demand::Sizes) -> terms::Terms {
+        let usual = self.usual.unwrap_or_else(|| self.cost(None));
+        let slack = tolerance.slack * self.parts();
+        let tolerance = terms::Tolerance { slack, ..tolerance };
+        terms::Terms::new(self.limit, usual, tolerance, sizes)
+    }
+
     /// Counts a request that was asked for.
     pub fn record_asked(&mut self, cost: f64, window: time::Duration, now: time::Instant) {
         while let Some((at, oldest)) = self.asked.front()
@@ -71,6 +104,8 @@
         if cost > 0.0 {
             self.asked.push_back((now, cost));
             self.asked_sum += cost;
+            let usual = self.usual.get_or_insert(cost);
+            *usual += USUAL_WEIGHT * (cost - *usual);
         }
     }
 
@@ -101,6 +136,33 @@
         demands
     }
 
+    /// Counts the request that the process before this one may have borrowed, and that is made up for
+    /// since the start.
+    pub fn count_lost(&mut self, terms: terms::Terms, fraction: f64, now: time::Instant) {
+        if let Some(single) = terms.single.filter(|_| std::mem::take(&mut self.is_new)) {
+            let age = now.saturating_duration_since(self.created_at).as_secs_f64();
+            self.level = self.level.min(terms.rate * fraction * age - single.most * single.chance);
+        }
+    }
+
+    /// Units that one request may borrow alone in this turn; 0 if the entry is not in turn.
+    pub fn single(
+        &self,
+        terms: terms::Terms,
+        window: time::Duration,
+        salt: u64,
+        now: time::Instant,
+    ) -> f64 {
+        let Some(single) = terms.single else { return 0.0 };
+        if single.chance >= 1.0 {
+            return single.most;
+        }
+        let age = now.saturating_duration_since(self.created_at).as_millis() as u64;
+        let turn = age / (u64::from(TURN_WINDOWS) * window.as_millis() as u64).max(1);
+        let drawn = ids::digest(&[&salt.to_be_bytes(), &turn.to_be_bytes()]) as u64;
+        if (drawn as f64) < single.chance * u64::MAX as f64 { single.most } else { 0.0 }
+    }
+
     /// Units used beyond the bucket and not yet made up for.
     pub fn debt(&self) -> f64 {
         (-self.level).max(0.0)
@@ -144,3 +206,8 @@
         self.demand > 0 || !self.told.is_empty()
     }
 }
+
+fn in_parts(limit: customers::Limit) -> customers::Limit {
+    let parts = limit.unit.parts();
+    customers::Limit { rate: limit.rate * parts, burst: limit.burst * parts, ..limit }
+}
--- a/crates/core/src/allowance.rs
+++ b/crates/core/src/allowance.rs
@@ -11,7 +11,7 @@
 
 pub use terms::Tolerance;
 
-/// What an entry tells the others of one customer, in units.
+/// What an entry tells the others of one customer, in units or in thousandths of a request.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Statement {
     /// The customer.
@@ -52,12 +52,12 @@
     voices: voices::Voices,
     // Customers told so far, which are told in turn.
     told: usize,
+    // Number by which the entries draw their turns.
+    salt: u64,
 }
 
 /// Age from which an entry counts as silent: more than three heartbeats, of which two may be lost.
 const FRESH_TIME: time::Duration = time::Duration::from_secs(1);
-/// Part of what is left to lend that one request may take at once, while little is lent.
-const REQUEST_SHARE: f64 = 0.25;
 /// Part of what can be lent that is not lent while little is lent.
 const CALM_SHARE: f64 = 0.5;
 /// Longest time told to a caller until there is room.
@@ -75,9 +75,15 @@
             active: collections::BTreeSet::new(),
             voices: voices::Voices::default(),
             told: 0,
+            salt: 0,
         }
     }
 
+    /// Sets a random number, by which this entry's turns differ from those of the others.
+    pub fn set_salt(&mut self, salt: u64) {
+        self.salt = salt;
+    }
+
     /// Changes what is tolerated.
     pub fn set_tolerance(&mut self, tolerance: Tolerance) {
         self.tolerance = tolerance;
@@ -105,7 +111,7 @@
         for (tag, limit) in limits {
             let account =
                 self.accounts.entry(tag).or_insert_with(|| account::Account::new(limit, now));
-            account.limit = limit;
+            account.set_limit(limit);
         }
         self.refill(now);
     }
@@ -129,10 +135,11 @@
         let account = self.accounts.get_mut(&customer)?;
         self.voices.tick(now);
         self.active.insert(customer);
-        let terms = terms::Terms::new(account.limit, tolerance);
-        let cost = account.limit.unit.cost(tokens);
+        let cost = account.cost(tokens);
         account.record_asked(cost, tolerance.window, now);
+        let terms = account.terms(tolerance, sizes);
         let fraction = account.refill(terms, &self.voices, sizes, now);
+        account.count_lost(terms, fraction, now);
         let cell = f64::from(sizes.peers + 1) / f64::from(sizes.fleet.max(sizes.peers + 1));
         let reserve = terms.reserve * cell;
         let entries = f64::from(sizes.peers + 1);
@@ -143,13 +150,20 @@
         let part = left / entries;
         // While little is lent, an entry may take more than its part: few do so at the same time.
         let is_calm = borrowed == 0.0 || left >= reserve * CALM_SHARE;
-        let most = if is_calm { part.max(left * REQUEST_SHARE) } else { part };
-        let is_allowed = growth <= 0.0 || borrowed + growth <= most;
+        let most = if is_calm { part.max(left * terms::REQUEST_SHARE) } else { part };
+        // One request is more than may be lent of a small limit: each entry may owe one, and borrow
+        // one more while the debts of all are under the reserve.
+        let single = account.single(terms, tolerance.window, self.salt, now);
+        let is_free = account.debt() + growth <= single;
+        let is_single = is_free || borrowed == 0.0 && left > 0.0 && growth <= single;
+        let is_allowed = growth <= 0.0 || borrowed + growth <= most || is_single;
         let wait = (!is_allowed).then(|| wait(account, terms, fraction, growth));
         if is_allowed {
             account.take(cost, growth, now);
         }
         let level = if is_allowed { account.level + cost } else { account.level };
+        let parts = account.parts();
+        let (cost, level, told) = (cost / parts, level / parts, told / parts);
         Some(Verdict { cost, level, fraction, told, age, wait })
     }
 
@@ -158,8 +172,8 @@
         let (tolerance, sizes) = (self.tolerance, self.sizes);
         let Some(account) = self.accounts.get_mut(&customer) else { return };
         self.voices.tick(now);
-        account.level += cost;
-        account.refill(terms::Terms::new(account.limit, tolerance), &self.voices, sizes, now);
+        account.level += cost * account.parts();
+        account.refill(account.terms(tolerance, sizes), &self.voices, sizes, now);
     }
 
     /// Records what another entry of the cell tells. If it `is_complete`, the entry has nothing to tell
@@ -231,14 +245,14 @@
     fn refill(&mut self, now: time::Instant) {
         self.voices.tick(now);
         for account in self.accounts.values_mut() {
-            let terms = terms::Terms::new(account.limit, self.tolerance);
+            let terms = account.terms(self.tolerance, self.sizes);
             account.refill(terms, &self.voices, self.sizes, now);
         }
     }
 
     fn refill_one(&mut self, customer: ids::CustomerTag, now: time::Instant) {
         if let Some(account) = self.accounts.get_mut(&customer) {
-            let terms = terms::Terms::new(account.limit, self.tolerance);
+            let terms = account.terms(self.tolerance, self.sizes);
             account.refill(terms, &self.voices, self.sizes, now);
         }
     }
@@ -255,7 +269,7 @@
     growth: f64,
 ) -> time::Duration {
     let own = (growth + account.debt()) / (terms.rate * fraction).max(f64::MIN_POSITIVE);
-    let shared = growth / REQUEST_SHARE / terms.rate.max(f64::MIN_POSITIVE);
+    let shared = growth / terms::REQUEST_SHARE / terms.rate.max(f64::MIN_POSITIVE);
     let wait = own.min(shared).min(MAX_WAIT.as_secs_f64());
     time::Duration::from_secs_f64(wait)
 }
--- a/crates/core/src/customers.rs
+++ b/crates/core/src/customers.rs
@@ -59,6 +59,23 @@
             Unit::Tokens { plain } => f64::from(tokens.unwrap_or(plain)),
         }
     }
+
+    /// Parts of a unit in which an entry reckons: a request is told as finely as one of some thousand
+    /// tokens, since an entry's part of a limit may be less than one.
+    pub fn parts(self) -> f64 {
+        match self {
+            Unit::Requests => 1_000.0,
+            Unit::Tokens { .. } => 1.0,
+        }
+    }
+
+    /// What most requests count for at most, if they count for `usual` in the mean.
+    pub fn most(self, usual: f64) -> f64 {
+        match self {
+            Unit::Requests => usual,
+            Unit::Tokens { .. } => 2.0 * usual,
+        }
+    }
 }
 
 /// Digest of a key.
--- a/crates/core/src/terms.rs
+++ b/crates/core/src/terms.rs
@@ -2,7 +2,7 @@
 
 use std::time;
 
-use crate::customers;
+use crate::{cells, customers, demand};
 
 /// What the platform tolerates beyond a limit, in any window.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -30,6 +30,18 @@
     pub burst: f64,
     /// Sum of the debts of all entries.
     pub reserve: f64,
+    /// How requests are lent of which one is more than a part of the reserve; `None` unless the limit
+    /// is that small.
+    pub single: Option<Single>,
+}
+
+/// One request that each entry may borrow alone, however little the limit is.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Single {
+    /// Units that it may count for.
+    pub most: f64,
+    /// Probability that an entry may do so, in each of its turns.
+    pub chance: f64,
 }
 
 /// Window without one in the settings: a few times as long as what an entry told counts.
@@ -40,16 +52,49 @@
 /// Least tolerance as a fraction of a limit; the limit is used only in part if the platform tolerates
 /// less.
 const LEAST_TOLERANCE: f64 = 0.15;
+/// Part of what is left to lend that one request may take at once, while little is lent.
+pub const REQUEST_SHARE: f64 = 0.25;
+/// Least part of a limit that flows into the buckets.
+const LEAST_USED: f64 = 0.25;
+/// Standard deviations by which the entries in turn may be more than expected.
+const DEVIATIONS: f64 = 4.0;
 
 impl Terms {
-    /// What all entries may use of `limit`.
-    pub fn new(limit: customers::Limit, tolerance: Tolerance) -> Terms {
+    /// What all entries may use of `limit`; a usual request counts for `usual` units.
+    pub fn new(
+        limit: customers::Limit,
+        usual: f64,
+        tolerance: Tolerance,
+        sizes: demand::Sizes,
+    ) -> Terms {
         let customers::Limit { rate, burst, .. } = limit;
-        let whole = rate * tolerance.window.as_secs_f64() + burst;
+        let whole = (rate * tolerance.window.as_secs_f64() + burst).max(f64::MIN_POSITIVE);
         let tolerated = whole * tolerance.over + tolerance.slack;
-        let missing = (whole * LEAST_TOLERANCE - tolerated).max(0.0);
-        let used = 1.0 - missing / whole.max(f64::MIN_POSITIVE);
+        let mut missing = (whole * LEAST_TOLERANCE - tolerated).max(0.0);
         let reserve = LENT_SHARE * (tolerated + missing);
-        Terms { rate: rate * used, burst: burst * used, reserve }
+        let entries = f64::from(sizes.fleet.max(sizes.peers + 1));
+        let cell = (cells::MAX_CELL as f64 / entries).min(1.0);
+        let single = (reserve * cell * REQUEST_SHARE < usual).then(|| {
+            // The entries may all borrow one at the same time, so that less flows into the buckets.
+            let most = limit.unit.most(usual);
+            let lacking = most * entries - (1.0 - LENT_SHARE) * (tolerated + missing);
+            let available = whole * (1.0 - LEAST_USED) - missing;
+            missing += lacking.min(available).max(0.0);
+            if lacking <= available {
+                return Single { most, chance: 1.0 };
+            }
+            let requests = (tolerated + missing - reserve) / most;
+            Single { most, chance: chance(requests, entries) }
+        });
+        let used = 1.0 - missing / whole;
+        Terms { rate: rate * used, burst: burst * used, reserve, single }
     }
 }
+
+// Probability that an entry is in turn, so that in a window, in which each has two turns at most, not
+// more than `requests` of them are.
+fn chance(requests: f64, entries: f64) -> f64 {
+    let half = DEVIATIONS / 2.0;
+    let expected = ((requests + half * half).sqrt() - half).powi(2);
+    expected / 2.0 / entries
+}
--- a/crates/edge/src/edge.rs
+++ b/crates/edge/src/edge.rs
@@ -80,6 +80,8 @@
         let members =
             members::Members::new(settings.ip, ids::zone_tag(&settings.zone), clock::now());
         let ledger = usage::Ledger::new(settings.name.clone(), incarnation, dates.now_ms());
+        let mut allowances = allowance::Allowances::new(settings.tolerance);
+        allowances.set_salt(rand::random());
         Edge {
             incarnation,
             dates,
@@ -105,7 +107,7 @@
             lag: sync::Mutex::default(),
             pauses: sync::Mutex::default(),
             limits: sync::Mutex::default(),
-            allowances: sync::Mutex::new(allowance::Allowances::new(settings.tolerance)),
+            allowances: sync::Mutex::new(allowances),
             in_touch_at: sync::Mutex::new(clock::now()),
             rejected: sync::Mutex::default(),
             origins: sync::Mutex::default(),
