Make the pause known before the second leg in second_leg

The test left to the choice of engine whether the paused engine was asked for a hold, by which alone the entry can know of the pause. It now sends requests until one has asked it, at most more than the other engine has slots, and waits until the entry has logged the pause before the prefill goes on.

--- a/crates/e2e/tests/platform_pauses.rs
+++ b/crates/e2e/tests/platform_pauses.rs
@@ -207,6 +207,9 @@
     Ok(())
 }
 
+/// More requests than one decode engine has slots.
+const MAX_OTHERS: usize = 10;
+
 // Guards against a second leg to a decode engine that asked for a pause after its slot was
 // reserved.
 #[tokio::test]
@@ -224,19 +227,34 @@
             }
         };
         reserved.set_pause(PAUSE, None);
-        // Holds of these requests tell the entry of the pause.
-        let others = send_for(&site, site::STREAM, "other", time::Duration::from_millis(100));
-        let open = async {
-            tokio::time::sleep(time::Duration::from_millis(250)).await;
-            prefill.set_modes(relay::Mode::Forward, relay::Mode::Forward);
-        };
-        let (replies, ()) = tokio::join!(others, open);
-        (reserved, replies)
+        // A hold of one of these requests tells the entry of the pause; they are sent until one has
+        // asked the engine, which the other one has not enough slots to prevent.
+        let mut calls = Vec::new();
+        for number in 0..MAX_OTHERS {
+            let (attempt, address) = (format!("other-{number}"), site.edges[0].frontend);
+            calls.push(tokio::spawn(async move {
+                let path = site::STREAM;
+                let call = call::Call { path, attempt: &attempt, body: "b", headers: &[] };
+                call.send(&client::Client::new(), Method::POST, address).await
+            }));
+            tokio::time::sleep(INTERVAL).await;
+            if reserved.arrivals().iter().any(|arrival| arrival.paused_until.is_some()) {
+                break;
+            }
+        }
+        let log = wait_log(&site, "edge: server paused").await;
+        prefill.set_modes(relay::Mode::Forward, relay::Mode::Forward);
+        let mut replies = Vec::new();
+        for call in calls {
+            replies.push(call.await.expect("the task ends").expect("the request is answered"));
+        }
+        (reserved, replies, log)
     };
-    let (reply, (reserved, replies)) = tokio::join!(first, others);
+    let (reply, (reserved, replies, log)) = tokio::join!(first, others);
     let reply = reply?;
     let paused = reserved.arrivals();
     assert!(paused.iter().any(|arrival| arrival.paused_until.is_some()), "no hold was rejected");
+    assert!(log.contains("edge: server paused"), "the entry does not know of the pause: {log}");
     assert!(
         paused.iter().all(|arrival| arrival.attempt.is_empty()),
         "the second leg was sent: {paused:?}"
