Divide customers' limits between cells by what they ask for

Each cell had a part of a limit by its size, so that a customer of one cell got 0.39 of its limit in a fleet of 103 entries and 0.04 in one of 950. A part falls at once and grows when the others know why, so that the sum stays within the limit while demand moves. Smaller limits are divided by size as before, as few requests are noise; a fleet that is one cell decides as before.

--- a/crates/core/src/account.rs
+++ b/crates/core/src/account.rs
@@ -34,6 +34,8 @@
     is_new: bool,
     // Demand as this entry told it last.
     demand: u32,
+    // Parts of the own cell in the last seconds, each less than those after it, beside its part by size.
+    parts: collections::VecDeque<(time::Instant, f64)>,
     created_at: time::Instant,
     updated_at: time::Instant,
     // Growth of the debt that other entries may not know: when it grew, and by how much.
@@ -46,6 +48,12 @@
 const USUAL_WEIGHT: f64 = 0.1;
 /// Windows for which an entry is in turn or not.
 const TURN_WINDOWS: u32 = 2;
+/// Requests of a window for each entry from which a limit is large.
+const LARGE_REQUESTS: f64 = 4.0;
+/// Growth of a cell's part that is within the noise of its demand, as a factor.
+const NOISE: f64 = 1.1;
+/// Time in which what a cell asks for is known in the others.
+const LEARN_TIME: time::Duration = time::Duration::from_secs(6);
 /// Requests of one customer and window that are counted one by one.
 const MAX_ASKED: usize = 4_096;
 
@@ -61,6 +69,7 @@
             usual: None,
             is_new: true,
             demand: 0,
+            parts: collections::VecDeque::new(),
             created_at: now,
             updated_at: now,
             untold: collections::VecDeque::new(),
@@ -82,14 +91,26 @@
         self.limit.unit.cost(tokens) * self.parts()
     }
 
+    /// What a usual request counts for.
+    pub fn usual(&self) -> f64 {
+        self.usual.unwrap_or_else(|| self.cost(None))
+    }
+
     /// What all entries may use of the limit.
     pub fn terms(&self, tolerance: terms::Tolerance, sizes: demand::Sizes) -> terms::Terms {
-        let usual = self.usual.unwrap_or_else(|| self.cost(None));
+        let usual = self.usual();
         let slack = tolerance.slack * self.parts();
         let tolerance = terms::Tolerance { slack, ..tolerance };
         terms::Terms::new(self.limit, usual, tolerance, sizes)
     }
 
+    /// Whether the requests of a window are enough for cells to divide the limit by them. Of fewer, the
+    /// demand of a cell is noise.
+    pub fn is_large(&self, tolerance: terms::Tolerance, sizes: demand::Sizes) -> bool {
+        let whole = self.limit.rate * tolerance.window.as_secs_f64() + self.limit.burst;
+        whole >= LARGE_REQUESTS * self.usual() * f64::from(sizes.fleet)
+    }
+
     /// Counts a request that was asked for.
     pub fn record_asked(&mut self, cost: f64, window: time::Duration, now: time::Instant) {
         while let Some((at, oldest)) = self.asked.front()
@@ -117,7 +138,8 @@
         sizes: demand::Sizes,
         now: time::Instant,
     ) -> f64 {
-        let fraction = demand::fraction(self.demand, self.demands(voices, now), sizes);
+        let demands = self.demands(voices, now);
+        let fraction = demand::fraction(self.demand, demands, sizes) * self.excess(sizes);
         let elapsed = now.saturating_duration_since(self.updated_at);
         self.updated_at = self.updated_at.max(now);
         self.level += terms.rate * fraction * elapsed.as_secs_f64();
@@ -125,6 +147,42 @@
         fraction
     }
 
+    /// Part of the own cell of what all entries may lend.
+    pub fn lent_part(&self, sizes: demand::Sizes) -> f64 {
+        self.parts.front().map_or_else(|| size_part(sizes), |(_, least)| *least)
+    }
+
+    // Part of the own cell as a multiple of its part by size. It falls at once, and grows by more than
+    // what is noise only when the other cells have learned of its demand.
+    fn excess(&self, sizes: demand::Sizes) -> f64 {
+        let Some(((_, least), (_, latest))) = self.parts.front().zip(self.parts.back()) else {
+            return 1.0;
+        };
+        latest.min(least * NOISE) / size_part(sizes)
+    }
+
+    /// Records the own cell's part of the limit by the demand of all cells; `None` if there are no
+    /// others.
+    pub fn record_part(&mut self, part: Option<f64>, sizes: demand::Sizes, now: time::Instant) {
+        let Some(part) = part else { return self.parts.clear() };
+        if self.parts.is_empty() {
+            // Until now it had its part by size.
+            self.parts.push_back((now, size_part(sizes)));
+        }
+        while self.parts.back().is_some_and(|(_, later)| *later >= part) {
+            self.parts.pop_back();
+        }
+        self.parts.push_back((now, part));
+        while self.parts.len() > 1 && self.parts[0].0 + LEARN_TIME <= now {
+            self.parts.pop_front();
+        }
+    }
+
+    /// Demand of the entries of the own cell.
+    pub fn cell_demand(&self, voices: &voices::Voices, now: time::Instant) -> u64 {
+        u64::from(self.demand) + self.demands(voices, now).requests
+    }
+
     // Demand of the other entries.
     fn demands(&self, voices: &voices::Voices, now: time::Instant) -> demand::Demands {
         let entries = voices.idle_count(self.created_at, now);
@@ -211,3 +269,8 @@
     let parts = limit.unit.parts();
     customers::Limit { rate: limit.rate * parts, burst: limit.burst * parts, ..limit }
 }
+
+// Part of the own cell by its size.
+fn size_part(sizes: demand::Sizes) -> f64 {
+    f64::from(sizes.peers + 1) / f64::from(sizes.fleet.max(sizes.peers + 1))
+}
--- a/crates/core/src/allowance.rs
+++ b/crates/core/src/allowance.rs
@@ -7,7 +7,7 @@
 
 use std::{collections, time};
 
-use crate::{account, customers, demand, ids, terms, voices};
+use crate::{account, cell_voices, cells, customers, demand, ids, terms, voices};
 
 pub use terms::Tolerance;
 
@@ -50,6 +50,10 @@
     active: collections::BTreeSet<ids::CustomerTag>,
     // The other entries of the cell.
     voices: voices::Voices,
+    // When the number of entries was first told.
+    started_at: Option<time::Instant>,
+    // The other cells; `None` in a fleet that is one cell.
+    cells: Option<cell_voices::CellVoices>,
     // Customers told so far, which are told in turn.
     told: usize,
     // Number by which the entries draw their turns.
@@ -60,6 +64,8 @@
 const FRESH_TIME: time::Duration = time::Duration::from_secs(1);
 /// Part of what can be lent that is not lent while little is lent.
 const CALM_SHARE: f64 = 0.5;
+/// Time after its start in which an entry may not have heard all others of its cell.
+const SETTLE_TIME: time::Duration = time::Duration::from_secs(5);
 /// Longest time told to a caller until there is room.
 const MAX_WAIT: time::Duration = time::Duration::from_secs(10);
 /// Maximum number of customers with a limit, over all versions of the config.
@@ -74,6 +80,8 @@
             accounts: collections::BTreeMap::new(),
             active: collections::BTreeSet::new(),
             voices: voices::Voices::default(),
+            started_at: None,
+            cells: None,
             told: 0,
             salt: 0,
         }
@@ -91,6 +99,7 @@
 
     /// Sets the number of entries; `fleet` is `None` while it is unknown.
     pub fn set_sizes(&mut self, peers: u32, fleet: Option<u32>, now: time::Instant) {
+        self.started_at.get_or_insert(now);
         let sizes = demand::Sizes { peers, fleet: fleet.unwrap_or(UNKNOWN_ENTRIES) };
         if sizes != self.sizes {
             self.refill(now);
@@ -140,8 +149,7 @@
         let terms = account.terms(tolerance, sizes);
         let fraction = account.refill(terms, &self.voices, sizes, now);
         account.count_lost(terms, fraction, now);
-        let cell = f64::from(sizes.peers + 1) / f64::from(sizes.fleet.max(sizes.peers + 1));
-        let reserve = terms.reserve * cell;
+        let reserve = terms.reserve * account.lent_part(sizes);
         let entries = f64::from(sizes.peers + 1);
         let told = account.debts(now) + reserve * f64::from(silent) / entries;
         let left = reserve - told - account.debt();
@@ -222,10 +230,19 @@
             self.refill_one(customer, now);
             let Some(account) = self.accounts.get_mut(&customer) else { continue };
             let (asked, debt) = account.tell(window, now);
+            let is_large = account.is_large(self.tolerance, self.sizes);
+            let cells = self.cells.as_ref().filter(|_| is_large);
+            let part = cells.map(|cells| {
+                let own = account.cell_demand(&self.voices, now);
+                cells.part(customer, own, account.usual(), self.sizes, now)
+            });
+            account.record_part(part, self.sizes, now);
             if asked > 0 || debt > 0 {
                 said.push(Statement { customer, asked, debt });
             }
-            if !account.is_active() {
+            let is_named = cells.is_some_and(|cells| cells.names(customer, now));
+            if !account.is_active() && !is_named {
+                account.record_part(None, self.sizes, now);
                 self.active.remove(&customer);
             }
         }
@@ -242,6 +259,61 @@
         (said, is_complete)
     }
 
+    /// Sets whether the fleet has several cells, which divide the limits by demand.
+    pub fn set_cells(&mut self, has_several: bool) {
+        if has_several {
+            self.cells.get_or_insert_default();
+        } else {
+            self.cells = None;
+        }
+    }
+
+    /// Demand of the own cell for the other cells, of up to `count` customers with most, and whether
+    /// there is no other; `None` while this entry may not know it.
+    pub fn cell_statements(
+        &self,
+        count: usize,
+        now: time::Instant,
+    ) -> Option<(Vec<Statement>, bool)> {
+        let is_settled = self.started_at.is_some_and(|at| at + SETTLE_TIME <= now);
+        if !is_settled || self.cells.is_none() {
+            return None;
+        }
+        let known = self.active.iter().filter_map(|customer| {
+            let account = self.accounts.get(customer)?;
+            let asked = account.cell_demand(&self.voices, now).min(u64::from(u32::MAX)) as u32;
+            Some(Statement { customer: *customer, asked, debt: 0 })
+        });
+        let mut said: Vec<_> = known.filter(|statement| statement.asked > 0).collect();
+        let is_complete = said.len() <= count && self.voices.are_complete();
+        said.sort_by_key(|statement| u32::MAX - statement.asked);
+        said.truncate(count);
+        Some((said, is_complete))
+    }
+
+    /// Records what an entry of another cell, which has `entries`, tells of its cell.
+    pub fn record_cell(
+        &mut self,
+        cell: cells::CellId,
+        entries: u32,
+        said: &[Statement],
+        is_complete: bool,
+        now: time::Instant,
+    ) {
+        for Statement { customer, .. } in said {
+            // Until now the limits that become active had their constant parts.
+            if self.accounts.contains_key(customer) && !self.active.contains(customer) {
+                self.refill_one(*customer, now);
+                self.active.insert(*customer);
+            }
+        }
+        let known = said.iter().filter(|statement| self.accounts.contains_key(&statement.customer));
+        let demands = known.map(|statement| (statement.customer, statement.asked));
+        if let Some(cells) = &mut self.cells {
+            cells.record(cell, entries, demands, is_complete, now);
+        }
+    }
+
     fn refill(&mut self, now: time::Instant) {
         self.voices.tick(now);
         for account in self.accounts.values_mut() {
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod beginnings;
 pub mod budget;
 pub mod cause;
+pub mod cell_voices;
 pub mod cells;
 pub mod change;
 pub mod customers;
--- a/crates/core/src/voices.rs
+++ b/crates/core/src/voices.rs
@@ -89,6 +89,11 @@
         known.is_some_and(|at| from <= at && now < at + TTL)
     }
 
+    /// Whether each entry told all that there is to tell.
+    pub fn are_complete(&self) -> bool {
+        self.idle.len() == self.entries.len()
+    }
+
     /// Number of entries that told something within the last `age`.
     pub fn count(&self, age: time::Duration, now: time::Instant) -> u32 {
         self.entries.values().filter(|voice| now < voice.at + age).count() as u32
--- a/crates/core/tests/limited/mod.rs
+++ b/crates/core/tests/limited/mod.rs
@@ -6,7 +6,7 @@
 
 use rand::rngs;
 
-use rhubarb_core::{allowance, customers, ids};
+use rhubarb_core::{allowance, cells, customers, ids};
 
 pub const SECOND: time::Duration = time::Duration::from_secs(1);
 pub const STEP: time::Duration = time::Duration::from_millis(20);
@@ -14,6 +14,8 @@
 pub const WINDOW: time::Duration = time::Duration::from_secs(8);
 /// Entries of a cell.
 pub const CELL: usize = 40;
+/// Random entries of other cells that an entry tells its cell's demand with each heartbeat.
+pub const FANOUT: usize = 3;
 /// Time after which a silent entry is no longer live.
 pub const TIMEOUT: time::Duration = time::Duration::from_secs(3);
 
@@ -37,6 +39,8 @@
     // Datagrams lost, as a fraction.
     pub loss: f64,
     pub random: rngs::SmallRng,
+    // For what is told between cells.
+    pub gossip: rngs::SmallRng,
     // Units allowed, and refused.
     pub used: Vec<(time::Instant, f64)>,
     pub refused: f64,
@@ -73,6 +77,7 @@
             tolerance: tolerance(slack),
             loss: 0.0,
             random: rand::SeedableRng::seed_from_u64(seed),
+            gossip: rand::SeedableRng::seed_from_u64(seed + 1),
             used: Vec::new(),
             refused: 0.0,
             started: 0,
@@ -178,6 +183,7 @@
                 }
             }
         }
+        self.exchange_cells();
         let (now, size) = (self.now, self.entries.len() as u32);
         for entry in self.entries.iter_mut().filter(|entry| !entry.is_frozen) {
             entry.heard.retain(|_, at| now < *at + TIMEOUT);
@@ -185,6 +191,33 @@
         }
     }
 
+    // Each entry tells its cell's demand to a few others at random.
+    fn exchange_cells(&mut self) {
+        let size = self.entries.len();
+        let now = self.now;
+        for number in 0..size {
+            let entry = &mut self.entries[number];
+            entry.allowances.set_cells(size > CELL);
+            let entries = entry.heard.len() as u32 + 1;
+            let told = entry.allowances.cell_statements(8, now);
+            let (false, false, Some((said, is_complete))) = (entry.is_cut, entry.is_frozen, told)
+            else {
+                continue;
+            };
+            let cell = cells::CellId { zone: 1, index: (number / CELL) as u32 };
+            for _ in 0..FANOUT {
+                let mut random = || -> f64 { rand::RngExt::random(&mut self.gossip) };
+                let other = (random() * size as f64) as usize;
+                let is_lost = random() < self.loss;
+                let entry = &mut self.entries[other];
+                let is_reached = !entry.is_cut && !entry.is_frozen && !is_lost;
+                if other / CELL != number / CELL && is_reached {
+                    entry.allowances.record_cell(cell, entries, &said, is_complete, now);
+                }
+            }
+        }
+    }
+
     // Most units in one window that begins at `from` or later, as a fraction of what is allowed.
     pub fn most(&self, from: time::Instant) -> f64 {
         let used: Vec<_> = self.used.iter().filter(|(at, _)| *at >= from).collect();
--- a/crates/edge/src/peers.rs
+++ b/crates/edge/src/peers.rs
@@ -103,7 +103,10 @@
     if has_source || !edge.is_disconnected() {
         edge.record_touch(now);
     }
-    edge.allowances().set_sizes(peers, count, now);
+    let mut allowances = edge.allowances();
+    allowances.set_sizes(peers, count, now);
+    allowances.set_cells(!partition.is_single());
+    drop(allowances);
     let mut directory = edge.directory();
     directory.entry_count = count;
     directory.place = directory::Place { rank, entries, peers };
@@ -233,6 +236,7 @@
     let mut directory = edge.directory();
     let mut committed = reports::Commitments::new();
     let mut usage = collections::BTreeMap::new();
+    let entries = directory.place.peers + 1;
     for (name, service) in directory.named_services() {
         committed.append(&mut service.engines.digest(now));
         let used = service.engines.cell_usage(now);
@@ -242,7 +246,8 @@
     }
     drop(directory);
     let committed = share::Commitments::new(&committed, seq);
-    share.digest = Some(share::Digest { committed, usage });
+    let used = share::Used::collect_cell(&edge.allowances(), now);
+    share.digest = Some(share::Digest { committed, usage, entries, used });
     share
 }
 
@@ -304,6 +309,12 @@
     if let Some(used) = share.used.as_ref().filter(|_| cell == Some(own_cell)) {
         edge.allowances().record(&share.name, &used.statements(), used.is_complete, now);
     }
+    if let (Some(digest), Some(cell)) = (&share.digest, cell.filter(|cell| *cell != own_cell))
+        && let Some(used) = &digest.used
+    {
+        let (said, entries) = (used.statements(), digest.entries);
+        edge.allowances().record_cell(cell, entries, &said, used.is_complete, now);
+    }
     if is_new {
         edge.commitments_changed.notify_one();
         let is_near = cell == Some(own_cell);
--- a/crates/wire/src/share.rs
+++ b/crates/wire/src/share.rs
@@ -224,12 +224,25 @@
             return None;
         }
         let (said, is_complete) = known.statements(MAX_CUSTOMERS, now);
-        let customers = said.into_iter().map(|said| CustomerUse {
+        Some(Used::new(&said, is_complete))
+    }
+
+    /// Demand of the own cell for a digest; `None` without limits, or while it is not known.
+    pub fn collect_cell(known: &allowance::Allowances, now: time::Instant) -> Option<Used> {
+        if known.is_empty() {
+            return None;
+        }
+        let (said, is_complete) = known.cell_statements(MAX_CELL_CUSTOMERS, now)?;
+        Some(Used::new(&said, is_complete))
+    }
+
+    fn new(said: &[allowance::Statement], is_complete: bool) -> Used {
+        let customers = said.iter().map(|said| CustomerUse {
             customer: said.customer,
             asked: said.asked,
             debt: said.debt,
         });
-        Some(Used { customers: customers.collect(), is_complete })
+        Used { customers: customers.collect(), is_complete }
     }
 
     /// Converts what was received.
@@ -309,8 +322,15 @@
     /// Engine time used by the requests of the cell's entries, by service; empty unless the sender
     /// speaks for its cell.
     pub usage: collections::BTreeMap<ids::ServiceName, stages::Usage>,
+    /// Entries of the cell.
+    pub entries: u32,
+    /// What the requests of the whole cell have asked for; absent without limits of customers.
+    pub used: Option<Used>,
 }
 
+/// Customers in one digest: about a sixteenth of a packet.
+pub const MAX_CELL_CUSTOMERS: usize = 8;
+
 /// Number of engines whose commitments are sent in one datagram; with the heartbeats that it relays
 /// it fits into one packet.
 const MAX_ENGINES: usize = 40;
@@ -346,7 +366,7 @@
 
 impl Share {
     /// Encodes the datagram. Places of beginnings, speeds, the use of customers, relayed heartbeats, then
-    /// evidence and limits are removed until it fits into a packet.
+    /// the demand of the cell, evidence and limits are removed until it fits into a packet.
     ///
     /// # Errors
     /// Returns an error if the state cannot be encoded, or does not fit without them.
@@ -364,7 +384,9 @@
                 continue;
             }
             let is_reduced = self.members.is_empty()
-                && (self.evidence.pop().is_some() || self.limits.pop().is_some());
+                && (self.reduce_digest()
+                    || self.evidence.pop().is_some()
+                    || self.limits.pop().is_some());
             if is_reduced {
                 continue;
             }
@@ -376,6 +398,12 @@
         }
     }
 
+    // Removes the customer with the least demand in the cell; false if there is none.
+    fn reduce_digest(&mut self) -> bool {
+        let used = self.digest.as_mut().and_then(|digest| digest.used.as_mut());
+        used.is_some_and(Used::reduce)
+    }
+
     /// Decodes a datagram.
     ///
     /// # Errors
--- a/crates/wire/tests/shares.rs
+++ b/crates/wire/tests/shares.rs
@@ -20,6 +20,12 @@
     (0..count).map(heartbeat).collect()
 }
 
+fn used() -> share::Used {
+    let used = |customer| share::CustomerUse { customer, asked: 4_000_000, debt: 0 };
+    let customers = (0..share::MAX_CELL_CUSTOMERS as u32).map(|number| used(u32::MAX - number));
+    share::Used { customers: customers.collect(), is_complete: true }
+}
+
 fn datagram(engines: u32, members: u8) -> share::Share {
     let committed = share::Commitments::new(&commitments(engines), 0);
     let usage = collections::BTreeMap::new();
@@ -27,7 +33,7 @@
         format: share::FORMAT,
         name: "edge-sfax-hall-a-1".to_string(),
         members: heartbeats(members),
-        digest: Some(share::Digest { committed, usage }),
+        digest: Some(share::Digest { committed, usage, entries: 40, used: Some(used()) }),
         ..share::Share::default()
     }
 }
