Give the stand-ins speeds, noise, cold starts and the fourth figure

Cause: all fake servers of the platform answered at once and alike, and their load reports had three figures; no soak met servers that differ.

A server without a pace does as before. Half of the soak's plans draw paces, apart from the other faults, whose draws stay the same, and turn servers slow for a while without an error. drawn_faults asks for paces too.

--- a/crates/e2e/src/site.rs
+++ b/crates/e2e/src/site.rs
@@ -231,6 +231,7 @@
         let id = format!("{}-{}", old.id, self.replaced.len());
         let backend = backend::Backend::new(&id, &old.stage().0, &self.handles);
         backend.set_software(software);
+        backend.set_pace(old.pace());
         let address = backend.serve(self.ip(1)).await?;
         if let Some(relay) = self.relays.get(&old.id) {
             relay.disconnect();
--- a/crates/fakes/src/backend.rs
+++ b/crates/fakes/src/backend.rs
@@ -9,7 +9,9 @@
 
 use rhubarb_node::{clock, locks, response, server};
 
-use crate::{arrivals, caller, crash, events, fault, handles, pause, replies, running, stage};
+use crate::{
+    arrivals, caller, crash, events, fault, handles, pace, pause, replies, running, stage,
+};
 
 pub use fault::{EVENTS, Fault};
 
@@ -49,6 +51,7 @@
     // Whether all answers say that the server leaves.
     is_leaving: bool,
     pause: pause::Pause,
+    clock: pace::Clock,
     // Version of the software; empty for the first one.
     software: String,
     // Requests a second that all answers name as the limit.
@@ -186,6 +189,7 @@
         state.is_leaving = false;
         state.limit = None;
         state.pause = pause::Pause::default();
+        state.clock.restart();
     }
 
     /// Number of starts including the current one, published in the server's row as `born`.
@@ -193,6 +197,17 @@
         self.state().restarts + 1
     }
 
+    /// Sets its speed; when it is set first, the process has just started. From now on its work takes
+    /// time, and its load reports have a fourth figure, unless the pace is the usual one.
+    pub fn set_pace(&self, pace: pace::Pace) {
+        self.state().clock.set(pace);
+    }
+
+    /// Its speed.
+    pub fn pace(&self) -> pace::Pace {
+        self.state().clock.pace
+    }
+
     /// Sets the fault from now on.
     pub fn set_fault(&self, fault: Fault) {
         self.state().fault = fault;
@@ -424,6 +439,7 @@
         if fault == Fault::Hangs {
             tokio::time::sleep(fault::HANG_TIME).await;
         }
+        self.work().await;
         let attempt = replies::header_text(headers, replies::ATTEMPT_ID);
         let handle = format!("kv-{}-{attempt}", self.id);
         self.inner.handles.open(&handle, &attempt, fault == Fault::EvictsResults);
@@ -437,6 +453,7 @@
         fault: Fault,
     ) -> Response<response::Body> {
         let _running = self.inner.running.start();
+        self.work().await;
         let status = match fault {
             Fault::Hangs => {
                 tokio::time::sleep(fault::HANG_TIME).await;
@@ -447,7 +464,7 @@
             _ => StatusCode::OK,
         };
         let mut reply = response::text(status, content);
-        replies::seal(reply.headers_mut(), &self.seal(attempt));
+        self.mark(&mut reply, attempt);
         reply
     }
 
@@ -460,6 +477,19 @@
             || request.is_some_and(|(path, body)| path == target && body == content)
     }
 
+    // Waits for the time that work takes at its pace.
+    async fn work(&self) {
+        let time = self.state().clock.work();
+        if !time.is_zero() {
+            tokio::time::sleep(time).await;
+        }
+    }
+
+    fn mark(&self, reply: &mut Response<response::Body>, attempt: &str) {
+        let load = self.state().clock.report();
+        replies::seal(reply.headers_mut(), &self.seal(attempt), &load);
+    }
+
     // Crashes by the request that it has begun to run.
     async fn die(&self) -> Response<response::Body> {
         let delay = self.state().crash_delay.unwrap_or(events::EVENT_INTERVAL);
@@ -498,13 +528,14 @@
                 // Dropping the sender would complete the answer before the connection breaks.
                 return sender.closed().await;
             }
+            let pace = |usual| backend.state().clock.time(usual);
             tokio::select! {
-                () = events::send(&sender, first, fault, &software) => {}
+                () = events::send(&sender, first, fault, &software, pace) => {}
                 () = sender.closed() => {}
             }
         });
         let mut reply = Response::new(response::stream(receiver));
-        replies::seal(reply.headers_mut(), &self.seal(attempt));
+        self.mark(&mut reply, attempt);
         reply
             .headers_mut()
             .insert(header::CONTENT_TYPE, replies::header_value("text/event-stream"));
--- a/crates/fakes/src/events.rs
+++ b/crates/fakes/src/events.rs
@@ -15,16 +15,17 @@
 const PREEMPTION_PAUSE: time::Duration = time::Duration::from_millis(2_500);
 
 /// Sends the events from number `first` on, as `fault` allows; they name the version `software` unless
-/// it is empty.
+/// it is empty. `pace` tells how long work takes now that usually takes a time.
 pub(crate) async fn send(
     sender: &mpsc::Sender<io::Result<Bytes>>,
     first: u64,
     fault: Fault,
     software: &str,
+    pace: impl Fn(time::Duration) -> time::Duration,
 ) {
     let suffix = if software.is_empty() { String::new() } else { format!("@{software}") };
     for number in first..fault::EVENTS {
-        tokio::time::sleep(EVENT_INTERVAL).await;
+        tokio::time::sleep(pace(EVENT_INTERVAL)).await;
         let event = format!("id: {number}\ndata: token-{number}{suffix}\n\n");
         let chunk = match fault {
             Fault::Hangs => return tokio::time::sleep(fault::HANG_TIME).await,
--- a/crates/fakes/src/lib.rs
+++ b/crates/fakes/src/lib.rs
@@ -21,6 +21,7 @@
 pub mod handles;
 pub mod instances;
 pub mod objects;
+pub mod pace;
 pub mod pause;
 pub mod plain;
 pub mod raw;
--- a/crates/fakes/src/replies.rs
+++ b/crates/fakes/src/replies.rs
@@ -36,10 +36,10 @@
     Response::new(response::stream(receiver))
 }
 
-/// Marks a response as made by the server with this seal, which ran the request.
-pub(crate) fn seal(headers: &mut HeaderMap, seal: &str) {
+/// Marks a response as made by the server with this seal and load, which ran the request.
+pub(crate) fn seal(headers: &mut HeaderMap, seal: &str, load: &str) {
     headers.insert("x-response-seal", header_value(seal));
-    headers.insert("x-server-load", header_value("1,0,6"));
+    headers.insert("x-server-load", header_value(load));
 }
 
 /// Text of a header; empty if it is missing.
--- a/crates/soak/src/injector.rs
+++ b/crates/soak/src/injector.rs
@@ -188,6 +188,7 @@
                 self.shared.repeated.store(is_repeated, atomic::Ordering::Relaxed);
                 self.set_deadly();
             }
+            plan::Change::Pace(number, pace) => self.server(number).set_pace(pace),
             plan::Change::Crash(number) => self.server(number).crash(),
             plan::Change::Limit(number, 0) => {
                 let server = self.server(number);
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -5,7 +5,7 @@
 use rand::{RngExt, SeedableRng, rngs};
 
 use rhubarb_e2e::site;
-use rhubarb_fakes::{backend, store};
+use rhubarb_fakes::{backend, pace, store};
 
 /// One change to the deployment.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -35,6 +35,8 @@
     /// Makes the store busy for the first time, restores it from the last copy, and lets the operator
     /// and the servers write again after the second time.
     RestoreStore(time::Duration, time::Duration),
+    /// Sets the speed of a server, its noise, and how long it is cold after a start.
+    Pace(usize, pace::Pace),
     /// Sets the fault of a server.
     ServerFault(usize, backend::Fault),
     /// Makes a server reject requests for a time, with `Retry-After`.
@@ -124,6 +126,12 @@
 const VERSION_FAULTS: u64 = 0x2545_f491_4f6c_dd1d;
 const VERSIONS: std::ops::Range<u32> = 1..4;
 const VERSION_INTERVAL_MS: std::ops::Range<u64> = 500..3_000;
+/// The same for the speeds of servers, of which some turn slow for a while without an error.
+const PACE_FAULTS: u64 = 0xa076_1d64_78bd_642f;
+const NATURES: [u32; 6] = [55, 80, 100, 120, 180, 220];
+const SLOW_NATURE: u32 = 350;
+const SLOW_MS: std::ops::Range<u64> = 500..4_000;
+const COLD: time::Duration = time::Duration::from_secs(2);
 /// Time from a copy of the store to the restore from it.
 const COPY_AGE_MS: std::ops::Range<u64> = 500..5_000;
 /// Time after a restore of the store within which the operator and the servers write again.
@@ -228,6 +236,8 @@
         }
         generator.random = rngs::StdRng::seed_from_u64(seed ^ VERSION_FAULTS);
         generator.draw_versions(length, sizes);
+        generator.random = rngs::StdRng::seed_from_u64(seed ^ PACE_FAULTS);
+        generator.draw_paces(length);
         generator.steps.sort_by_key(|step| step.at);
         Plan { seed, length, sizes, callers, steps: generator.steps }
     }
@@ -347,6 +357,31 @@
         }
     }
 
+    // Servers of different speeds, in half of the plans.
+    fn draw_paces(&mut self, length: time::Duration) {
+        if self.random.random_bool(0.5) {
+            return;
+        }
+        let mut paces = Vec::new();
+        for server in 0..self.servers {
+            let nature = self.pick(&NATURES);
+            let is_noisy = self.random.random_bool(0.3);
+            let cold = if self.random.random_bool(0.5) { COLD } else { time::Duration::ZERO };
+            let pace = pace::Pace { nature, is_noisy, cold };
+            self.push(time::Duration::ZERO, Change::Pace(server, pace));
+            paces.push(pace);
+        }
+        let mut at = self.millis(LATER_INTERVAL_MS);
+        while at < length {
+            let server = self.random.random_range(0..self.servers);
+            let until = at + self.millis(SLOW_MS);
+            let slow = pace::Pace { nature: SLOW_NATURE, ..paces[server] };
+            let span = [at, until];
+            self.push_pair(span, Change::Pace(server, slow), Change::Pace(server, paces[server]));
+            at = until + self.millis(LATER_INTERVAL_MS);
+        }
+    }
+
     fn draw_store_fault(&mut self, span: [time::Duration; 2]) {
         let mode = self.pick(&STORE_MODES);
         self.push_pair(span, Change::Store(mode), Change::Store(store::Mode::Up));
--- a/crates/soak/tests/short.rs
+++ b/crates/soak/tests/short.rs
@@ -61,6 +61,7 @@
         "Leave",
         "Drain",
         "ReplaceServer",
+        "Pace",
     ] {
         assert!(drawn.contains(name), "{name} is not drawn");
     }
