Keep engines at decode while its memory is short

Where requests are refused for lack of decode memory, a third of the engines read prompts and were half idle, and engines changed from decode to prefill in the middle of it: the balance assumes that all engines are busy, and adds spare for bursts that the decode engines cannot admit.

While requests have waited for decode memory in a quarter of the sample window, the spare follows the measured prefill load, and no engine leaves decode before the prefill engines are all busy. Only for services whose requests differ in urgency; the others are planned as before.

--- a/crates/core/src/engines.rs
+++ b/crates/core/src/engines.rs
@@ -288,6 +288,11 @@
         self.peers.set_waiting(peer, waiting);
     }
 
+    /// Whether requests wait for decode memory here or at a peer.
+    pub fn has_waiting(&self) -> bool {
+        self.has_queue() || self.peers.most_urgent().is_some()
+    }
+
     /// Whether requests wait for decode memory.
     pub fn has_queue(&self) -> bool {
         !self.queue.is_empty()
--- a/crates/core/src/routing.rs
+++ b/crates/core/src/routing.rs
@@ -144,6 +144,11 @@
         self.routes.iter().filter(matches).max_by_key(|route| route.prefix.len())
     }
 
+    /// Whether requests to a service differ in urgency.
+    pub fn is_ranked(&self, service: &str) -> bool {
+        self.priority(service, urgency::Urgency::default()).is_some()
+    }
+
     /// Place of `urgency` among those of the requests to `service`, 0 for the most urgent ones; none
     /// if all are equally urgent.
     pub fn priority(&self, service: &str, urgency: urgency::Urgency) -> Option<u8> {
--- a/crates/core/src/stages.rs
+++ b/crates/core/src/stages.rs
@@ -87,6 +87,8 @@
 #[derive(Clone, Debug, Default)]
 pub struct Planner {
     history: collections::VecDeque<(time::Instant, Usage)>,
+    // When requests waited for decode memory.
+    waits: collections::BTreeSet<time::Instant>,
     // Stage that has too many engines, and since when.
     surplus: Option<(fleet::Stage, time::Instant)>,
 }
@@ -112,10 +114,23 @@
 /// be reversed costs twice the time.
 const MIN_PREFILL_SHORTAGE: usize = 2;
 
+/// The same while decode memory is short: about a fifth of the prompts find all engines busy then,
+/// and wait for less than the time of one prompt.
+const SPARE_WHEN_SHORT: f64 = 1.0;
+/// Part of the sample window in which requests must have waited for decode memory for it to count
+/// as short.
+const SHORTAGE_SHARE: f64 = 0.25;
+/// Least time over which the load of prefill engines is measured: longer than a cluster of requests.
+const LOAD_WINDOW: time::Duration = time::Duration::from_secs(4);
+
+// Prefill engines that are busy when all of `count` engines are.
+fn full_load(costs: Costs, count: usize) -> f64 {
+    costs.prefill / (costs.prefill + costs.decode).max(f64::MIN_POSITIVE) * count as f64
+}
+
 /// Number of prefill engines that balances the stages of `count` engines.
 pub fn balanced(costs: Costs, count: usize) -> usize {
-    let share = costs.prefill / (costs.prefill + costs.decode).max(f64::MIN_POSITIVE);
-    let load = share * count as f64;
+    let load = full_load(costs, count);
     let wanted = (load * PREFILL_MARGIN).min(load + SPARE_PER_ROOT * load.sqrt()).ceil() as usize;
     wanted.clamp(1, count.saturating_sub(1).max(1))
 }
@@ -138,6 +153,48 @@
         costs
     }
 
+    /// Records whether requests wait for decode memory at any entry.
+    pub fn record_wait(&mut self, is_waiting: bool, now: time::Instant) {
+        self.waits.retain(|at| now < *at + SAMPLE_WINDOW);
+        if is_waiting {
+            self.waits.insert(now);
+        }
+    }
+
+    /// Whether requests have waited for decode memory for a good part of the sample window.
+    pub fn is_decode_short(&self) -> bool {
+        let (Some((first, _)), Some((last, _))) = (self.history.front(), self.history.back())
+        else {
+            return false;
+        };
+        let waits = self.waits.len() as f64;
+        *first + LOAD_WINDOW <= *last && waits >= SHORTAGE_SHARE * self.history.len() as f64
+    }
+
+    /// Highest number of prefill engines that were busy in the sample window.
+    pub fn prefill_load(&self) -> Option<f64> {
+        let spans = self.history.iter().enumerate().filter_map(|(index, (from, earlier))| {
+            let later = self.history.range(index..).find(|(at, _)| *from + LOAD_WINDOW <= *at);
+            let (to, usage) = later?;
+            let used = usage.prefill.checked_sub(earlier.prefill)?;
+            Some(used.as_secs_f64() / (*to - *from).as_secs_f64())
+        });
+        spans.max_by(f64::total_cmp)
+    }
+
+    // Least and greatest number of prefill engines for the load. While decode memory is short no more
+    // prompts come than find memory, so that spare prefill engines are only needed for what is
+    // measured, and no engine leaves decode before the prefill engines are all busy.
+    fn wanted(&self, costs: Costs, count: usize) -> (usize, usize) {
+        let balanced = balanced(costs, count);
+        let Some(load) = self.prefill_load().filter(|_| self.is_decode_short()) else {
+            return (balanced, balanced);
+        };
+        let staffed = (load + SPARE_WHEN_SHORT * load.sqrt()).max(full_load(costs, count));
+        let most = (staffed.ceil() as usize).min(balanced);
+        (most.min(load.ceil() as usize), most)
+    }
+
     /// Returns the changes to order now; `candidates` are the engines that are not leaving.
     pub fn plan(
         &mut self,
@@ -151,11 +208,11 @@
         }
         let is_prefill = |candidate: &&Candidate| candidate.stage == fleet::Stage::Prefill;
         let prefill = candidates.iter().filter(is_prefill).count();
-        let wanted = balanced(costs, candidates.len());
-        let (surplus, count) = if prefill > wanted {
-            (fleet::Stage::Prefill, prefill - wanted)
-        } else if prefill + MIN_PREFILL_SHORTAGE <= wanted {
-            (fleet::Stage::Decode, wanted - prefill)
+        let (least, most) = self.wanted(costs, candidates.len());
+        let (surplus, count) = if prefill > most {
+            (fleet::Stage::Prefill, prefill - most)
+        } else if prefill + MIN_PREFILL_SHORTAGE <= least {
+            (fleet::Stage::Decode, least - prefill)
         } else {
             self.surplus = None;
             return Vec::new();
--- a/crates/core/tests/stages.rs
+++ b/crates/core/tests/stages.rs
@@ -119,3 +119,61 @@
     let costs = planner.costs(usage(140), now + 3_000 * MILLI).unwrap();
     assert!((costs.decode - 0.5).abs() < 0.001 && (costs.prefill - 0.1).abs() < 0.001);
 }
+
+const PERIOD: time::Duration = time::Duration::from_millis(500);
+
+// Plans for 20 s in which requests wait for decode memory all the while, or never, and prompts keep
+// `busy` prefill engines busy; returns the first changes.
+fn plan_under_load(prefill: usize, decode: usize, busy: f64, waits: bool) -> Vec<stages::Change> {
+    let now = time::Instant::now();
+    let mut planner = stages::Planner::default();
+    let mut usage = stages::Usage::default();
+    let engines = candidates(prefill, decode);
+    for tick in 0..40 {
+        let at = now + PERIOD * tick;
+        planner.record_wait(waits, at);
+        usage.prompts += 100;
+        usage.runs += 100;
+        usage.prefill += PERIOD.mul_f64(busy);
+        usage.decode += PERIOD.mul_f64(busy * COSTS.decode / COSTS.prefill);
+        let Some(costs) = planner.costs(usage, at) else { continue };
+        let changes = planner.plan(costs, &engines, at);
+        if tick >= 24 && !changes.is_empty() {
+            return changes;
+        }
+    }
+    Vec::new()
+}
+
+// Guards against spare prefill engines while requests are refused for lack of decode memory.
+#[test]
+fn decode_short() {
+    // 13 of 45 engines for a load of up to 7.1, of which 6 are busy.
+    let changes = plan_under_load(13, 32, 6.0, true);
+    assert_eq!(changes.len(), 4, "{changes:?}");
+    assert!(changes.iter().all(|change| change.to == fleet::Stage::Decode));
+    assert!(plan_under_load(13, 32, 6.0, false).is_empty(), "the memory is not short");
+    let changes = plan_under_load(10, 35, 6.0, false);
+    assert!(changes.iter().all(|change| change.to == fleet::Stage::Prefill) && changes.len() == 3);
+}
+
+// While its memory is short, engines leave decode only for prompts that find no engine.
+#[test]
+fn decode_kept() {
+    assert!(plan_under_load(8, 37, 7.0, true).is_empty());
+    let changes = plan_under_load(5, 40, 7.0, true);
+    assert!(changes.iter().all(|change| change.to == fleet::Stage::Prefill) && changes.len() == 2);
+}
+
+// A request that waits now and then does not make the memory short.
+#[test]
+fn rare_waits() {
+    let now = time::Instant::now();
+    let mut planner = stages::Planner::default();
+    for tick in 0..24 {
+        let at = now + PERIOD * tick;
+        planner.record_wait(tick % 8 == 0, at);
+        planner.costs(stages::Usage { runs: 100, ..stages::Usage::default() }, at);
+        assert!(!planner.is_decode_short(), "{tick}");
+    }
+}
--- a/crates/edge/src/leader.rs
+++ b/crates/edge/src/leader.rs
@@ -62,16 +62,29 @@
 ) -> Vec<(ids::ServiceName, stages::Change)> {
     let now = clock::now();
     let mut directory = edge.directory();
+    let config = directory.config();
     let mut changes = Vec::new();
     for (name, service) in directory.named_services() {
         let planner = planners.entry(name.clone()).or_default();
+        let is_ranked = config.as_ref().is_some_and(|config| config.is_ranked(name));
+        planner.record_wait(is_ranked && service.engines.has_waiting(), now);
         let usage = service.engines.total_usage(now);
         let Some(costs) = planner.costs(usage, now) else { continue };
         let candidates = service.engines.candidates(now);
         let planned = planner.plan(costs, &candidates, now);
         if !planned.is_empty() {
             let engines = candidates.len();
-            tracing::info!(service = name, ?costs, engines, ?planned, "edge: stages planned");
+            let is_short = planner.is_decode_short();
+            let load = planner.prefill_load();
+            tracing::info!(
+                service = name,
+                ?costs,
+                engines,
+                is_short,
+                load,
+                ?planned,
+                "edge: stages planned"
+            );
         }
         changes.extend(planned.into_iter().map(|change| (name.clone(), change)));
     }
