Take back the measured rate at which a service reads prompts

Change: is reverted, and reading_rate.rs, which tests nothing else, goes with it. The stand-ins and tests that came after it stay.

--- a/crates/core/src/engines.rs
+++ b/crates/core/src/engines.rs
@@ -5,7 +5,7 @@
 
 use std::{cmp, collections, time};
 
-use crate::{cells, engine, fleet, ids, parts, pauses, reading, reports, speeds, stages, urgency};
+use crate::{cells, engine, fleet, ids, parts, pauses, reports, speeds, stages, urgency};
 
 /// Engines of one service.
 #[derive(Clone, Debug, Default)]
@@ -53,6 +53,13 @@
 const FULL_RETRY: time::Duration = time::Duration::from_millis(150);
 /// The same for an engine of another cell, whose commitments are known less well.
 const FOREIGN_RETRY: time::Duration = time::Duration::from_millis(1_000);
+/// Prompt tokens that an engine reads in a millisecond.
+const TOKENS_PER_MS: u64 = 33;
+/// Factor on the prefill time at a decode engine, which reads prompts at half the speed and runs
+/// its decode steps in between.
+const DECODE_PREFILL_FACTOR: u64 = 3;
+/// Fixed cost of a prefill: the call and the first step.
+const PREFILL_BASE: time::Duration = time::Duration::from_millis(10);
 /// Steps into which the fill of an engine is divided; engines in the same step rank as equal.
 const MEMORY_STEPS: u32 = 16;
 /// Prefill engines whose waits fall into the same step of this length rank as equal.
@@ -90,6 +97,11 @@
     hash ^ (hash >> 33)
 }
 
+/// Time that an idle prefill engine needs to read a prompt.
+pub fn prefill_time(tokens: u32) -> time::Duration {
+    PREFILL_BASE + time::Duration::from_millis(u64::from(tokens) / TOKENS_PER_MS)
+}
+
 impl Engines {
     /// Adds or updates an engine.
     pub fn set(&mut self, id: &str, instance: &fleet::Instance, slots: u32, memory: u32) {
@@ -549,7 +561,7 @@
         let sources = self.available(fleet::Stage::Prefill, now);
         let sources = sources.filter(|(id, engine)| engine.is_reported(now) && allowed(id));
         // Engines of the usual speed rank by their waits and by what they keep alone.
-        let usual = self.reading().prefill_time(tokens).as_millis() as i64;
+        let usual = prefill_time(tokens).as_millis() as i64;
         let rank = |id: &str, engine: &engine::Engine| {
             let kept = kept(id).min(tokens);
             let own = self.prefill_time_at(id, tokens);
@@ -568,7 +580,7 @@
     /// Records a prompt sent to a prefill engine.
     pub fn record_prefill(&mut self, id: &str, tokens: u32, now: time::Instant) {
         self.usage.prompts += 1;
-        self.usage.prefill += reading::assumed_time(tokens);
+        self.usage.prefill += prefill_time(tokens);
         let own = self.prefill_time_at(id, tokens);
         if let Some(engine) = self.engines.get_mut(id) {
             let from = engine.prefill_until.map_or(now, |until| until.max(now));
@@ -579,12 +591,7 @@
     // Time that one engine needs to read a prompt when it is idle.
     fn prefill_time_at(&self, id: &str, tokens: u32) -> time::Duration {
         let factor = self.speeds.factor(ids::server_tag(id), speeds::Work::Prompt);
-        self.reading().prefill_time(tokens).mul_f64(factor)
-    }
-
-    /// Rate at which the engines read prompts.
-    pub fn reading(&self) -> reading::Rate {
-        self.speeds.reading()
+        prefill_time(tokens).mul_f64(factor)
     }
 
     /// Records that an engine took `took` to read a prompt when `expected` was expected. If others were
@@ -596,11 +603,10 @@
         took: time::Duration,
         expected: time::Duration,
     ) {
-        let base = self.reading().base();
-        if expected > self.prefill_time_at(id, tokens) + base {
+        if expected > self.prefill_time_at(id, tokens) + PREFILL_BASE {
             return;
         }
-        let reading = took.saturating_sub(base);
+        let reading = took.saturating_sub(PREFILL_BASE);
         let server = ids::server_tag(id);
         let sample = speeds::Sample::new(server, speeds::Work::Prompt, tokens, reading);
         self.record_speed(sample);
@@ -631,6 +637,12 @@
         self.speeds.take(max)
     }
 
+    /// Time that a decode engine needs to read a prompt itself, between its decode steps.
+    pub fn decode_prefill_time(tokens: u32) -> time::Duration {
+        PREFILL_BASE
+            + time::Duration::from_millis(u64::from(tokens) * DECODE_PREFILL_FACTOR / TOKENS_PER_MS)
+    }
+
     /// Shortest expected time until a prefill engine, of the version `software` if one is given, has
     /// read a prompt of `tokens`, without those that it has `kept`.
     pub fn shortest_prefill(
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -52,7 +52,6 @@
 pub mod questions;
 pub mod queue_limit;
 pub mod quotas;
-pub mod reading;
 pub mod reassembly;
 pub mod recent;
 pub mod releases;
--- a/crates/core/src/speeds.rs
+++ b/crates/core/src/speeds.rs
@@ -2,7 +2,7 @@
 
 use std::{collections, time};
 
-use crate::{ids, reading};
+use crate::ids;
 
 /// Work of an engine.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -30,8 +30,6 @@
     engines: collections::BTreeMap<(ids::ServerTag, Work), Estimate>,
     // Estimates of the service, which lie where most of its engines do.
     usual: collections::BTreeMap<Work, Estimate>,
-    // Steadier estimate of the time per prompt token: the balance of the stages follows it.
-    prompts: Estimate,
     // Samples of this entry that the others do not know yet.
     untold: collections::VecDeque<Sample>,
 }
@@ -48,14 +46,10 @@
 /// Samples that wait to be told; later ones replace the first.
 const MAX_UNTOLD: usize = 16;
 /// Fewest tokens of a sample: the fixed part of shorter work hides the time per token.
-const MIN_ANSWER: u32 = 64;
-/// The same for prompts, which are read in a fraction of the time.
-const MIN_PROMPT: u32 = 1_000;
+const MIN_TOKENS: u32 = 64;
 /// Largest step of an estimate with many samples, in logarithms: an engine whose speed doubles is
 /// known after some fifteen samples, and one stray sample moves no estimate out of the dead band.
 const MIN_STEP: f64 = 0.05;
-/// The same for the time per prompt token of the service, of which all engines have samples.
-const STEADY_STEP: f64 = 0.01;
 /// Sum of the largest steps of the first samples.
 const FIRST_STEP: f64 = 0.5;
 /// Number of samples that count as much as the assumption that an engine is like the others.
@@ -67,12 +61,12 @@
 const MAX_DIFFERENCE: f64 = 1.4;
 
 impl Estimate {
-    fn record(&mut self, log: f64, min_step: f64) {
+    fn record(&mut self, log: f64) {
         self.samples = self.samples.saturating_add(1);
         if self.samples == 1 {
             self.log = log;
         }
-        let step = min_step.max(FIRST_STEP / f64::from(self.samples));
+        let step = MIN_STEP.max(FIRST_STEP / f64::from(self.samples));
         self.log += (log - self.log).clamp(-step, step);
     }
 }
@@ -86,11 +80,7 @@
         time: time::Duration,
     ) -> Option<Sample> {
         let nanos = u32::try_from(time.as_nanos() / u128::from(tokens.max(1))).ok()?;
-        let least = match work {
-            Work::Prompt => MIN_PROMPT,
-            Work::Answer => MIN_ANSWER,
-        };
-        (tokens >= least && nanos > 0).then_some(Sample { server, work, nanos })
+        (tokens >= MIN_TOKENS && nanos > 0).then_some(Sample { server, work, nanos })
     }
 }
 
@@ -107,11 +97,8 @@
     /// Records what a peer measured.
     pub fn merge(&mut self, sample: Sample) {
         let log = f64::from(sample.nanos.max(1)).ln();
-        self.engines.entry((sample.server, sample.work)).or_default().record(log, MIN_STEP);
-        self.usual.entry(sample.work).or_default().record(log, MIN_STEP);
-        if sample.work == Work::Prompt {
-            self.prompts.record(log, STEADY_STEP);
-        }
+        self.engines.entry((sample.server, sample.work)).or_default().record(log);
+        self.usual.entry(sample.work).or_default().record(log);
     }
 
     /// Removes and returns what the peers are told: at most `max` of the samples since the last call,
@@ -127,11 +114,6 @@
         }
     }
 
-    /// Rate at which the engines of the service read prompts.
-    pub fn reading(&self) -> reading::Rate {
-        reading::Rate::measured(self.prompts.log, self.prompts.samples)
-    }
-
     /// Time per token at an engine as a multiple of what is usual; 1 for one that is like the others or
     /// not known well enough.
     pub fn factor(&self, server: ids::ServerTag, work: Work) -> f64 {
--- a/crates/core/tests/engine_speeds.rs
+++ b/crates/core/tests/engine_speeds.rs
@@ -2,7 +2,7 @@
 
 use std::{collections, time};
 
-use rhubarb_core::{engine, engines, fleet, ids, reading, speeds, urgency};
+use rhubarb_core::{engine, engines, fleet, ids, speeds, urgency};
 
 const MILLI: time::Duration = time::Duration::from_millis(1);
 const NEED: engine::Need = engine::Need { prompt: 3_000, output: 100 };
@@ -95,7 +95,7 @@
     let expected = |engines: &engines::Engines| {
         engines.pick_prefill(3_000, "hall-a", |id| id == "e-0", |_| 0, 0, now).unwrap().1
     };
-    let usual = reading::assumed_time(3_000);
+    let usual = engines::prefill_time(3_000);
     assert!(expected(&engines) < usual.mul_f64(0.7));
     engines.remove("e-0");
     engines.set("e-0", &instance(fleet::Stage::Prefill), 32, 30_000);
@@ -166,7 +166,7 @@
 fn queues_are_no_speed() {
     let mut engines = engines(fleet::Stage::Prefill, 4);
     tell(&mut engines, speeds::Work::Prompt, 4, 0);
-    let usual = reading::assumed_time(3_000);
+    let usual = engines::prefill_time(3_000);
     for _ in 0..50 {
         engines.record_prompt_time("e-0", 3_000, 6 * usual, 5 * usual);
     }
--- a/crates/core/tests/engines.rs
+++ b/crates/core/tests/engines.rs
@@ -183,14 +183,14 @@
     let mut engines = engines(1, 1);
     assert!(
         engines.shortest_prefill(3_300, None, nothing, now).unwrap()
-            < engines.reading().decode_prefill_time(3_300)
+            < engines::Engines::decode_prefill_time(3_300)
     );
     for _ in 0..5 {
         engines.record_prefill("p-0", 3_300, now);
     }
     assert!(
         engines.shortest_prefill(3_300, None, nothing, now).unwrap()
-            > engines.reading().decode_prefill_time(3_300)
+            > engines::Engines::decode_prefill_time(3_300)
     );
     assert_eq!(engines::Engines::default().shortest_prefill(3_300, None, nothing, now), None);
 }
--- a/crates/core/tests/uneven_load.rs
+++ b/crates/core/tests/uneven_load.rs
@@ -58,7 +58,7 @@
     let now = time::Instant::now();
     let only = |other: &str| other == id(number);
     let (_, expected) = engines.pick_prefill(TOKENS, "hall-a", only, |_| 0, 0, now).unwrap();
-    let usual = engines.reading().prefill_time(TOKENS);
+    let usual = engines::prefill_time(TOKENS);
     expected.as_secs_f64() / usual.as_secs_f64()
 }
 
--- a/crates/edge/src/leader.rs
+++ b/crates/edge/src/leader.rs
@@ -70,7 +70,6 @@
         planner.record_wait(is_ranked && service.engines.has_waiting(), now);
         let usage = service.engines.total_usage(now);
         let Some(costs) = planner.costs(usage, now) else { continue };
-        let costs = service.engines.reading().apply(costs);
         let candidates = service.engines.candidates(now);
         let planned = planner.plan(costs, &candidates, now);
         if !planned.is_empty() {
--- a/crates/edge/src/prefill.rs
+++ b/crates/edge/src/prefill.rs
@@ -2,7 +2,7 @@
 
 use std::{sync, time};
 
-use rhubarb_core::{fleet, ids, outcome, pool};
+use rhubarb_core::{engines, fleet, ids, outcome, pool};
 use rhubarb_node::{clock, metrics, responder};
 use rhubarb_platform::{engine, request, response as platform_response};
 
@@ -117,9 +117,11 @@
     tried: &[ids::ServerName],
 ) -> PrefillResult {
     let call = prompt.call;
-    let Some(Choice { target, expected, longest, kept }) = choose(prompt, tried) else {
+    let Some(Choice { target, expected, kept }) = choose(prompt, tried) else {
         return PrefillResult::Failed(None, Refusal::not_run(Reason::NoServer, RETRY_SOON));
     };
+    // What was expected to be kept may have to be read.
+    let longest = expected + engines::prefill_time(kept);
     let deadline = call.deadline.min(clock::now() + longest * 2 + TIMEOUT_MARGIN);
     let headers = request::ServerHeaders {
         server: &target.id,
@@ -236,8 +238,6 @@
     target: directory::Target,
     // Time until it is expected to have read it.
     expected: time::Duration,
-    // The same if what it is expected to keep has to be read.
-    longest: time::Duration,
     // Tokens of the prompt that it is expected to keep.
     kept: u32,
 }
@@ -259,11 +259,10 @@
     let allowed = |id: &str| candidates.binary_search_by(|other| other.as_str().cmp(id)).is_ok();
     let (id, expected) = engines.pick_prefill(tokens, zone, allowed, kept, rand::random(), now)?;
     let kept = kept(&id).min(tokens);
-    let longest = expected + service.engines.reading().prefill_time(kept);
     service.engines.record_prefill(&id, tokens - kept, now);
     call.edge.counters.kept_tokens.inc_by(u64::from(kept));
     call.edge.commitments_changed.notify_one();
-    Some(Choice { target: directory.target(&id)?, expected, longest, kept })
+    Some(Choice { target: directory.target(&id)?, expected, kept })
 }
 
 fn read_response(
--- a/crates/edge/src/stream.rs
+++ b/crates/edge/src/stream.rs
@@ -6,7 +6,7 @@
 use bytes::Bytes;
 use hyper::Response;
 
-use rhubarb_core::{engine, flow, ids, outcome, pool, routing, sse};
+use rhubarb_core::{engine, engines, flow, ids, outcome, pool, routing, sse};
 use rhubarb_node::{clock, responder, response};
 use rhubarb_platform::{request, response as platform_response};
 
@@ -154,7 +154,7 @@
         let overdue = self.call.is_retry;
         let mut directory = self.call.edge.directory();
         let engines = &directory.service(&self.call.service).engines;
-        let at_decode = engines.reading().decode_prefill_time(self.need.prompt);
+        let at_decode = engines::Engines::decode_prefill_time(self.need.prompt);
         let prefill = engines
             .shortest_prefill(self.need.prompt, self.software, |_| 0, now)
             .map_or(at_decode, |at_prefill| at_prefill.min(at_decode));
@@ -258,7 +258,7 @@
         let engines = &directory.service(&self.call.service).engines;
         let software = self.reserved_software();
         let here = self.reservation.as_ref().map_or(0, |reserved| kept(&reserved.target.id));
-        let at_decode = engines.reading().decode_prefill_time(tokens.saturating_sub(here));
+        let at_decode = engines::Engines::decode_prefill_time(tokens.saturating_sub(here));
         let at_prefill = engines.shortest_prefill(tokens, software, kept, now);
         at_prefill.is_none_or(|time| time > at_decode)
     }
