Lend single requests only of limits beyond which little is tolerated

Cause: the lending of one request to each entry of a small limit took effect at 300 entries for limits of 47,000 tokens a second as well, where a part of the reserve is about a request; it takes up to three quarters of what flows into the buckets.

--- a/crates/core/src/terms.rs
+++ b/crates/core/src/terms.rs
@@ -31,7 +31,7 @@
     /// Sum of the debts of all entries.
     pub reserve: f64,
     /// How requests are lent of which one is more than a part of the reserve; `None` unless the limit
-    /// is that small.
+    /// is that small and the platform tolerates little beyond it.
     pub single: Option<Single>,
 }
 
@@ -74,7 +74,9 @@
         let reserve = LENT_SHARE * (tolerated + missing);
         let entries = f64::from(sizes.fleet.max(sizes.peers + 1));
         let cell = (cells::MAX_CELL as f64 / entries).min(1.0);
-        let single = (reserve * cell * REQUEST_SHARE < usual).then(|| {
+        // Where the platform tolerates enough, borrowing takes less from the buckets.
+        let is_small = missing > 0.0 && reserve * cell * REQUEST_SHARE < usual;
+        let single = is_small.then(|| {
             // The entries may all borrow one at the same time, so that less flows into the buckets.
             let most = limit.unit.most(usual);
             let lacking = most * entries - (1.0 - LENT_SHARE) * (tolerated + missing);
