Take servers whose answers differ by milliseconds for alike

Cause: the speed of a plain server was judged as a fraction alone.

Change: differences of up to 10 ms count as none. late_milliseconds fails without it (1.42 instead of 1).

--- a/crates/core/src/pace.rs
+++ b/crates/core/src/pace.rs
@@ -20,6 +20,9 @@
 /// Difference from the usual below which servers are alike: the mean of some forty requests of
 /// different sizes differs by as much without any difference of the servers.
 const DEAD_BAND: f64 = 0.3;
+/// Difference from the usual, in seconds, up to which servers are alike: links and the entry's own
+/// machine delay an answer by as much.
+const LEAST_DIFFERENCE: f64 = 0.01;
 /// Time in which what a server said of the present loses most of its meaning: it shares its machine
 /// with others, which come and go several times in a second.
 const PRESENT_LIFE: time::Duration = time::Duration::from_millis(200);
@@ -54,7 +57,9 @@
         };
         let answers = f64::from(self.answers);
         let own = (self.mean / usual * answers + PRIOR_ANSWERS) / (answers + PRIOR_ANSWERS);
-        if (own - 1.0).abs() < DEAD_BAND { 1.0 } else { own.clamp(RANGE.0, RANGE.1) }
+        let is_alike =
+            (own - 1.0).abs() < DEAD_BAND || (self.mean - usual).abs() < LEAST_DIFFERENCE;
+        if is_alike { 1.0 } else { own.clamp(RANGE.0, RANGE.1) }
     }
 
     fn at_present(&self, now: time::Instant) -> f64 {
--- a/crates/core/tests/uneven_servers.rs
+++ b/crates/core/tests/uneven_servers.rs
@@ -132,3 +132,15 @@
     pool.record_report("s-0", report(6, 20, 2.5), None, now);
     assert_eq!(pool.busy("s-0", now + 2_000 * MILLI), 26);
 }
+
+/// Guards against a server that is avoided because its first answers were late by milliseconds.
+#[test]
+fn late_milliseconds() {
+    let now = time::Instant::now();
+    let mut pool = pool([MILLI, MILLI, MILLI], now);
+    pool.add("s-3", "zone-1");
+    for late in [3, 5] {
+        pool.record_report("s-3", report(0, 0, 1.0), Some(late * MILLI), now);
+    }
+    assert_eq!(pool.pace("s-3", now), 1.0);
+}
