--- a/crates/core/src/pace.rs
+++ b/crates/core/src/pace.rs
@@ -15,7 +15,8 @@
 
 /// Weight of one answer in the moving average of a server: about forty answers count.
 const WEIGHT: f64 = 0.05;
-/// Number of answers that count as much as the assumption that a server is like the others.
+/// Number of answers that count as much as the assumption that a server is like the others. With
+/// fewer nothing is told of its speed: one late answer would keep away the requests that show it.
 const PRIOR_ANSWERS: f64 = 8.0;
 /// Difference from the usual below which servers are alike: the mean of some forty requests of
 /// different sizes differs by as much without any difference of the servers.
@@ -52,10 +53,10 @@
 
     // Few answers pull towards the mean of the service.
     fn by_nature(&self, usual: Option<f64>) -> f64 {
-        let Some(usual) = usual.filter(|usual| *usual > 0.0 && self.answers > 0) else {
+        let answers = f64::from(self.answers);
+        let Some(usual) = usual.filter(|usual| *usual > 0.0 && answers >= PRIOR_ANSWERS) else {
             return 1.0;
         };
-        let answers = f64::from(self.answers);
         let own = (self.mean / usual * answers + PRIOR_ANSWERS) / (answers + PRIOR_ANSWERS);
         let is_alike =
             (own - 1.0).abs() < DEAD_BAND || (self.mean - usual).abs() < LEAST_DIFFERENCE;
--- a/crates/core/tests/uneven_servers.rs
+++ b/crates/core/tests/uneven_servers.rs
@@ -144,3 +144,13 @@
     }
     assert_eq!(pool.pace("s-3", now), 1.0);
 }
+
+/// Guards against a server that is avoided for good because one of its first answers was late.
+#[test]
+fn one_late() {
+    let now = time::Instant::now();
+    let mut pool = pool([MILLI, MILLI, MILLI], now);
+    pool.add("s-3", "zone-1");
+    pool.record_report("s-3", report(0, 0, 1.0), Some(16 * MILLI), now);
+    assert_eq!(pool.pace("s-3", now), 1.0);
+}
