Let requests in flight know how long a stopping entry stays

Callers lost their connection without an answer at the end of a planned stop if their request had been read before the SIGTERM and its timeout was longer than the drain. Streams that were interrupted during the stop were sent to another engine with all the time of their route, 4,432 ms in a test in which the process was killed 2,463 ms later.

Cause: only the head of a request that is read during the stop was compared with the end of the drain. Repeats, second legs and waits kept the deadline that was computed before.

Call::deadline takes the stop into account at each step, Call::wait ends when a stop that begins meanwhile leaves no time, and no request of a caller is written to a server after its deadline. A stream that has begun goes on to the end of the drain. Requests that are given up at the end log so, with is_stopping.

--- a/crates/e2e/tests/platform_draining.rs
+++ b/crates/e2e/tests/platform_draining.rs
@@ -7,7 +7,7 @@
 use rustix::process::Signal;
 
 use rhubarb_e2e::{call, site};
-use rhubarb_fakes::backend;
+use rhubarb_fakes::{backend, pace};
 use rhubarb_node::client;
 
 use tokio::{io, io::AsyncReadExt, io::AsyncWriteExt, net as tokio_net, task};
@@ -16,6 +16,8 @@
 const GRACE: time::Duration = time::Duration::from_secs(4);
 /// Exceeds what an entry may still serve once the balancer has taken it out.
 const LONG_TIMEOUT: time::Duration = time::Duration::from_secs(20);
+/// Speed of a server whose answers take about 80 ms.
+const SLOW: u32 = 800;
 
 fn millis(millis: u64) -> time::Duration {
     time::Duration::from_millis(millis)
@@ -132,6 +134,8 @@
 async fn kept_connections() -> anyhow::Result<()> {
     let mut site = start(site::Sizes::default(), site::PLAIN_TIMEOUT).await?;
     let held = hold_open(&site);
+    site.plain[0].set_pace(pace::Pace { nature: SLOW, ..pace::Pace::default() });
+    site.plain[1].set_fault(backend::Fault::Hangs);
     let mut callers = task::JoinSet::new();
     for caller in 0..8 {
         callers.spawn(use_kept(format!("kept-{caller}"), site.edges[0].frontend));
@@ -225,23 +229,27 @@
         let call = call::Call { path: site::RESUMABLE, attempt: "late", body: "b", headers: &[] };
         call.send(&client::Client::new(), Method::POST, frontend).await
     });
-    let requests = || site.decode.iter().flat_map(backend::Backend::requests).collect::<Vec<_>>();
-    while requests().is_empty() {
+    // Times that were left for the engines, by engine.
+    let left = || -> Vec<u128> {
+        let requests = site.decode.iter().flat_map(backend::Backend::requests);
+        let texts = requests.map(|request| request.headers["x-deadline-ms"].clone());
+        texts.filter_map(|text| text.to_str().ok()?.parse().ok()).collect()
+    };
+    while left().is_empty() {
         tokio::time::sleep(millis(10)).await;
     }
+    let first = left();
     site.edges[0].signal(Signal::TERM);
     let stopped_at = time::Instant::now();
-    let mut seen = requests().len();
-    assert_eq!(seen, 1);
+    let mut seen = 1;
     while stopped_at.elapsed() < GRACE {
         tokio::time::sleep(millis(5)).await;
-        let all = requests();
+        let all = left();
         if all.len() > seen {
             // One millisecond to the entry's clock, 10 to this loop.
-            let left = (GRACE - stopped_at.elapsed().saturating_sub(millis(11))).as_millis();
-            let last = all.last().expect("a request was added");
-            let sent: u128 = last.headers["x-deadline-ms"].to_str()?.parse()?;
-            assert!(sent <= left, "{sent} ms, of {left} ms\n{}", site.edges[0].log());
+            let rest = (GRACE - stopped_at.elapsed().saturating_sub(millis(11))).as_millis();
+            let sent = all.iter().filter(|left| !first.contains(left)).max().copied();
+            assert!(sent <= Some(rest), "{sent:?} ms, of {rest} ms\n{}", site.edges[0].log());
         }
         seen = all.len();
         if stopped_at.elapsed() > millis(2_800) {
--- a/crates/edge/src/call.rs
+++ b/crates/edge/src/call.rs
@@ -6,7 +6,7 @@
 use hyper::header;
 
 use rhubarb_core::{cause, flow, ids, outcome, pool, routing, urgency};
-use rhubarb_node::{clock, metrics};
+use rhubarb_node::{clock, metrics, responder};
 use rhubarb_platform::request;
 
 use crate::{charge, edge, ledger};
@@ -37,7 +37,7 @@
     pub(crate) causes: sync::OnceLock<Vec<cause::Cause>>,
     /// What it counts for its customer's limit, if there is one.
     pub(crate) charge: Option<charge::Charge>,
-    /// Deadline of the final answer.
+    /// Deadline of the final answer, apart from a planned stop.
     pub(crate) deadline: time::Instant,
 }
 
@@ -69,8 +69,40 @@
         })
     }
 
+    /// Time until which the answer must have begun, and no request is sent to a server afterwards: the
+    /// deadline, or what a planned stop leaves.
+    pub(crate) fn deadline(&self) -> time::Instant {
+        self.edge.stopping().map_or(self.deadline, |stop| self.deadline.min(stop.answered_by()))
+    }
+
+    /// The same for an answer that has begun.
+    pub(crate) fn stream_deadline(&self) -> time::Instant {
+        self.edge.stopping().map_or(self.deadline, |stop| self.deadline.min(stop.drained_by()))
+    }
+
     pub(crate) fn time_left(&self) -> time::Duration {
-        self.deadline.saturating_duration_since(clock::now())
+        self.deadline().saturating_duration_since(clock::now())
+    }
+
+    /// Waits for `event` until the caller disconnects, `deadline` passes, or a planned stop, which may
+    /// begin meanwhile, leaves no more time.
+    pub(crate) async fn wait<T>(
+        &self,
+        responder: &mut responder::Responder,
+        event: impl Future<Output = T>,
+        deadline: time::Instant,
+    ) -> responder::WaitOutcome<T> {
+        let has_started = responder.has_started();
+        let stopped = async {
+            let stop = self.edge.stopped().await;
+            let end = if has_started { stop.drained_by() } else { stop.answered_by() };
+            tokio::time::sleep_until(end.into()).await;
+        };
+        tokio::select! {
+            biased;
+            outcome = responder.wait(event, deadline) => outcome,
+            () = stopped => responder::WaitOutcome::Expired,
+        }
     }
 
     /// Limits on the attempts of the request, with at most `max_retries` after the first.
--- a/crates/edge/src/connections.rs
+++ b/crates/edge/src/connections.rs
@@ -69,7 +69,8 @@
     Limited,
     /// No byte was written, since the request crashes servers.
     Rejected,
-    /// No byte was written, since the lease that the request needs has expired.
+    /// No byte was written, since the lease that the request needs has expired, or its answer could not
+    /// return in time.
     Expired,
     /// The connection was lost, or carried the response to another request, after the request may
     /// have reached the server.
@@ -84,7 +85,7 @@
             SendError::Paused => f.write_str("not sent: the server has asked for a pause"),
             SendError::Limited => f.write_str("not sent: the server limits its requests"),
             SendError::Rejected => f.write_str("not sent: the request crashes servers"),
-            SendError::Expired => f.write_str("not sent: the lease has expired"),
+            SendError::Expired => f.write_str("not sent: its time has passed"),
             SendError::ConnectionLost(err) => write!(f, "connection lost: {err}"),
         }
     }
--- a/crates/edge/src/edge.rs
+++ b/crates/edge/src/edge.rs
@@ -63,7 +63,7 @@
     log_limit: sync::Mutex<log_limit::LogLimit>,
     holds: sync::Mutex<recent::RecentNames>,
     run_seq: atomic::AtomicU64,
-    stopping: sync::OnceLock<stopping::Stop>,
+    stopping: tokio_sync::watch::Sender<Option<stopping::Stop>>,
 }
 
 impl Edge {
@@ -114,7 +114,7 @@
             log_limit: sync::Mutex::default(),
             holds: sync::Mutex::default(),
             run_seq: atomic::AtomicU64::new(1),
-            stopping: sync::OnceLock::new(),
+            stopping: tokio_sync::watch::Sender::new(None),
             settings: sync::Mutex::new(sync::Arc::new(settings)),
         }
     }
@@ -250,13 +250,26 @@
 
     /// Starts the planned stop.
     pub(crate) fn stop(&self) -> stopping::Stop {
-        let grace = self.settings().grace;
-        *self.stopping.get_or_init(|| stopping::Stop::new(clock::now(), grace))
+        let stop = stopping::Stop::new(clock::now(), self.settings().grace);
+        self.stopping.send_replace(Some(stop));
+        stop
     }
 
     /// The planned stop, once it has started.
-    pub(crate) fn stopping(&self) -> Option<&stopping::Stop> {
-        self.stopping.get()
+    pub(crate) fn stopping(&self) -> Option<stopping::Stop> {
+        *self.stopping.borrow()
+    }
+
+    /// Waits for the planned stop.
+    pub(crate) async fn stopped(&self) -> stopping::Stop {
+        let mut stopping = self.stopping.subscribe();
+        loop {
+            if let Some(stop) = *stopping.borrow_and_update() {
+                return stop;
+            }
+            // The sender is part of `self`.
+            let _ = stopping.changed().await;
+        }
     }
 
     /// Whether the entry is stopping.
--- a/crates/edge/src/exchange.rs
+++ b/crates/edge/src/exchange.rs
@@ -38,15 +38,20 @@
     }
 }
 
-/// Sends a request of `call`, unless the server is leaving, paused or at its limit or the call crashes
-/// servers, and waits for the head of the response.
+/// Sends a request of `call`, unless the server is leaving, paused or at its limit, the call crashes
+/// servers or its deadline has passed, and waits for the head of the response.
 pub(crate) async fn send_call(
     call: &call::Call,
     target: &directory::Target,
     request: Request<Full<Bytes>>,
     cost: quotas::Cost,
 ) -> Result<connections::PendingResponse, connections::SendError> {
-    let permit = || suspects::permit(call);
+    let permit = || {
+        if clock::now() >= call.deadline() {
+            return Err(connections::SendError::Expired);
+        }
+        suspects::permit(call)
+    };
     let sending = send_if(&call.edge, target, request, cost, permit).await;
     let may_have_reached =
         matches!(sending, Ok(_) | Err(connections::SendError::ConnectionLost(_)));
--- a/crates/edge/src/plain.rs
+++ b/crates/edge/src/plain.rs
@@ -91,7 +91,8 @@
             match self.choose() {
                 // A server may be sent to again soon enough.
                 directory::Choice::Paused(closed) if closed.until <= self.wait_limit() => {
-                    let waiting = self.responder.wait(future::pending::<()>(), closed.until);
+                    let waiting =
+                        self.call.wait(&mut self.responder, future::pending::<()>(), closed.until);
                     if let responder::WaitOutcome::Disconnected = waiting.await {
                         return flow::Event::CallerGone;
                     }
@@ -99,7 +100,8 @@
                 // An answer, or the age of a report, may show room that is soon enough.
                 directory::Choice::Saturated if clock::now() + ROOM_RECHECK <= room_limit => {
                     let until = clock::now() + ROOM_RECHECK;
-                    let waiting = self.responder.wait(future::pending::<()>(), until);
+                    let waiting =
+                        self.call.wait(&mut self.responder, future::pending::<()>(), until);
                     if let responder::WaitOutcome::Disconnected = waiting.await {
                         return flow::Event::CallerGone;
                     }
@@ -141,6 +143,7 @@
         }
         let is_lost = refusal.outcome != Outcome::NotRun;
         let retry = (!is_lost || suspects::may_repeat(&self.call))
+            && clock::now() < self.call.deadline()
             && self.flow.may_retry(server.as_ref(), &refusal, clock::now())
             && (!is_charged || self.call.withdraw_retry(server.as_ref(), 1, refusal.reason));
         flow::Event::Failed { server, refusal, retry }
@@ -148,7 +151,7 @@
 
     // Time until which a server is of use that meets the latency target.
     fn wait_limit(&self) -> time::Instant {
-        self.call.deadline.min(self.call.arrived + self.call.route.target)
+        self.call.deadline().min(self.call.arrived + self.call.route.target)
     }
 
     // Time until which room in a queue is of use: its answer still meets the latency target.
@@ -173,9 +176,9 @@
     fn attempt_deadline(&self) -> time::Instant {
         let call = &self.call;
         if self.flow.is_last_run() {
-            return call.deadline;
+            return call.deadline();
         }
-        call.deadline.min(clock::now() + call.route.target.mul_f64(ATTEMPT_TIMEOUT_FACTOR))
+        call.deadline().min(clock::now() + call.route.target.mul_f64(ATTEMPT_TIMEOUT_FACTOR))
     }
 
     async fn attempt(&mut self, target: &directory::Target) -> Attempt {
@@ -188,7 +191,7 @@
         let request = self.call.head.to_server(&headers, self.call.body.clone());
         let sent_at = clock::now();
         let sending = exchange::fetch_call(&self.call, target, request);
-        match self.responder.wait(sending, deadline).await {
+        match self.call.wait(&mut self.responder, sending, deadline).await {
             responder::WaitOutcome::Disconnected => Attempt::Disconnected,
             responder::WaitOutcome::Expired => {
                 Attempt::Failed(Refusal::unknown(Reason::EngineSilent, RETRY_SOON))
@@ -210,10 +213,17 @@
                 );
                 Attempt::Unsent(Reason::Leaving)
             }
+            responder::WaitOutcome::Event(Err(connections::SendError::Expired)) => {
+                tracing::info!(
+                    id = self.call.id(),
+                    server = target.id,
+                    age_ms = self.call.age_ms(),
+                    "edge: request not sent, too late for an answer"
+                );
+                Attempt::Unsent(Reason::TooLate)
+            }
             responder::WaitOutcome::Event(Err(
-                connections::SendError::Paused
-                | connections::SendError::Limited
-                | connections::SendError::Expired,
+                connections::SendError::Paused | connections::SendError::Limited,
             )) => {
                 tracing::info!(
                     id = self.call.id(),
@@ -279,7 +289,7 @@
             }
             Attempt::Completed(_) => pool::ServerOutcome::Success,
             Attempt::Failed(refusal) => refuse::failure_outcome(refusal.reason),
-            Attempt::Unsent(Reason::Leaving | Reason::CrashingRequest) => {
+            Attempt::Unsent(Reason::Leaving | Reason::CrashingRequest | Reason::TooLate) => {
                 pool::ServerOutcome::Unknown
             }
             Attempt::Unsent(reason) => pool::ServerOutcome::Failure(*reason),
--- a/crates/edge/src/prefill.rs
+++ b/crates/edge/src/prefill.rs
@@ -122,7 +122,7 @@
     };
     // What was expected to be kept may have to be read.
     let longest = expected + engines::prefill_time(kept);
-    let deadline = call.deadline.min(clock::now() + longest * 2 + TIMEOUT_MARGIN);
+    let deadline = call.deadline().min(clock::now() + longest * 2 + TIMEOUT_MARGIN);
     let headers = request::ServerHeaders {
         server: &target.id,
         time_left: deadline.saturating_duration_since(clock::now()),
@@ -132,7 +132,7 @@
     let request = call.head.to_prefill(&headers, call.body.clone());
     let started = clock::now();
     let sending = exchange::fetch_call(call, &target, request);
-    let result = match responder.wait(sending, deadline).await {
+    let result = match call.wait(responder, sending, deadline).await {
         responder::WaitOutcome::Disconnected => {
             suspects::record_abandoned(call, &target);
             return PrefillResult::Disconnected;
@@ -154,10 +154,11 @@
             );
             return PrefillResult::Unsent(target.id);
         }
+        responder::WaitOutcome::Event(Err(connections::SendError::Expired)) => {
+            return PrefillResult::Failed(None, Refusal::not_run(Reason::TooLate, RETRY_SOON));
+        }
         responder::WaitOutcome::Event(Err(
-            connections::SendError::Paused
-            | connections::SendError::Limited
-            | connections::SendError::Expired,
+            connections::SendError::Paused | connections::SendError::Limited,
         )) => {
             tracing::info!(
                 id = call.id(),
--- a/crates/edge/src/refuse.rs
+++ b/crates/edge/src/refuse.rs
@@ -56,6 +56,7 @@
         reason = refusal.reason.name(),
         outcome = refusal.outcome.name(),
         is_retry = call.is_retry,
+        is_stopping = call.edge.is_stopping(),
         age_ms = call.age_ms(),
         retry_ms,
         "edge: refused"
--- a/crates/edge/src/reservation.rs
+++ b/crates/edge/src/reservation.rs
@@ -156,7 +156,10 @@
         while let Some(mut reservation) =
             try_reserve(call, position, need, software, &tried, &unavailable)
         {
-            match responder.wait(request_hold(call, &mut reservation, need), call.deadline).await {
+            match call
+                .wait(responder, request_hold(call, &mut reservation, need), call.deadline())
+                .await
+            {
                 responder::WaitOutcome::Event(HoldResult::Held) => {
                     log_estimate(call, &reservation.target.id, need, "edge: slot reserved");
                     return ReserveResult::Granted(reservation);
@@ -173,7 +176,7 @@
         if !is_started && let Some(refusal) = paused_refusal(call, until) {
             return ReserveResult::Refused(refusal);
         }
-        if clock::now() >= until {
+        if clock::now() >= until.min(call.deadline()) {
             return ReserveResult::Refused(no_slot());
         }
         if !has_server(call, software) {
@@ -187,7 +190,7 @@
                 false => future::pending().await,
             }
         };
-        if let responder::WaitOutcome::Disconnected = responder.wait(waiting, wake_at).await {
+        if let responder::WaitOutcome::Disconnected = call.wait(responder, waiting, wake_at).await {
             return ReserveResult::Disconnected;
         }
     }
--- a/crates/edge/src/stream.rs
+++ b/crates/edge/src/stream.rs
@@ -121,6 +121,7 @@
         }
         let is_lost = refusal.reason == Reason::LostContact;
         let retry = (!is_lost || suspects::may_repeat(&self.call))
+            && clock::now() < self.call.deadline()
             && self.flow.may_retry(server.as_ref(), &refusal, clock::now())
             && self.call.withdraw_retry(server.as_ref(), self.retry_sends(), refusal.reason);
         flow::Event::Failed { server, refusal, retry }
@@ -145,7 +146,7 @@
     fn slot_wait(&self) -> reservation::WaitLimit {
         let now = clock::now();
         if self.events > 0 {
-            let until = self.call.deadline.min(now + RESUME_WAIT);
+            let until = self.call.deadline().min(now + RESUME_WAIT);
             return reservation::WaitLimit {
                 is_started: true,
                 ..reservation::WaitLimit::until(until)
@@ -162,7 +163,7 @@
         let target = if overdue { target.max(OVERDUE_TARGET) } else { target };
         let due = self.call.arrived + target;
         let until =
-            due.checked_sub(prefill + FIRST_EVENT_DELAY).unwrap_or(now).min(self.call.deadline);
+            due.checked_sub(prefill + FIRST_EVENT_DELAY).unwrap_or(now).min(self.call.deadline());
         reservation::WaitLimit { overdue, until, is_started: false }
     }
 
@@ -340,53 +341,56 @@
         self.run_events = 0;
         let cost = if hold.is_some() { quotas::Cost::Paid } else { quotas::Cost::One };
         let sending = exchange::send_call(&self.call, target, request, cost);
-        SendResult::Sent(match self.responder.wait(sending, self.call.deadline).await {
-            responder::WaitOutcome::Disconnected => flow::Event::CallerGone,
-            responder::WaitOutcome::Expired => flow::Event::Expired,
-            responder::WaitOutcome::Event(Err(connections::SendError::Unsent(err))) => {
-                tracing::info!(
-                    id = self.call.id(),
-                    server = target.id,
-                    err,
-                    "edge: server not reached"
-                );
-                return SendResult::NotSent(Reason::NoServer);
-            }
-            responder::WaitOutcome::Event(Err(connections::SendError::Leaving)) => {
-                return SendResult::NotSent(Reason::Leaving);
-            }
-            responder::WaitOutcome::Event(Err(
-                connections::SendError::Paused
-                | connections::SendError::Limited
-                | connections::SendError::Expired,
-            )) => {
-                return SendResult::NotSent(Reason::NoRoom);
-            }
-            responder::WaitOutcome::Event(Err(connections::SendError::Rejected)) => {
-                self.failed(None, Refusal::not_run(Reason::CrashingPrompt, RETRY_SOON))
-            }
-            responder::WaitOutcome::Event(Err(connections::SendError::ConnectionLost(err))) => {
-                tracing::info!(
-                    id = self.call.id(),
-                    server = target.id,
-                    err,
-                    events = self.events,
-                    parts = ?self.call.head.parts,
-                    "edge: connection lost"
-                );
-                self.lost(target).await
-            }
-            responder::WaitOutcome::Event(Ok(pending)) => {
-                let attempt_id = self.call.head.attempt_id.as_ref();
-                let class = platform_response::classify(&pending.response, attempt_id);
-                if class == platform_response::HeadClass::NotRun
-                    && platform_response::asks_pause(&pending.response)
-                {
-                    return self.turned_away(&target.id, pending).await;
+        SendResult::Sent(
+            match self.call.wait(&mut self.responder, sending, self.call.deadline()).await {
+                responder::WaitOutcome::Disconnected => flow::Event::CallerGone,
+                responder::WaitOutcome::Expired => flow::Event::Expired,
+                responder::WaitOutcome::Event(Err(connections::SendError::Unsent(err))) => {
+                    tracing::info!(
+                        id = self.call.id(),
+                        server = target.id,
+                        err,
+                        "edge: server not reached"
+                    );
+                    return SendResult::NotSent(Reason::NoServer);
                 }
-                self.handle_response(target, pending).await
-            }
-        })
+                responder::WaitOutcome::Event(Err(connections::SendError::Leaving)) => {
+                    return SendResult::NotSent(Reason::Leaving);
+                }
+                responder::WaitOutcome::Event(Err(connections::SendError::Expired)) => {
+                    self.failed(None, Refusal::not_run(Reason::TooLate, RETRY_SOON))
+                }
+                responder::WaitOutcome::Event(Err(
+                    connections::SendError::Paused | connections::SendError::Limited,
+                )) => {
+                    return SendResult::NotSent(Reason::NoRoom);
+                }
+                responder::WaitOutcome::Event(Err(connections::SendError::Rejected)) => {
+                    self.failed(None, Refusal::not_run(Reason::CrashingPrompt, RETRY_SOON))
+                }
+                responder::WaitOutcome::Event(Err(connections::SendError::ConnectionLost(err))) => {
+                    tracing::info!(
+                        id = self.call.id(),
+                        server = target.id,
+                        err,
+                        events = self.events,
+                        parts = ?self.call.head.parts,
+                        "edge: connection lost"
+                    );
+                    self.lost(target).await
+                }
+                responder::WaitOutcome::Event(Ok(pending)) => {
+                    let attempt_id = self.call.head.attempt_id.as_ref();
+                    let class = platform_response::classify(&pending.response, attempt_id);
+                    if class == platform_response::HeadClass::NotRun
+                        && platform_response::asks_pause(&pending.response)
+                    {
+                        return self.turned_away(&target.id, pending).await;
+                    }
+                    self.handle_response(target, pending).await
+                }
+            },
+        )
     }
 
     // The engine asks for a pause and has not fetched the KV cache, which another one may use.
@@ -504,7 +508,7 @@
     ) -> flow::Event {
         let edge = self.call.edge.clone();
         let reading = exchange::read_all(&edge.connections, pending);
-        match self.responder.wait(reading, self.call.deadline).await {
+        match self.call.wait(&mut self.responder, reading, self.call.deadline()).await {
             responder::WaitOutcome::Disconnected => flow::Event::CallerGone,
             responder::WaitOutcome::Expired => flow::Event::Expired,
             responder::WaitOutcome::Event(exchange::BufferedResponse {
@@ -530,9 +534,10 @@
         let idle_timeout = connections::idle_timeout(&pending.response);
         let mut reader = reader::Reader::new(pending.response.into_body());
         loop {
-            let event = match self.responder.wait(reader.next(), self.stall_deadline()).await {
+            let until = self.stall_deadline();
+            let event = match self.call.wait(&mut self.responder, reader.next(), until).await {
                 responder::WaitOutcome::Disconnected => return flow::Event::CallerGone,
-                responder::WaitOutcome::Expired if clock::now() >= self.call.deadline => {
+                responder::WaitOutcome::Expired if clock::now() >= self.stream_end() => {
                     return flow::Event::Expired;
                 }
                 responder::WaitOutcome::Expired => match self.reserve_failover(server).await {
@@ -614,10 +619,18 @@
         flow::Event::Failed { server: Some(server.to_string()), refusal, retry: true }
     }
 
+    // Time at which the answer ends, whether it is complete or not.
+    fn stream_end(&self) -> time::Instant {
+        match self.responder.has_started() {
+            true => self.call.stream_deadline(),
+            false => self.call.deadline(),
+        }
+    }
+
     fn stall_deadline(&self) -> time::Instant {
         let is_resumable = self.call.route.kind == routing::Kind::Stream { resumable: true };
         let stall = clock::now() + STALL_TIMEOUT;
-        if is_resumable { stall.min(self.call.deadline) } else { self.call.deadline }
+        if is_resumable { stall.min(self.stream_end()) } else { self.stream_end() }
     }
 
     async fn forward_event(
@@ -646,7 +659,7 @@
             origins::record(&self.call, server, self.software.filter(|_| is_certain));
         }
         self.flow.handle(&flow::Event::Streamed);
-        match self.responder.send(Bytes::from(event.bytes), self.call.deadline).await {
+        match self.responder.send(Bytes::from(event.bytes), self.call.stream_deadline()).await {
             responder::SendOutcome::Sent => {}
             responder::SendOutcome::Disconnected => return Some(flow::Event::CallerGone),
             responder::SendOutcome::Expired => return Some(flow::Event::Expired),
