Refuse requests whose deadline passes while their body arrives

A caller whose body arrived slowly got a 504, as if its request might have run, though no server could have answered it any more and none got it.

Cause: the deadline was compared with the clock only once the request had been sent. It is now refused as not run when the body is complete; on a stopping entry with the short delay after which another entry is reached.

--- a/crates/edge/src/ingress.rs
+++ b/crates/edge/src/ingress.rs
@@ -93,6 +93,12 @@
         }
         deadline = deadline.min(stop.answered_by());
     }
+    if clock::now() >= deadline {
+        return refuse_charged(match edge.is_stopping() {
+            true => Refusal::not_run(Reason::Leaving, STOPPING_RETRY),
+            false => Refusal::not_run(Reason::TooLate, outcome::RETRY_SOON),
+        });
+    }
     let rank = customer.and_then(|customer| customer.rank).unwrap_or(route.rank);
     let urgency = urgency::Urgency { rank, route: route.rank };
     let is_retry = edge.directory().record_request(&service, &route.name, timeout);
