Count the grace period of a stop from before a pause of the process

Requests were taken up to the kill of an entry and given up, all of those in flight in a test, if the SIGTERM had come while the process was paused: the entry counted the grace period from the moment at which it handled the signal.

core::stalls keeps when the process is known to have run. If the signal is handled during or just after a stall, the stop counts as asked for at its begin: answers that have not begun are due before the earliest possible end. Streams go on to the later one, since the signal may as well have come last. A stall is logged.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -69,6 +69,7 @@
 pub mod sse;
 pub mod stages;
 pub mod stale_rows;
+pub mod stalls;
 pub mod stamp;
 pub mod stopping;
 pub mod subset;
--- a/crates/core/src/stopping.rs
+++ b/crates/core/src/stopping.rs
@@ -16,23 +16,31 @@
 #[derive(Clone, Copy, Debug)]
 pub struct Stop {
     started_at: time::Instant,
+    // Earliest time at which the platform may have asked, if the signal was handled late.
+    asked_at: time::Instant,
     grace: time::Duration,
 }
 
 impl Stop {
     /// A stop asked for at `started_at`, after which the platform waits for `grace`.
     pub fn new(started_at: time::Instant, grace: time::Duration) -> Stop {
-        Stop { started_at, grace }
+        Stop { started_at, asked_at: started_at, grace }
     }
 
-    /// Time at which the drain ends.
+    /// The same stop if the platform may have asked as early as `asked_at`.
+    pub fn asked_since(self, asked_at: time::Instant) -> Stop {
+        Stop { asked_at: asked_at.min(self.started_at), ..self }
+    }
+
+    /// Time at which the drain ends. Streams go on until then, also where the platform may end the
+    /// process sooner.
     pub fn drained_by(&self) -> time::Instant {
         self.started_at + self.grace.saturating_sub(KILL_MARGIN)
     }
 
     /// Time by which requests need their answers.
     pub fn answered_by(&self) -> time::Instant {
-        self.started_at + self.grace.saturating_sub(KILL_MARGIN + ANSWER_MARGIN)
+        self.asked_at + self.grace.saturating_sub(KILL_MARGIN + ANSWER_MARGIN)
     }
 
     /// Whether the balancer no longer sends to this entry.
--- a/crates/core/tests/stopping.rs
+++ b/crates/core/tests/stopping.rs
@@ -46,3 +46,18 @@
     assert_eq!((stop.answered_by(), stop.drained_by()), (start, start));
     assert!(stop.admits(KIND, start + millis(100), start));
 }
+
+// Guards against requests that are admitted up to the kill: the signal was handled late, after a pause.
+#[test]
+fn handled_late() {
+    let asked = time::Instant::now();
+    let start = asked + millis(3_000);
+    let stop = stopping::Stop::new(start, GRACE).asked_since(asked);
+    assert_eq!(stop.answered_by(), stopping::Stop::new(asked, GRACE).answered_by());
+    assert_eq!(stop.drained_by(), stopping::Stop::new(start, GRACE).drained_by());
+    let now = start + millis(2_600);
+    assert!(!stop.admits(KIND, now + millis(2_500), now));
+    // A time after the signal was handled cannot be the one at which it was sent.
+    let stop = stopping::Stop::new(start, GRACE).asked_since(start + millis(100));
+    assert_eq!(stop.answered_by(), stopping::Stop::new(start, GRACE).answered_by());
+}
--- a/crates/edge/src/edge.rs
+++ b/crates/edge/src/edge.rs
@@ -5,7 +5,7 @@
 use tokio::{net as tokio_net, sync as tokio_sync};
 
 use rhubarb_core::{
-    allowance, ids, log_limit, members, origins, pauses, recent, releases, stopping, usage,
+    allowance, ids, log_limit, members, origins, pauses, recent, releases, stalls, stopping, usage,
 };
 use rhubarb_node::{client, clock, locks};
 use rhubarb_platform::{settings, store};
@@ -63,6 +63,7 @@
     log_limit: sync::Mutex<log_limit::LogLimit>,
     holds: sync::Mutex<recent::RecentNames>,
     run_seq: atomic::AtomicU64,
+    stalls: sync::Mutex<stalls::Stalls>,
     stopping: tokio_sync::watch::Sender<Option<stopping::Stop>>,
 }
 
@@ -114,6 +115,7 @@
             log_limit: sync::Mutex::default(),
             holds: sync::Mutex::default(),
             run_seq: atomic::AtomicU64::new(1),
+            stalls: sync::Mutex::new(stalls::Stalls::new(clock::now())),
             stopping: tokio_sync::watch::Sender::new(None),
             settings: sync::Mutex::new(sync::Arc::new(settings)),
         }
@@ -250,7 +252,9 @@
 
     /// Starts the planned stop.
     pub(crate) fn stop(&self) -> stopping::Stop {
-        let stop = stopping::Stop::new(clock::now(), self.settings().grace);
+        let (now, grace) = (clock::now(), self.settings().grace);
+        let asked_at = locks::lock(&self.stalls).signalled_since(now);
+        let stop = stopping::Stop::new(now, grace).asked_since(asked_at);
         self.stopping.send_replace(Some(stop));
         stop
     }
@@ -276,4 +280,9 @@
     pub(crate) fn is_stopping(&self) -> bool {
         self.stopping().is_some()
     }
+
+    /// Records that the process runs; returns the length of a time without that has just ended.
+    pub(crate) fn record_running(&self) -> Option<time::Duration> {
+        locks::lock(&self.stalls).record(clock::now())
+    }
 }
--- a/crates/edge/src/watch.rs
+++ b/crates/edge/src/watch.rs
@@ -2,7 +2,7 @@
 
 use std::{fmt, net, sync, sync::atomic, time};
 
-use rhubarb_core::{backoff, fleet, ids, suspension};
+use rhubarb_core::{backoff, fleet, ids, stalls, suspension};
 use rhubarb_node::clock;
 use rhubarb_platform::{config, registration, store};
 use rhubarb_wire::share;
@@ -33,8 +33,6 @@
 /// Longest delay before an entry follows the store in place of others: a cell has up to forty
 /// entries, of which the first begins after a fraction of it.
 const MAX_TAKEOVER_DELAY: time::Duration = time::Duration::from_millis(2_000);
-/// Interval between checks for servers whose grace period has expired and for idle connections.
-const SWEEP_PERIOD: time::Duration = time::Duration::from_millis(200);
 
 /// Follows `table`; does not return.
 pub(crate) async fn follow(edge: sync::Arc<edge::Edge>, table: store::Table) {
@@ -414,7 +412,11 @@
 pub(crate) async fn sweep(edge: sync::Arc<edge::Edge>) {
     let mut suspension = suspension::Suspension::new(clock::now(), boot::time());
     loop {
-        tokio::time::sleep(SWEEP_PERIOD).await;
+        tokio::time::sleep(stalls::PERIOD).await;
+        if let Some(duration) = edge.record_running() {
+            let millis = duration.as_millis() as u64;
+            tracing::warn!(millis, "edge: process did not run");
+        }
         if let Some(duration) = suspension.check(clock::now(), boot::time()) {
             let millis = duration.as_millis() as u64;
             tracing::warn!(millis, "edge: instance was suspended; idle connections closed");
