Serve plain requests while all entries stop, if their answers are expected in time

While the entries of a deployment were stopped one after the other, plain requests were refused by all of those that the balancer had taken out and still used for want of others; a caller with one retry met a second one.

Cause: after the balancer's notice a plain request was served only if even its deadline was before the end of the drain, whatever its server needs for an answer.

Change: it is also served if three times the latency target of its route are left; its deadline is then the end of the drain, at which it gets an answer in any case. Streams are still refused: they may last longer than the entry.

--- a/crates/core/src/stopping.rs
+++ b/crates/core/src/stopping.rs
@@ -12,6 +12,10 @@
 /// Time in which the answers of the last requests reach their callers.
 const ANSWER_MARGIN: time::Duration = time::Duration::from_millis(100);
 
+/// Time that must be left for a plain request whose deadline is later, as a multiple of its latency
+/// target: an answer that takes longer is not expected.
+const TARGETS_LEFT: u32 = 3;
+
 /// A stop that the platform asked for.
 #[derive(Clone, Copy, Debug)]
 pub struct Stop {
@@ -48,16 +52,25 @@
         now >= self.started_at + BALANCER_DELAY
     }
 
-    /// Whether a request that has been read at `now`, and may be answered as late as `deadline`, is
-    /// served.
+    /// Whether a request that has been read at `now`, has this latency target, and may be answered as
+    /// late as `deadline`, is served.
     ///
-    /// While the balancer sends requests here, a retry may come here too, so all are served.
-    /// Later ones only if they cannot be cut off.
-    pub fn admits(&self, kind: routing::Kind, deadline: time::Instant, now: time::Instant) -> bool {
+    /// While the balancer sends requests here, a retry may come here too, so all are served. Later ones
+    /// come only if too few other entries are ready, so that a retry would reach one that is
+    /// stopping as well. Streams, which may last longer than the entry, are not served then.
+    pub fn admits(
+        &self,
+        kind: routing::Kind,
+        target: time::Duration,
+        deadline: time::Instant,
+        now: time::Instant,
+    ) -> bool {
         match kind {
             _ if !self.is_out_of_rotation(now) => true,
             routing::Kind::Stream { .. } => false,
-            routing::Kind::Safe | routing::Kind::Unsafe => deadline <= self.answered_by(),
+            routing::Kind::Safe | routing::Kind::Unsafe => {
+                deadline <= self.answered_by() || now + target * TARGETS_LEFT <= self.answered_by()
+            }
         }
     }
 }
--- a/crates/edge/src/ingress.rs
+++ b/crates/edge/src/ingress.rs
@@ -88,7 +88,7 @@
     let timeout = head.timeout.unwrap_or(route.timeout).min(route.timeout);
     let mut deadline = arrived + timeout;
     if let Some(stop) = edge.stopping() {
-        if !stop.admits(route.kind, deadline, clock::now()) {
+        if !stop.admits(route.kind, route.target, deadline, clock::now()) {
             return refuse_charged(Refusal::not_run(Reason::Leaving, STOPPING_RETRY));
         }
         deadline = deadline.min(stop.answered_by());
