Tell callers of a stopping entry when one will be ready again

While all entries stop, a stream that is refused was told to come back after 50 ms, used up its retries at other entries that stop, and failed.

Cause: the delay of a refusal assumed that another entry is ready.

Entries say in their datagrams whether they are ready for callers. If none has said so within three heartbeats, the delay ends when this entry has been replaced; else it is short, as before. A byte more in each datagram.

--- a/crates/core/src/members.rs
+++ b/crates/core/src/members.rs
@@ -31,6 +31,8 @@
     seen_at: time::Instant,
     // When it last said that it follows the platform's store.
     following_at: Option<time::Instant>,
+    // When it last said that it is ready for callers.
+    ready_at: Option<time::Instant>,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -118,6 +120,8 @@
 const CHECKERS: usize = 2;
 /// An entry counts as following the store for this long after it said so: three heartbeats.
 const SOURCE_TIMEOUT: time::Duration = time::Duration::from_millis(1_000);
+/// The same for entries that are ready for callers.
+const READY_TIMEOUT: time::Duration = SOURCE_TIMEOUT;
 /// Entries that keep what another one has begun, and how many of them are of its availability zone.
 const KEEPERS: usize = 3;
 const NEAR_KEEPERS: usize = 2;
@@ -178,7 +182,8 @@
         let direct = Some(Direct { incarnation, seq, heard_at: now });
         let cell = self.partition.entry(ip, zone);
         let following_at = known.and_then(|member| member.following_at);
-        let member = Member { zone, cell, seq: seq_known, direct, seen_at, following_at };
+        let ready_at = known.and_then(|member| member.ready_at);
+        let member = Member { zone, cell, seq: seq_known, direct, seen_at, following_at, ready_at };
         self.members.insert(ip, member);
         true
     }
@@ -196,7 +201,15 @@
                     let cell = self.partition.entry(ip, zone);
                     self.members.insert(
                         ip,
-                        Member { zone, cell, seq, direct: None, seen_at: now, following_at: None },
+                        Member {
+                            zone,
+                            cell,
+                            seq,
+                            direct: None,
+                            seen_at: now,
+                            following_at: None,
+                            ready_at: None,
+                        },
                     );
                 }
             }
@@ -302,6 +315,19 @@
         self.members.values().any(is_source)
     }
 
+    /// Records whether the entry at `ip` is ready for callers, as it says.
+    pub fn record_ready(&mut self, ip: net::IpAddr, is_ready: bool, now: time::Instant) {
+        if let Some(member) = self.members.get_mut(&ip) {
+            member.ready_at = is_ready.then_some(now);
+        }
+    }
+
+    /// Whether another entry has said within three heartbeats that it is ready for callers.
+    pub fn has_ready_peer(&self, now: time::Instant) -> bool {
+        let is_ready = |at: time::Instant| now <= at + READY_TIMEOUT;
+        self.members.values().any(|member| member.ready_at.is_some_and(is_ready))
+    }
+
     /// Number of entries that share the fleet's budgets, this one included; `None` while nothing is
     /// known of the fleet.
     ///
--- a/crates/core/src/stopping.rs
+++ b/crates/core/src/stopping.rs
@@ -16,6 +16,11 @@
 /// target: an answer that takes longer is not expected.
 const TARGETS_LEFT: u32 = 3;
 
+/// Delay after which a refused request is sent to another entry that is ready.
+const REROUTE_DELAY: time::Duration = time::Duration::from_millis(50);
+/// Time from the end of an entry to the readiness of the process in its place.
+const RESTART_TIME: time::Duration = time::Duration::from_secs(1);
+
 /// A stop that the platform asked for.
 #[derive(Clone, Copy, Debug)]
 pub struct Stop {
@@ -73,4 +78,13 @@
             }
         }
     }
+
+    /// Delay after which the caller of a request that is refused at `now` sends it again: it reaches a
+    /// peer if one is ready, and else an entry that has started again.
+    pub fn retry_delay(&self, has_ready_peer: bool, now: time::Instant) -> time::Duration {
+        match has_ready_peer {
+            true => REROUTE_DELAY,
+            false => self.drained_by().saturating_duration_since(now) + RESTART_TIME,
+        }
+    }
 }
--- a/crates/core/tests/members.rs
+++ b/crates/core/tests/members.rs
@@ -167,3 +167,20 @@
     assert_eq!(members.leader(now), Some(ip(3)));
     assert!(!members.is_speaker(now), "of the same cell");
 }
+
+#[test]
+fn ready_peers() {
+    let now = time::Instant::now();
+    let mut members = members::Members::new(ip(1), ZONE, now);
+    assert!(!members.has_ready_peer(now));
+    for last in [2, 3] {
+        members.record_heartbeat(heartbeat(last, 1), 1, now);
+        members.record_ready(ip(last), true, now);
+    }
+    members.record_ready(ip(2), false, now);
+    assert!(members.has_ready_peer(now), "the other one is still ready");
+    members.record_ready(ip(3), false, now);
+    assert!(!members.has_ready_peer(now));
+    members.record_ready(ip(3), true, now);
+    assert!(!members.has_ready_peer(now + 3 * SECOND), "it is not heard any more");
+}
--- a/crates/core/tests/stopping.rs
+++ b/crates/core/tests/stopping.rs
@@ -69,3 +69,14 @@
     let stop = stopping::Stop::new(start, GRACE).asked_since(start + millis(100));
     assert_eq!(stop.answered_by(), stopping::Stop::new(start, GRACE).answered_by());
 }
+
+// Guards against callers that use up their retries at entries that all stop.
+#[test]
+fn retry_delays() {
+    let start = time::Instant::now();
+    let stop = stopping::Stop::new(start, GRACE);
+    let now = start + millis(2_600);
+    assert!(stop.retry_delay(true, now) < millis(100));
+    assert!(now + stop.retry_delay(false, now) >= stop.drained_by() + millis(1_000));
+    assert!(stop.retry_delay(false, start + GRACE) >= millis(1_000));
+}
--- a/crates/e2e/tests/platform_draining.rs
+++ b/crates/e2e/tests/platform_draining.rs
@@ -171,10 +171,31 @@
     // A stream may last longer than the entry.
     let reply = edge.call(Method::POST, site::RESUMABLE, "stream", "b").await?;
     assert_eq!((reply.status, site.runs("stream")), (503, 0));
+    assert!(retry_after(&reply)? > 1.0, "no entry is ready before: {reply:?}");
     held.abort();
     Ok(())
 }
 
+// A stream that a stopping entry refuses is sent at once to one that is ready.
+#[tokio::test]
+async fn single_stop() -> anyhow::Result<()> {
+    let sizes = site::Sizes { edges: 2, ..site::Sizes::default() };
+    let site = start(sizes, LONG_TIMEOUT).await?;
+    let held = hold_open(&site, 1);
+    let edge = &site.edges[1];
+    edge.signal(Signal::TERM);
+    tokio::time::sleep(millis(2_600)).await;
+    let reply = edge.call(Method::POST, site::RESUMABLE, "stream", "b").await?;
+    assert_eq!((reply.status, site.runs("stream")), (503, 0));
+    assert!(retry_after(&reply)? < 0.1, "{reply:?}");
+    held.abort();
+    Ok(())
+}
+
+fn retry_after(reply: &call::Reply) -> anyhow::Result<f64> {
+    Ok(reply.headers["retry-after"].to_str()?.parse()?)
+}
+
 // Guards against a request whose body ends when no server can answer it in time any more: it was said
 // to have timed out at a server, and could not be repeated.
 #[tokio::test]
--- a/crates/edge/src/ingress.rs
+++ b/crates/edge/src/ingress.rs
@@ -15,9 +15,6 @@
 /// Retry delay without a usable config; one arrives within this time after the store recovers.
 const CONFIG_RETRY: time::Duration = time::Duration::from_secs(1);
 
-/// Retry delay while this instance stops: short, since a retry reaches another instance.
-const STOPPING_RETRY: time::Duration = time::Duration::from_millis(50);
-
 /// Handles one request of a caller and returns the response.
 pub(crate) async fn handle(
     edge: sync::Arc<edge::Edge>,
@@ -87,17 +84,22 @@
     };
     let timeout = head.timeout.unwrap_or(route.timeout).min(route.timeout);
     let mut deadline = arrived + timeout;
-    if let Some(stop) = edge.stopping() {
-        if !stop.admits(route.kind, route.target, deadline, clock::now()) {
-            return refuse_charged(Refusal::not_run(Reason::Leaving, STOPPING_RETRY));
+    let (stop, now) = (edge.stopping(), clock::now());
+    let refuse_late = || {
+        let retry = stop.map(|stop| stop.retry_delay(edge.members().has_ready_peer(now), now));
+        refuse_charged(match retry {
+            Some(retry) => Refusal::not_run(Reason::Leaving, retry),
+            None => Refusal::not_run(Reason::TooLate, outcome::RETRY_SOON),
+        })
+    };
+    if let Some(stop) = stop {
+        if !stop.admits(route.kind, route.target, deadline, now) {
+            return refuse_late();
         }
         deadline = deadline.min(stop.answered_by());
     }
-    if clock::now() >= deadline {
-        return refuse_charged(match edge.is_stopping() {
-            true => Refusal::not_run(Reason::Leaving, STOPPING_RETRY),
-            false => Refusal::not_run(Reason::TooLate, outcome::RETRY_SOON),
-        });
+    if now >= deadline {
+        return refuse_late();
     }
     let rank = customer.and_then(|customer| customer.rank).unwrap_or(route.rank);
     let urgency = urgency::Urgency { rank, route: route.rank };
--- a/crates/edge/src/peers.rs
+++ b/crates/edge/src/peers.rs
@@ -165,6 +165,7 @@
         config,
         servers,
         follows: edge.follows_store() && !edge.is_disconnected(),
+        is_ready: edge.is_ready(),
         limits: share::Limit::collect(&edge.limits().quotas, seq, clock::now()),
         evidence: share::Evidence::collect(&edge.rejected().suspects, seq, clock::now()),
         ..share::Share::default()
@@ -297,6 +298,7 @@
     if share.follows {
         members.record_following(from, now);
     }
+    members.record_ready(from, share.is_ready, now);
     let (cell, own_cell) = (members.cell(from), members.own_cell());
     drop(members);
     let evidence: Vec<_> = share.evidence.iter().map(Into::into).collect();
--- a/crates/wire/src/share.rs
+++ b/crates/wire/src/share.rs
@@ -34,6 +34,8 @@
     pub servers: stamp::Stamp,
     /// Whether the sender receives the changes of the platform's store.
     pub follows: bool,
+    /// Whether the sender is ready for callers.
+    pub is_ready: bool,
     /// Heartbeats that the sender relays.
     pub members: Vec<Heartbeat>,
     /// What the sender knows of requests that crash servers.
@@ -68,7 +70,7 @@
 }
 
 /// Version of the format of [`Share`].
-pub const FORMAT: u8 = 6;
+pub const FORMAT: u8 = 7;
 
 /// Heartbeat of one entry.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
