Test that no error's text gets into a stream and no broken one looks whole

- unfit_resumption, unfit_take_up, unframed_take_up: the engine at which a stream goes on answers 200 with a page of text, with nothing that is a stream, or with a run that starts over and ends before the caller's last event.
- error_within_stream, unframed_second_answer: the body of a stream holds a second response with its head, a line of text or an event with an error.
- no_event_ids: a stream without event ids is cut off, and a second run is joined to the first.

The new fault kinds of the engines and `receive`, which keeps what arrived of a response that is cut off, are for these tests.

--- a/crates/e2e/src/call.rs
+++ b/crates/e2e/src/call.rs
@@ -3,7 +3,8 @@
 use std::{net, time};
 
 use bytes::Bytes;
-use hyper::{HeaderMap, Method, header};
+use http_body_util::BodyExt;
+use hyper::{HeaderMap, Method, Response, body, header};
 
 use rhubarb_fakes::caller;
 use rhubarb_node::{client, response};
@@ -40,15 +41,7 @@
         address: net::SocketAddr,
     ) -> Result<Reply, client::CallError> {
         let start = time::Instant::now();
-        let url = format!("http://{address}{}", self.path);
-        let mut request = client::request(method, &url, Bytes::from(self.body.to_string()))?;
-        let [id, usage] = caller::headers(self.attempt);
-        for (name, value) in [("host", HOST), id, usage].iter().chain(self.headers) {
-            let name: header::HeaderName = name.parse().expect("header name is valid");
-            let value = value.parse().expect("header value is valid");
-            request.headers_mut().insert(name, value);
-        }
-        let (head, body) = client.send(request, CALL_TIMEOUT).await?.into_parts();
+        let (head, body) = self.open(client, method, address).await?.into_parts();
         let head_after = start.elapsed();
         let reading = response::read_body(body, MAX_BODY_BYTES);
         let body = tokio::time::timeout(CALL_TIMEOUT, reading).await.ok().and_then(Result::ok);
@@ -60,6 +53,60 @@
             elapsed: start.elapsed(),
         })
     }
+
+    /// Sends the request to `address` and reads the response, also one that is cut off.
+    ///
+    /// # Errors
+    /// Returns an error if no response head arrives.
+    pub async fn receive(
+        &self,
+        client: &client::Client,
+        method: Method,
+        address: net::SocketAddr,
+    ) -> Result<Received, client::CallError> {
+        let (head, mut body) = self.open(client, method, address).await?.into_parts();
+        let mut text = Vec::new();
+        let reading = async {
+            while let Some(frame) = body.frame().await {
+                let Ok(frame) = frame else { return false };
+                text.extend(frame.into_data().unwrap_or_default());
+            }
+            true
+        };
+        let is_whole = tokio::time::timeout(CALL_TIMEOUT, reading).await.unwrap_or(false);
+        let text = String::from_utf8_lossy(&text).into_owned();
+        Ok(Received { status: head.status.as_u16(), headers: head.headers, text, is_whole })
+    }
+
+    async fn open(
+        &self,
+        client: &client::Client,
+        method: Method,
+        address: net::SocketAddr,
+    ) -> Result<Response<body::Incoming>, client::CallError> {
+        let url = format!("http://{address}{}", self.path);
+        let mut request = client::request(method, &url, Bytes::from(self.body.to_string()))?;
+        let [id, usage] = caller::headers(self.attempt);
+        for (name, value) in [("host", HOST), id, usage].iter().chain(self.headers) {
+            let name: header::HeaderName = name.parse().expect("header name is valid");
+            let value = value.parse().expect("header value is valid");
+            request.headers_mut().insert(name, value);
+        }
+        client.send(request, CALL_TIMEOUT).await
+    }
+}
+
+/// A response with all of its body that arrived.
+#[derive(Clone, Debug)]
+pub struct Received {
+    /// HTTP status.
+    pub status: u16,
+    /// Headers.
+    pub headers: HeaderMap,
+    /// Body as far as it arrived.
+    pub text: String,
+    /// Whether the body looks complete.
+    pub is_whole: bool,
 }
 
 /// A response whose body is complete or was cut off.
--- a/crates/e2e/src/edge.rs
+++ b/crates/e2e/src/edge.rs
@@ -134,6 +134,21 @@
         self.call_with(method, path, attempt, body, &[]).await
     }
 
+    /// Sends a request with extra headers and reads the response, also one that is cut off.
+    ///
+    /// # Errors
+    /// Returns an error if no response head arrives.
+    pub async fn receive(
+        &self,
+        method: Method,
+        path: &str,
+        attempt: &str,
+        headers: &[(&str, &str)],
+    ) -> anyhow::Result<call::Received> {
+        let call = call::Call { path, attempt, body: "b", headers };
+        Ok(call.receive(&client::Client::new(), method, self.frontend).await?)
+    }
+
     /// Sends a request with extra headers.
     ///
     /// # Errors
--- a/crates/e2e/tests/platform_bytes.rs
+++ b/crates/e2e/tests/platform_bytes.rs
@@ -154,3 +154,34 @@
     }
     Ok(())
 }
+
+// Guards against an error's text in a stream without a length, whose body may hold a second answer
+// (issue 41).
+#[tokio::test]
+async fn unframed_second_answer() -> anyhow::Result<()> {
+    let (site, raw) = start(true).await?;
+    let whole = site::full_stream();
+    let failure = "HTTP/1.1 500 Internal Server Error\r\ncontent-type: text/plain\r\n\r\nfull\n\n";
+    for (number, body) in [failure.to_string(), format!("{whole}{failure}")].iter().enumerate() {
+        raw.set_answer(raw::Answer::Unframed(body.clone()));
+        let attempt = format!("a{number}");
+        let received = site.edges[0].receive(Method::POST, site::STREAM, &attempt, &[]).await?;
+        let is_whole = received.status == 200 && received.is_whole;
+        assert!(!is_whole, "{body:?}: {received:?}");
+        let is_part = received.status == 502 || whole.starts_with(&received.text);
+        assert!(is_part, "{body:?}: {received:?}");
+    }
+    Ok(())
+}
+
+// Guards against a stream that its caller takes up and that looks complete though its server only closed
+// the connection (issue 41).
+#[tokio::test]
+async fn unframed_take_up() -> anyhow::Result<()> {
+    let (site, raw) = start(true).await?;
+    raw.set_answer(raw::Answer::Unframed(String::new()));
+    let headers = [("last-event-id", "2")];
+    let received = site.edges[0].receive(Method::POST, site::RESUMABLE, "a1", &headers).await?;
+    assert!(received.status >= 500 || !received.is_whole, "{received:?}");
+    Ok(())
+}
--- a/crates/e2e/tests/platform_streams.rs
+++ b/crates/e2e/tests/platform_streams.rs
@@ -193,3 +193,92 @@
     assert_eq!(site.runs("a1"), 1);
     Ok(())
 }
+
+// Sends streams until one began at the first decode engine and ran at the second one too, which has
+// another fault. All must be parts of `whole`, and complete if they look so.
+async fn check_resumed(first: Fault, second: Fault, whole: &str) -> anyhow::Result<()> {
+    let site = site::Site::start(site::Sizes::default()).await?;
+    site.decode[0].set_fault(first);
+    site.decode[1].set_fault(second);
+    for number in 0..MAX_CALLS {
+        let attempt = format!("a{number}");
+        let edge = &site.edges[0];
+        let received = edge.receive(Method::POST, site::RESUMABLE, &attempt, &[]).await?;
+        let is_first = |text: &str| text.starts_with("id: 0") || text.starts_with("data: token-0");
+        let began = is_first(&received.text) || received.text.is_empty();
+        let is_part = whole.starts_with(&received.text) && began;
+        let is_whole = received.status == 200 && received.is_whole;
+        let is_failure = received.status >= 500;
+        assert!(is_failure || is_part, "{first:?}, {second:?}: {received:?}");
+        assert!(!is_whole || received.text == whole, "{first:?}, {second:?}: {received:?}");
+        let runs = |server: usize| site.decode[server].runs().contains_key(&attempt);
+        if runs(0) && (runs(1) || second == Fault::OmitsIds) {
+            return Ok(());
+        }
+    }
+    anyhow::bail!("{first:?}, {second:?}: no stream was resumed in {MAX_CALLS} calls")
+}
+
+// Guards against a broken stream that ends as if it were whole, or goes on with an error's text, when
+// the next engine's answer is none to the rest of the stream (issue 41).
+#[tokio::test]
+async fn unfit_resumption() -> anyhow::Result<()> {
+    let whole = site::full_stream();
+    for fault in [Fault::SendsPage, Fault::SendsNothing, Fault::StartsOverShort] {
+        check_resumed(Fault::AbortsStream, fault, &whole).await?;
+    }
+    Ok(())
+}
+
+#[tokio::test]
+async fn failed_resumption() -> anyhow::Result<()> {
+    let whole = site::full_stream();
+    for fault in [Fault::FailsStream, Fault::Unsealed, Fault::OtherId] {
+        check_resumed(Fault::AbortsStream, fault, &whole).await?;
+    }
+    Ok(())
+}
+
+// Guards against a stream that its caller takes up and that looks complete though no engine said that
+// nothing is left of it (issue 41).
+#[tokio::test]
+async fn unfit_take_up() -> anyhow::Result<()> {
+    for fault in [Fault::SendsPage, Fault::SendsNothing, Fault::StartsOverShort] {
+        let site = site::Site::start(site::Sizes::default()).await?;
+        site.decode.iter().for_each(|decode| decode.set_fault(fault));
+        let headers = [("last-event-id", "2")];
+        let edge = &site.edges[0];
+        let received = edge.receive(Method::POST, site::RESUMABLE, "a1", &headers).await?;
+        let is_whole = received.status == 200 && received.is_whole;
+        assert!(!is_whole, "{fault:?}: {received:?}");
+        assert!(received.status >= 500 || received.text.is_empty(), "{fault:?}: {received:?}");
+        assert!(site.runs("a1") > 0);
+    }
+    Ok(())
+}
+
+// Guards against an error's text in a stream, after which the body of the server's answer ends
+// (issue 41).
+#[tokio::test]
+async fn error_within_stream() -> anyhow::Result<()> {
+    let whole = site::full_stream();
+    for fault in
+        [Fault::AppendsResponse, Fault::CutsIntoResponse, Fault::AppendsText, Fault::AppendsError]
+    {
+        check_resumed(fault, Fault::None, &whole).await?;
+        let site = site::Site::start(site::Sizes::default()).await?;
+        site.decode.iter().for_each(|decode| decode.set_fault(fault));
+        let received = site.edges[0].receive(Method::POST, site::STREAM, "a1", &[]).await?;
+        assert!(!received.is_whole && whole.starts_with(&received.text), "{fault:?}: {received:?}");
+    }
+    Ok(())
+}
+
+// Guards against a second run, from the beginning, joined to the events of a first one that had no ids
+// and was cut off (issue 41).
+#[tokio::test]
+async fn no_event_ids() -> anyhow::Result<()> {
+    let whole: String =
+        (0..backend::EVENTS).map(|number| format!("data: token-{number}\n\n")).collect();
+    check_resumed(Fault::AbortsWithoutIds, Fault::OmitsIds, &whole).await
+}
--- a/crates/fakes/src/backend.rs
+++ b/crates/fakes/src/backend.rs
@@ -439,7 +439,7 @@
         let is_plain = self.state().stage.name.is_empty();
         let mut reply = match is_plain {
             true => self.answer_plain(&attempt, content, fault).await,
-            false => self.stream(&attempt, headers, fault),
+            false => self.answer_stream(&attempt, headers, fault),
         };
         if fault == Fault::OtherId {
             reply.headers_mut().insert(replies::ATTEMPT_ID, replies::header_value("other"));
@@ -523,10 +523,31 @@
         !deadly.is_empty() && ids.any(|id| id == deadly)
     }
 
+    fn answer_stream(
+        &self,
+        attempt: &str,
+        headers: &HeaderMap,
+        fault: Fault,
+    ) -> Response<response::Body> {
+        let mut reply = match fault {
+            Fault::FailsStream => {
+                response::text(StatusCode::INTERNAL_SERVER_ERROR, "out of memory\n\n")
+            }
+            Fault::SendsPage => response::text(StatusCode::OK, "out of memory\n\n"),
+            Fault::SendsNothing => Response::new(response::full("")),
+            _ => return self.stream(attempt, headers, fault),
+        };
+        self.mark(&mut reply, attempt);
+        reply
+    }
+
     fn stream(&self, attempt: &str, headers: &HeaderMap, fault: Fault) -> Response<response::Body> {
         let last = replies::header_text(headers, "last-event-id").parse().ok();
-        let last: Option<u64> = last.filter(|_| fault != Fault::StartsOver);
+        let is_short = fault == Fault::StartsOverShort && last.is_some();
+        let starts_over = matches!(fault, Fault::StartsOver | Fault::StartsOverShort);
+        let last: Option<u64> = last.filter(|_| !starts_over);
         let first = last.map_or(0, |last| last + 1);
+        let numbers = first..if is_short { first + 1 } else { fault::EVENTS };
         let is_deadly = self.is_deadly(headers);
         let backend = self.clone();
         let (sender, receiver) = mpsc::channel(1);
@@ -542,12 +563,14 @@
             }
             let pace = |usual| backend.state().clock.time(usual);
             tokio::select! {
-                () = events::send(&sender, first, fault, &software, pace) => {}
+                () = events::send(&sender, numbers, fault, &software, pace) => {}
                 () = sender.closed() => {}
             }
         });
         let mut reply = Response::new(response::stream(receiver));
-        self.mark(&mut reply, attempt);
+        if fault != Fault::Unsealed {
+            self.mark(&mut reply, attempt);
+        }
         reply
             .headers_mut()
             .insert(header::CONTENT_TYPE, replies::header_value("text/event-stream"));
--- a/crates/fakes/src/fault.rs
+++ b/crates/fakes/src/fault.rs
@@ -32,6 +32,29 @@
     SkipsEvent,
     /// Restarts a resumed stream from its first event.
     StartsOver,
+    /// Sends events without ids.
+    OmitsIds,
+    /// The same, and aborts the stream after the second event.
+    AbortsWithoutIds,
+    /// Sends a response with status 500, its head included, in the same body after the second event.
+    AppendsResponse,
+    /// The same in the middle of the third event.
+    CutsIntoResponse,
+    /// Sends a line of text after the second event, and ends the stream normally.
+    AppendsText,
+    /// Sends an event with an error and without an id after the second event, and ends the stream
+    /// normally.
+    AppendsError,
+    /// Executes the stream and replies with status 500.
+    FailsStream,
+    /// Replies to a stream with a page of text.
+    SendsPage,
+    /// Replies to a stream with an empty response that is no stream.
+    SendsNothing,
+    /// Sends the stream without the proof that it is the server's.
+    Unsealed,
+    /// Restarts a resumed stream from its first event and ends it normally after that.
+    StartsOverShort,
     /// Rejects new holds because its memory is full.
     Full,
     /// Evicts each prefill result at once.
