Forward only events that belong to the caller's stream

Callers found the head and the text of a failure, a line of text or an event with an error in the middle of their stream, or as its only content, and the stream looked complete.

A body may hold such text: a server that fails writes a second response into the body of the first, above all if that has no length.

core::event_order decides now which events belong to a stream: each line is a comment or has a known field (those of the format and the platform's `x-weight-versions`), at most one has an id, events have ids or all of them have none, and the ids of a run increase by one. A run may still repeat what its caller has, as one does that starts over, but no event may go back within a run. Otherwise the run is given up, its connection closed, and the stream goes on elsewhere or ends visibly cut off. A byte-order mark before the first event is removed, since it is no part of it.

--- a/crates/core/src/sse.rs
+++ b/crates/core/src/sse.rs
@@ -9,10 +9,32 @@
     pub bytes: Vec<u8>,
 }
 
+impl Event {
+    /// Whether every line is a comment or has a field of the format or one of `fields`, which servers
+    /// add to it, and at most one has an id. Other text may end with a blank line as well.
+    pub fn is_well_formed(&self, fields: &[&str]) -> bool {
+        let names = || lines(&self.bytes).map(field_name).filter(|name| !name.is_empty());
+        let is_known =
+            |name: &[u8]| FIELDS.iter().chain(fields).any(|field| field.as_bytes() == name);
+        names().all(is_known) && names().filter(|name| name == b"id").count() <= 1
+    }
+
+    /// Whether it has data; receivers ignore one that has none.
+    pub fn has_data(&self) -> bool {
+        lines(&self.bytes).any(|line| field_name(line) == b"data")
+    }
+}
+
+/// Fields of the format.
+const FIELDS: [&str; 4] = ["data", "event", "id", "retry"];
+/// Byte-order mark in UTF-8, which may precede the first event.
+const BYTE_ORDER_MARK: &[u8] = b"\xef\xbb\xbf";
+
 /// Buffers the bytes of a stream and splits them into complete events.
 #[derive(Clone, Debug, Default)]
 pub struct Decoder {
     buffer: Vec<u8>,
+    has_begun: bool,
 }
 
 impl Decoder {
@@ -21,9 +43,13 @@
         self.buffer.extend_from_slice(bytes);
     }
 
-    /// Removes and returns the next complete event.
+    /// Removes and returns the next complete event, without a byte-order mark.
     pub fn next_event(&mut self) -> Option<Event> {
+        if !self.has_begun && self.buffer.starts_with(BYTE_ORDER_MARK) {
+            self.buffer.drain(..BYTE_ORDER_MARK.len());
+        }
         let length = event_length(&self.buffer)?;
+        self.has_begun = true;
         let rest = self.buffer.split_off(length);
         let bytes = std::mem::replace(&mut self.buffer, rest);
         Some(Event { id: event_id(&bytes), bytes })
@@ -58,6 +84,16 @@
     bytes.iter().position(|byte| *byte == b'\n').map(|at| at + 1)
 }
 
+// Lines of an event without their line breaks.
+fn lines(event: &[u8]) -> impl Iterator<Item = &[u8]> {
+    event.split(|byte| *byte == b'\n').map(|line| line.strip_suffix(b"\r").unwrap_or(line))
+}
+
+// Name of the field in a line; empty for a comment and for a blank line.
+fn field_name(line: &[u8]) -> &[u8] {
+    line.split(|byte| *byte == b':').next().unwrap_or_default()
+}
+
 /// Id of an event, if it is a number.
 pub fn event_id(event: &[u8]) -> Option<u64> {
     let mut lines = event.split(|byte| *byte == b'\n');
--- a/crates/core/tests/sse.rs
+++ b/crates/core/tests/sse.rs
@@ -36,6 +36,45 @@
     assert!(decoder.is_partial());
 }
 
+// Guards against a response's head or a page of text that is taken for an event (issue 41).
+#[test]
+fn other_text() {
+    let cases = [
+        ("id: 1\ndata: a\n\n", true),
+        ("id: 1\r\ndata: a\r\n\r\n", true),
+        (": comment\n\n", true),
+        ("data\n\n", true),
+        ("event: a\nretry: 5\ndata: b\ndata: c\n\n", true),
+        ("x-added: 2\nid: 1\ndata: a\n\n", true),
+        ("\n\ndata: a\n\n", true),
+        ("HTTP/1.1 500 Internal Server Error\r\ncontent-length: 4\r\n\r\n", false),
+        ("id: 1\ndata: aHTTP/1.1 500 Failed\r\ncontent-length: 4\r\n\r\n", false),
+        ("out of memory\n\n", false),
+        ("error: out of memory\n\n", false),
+        ("id: 1\nid: 2\ndata: b\n\n", false),
+        (" data: a\n\n", false),
+    ];
+    for (text, is_event) in cases {
+        let mut decoder = sse::Decoder::default();
+        decoder.push(text.as_bytes());
+        let event = decoder.next_event().unwrap();
+        assert_eq!(event.is_well_formed(&["x-added"]), is_event, "{text:?}");
+    }
+}
+
+#[test]
+fn byte_order_mark() {
+    let mut decoder = sse::Decoder::default();
+    for part in ["\u{feff}", "id: 1\ndata: a\n", "\n"] {
+        assert_eq!(decoder.next_event(), None);
+        decoder.push(part.as_bytes());
+    }
+    let event = decoder.next_event().unwrap();
+    assert_eq!((event.id, event.bytes.as_slice()), (Some(1), "id: 1\ndata: a\n\n".as_bytes()));
+    decoder.push("\u{feff}data: a\n\n".as_bytes());
+    assert!(!decoder.next_event().unwrap().is_well_formed(&[]));
+}
+
 proptest! {
     #![proptest_config(random::config(256))]
 
--- a/crates/edge/src/stream.rs
+++ b/crates/edge/src/stream.rs
@@ -6,7 +6,7 @@
 use bytes::Bytes;
 use hyper::Response;
 
-use rhubarb_core::{engine, engines, flow, ids, outcome, pool, routing, sse};
+use rhubarb_core::{engine, engines, event_order, flow, ids, outcome, pool, routing, sse};
 use rhubarb_node::{clock, responder, response};
 use rhubarb_platform::{request, response as platform_response};
 
@@ -28,7 +28,7 @@
     // Slot at another server, for a stalled stream that resumes there.
     failover: Option<reservation::Reservation>,
     cache: Option<prefill::KvCache>,
-    last_event: Option<u64>,
+    order: event_order::EventOrder,
     // Version of the software that began the stream, once it has begun; it goes on only there.
     software: Option<ids::SoftwareTag>,
     // Whether that version may be another one.
@@ -62,7 +62,7 @@
 
 impl Streaming {
     pub(crate) fn new(call: call::Call, responder: responder::Responder) -> Streaming {
-        let last_event = call.head.last_event;
+        let last = call.head.last_event;
         Streaming {
             need: call.head.need.unwrap_or(DEFAULT_NEED),
             flow: flow::Flow::new(flow::Path::Staged, call.retry_policy(flow::MAX_RETRIES)),
@@ -71,7 +71,7 @@
             reservation: None,
             failover: None,
             cache: None,
-            last_event,
+            order: event_order::EventOrder::new(last, platform_response::EVENT_FIELDS),
             software: None,
             is_uncertain: false,
             events: 0,
@@ -210,7 +210,7 @@
 
     // Finds out which version began the stream that the request takes up.
     async fn find_software(&mut self) -> Result<(), Refusal> {
-        if self.software.is_some() || self.last_event.is_none() {
+        if self.software.is_some() || self.order.last().is_none() {
             return Ok(());
         }
         self.software = origins::find(&self.call).await;
@@ -334,10 +334,11 @@
             priority: self.call.priority.filter(|_| hold.is_none()),
             kv_source: source.as_deref(),
             hold,
-            last_event: self.last_event,
+            last_event: self.order.last(),
         };
         let request = self.call.head.to_server(&headers, self.call.body.clone());
         self.run_events = 0;
+        self.order.begin_run();
         let cost = if hold.is_some() { quotas::Cost::Paid } else { quotas::Cost::One };
         let sending = exchange::send_call(&self.call, target, request, cost);
         SendResult::Sent(match self.responder.wait(sending, self.call.deadline).await {
@@ -554,7 +555,7 @@
                 }
                 // A stream without an event is no answer, unless the caller has all events already.
                 responder::WaitOutcome::Event(reader::Item::End)
-                    if self.run_events == 0 && self.last_event.is_none() =>
+                    if self.run_events == 0 && self.order.last().is_none() =>
                 {
                     tracing::info!(id = self.call.id(), server, "edge: stream without an event");
                     return self.lost(target).await;
@@ -571,10 +572,26 @@
                 }
                 responder::WaitOutcome::Event(reader::Item::Event(event)) => event,
             };
+            let placement = self.order.place(&event);
+            if let event_order::Placement::Unfit(misfit) = placement {
+                tracing::warn!(
+                    id = self.call.id(),
+                    server,
+                    ?misfit,
+                    last = self.order.last(),
+                    next = event.id,
+                    bytes = event.bytes.len(),
+                    "edge: event does not belong to the stream"
+                );
+                return self.interrupted(server, Reason::EngineFailed);
+            }
             self.run_events += 1;
             if self.run_events == suspects::BEGUN_EVENTS {
                 suspects::record_answer(&self.call);
             }
+            if placement == event_order::Placement::Repeated {
+                continue;
+            }
             if let Some(ended) = self.forward_event(target, &head, event).await {
                 return ended;
             }
@@ -627,15 +644,6 @@
         event: sse::Event,
     ) -> Option<flow::Event> {
         let (server, software) = (&target.id, Some(target.software));
-        if let (Some(id), Some(last)) = (event.id, self.last_event) {
-            if id <= last {
-                return None;
-            }
-            if id != last + 1 {
-                tracing::warn!(id = self.call.id(), server, last, next = id, "edge: event missing");
-                return Some(self.interrupted(server, Reason::EngineFailed));
-            }
-        }
         if !self.responder.has_started() {
             self.first_at = Some(clock::now());
             self.responder.start_stream(head.clone());
@@ -651,7 +659,6 @@
             responder::SendOutcome::Disconnected => return Some(flow::Event::CallerGone),
             responder::SendOutcome::Expired => return Some(flow::Event::Expired),
         }
-        self.last_event = event.id.or(self.last_event);
         self.events += 1;
         let now = clock::now();
         let gap = self.last_at.map_or(time::Duration::ZERO, |last| now - last);
