End a stream only where its answer shows that it is whole

Callers whose stream had broken off, or who took one up, got a 200 that ended before the last event and looked complete: without a word, with a page of text, or with the first events only.

The end of a run counted as the end of the stream as soon as the caller had any event, for callers whose stream broke off after its last one. The content type of a 200 was looked at nowhere.

A run without an event now ends a stream only if its caller has events and the answer says that it is `text/event-stream` and marks its end by its length or its last chunk, which a server that only closes the connection does not do. A run that repeats events must reach the last one that the caller has. A 200 of another content type is no stream at all; a missing type is taken as before, if events come. Else the run counts as lost, as one without an event did, and the stream goes on elsewhere or ends visibly cut off.

--- a/crates/core/src/event_order.rs
+++ b/crates/core/src/event_order.rs
@@ -12,6 +12,8 @@
     last: Option<u64>,
     // Id of the last event of the current run.
     run_last: Option<u64>,
+    // Whether the current run had an event with an id or data.
+    has_run_event: bool,
     // Whether the events have no ids.
     is_unnumbered: bool,
 }
@@ -44,7 +46,7 @@
     /// Order of a stream whose caller has the events up to the one with the id `last`. Lines of its
     /// events may have the fields `fields` beyond those of the format.
     pub fn new(last: Option<u64>, fields: &'static [&'static str]) -> EventOrder {
-        EventOrder { fields, last, run_last: None, is_unnumbered: false }
+        EventOrder { fields, last, run_last: None, has_run_event: false, is_unnumbered: false }
     }
 
     /// Id of the last event that the caller has.
@@ -55,6 +57,19 @@
     /// Starts with the events of another run.
     pub fn begin_run(&mut self) {
         self.run_last = None;
+        self.has_run_event = false;
+    }
+
+    /// Whether the end of the current run is the end of the stream. `is_stream` tells that the answer
+    /// was shown to be a stream and complete, also without an event.
+    ///
+    /// A run without an event ends a stream only if its caller has the rest. One that repeats events
+    /// must not end before the last one that the caller has.
+    pub fn is_whole(&self, is_stream: bool) -> bool {
+        if self.has_run_event {
+            return self.run_last == self.last;
+        }
+        is_stream && self.last.is_some()
     }
 
     /// Places an event of the current run. One that is next counts as the caller's from then on.
@@ -73,6 +88,7 @@
             }
             None => {
                 self.is_unnumbered = true;
+                self.has_run_event = true;
                 Placement::Next
             }
         }
@@ -92,6 +108,7 @@
             return Placement::Unfit(Misfit::Order);
         }
         self.run_last = Some(id);
+        self.has_run_event = true;
         if Some(id) <= self.last {
             return Placement::Repeated;
         }
--- a/crates/core/tests/event_order.rs
+++ b/crates/core/tests/event_order.rs
@@ -62,6 +62,31 @@
     assert_eq!(unfit(&mut taken_up, &event("data: a\n\n")), Misfit::NoId);
 }
 
+// Guards against a broken stream that looks complete (issue 41).
+#[test]
+fn ends() {
+    let mut order = EventOrder::new(None, &[]);
+    assert!(!order.is_whole(true), "no event at all");
+    order.place(&event(": a\n\n"));
+    assert!(!order.is_whole(true), "a comment only");
+    for id in 0..3 {
+        order.place(&numbered(id));
+    }
+    assert!(order.is_whole(false));
+    order.begin_run();
+    assert!(order.is_whole(true), "nothing is left");
+    assert!(!order.is_whole(false), "nothing was sent");
+    for id in 0..2 {
+        order.place(&numbered(id));
+    }
+    assert!(!order.is_whole(true), "the run starts over and ends early");
+    order.place(&numbered(2));
+    assert!(order.is_whole(true));
+    let mut unnumbered = EventOrder::new(None, &[]);
+    unnumbered.place(&event("data: a\n\n"));
+    assert!(unnumbered.is_whole(false));
+}
+
 #[test]
 fn comments_and_fields() {
     let mut order = EventOrder::new(Some(3), &["x-added"]);
@@ -84,7 +109,7 @@
     #![proptest_config(random::config(256))]
 
     // The caller gets each event of a stream once and in order, however often the stream is cut and
-    // whether runs go on or start over.
+    // whether runs go on or start over, and a run that repeats less than the caller has ends nothing.
     #[test]
     fn any_cuts(count in 1u64..20, runs in proptest::collection::vec((0u64..20, any::<bool>()), 0..6)) {
         let mut order = EventOrder::new(None, &[]);
@@ -97,6 +122,7 @@
                     Placement::Next => got.push(id),
                     placement => prop_assert_eq!(placement, Placement::Repeated),
                 }
+                prop_assert_eq!(order.is_whole(true), Some(id) == order.last());
             }
         }
         prop_assert_eq!(got, (0..count).collect::<Vec<_>>());
--- a/crates/edge/src/stream.rs
+++ b/crates/edge/src/stream.rs
@@ -4,7 +4,7 @@
 use std::time;
 
 use bytes::Bytes;
-use hyper::Response;
+use hyper::{Response, header};
 
 use rhubarb_core::{engine, engines, event_order, flow, ids, outcome, pool, routing, sse};
 use rhubarb_node::{clock, responder, response};
@@ -470,6 +470,17 @@
         if !pending.response.status().is_success() {
             return self.forward_failure(server, pending).await;
         }
+        let body_class = platform_response::classify_body(&pending.response);
+        if body_class == platform_response::BodyClass::Other {
+            tracing::warn!(
+                id = self.call.id(),
+                server,
+                content_type = ?pending.response.headers().get(header::CONTENT_TYPE),
+                events = self.events,
+                "edge: answer is no stream"
+            );
+            return self.interrupted(server, Reason::EngineFailed);
+        }
         self.record_beginnings(server);
         self.forward_events(target, pending).await
     }
@@ -529,6 +540,8 @@
         let server = &target.id;
         let head = platform_response::forwarded_head(&pending.response);
         let idle_timeout = connections::idle_timeout(&pending.response);
+        let body_class = platform_response::classify_body(&pending.response);
+        let is_stream = body_class == platform_response::BodyClass::Stream;
         let mut reader = reader::Reader::new(pending.response.into_body());
         loop {
             let event = match self.responder.wait(reader.next(), self.stall_deadline()).await {
@@ -553,11 +566,17 @@
                     );
                     return self.lost(target).await;
                 }
-                // A stream without an event is no answer, unless the caller has all events already.
                 responder::WaitOutcome::Event(reader::Item::End)
-                    if self.run_events == 0 && self.order.last().is_none() =>
+                    if !self.order.is_whole(is_stream) =>
                 {
-                    tracing::info!(id = self.call.id(), server, "edge: stream without an event");
+                    tracing::info!(
+                        id = self.call.id(),
+                        server,
+                        is_stream,
+                        events = self.run_events,
+                        last = self.order.last(),
+                        "edge: stream ended early"
+                    );
                     return self.lost(target).await;
                 }
                 responder::WaitOutcome::Event(reader::Item::End) => {
