Do not resume a stream whose events have no ids

On a route whose streams may be resumed, a caller got the first events twice: a stream without event ids was cut off or stood still, and a second run was joined to it from the beginning.

A run goes on after the last event's id. Without one it starts over, and nothing told its events from those that the caller has. Such a stream now ends visibly cut off, or waits for its engine if that stands still.

--- a/crates/core/src/event_order.rs
+++ b/crates/core/src/event_order.rs
@@ -54,6 +54,12 @@
         self.last
     }
 
+    /// Whether another run can go on with the stream. Without ids a run cannot tell which events the
+    /// caller has, and starts over.
+    pub fn can_resume(&self) -> bool {
+        !self.is_unnumbered
+    }
+
     /// Starts with the events of another run.
     pub fn begin_run(&mut self) {
         self.run_last = None;
--- a/crates/core/tests/event_order.rs
+++ b/crates/core/tests/event_order.rs
@@ -58,6 +58,7 @@
         assert_eq!(order.place(&event("data: a\n\n")), Placement::Next);
     }
     assert_eq!(unfit(&mut order, &numbered(1)), Misfit::NewId);
+    assert!(!order.can_resume());
     let mut taken_up = EventOrder::new(Some(3), &[]);
     assert_eq!(unfit(&mut taken_up, &event("data: a\n\n")), Misfit::NoId);
 }
--- a/crates/e2e/tests/platform_streams.rs
+++ b/crates/e2e/tests/platform_streams.rs
@@ -280,5 +280,8 @@
 async fn no_event_ids() -> anyhow::Result<()> {
     let whole: String =
         (0..backend::EVENTS).map(|number| format!("data: token-{number}\n\n")).collect();
-    check_resumed(Fault::AbortsWithoutIds, Fault::OmitsIds, &whole).await
+    for fault in [Fault::StallsWithoutIds, Fault::AbortsWithoutIds] {
+        check_resumed(fault, Fault::OmitsIds, &whole).await?;
+    }
+    Ok(())
 }
--- a/crates/edge/src/stream.rs
+++ b/crates/edge/src/stream.rs
@@ -121,6 +121,7 @@
         }
         let is_lost = refusal.reason == Reason::LostContact;
         let retry = (!is_lost || suspects::may_repeat(&self.call))
+            && self.order.can_resume()
             && self.flow.may_retry(server.as_ref(), &refusal, clock::now())
             && self.call.withdraw_retry(server.as_ref(), self.retry_sends(), refusal.reason);
         flow::Event::Failed { server, refusal, retry }
@@ -623,7 +624,8 @@
         &mut self,
         server: &ids::ServerName,
     ) -> Option<reservation::Reservation> {
-        if self.flow.is_last_run() || self.has_changed(Some(server)) {
+        let can_resume = self.order.can_resume() && !self.has_changed(Some(server));
+        if self.flow.is_last_run() || !can_resume {
             return None;
         }
         let mut tried = self.flow.tried().to_vec();
--- a/crates/fakes/src/events.rs
+++ b/crates/fakes/src/events.rs
@@ -31,14 +31,16 @@
     for number in numbers {
         tokio::time::sleep(pace(EVENT_INTERVAL)).await;
         let mut event = format!("id: {number}\ndata: token-{number}{suffix}\n\n");
-        if matches!(fault, Fault::OmitsIds | Fault::AbortsWithoutIds) {
+        if matches!(fault, Fault::OmitsIds | Fault::AbortsWithoutIds | Fault::StallsWithoutIds) {
             event = format!("data: token-{number}{suffix}\n\n");
         }
         let chunk = match fault {
             Fault::Hangs => return tokio::time::sleep(fault::HANG_TIME).await,
             Fault::Resets => return drop(sender.send(Err(io::Error::other("reset"))).await),
             Fault::AbortsStream | Fault::TruncatesStream if number == 2 => event[..9].to_string(),
-            Fault::Stalls if number == 2 => return tokio::time::sleep(fault::HANG_TIME).await,
+            Fault::Stalls | Fault::StallsWithoutIds if number == 2 => {
+                return tokio::time::sleep(fault::HANG_TIME).await;
+            }
             Fault::Pauses if number == 2 => {
                 tokio::time::sleep(PREEMPTION_PAUSE).await;
                 event
--- a/crates/fakes/src/fault.rs
+++ b/crates/fakes/src/fault.rs
@@ -34,8 +34,10 @@
     StartsOver,
     /// Sends events without ids.
     OmitsIds,
-    /// The same, and aborts the stream after the second event.
+    /// Sends events without ids and aborts the stream after the second one.
     AbortsWithoutIds,
+    /// Sends events without ids, nothing after the second one, and keeps the connection open.
+    StallsWithoutIds,
     /// Sends a response with status 500, its head included, in the same body after the second event.
     AppendsResponse,
     /// The same in the middle of the third event.
