--- a/crates/e2e/tests/streams.rs
+++ b/crates/e2e/tests/streams.rs
@@ -127,6 +127,37 @@
     check_freed(&stack).await;
 }
 
+// Guards against an engine's error in its stream that makes the answer shorter and looks complete
+// (issue 41).
+#[tokio::test(flavor = "multi_thread")]
+async fn engine_error() {
+    let stack = stack::Stack::start(stack::Plan::default()).await.unwrap();
+    let mut stream = stack.caller(0).stream("long summary", TOKENS).await.unwrap();
+    stream.next().await.unwrap();
+    let server = decoding_server(&stack).await;
+    stack.switch(&server, "erring").await.unwrap();
+    let rest = stream.read_to_end().await.unwrap();
+    assert_eq!(tokens::token("long summary", 0) + &rest, tokens::answer("long summary", TOKENS));
+    stack.switch(&server, "up").await.unwrap();
+    check_freed(&stack).await;
+}
+
+// Guards against tokens that reach the caller twice from an engine that starts a resumed stream over
+// (issue 41).
+#[tokio::test(flavor = "multi_thread")]
+async fn engine_starts_over() {
+    let mut stack = stack::Stack::start(stack::Plan::default()).await.unwrap();
+    for server in ["decode-1", "decode-2"] {
+        stack.switch(server, "starts-over").await.unwrap();
+    }
+    let mut stream = stack.caller(0).stream("long summary", TOKENS).await.unwrap();
+    stream.next().await.unwrap();
+    let server = decoding_server(&stack).await;
+    stack.agents.get_mut(&server).unwrap().kill();
+    let rest = stream.read_to_end().await.unwrap();
+    assert_eq!(tokens::token("long summary", 0) + &rest, tokens::answer("long summary", TOKENS));
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn prefill_failing() {
     let stack = stack::Stack::start(stack::Plan::default()).await.unwrap();
--- a/crates/fakes/src/engine.rs
+++ b/crates/fakes/src/engine.rs
@@ -326,7 +326,8 @@
     let ignores_close =
         switches.mode(&format!("{}-closes", reservation.engine.name)) != switch::Mode::Up;
     let name = &reservation.engine.name;
-    for index in order.skip..count {
+    let first = if switches.mode(name) == switch::Mode::StartsOver { 0 } else { order.skip };
+    for index in first..count {
         let active = reservation.engine.lock().streams.len() as u32;
         switches.wait_while(name, &[switch::Mode::Frozen, switch::Mode::Silent]).await;
         let step = STEP_BASE + STEP_PER_STREAM * active;
@@ -336,6 +337,11 @@
             () = cancelled.notified() => return,
             () = sender.closed(), if !ignores_close => return,
         }
+        if switches.mode(name) == switch::Mode::Erring {
+            let line = json!({ "error": "out of memory" });
+            let _ = sender.send(Ok(format!("data: {line}\n\n").into())).await;
+            break;
+        }
         let line = json!({ "index": index, "token": tokens::token(&order.prompt, index) });
         let is_sent = sender.send(Ok(format!("data: {line}\n\n").into())).await.is_ok();
         if !is_sent && !ignores_close {
--- a/crates/fakes/src/switch.rs
+++ b/crates/fakes/src/switch.rs
@@ -26,6 +26,10 @@
     Failing,
     /// Executes each call and withholds the response until the mode changes.
     Silent,
+    /// An engine sends an error in place of the next token and ends the stream normally.
+    Erring,
+    /// An engine starts a resumed stream over from its first token.
+    StartsOver,
 }
 
 /// Modes by target: `table`, `objects`, `instances`, `weights` or a server name.
@@ -39,7 +43,7 @@
 
 const SLOW_DELAY: time::Duration = time::Duration::from_millis(700);
 
-const MODES: [(&str, Mode); 8] = [
+const MODES: [(&str, Mode); 10] = [
     ("up", Mode::Up),
     ("down", Mode::Down),
     ("slow", Mode::Slow),
@@ -48,6 +52,8 @@
     ("frozen", Mode::Frozen),
     ("failing", Mode::Failing),
     ("silent", Mode::Silent),
+    ("erring", Mode::Erring),
+    ("starts-over", Mode::StartsOver),
 ];
 
 /// Parses the name of a mode.
