Fail the run of an engine that sends something else than tokens

On the product's own interface callers got an answer that was too short and ended with `[DONE]`, after their engine had written an error into its stream and then ended it.

The agent passed the data of every event on, and the entry left out each line that was no token. The agent now reads events with core::sse, as the entries of the platform do, and fails the run at the first one without a token; the entry does the same with a line that has none. The answer goes on at another engine or ends with an error.

--- a/crates/agent/src/decode.rs
+++ b/crates/agent/src/decode.rs
@@ -6,7 +6,7 @@
 use hyper::{StatusCode, body};
 use serde_json::json;
 
-use rhubarb_core::outcome;
+use rhubarb_core::{outcome, sse};
 use rhubarb_node::{client, clock};
 use rhubarb_wire::message;
 
@@ -63,34 +63,37 @@
     copy_events(body, output).await
 }
 
-// Copies the data of each event to a line of `output`, up to the final event.
+// Copies the token of each event to a line of `output`, up to the final event.
 async fn copy_events(mut body: body::Incoming, output: &output::Output) -> Result<(), Refusal> {
-    let mut pending = Vec::new();
+    let mut decoder = sse::Decoder::default();
     loop {
         let failed = Refusal::unknown(Reason::EngineFailed, RETRY_SOON);
         let stalled = Refusal::unknown(Reason::EngineSilent, RETRY_SOON);
         let frame = tokio::time::timeout(STALL_TIMEOUT, body.frame()).await.map_err(|_| stalled)?;
         let Some(Ok(frame)) = frame else { return Err(failed) };
         let Ok(bytes) = frame.into_data() else { continue };
-        pending.extend_from_slice(&bytes);
-        while let Some(event) = pop_event(&mut pending) {
-            if event == "[DONE]" {
+        decoder.push(&bytes);
+        while let Some(event) = decoder.next_event() {
+            if event.is_well_formed(&[]) && !event.has_data() {
+                continue;
+            }
+            let data = event.data();
+            if data == b"[DONE]" {
                 return Ok(());
             }
-            if !output.push(format!("{event}\n").as_bytes()) {
+            let Ok(token) = serde_json::from_slice::<message::Token>(&data) else {
+                tracing::warn!(
+                    bytes = event.bytes.len(),
+                    "agent: event of the engine has no token"
+                );
+                return Err(failed);
+            };
+            if !output.push(format!("{}\n", json!(token)).as_bytes()) {
                 return Err(Refusal::unknown(Reason::TooLarge, RETRY_SOON));
             }
         }
-        if pending.len() > MAX_EVENT_BYTES {
+        if decoder.buffered() > MAX_EVENT_BYTES {
             return Err(failed);
         }
     }
 }
-
-// Removes the first complete server-sent event from `pending` and returns its data.
-fn pop_event(pending: &mut Vec<u8>) -> Option<String> {
-    let end = pending.windows(2).position(|pair| pair == b"\n\n")?;
-    let event: Vec<u8> = pending.drain(..end + 2).collect();
-    let event = String::from_utf8_lossy(&event[..end]).into_owned();
-    Some(event.strip_prefix("data: ").unwrap_or(&event).to_string())
-}
--- a/crates/core/src/sse.rs
+++ b/crates/core/src/sse.rs
@@ -19,6 +19,15 @@
         names().all(is_known) && names().filter(|name| name == b"id").count() <= 1
     }
 
+    /// Its data, several lines of it joined by line breaks.
+    pub fn data(&self) -> Vec<u8> {
+        let values = lines(&self.bytes).filter(|line| field_name(line) == b"data").map(|line| {
+            let value = line.get(b"data:".len()..).unwrap_or_default();
+            value.strip_prefix(b" ").unwrap_or(value)
+        });
+        values.collect::<Vec<_>>().join(&b'\n')
+    }
+
     /// Whether it has data; receivers ignore one that has none.
     pub fn has_data(&self) -> bool {
         lines(&self.bytes).any(|line| field_name(line) == b"data")
--- a/crates/core/tests/sse.rs
+++ b/crates/core/tests/sse.rs
@@ -62,6 +62,22 @@
     }
 }
 
+#[test]
+fn event_data() {
+    let cases = [
+        ("id: 1\ndata: a: b\n\n", Some("a: b")),
+        ("data:a\r\ndata:  b\r\ndata\r\n\r\n", Some("a\n b\n")),
+        ("id: 1\n\n", None),
+    ];
+    for (text, data) in cases {
+        let mut decoder = sse::Decoder::default();
+        decoder.push(text.as_bytes());
+        let event = decoder.next_event().unwrap();
+        assert_eq!(event.has_data(), data.is_some(), "{text:?}");
+        assert_eq!(event.data(), data.unwrap_or_default().as_bytes(), "{text:?}");
+    }
+}
+
 #[test]
 fn byte_order_mark() {
     let mut decoder = sse::Decoder::default();
--- a/crates/entry/src/completion.rs
+++ b/crates/entry/src/completion.rs
@@ -2,8 +2,6 @@
 
 use std::time;
 
-use serde::Deserialize;
-
 use rhubarb_core::{flow, ids, list, outcome, pool};
 use rhubarb_node::{clock, responder};
 use rhubarb_wire::message;
@@ -62,11 +60,6 @@
     run: peer::Run,
 }
 
-#[derive(Deserialize)]
-struct Token {
-    token: String,
-}
-
 impl Completion {
     pub(crate) fn new(
         ticket: admit::Ticket,
@@ -275,10 +268,8 @@
                     channel::Event::Head(_) | channel::Event::Reserved,
                 ) => {}
                 responder::WaitOutcome::Event(channel::Event::Bytes(bytes)) => {
-                    match self.handle_bytes(&bytes).await {
-                        responder::SendOutcome::Sent => {}
-                        responder::SendOutcome::Disconnected => return flow::Event::CallerGone,
-                        responder::SendOutcome::Expired => return flow::Event::Expired,
+                    if let Some(event) = self.handle_bytes(&bytes).await {
+                        return event;
                     }
                 }
                 responder::WaitOutcome::Event(channel::Event::End) => return flow::Event::Ended,
@@ -290,18 +281,25 @@
         }
     }
 
-    // The response body of a decode has one JSON line for each token.
-    async fn handle_bytes(&mut self, bytes: &[u8]) -> responder::SendOutcome {
+    // The response body of a decode has one JSON line for each token. Returns the event that ends the
+    // run, if there is one.
+    async fn handle_bytes(&mut self, bytes: &[u8]) -> Option<flow::Event> {
         self.partial_line.extend_from_slice(bytes);
         while let Some(end) = self.partial_line.iter().position(|byte| *byte == b'\n') {
             let line: Vec<u8> = self.partial_line.drain(..=end).collect();
-            let Ok(token) = serde_json::from_slice::<Token>(&line) else { continue };
-            let sent = self.forward_token(&token.token).await;
-            if sent != responder::SendOutcome::Sent {
-                return sent;
+            let Ok(token) = serde_json::from_slice::<message::Token>(&line) else {
+                let server = self.decode.as_ref().map(|decode| decode.server.clone());
+                tracing::warn!(server, bytes = line.len(), "entry: line of an answer has no token");
+                let refusal = Refusal::unknown(Reason::EngineFailed, RETRY_SOON);
+                return Some(self.failure_event(server, refusal));
+            };
+            match self.forward_token(&token.token).await {
+                responder::SendOutcome::Sent => {}
+                responder::SendOutcome::Disconnected => return Some(flow::Event::CallerGone),
+                responder::SendOutcome::Expired => return Some(flow::Event::Expired),
             }
         }
-        responder::SendOutcome::Sent
+        None
     }
 
     async fn forward_token(&mut self, token: &str) -> responder::SendOutcome {
--- a/crates/wire/src/message.rs
+++ b/crates/wire/src/message.rs
@@ -170,6 +170,13 @@
     pub key: Option<String>,
 }
 
+/// Token in an event of an engine, and in a line of the response body of a decode.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Token {
+    /// Text.
+    pub token: String,
+}
+
 /// Resumes a run.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Resume {
