Drop tokens that an engine repeats to a resumed answer

On the product's own interface a caller whose answer went on at another engine got its first tokens twice, if that engine started over.

The number of tokens to skip was taken for done by the engine, though each of its events tells the number of its token. The agent now places them with core::event_order, as the entries of the platform place events: tokens that the caller has are dropped, and a run in which one is missing or goes back fails. Events without a number are taken as before.

--- a/crates/agent/src/decode.rs
+++ b/crates/agent/src/decode.rs
@@ -6,7 +6,7 @@
 use hyper::{StatusCode, body};
 use serde_json::json;
 
-use rhubarb_core::{outcome, sse};
+use rhubarb_core::{event_order, outcome, sse};
 use rhubarb_node::{client, clock};
 use rhubarb_wire::message;
 
@@ -60,11 +60,16 @@
         _ => return Err(Refusal::unknown(Reason::EngineFailed, RETRY_SOON)),
     }
     output.set_head(STATUS_OK, vec![message::prompt_tokens_header(request.prompt_tokens)]);
-    copy_events(body, output).await
+    let last = u64::from(request.skip).checked_sub(1);
+    copy_events(body, event_order::EventOrder::new(last, &[]), output).await
 }
 
-// Copies the token of each event to a line of `output`, up to the final event.
-async fn copy_events(mut body: body::Incoming, output: &output::Output) -> Result<(), Refusal> {
+// Copies the token of each event that is next in `order` to a line of `output`, up to the final event.
+async fn copy_events(
+    mut body: body::Incoming,
+    mut order: event_order::EventOrder,
+    output: &output::Output,
+) -> Result<(), Refusal> {
     let mut decoder = sse::Decoder::default();
     loop {
         let failed = Refusal::unknown(Reason::EngineFailed, RETRY_SOON);
@@ -88,6 +93,15 @@
                 );
                 return Err(failed);
             };
+            match token.index.map(|index| order.place_id(index)) {
+                None | Some(event_order::Placement::Next) => {}
+                Some(event_order::Placement::Repeated) => continue,
+                Some(event_order::Placement::Unfit(misfit)) => {
+                    let (last, next) = (order.last(), token.index);
+                    tracing::warn!(?misfit, last, next, "agent: token is not the next one");
+                    return Err(failed);
+                }
+            }
             if !output.push(format!("{}\n", json!(token)).as_bytes()) {
                 return Err(Refusal::unknown(Reason::TooLarge, RETRY_SOON));
             }
--- a/crates/core/src/event_order.rs
+++ b/crates/core/src/event_order.rs
@@ -100,7 +100,8 @@
         }
     }
 
-    fn place_id(&mut self, id: u64) -> Placement {
+    /// Places an event with the id `id`, like [`EventOrder::place`].
+    pub fn place_id(&mut self, id: u64) -> Placement {
         if self.is_unnumbered {
             return Placement::Unfit(Misfit::NewId);
         }
--- a/crates/wire/src/message.rs
+++ b/crates/wire/src/message.rs
@@ -173,6 +173,9 @@
 /// Token in an event of an engine, and in a line of the response body of a decode.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Token {
+    /// Its number in the answer, from 0, if the engine tells it.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub index: Option<u64>,
     /// Text.
     pub token: String,
 }
