--- a/crates/agent/src/decode.rs
+++ b/crates/agent/src/decode.rs
@@ -6,7 +6,7 @@
 use hyper::{StatusCode, body};
 use serde_json::json;
 
-use rhubarb_core::outcome;
+use rhubarb_core::{event_order, outcome, sse};
 use rhubarb_node::{client, clock};
 use rhubarb_wire::message;
 
@@ -60,37 +60,54 @@
         _ => return Err(Refusal::unknown(Reason::EngineFailed, RETRY_SOON)),
     }
     output.set_head(STATUS_OK, vec![message::prompt_tokens_header(request.prompt_tokens)]);
-    copy_events(body, output).await
+    let last = u64::from(request.skip).checked_sub(1);
+    copy_events(body, event_order::EventOrder::new(last, &[]), output).await
 }
 
-// Copies the data of each event to a line of `output`, up to the final event.
-async fn copy_events(mut body: body::Incoming, output: &output::Output) -> Result<(), Refusal> {
-    let mut pending = Vec::new();
+// Copies the token of each event that is next in `order` to a line of `output`, up to the final event.
+async fn copy_events(
+    mut body: body::Incoming,
+    mut order: event_order::EventOrder,
+    output: &output::Output,
+) -> Result<(), Refusal> {
+    let mut decoder = sse::Decoder::default();
     loop {
         let failed = Refusal::unknown(Reason::EngineFailed, RETRY_SOON);
         let stalled = Refusal::unknown(Reason::EngineSilent, RETRY_SOON);
         let frame = tokio::time::timeout(STALL_TIMEOUT, body.frame()).await.map_err(|_| stalled)?;
         let Some(Ok(frame)) = frame else { return Err(failed) };
         let Ok(bytes) = frame.into_data() else { continue };
-        pending.extend_from_slice(&bytes);
-        while let Some(event) = pop_event(&mut pending) {
-            if event == "[DONE]" {
+        decoder.push(&bytes);
+        while let Some(event) = decoder.next_event() {
+            if event.is_well_formed(&[]) && !event.has_data() {
+                continue;
+            }
+            let data = event.data();
+            if data == b"[DONE]" {
                 return Ok(());
             }
-            if !output.push(format!("{event}\n").as_bytes()) {
+            let Ok(token) = serde_json::from_slice::<message::Token>(&data) else {
+                tracing::warn!(
+                    bytes = event.bytes.len(),
+                    "agent: event of the engine has no token"
+                );
+                return Err(failed);
+            };
+            match token.index.map(|index| order.place_id(index)) {
+                None | Some(event_order::Placement::Next) => {}
+                Some(event_order::Placement::Repeated) => continue,
+                Some(event_order::Placement::Unfit(misfit)) => {
+                    let (last, next) = (order.last(), token.index);
+                    tracing::warn!(?misfit, last, next, "agent: token is not the next one");
+                    return Err(failed);
+                }
+            }
+            if !output.push(format!("{}\n", json!(token)).as_bytes()) {
                 return Err(Refusal::unknown(Reason::TooLarge, RETRY_SOON));
             }
         }
-        if pending.len() > MAX_EVENT_BYTES {
+        if decoder.buffered() > MAX_EVENT_BYTES {
             return Err(failed);
         }
     }
 }
-
-// Removes the first complete server-sent event from `pending` and returns its data.
-fn pop_event(pending: &mut Vec<u8>) -> Option<String> {
-    let end = pending.windows(2).position(|pair| pair == b"\n\n")?;
-    let event: Vec<u8> = pending.drain(..end + 2).collect();
-    let event = String::from_utf8_lossy(&event[..end]).into_owned();
-    Some(event.strip_prefix("data: ").unwrap_or(&event).to_string())
-}
--- a/crates/edge/src/stream.rs
+++ b/crates/edge/src/stream.rs
@@ -4,9 +4,9 @@
 use std::time;
 
 use bytes::Bytes;
-use hyper::Response;
+use hyper::{Response, header};
 
-use rhubarb_core::{engine, engines, flow, ids, outcome, pool, routing, sse};
+use rhubarb_core::{engine, engines, event_order, flow, ids, outcome, pool, routing, sse};
 use rhubarb_node::{clock, responder, response};
 use rhubarb_platform::{request, response as platform_response};
 
@@ -28,7 +28,7 @@
     // Slot at another server, for a stalled stream that resumes there.
     failover: Option<reservation::Reservation>,
     cache: Option<prefill::KvCache>,
-    last_event: Option<u64>,
+    order: event_order::EventOrder,
     // Version of the software that began the stream, once it has begun; it goes on only there.
     software: Option<ids::SoftwareTag>,
     // Whether that version may be another one.
@@ -62,7 +62,7 @@
 
 impl Streaming {
     pub(crate) fn new(call: call::Call, responder: responder::Responder) -> Streaming {
-        let last_event = call.head.last_event;
+        let last = call.head.last_event;
         Streaming {
             need: call.head.need.unwrap_or(DEFAULT_NEED),
             flow: flow::Flow::new(flow::Path::Staged, call.retry_policy(flow::MAX_RETRIES)),
@@ -71,7 +71,7 @@
             reservation: None,
             failover: None,
             cache: None,
-            last_event,
+            order: event_order::EventOrder::new(last, platform_response::EVENT_FIELDS),
             software: None,
             is_uncertain: false,
             events: 0,
@@ -122,6 +122,7 @@
         let is_lost = refusal.reason == Reason::LostContact;
         let retry = (!is_lost || suspects::may_repeat(&self.call))
             && clock::now() < self.call.deadline()
+            && self.order.can_resume()
             && self.flow.may_retry(server.as_ref(), &refusal, clock::now())
             && self.call.withdraw_retry(server.as_ref(), self.retry_sends(), refusal.reason);
         flow::Event::Failed { server, refusal, retry }
@@ -211,7 +212,7 @@
 
     // Finds out which version began the stream that the request takes up.
     async fn find_software(&mut self) -> Result<(), Refusal> {
-        if self.software.is_some() || self.last_event.is_none() {
+        if self.software.is_some() || self.order.last().is_none() {
             return Ok(());
         }
         self.software = origins::find(&self.call).await;
@@ -335,62 +336,63 @@
             priority: self.call.priority.filter(|_| hold.is_none()),
             kv_source: source.as_deref(),
             hold,
-            last_event: self.last_event,
+            last_event: self.order.last(),
         };
         let request = self.call.head.to_server(&headers, self.call.body.clone());
         self.run_events = 0;
+        self.order.begin_run();
         let cost = if hold.is_some() { quotas::Cost::Paid } else { quotas::Cost::One };
         let sending = exchange::send_call(&self.call, target, request, cost);
-        SendResult::Sent(
-            match self.call.wait(&mut self.responder, sending, self.call.deadline()).await {
-                responder::WaitOutcome::Disconnected => flow::Event::CallerGone,
-                responder::WaitOutcome::Expired => flow::Event::Expired,
-                responder::WaitOutcome::Event(Err(connections::SendError::Unsent(err))) => {
-                    tracing::info!(
-                        id = self.call.id(),
-                        server = target.id,
-                        err,
-                        "edge: server not reached"
-                    );
-                    return SendResult::NotSent(Reason::NoServer);
-                }
-                responder::WaitOutcome::Event(Err(connections::SendError::Leaving)) => {
-                    return SendResult::NotSent(Reason::Leaving);
-                }
-                responder::WaitOutcome::Event(Err(connections::SendError::Expired)) => {
-                    self.failed(None, Refusal::not_run(Reason::TooLate, RETRY_SOON))
-                }
-                responder::WaitOutcome::Event(Err(
-                    connections::SendError::Paused | connections::SendError::Limited,
-                )) => {
-                    return SendResult::NotSent(Reason::NoRoom);
-                }
-                responder::WaitOutcome::Event(Err(connections::SendError::Rejected)) => {
-                    self.failed(None, Refusal::not_run(Reason::CrashingPrompt, RETRY_SOON))
-                }
-                responder::WaitOutcome::Event(Err(connections::SendError::ConnectionLost(err))) => {
-                    tracing::info!(
-                        id = self.call.id(),
-                        server = target.id,
-                        err,
-                        events = self.events,
-                        parts = ?self.call.head.parts,
-                        "edge: connection lost"
-                    );
-                    self.lost(target).await
-                }
-                responder::WaitOutcome::Event(Ok(pending)) => {
-                    let attempt_id = self.call.head.attempt_id.as_ref();
-                    let class = platform_response::classify(&pending.response, attempt_id);
-                    if class == platform_response::HeadClass::NotRun
-                        && platform_response::asks_pause(&pending.response)
-                    {
-                        return self.turned_away(&target.id, pending).await;
-                    }
-                    self.handle_response(target, pending).await
+        let deadline = self.call.deadline();
+        let sent = self.call.wait(&mut self.responder, sending, deadline).await;
+        SendResult::Sent(match sent {
+            responder::WaitOutcome::Disconnected => flow::Event::CallerGone,
+            responder::WaitOutcome::Expired => flow::Event::Expired,
+            responder::WaitOutcome::Event(Err(connections::SendError::Unsent(err))) => {
+                tracing::info!(
+                    id = self.call.id(),
+                    server = target.id,
+                    err,
+                    "edge: server not reached"
+                );
+                return SendResult::NotSent(Reason::NoServer);
+            }
+            responder::WaitOutcome::Event(Err(connections::SendError::Leaving)) => {
+                return SendResult::NotSent(Reason::Leaving);
+            }
+            responder::WaitOutcome::Event(Err(connections::SendError::Expired)) => {
+                self.failed(None, Refusal::not_run(Reason::TooLate, RETRY_SOON))
+            }
+            responder::WaitOutcome::Event(Err(
+                connections::SendError::Paused | connections::SendError::Limited,
+            )) => {
+                return SendResult::NotSent(Reason::NoRoom);
+            }
+            responder::WaitOutcome::Event(Err(connections::SendError::Rejected)) => {
+                self.failed(None, Refusal::not_run(Reason::CrashingPrompt, RETRY_SOON))
+            }
+            responder::WaitOutcome::Event(Err(connections::SendError::ConnectionLost(err))) => {
+                tracing::info!(
+                    id = self.call.id(),
+                    server = target.id,
+                    err,
+                    events = self.events,
+                    parts = ?self.call.head.parts,
+                    "edge: connection lost"
+                );
+                self.lost(target).await
+            }
+            responder::WaitOutcome::Event(Ok(pending)) => {
+                let attempt_id = self.call.head.attempt_id.as_ref();
+                let class = platform_response::classify(&pending.response, attempt_id);
+                if class == platform_response::HeadClass::NotRun
+                    && platform_response::asks_pause(&pending.response)
+                {
+                    return self.turned_away(&target.id, pending).await;
                 }
-            },
-        )
+                self.handle_response(target, pending).await
+            }
+        })
     }
 
     // The engine asks for a pause and has not fetched the KV cache, which another one may use.
@@ -473,6 +475,17 @@
         if !pending.response.status().is_success() {
             return self.forward_failure(server, pending).await;
         }
+        let body_class = platform_response::classify_body(&pending.response);
+        if body_class == platform_response::BodyClass::Other {
+            tracing::warn!(
+                id = self.call.id(),
+                server,
+                content_type = ?pending.response.headers().get(header::CONTENT_TYPE),
+                events = self.events,
+                "edge: answer is no stream"
+            );
+            return self.interrupted(server, Reason::EngineFailed);
+        }
         self.record_beginnings(server);
         self.forward_events(target, pending).await
     }
@@ -532,6 +545,8 @@
         let server = &target.id;
         let head = platform_response::forwarded_head(&pending.response);
         let idle_timeout = connections::idle_timeout(&pending.response);
+        let body_class = platform_response::classify_body(&pending.response);
+        let is_stream = body_class == platform_response::BodyClass::Stream;
         let mut reader = reader::Reader::new(pending.response.into_body());
         loop {
             let until = self.stall_deadline();
@@ -557,11 +572,17 @@
                     );
                     return self.lost(target).await;
                 }
-                // A stream without an event is no answer, unless the caller has all events already.
                 responder::WaitOutcome::Event(reader::Item::End)
-                    if self.run_events == 0 && self.last_event.is_none() =>
+                    if !self.order.is_whole(is_stream) =>
                 {
-                    tracing::info!(id = self.call.id(), server, "edge: stream without an event");
+                    tracing::info!(
+                        id = self.call.id(),
+                        server,
+                        is_stream,
+                        events = self.run_events,
+                        last = self.order.last(),
+                        "edge: stream ended early"
+                    );
                     return self.lost(target).await;
                 }
                 responder::WaitOutcome::Event(reader::Item::End) => {
@@ -576,10 +597,26 @@
                 }
                 responder::WaitOutcome::Event(reader::Item::Event(event)) => event,
             };
+            let placement = self.order.place(&event);
+            if let event_order::Placement::Unfit(misfit) = placement {
+                tracing::warn!(
+                    id = self.call.id(),
+                    server,
+                    ?misfit,
+                    last = self.order.last(),
+                    next = event.id,
+                    bytes = event.bytes.len(),
+                    "edge: event does not belong to the stream"
+                );
+                return self.interrupted(server, Reason::EngineFailed);
+            }
             self.run_events += 1;
             if self.run_events == suspects::BEGUN_EVENTS {
                 suspects::record_answer(&self.call);
             }
+            if placement == event_order::Placement::Repeated {
+                continue;
+            }
             if let Some(ended) = self.forward_event(target, &head, event).await {
                 return ended;
             }
@@ -592,7 +629,8 @@
         &mut self,
         server: &ids::ServerName,
     ) -> Option<reservation::Reservation> {
-        if self.flow.is_last_run() || self.has_changed(Some(server)) {
+        let can_resume = self.order.can_resume() && !self.has_changed(Some(server));
+        if self.flow.is_last_run() || !can_resume {
             return None;
         }
         let mut tried = self.flow.tried().to_vec();
@@ -640,15 +678,6 @@
         event: sse::Event,
     ) -> Option<flow::Event> {
         let (server, software) = (&target.id, Some(target.software));
-        if let (Some(id), Some(last)) = (event.id, self.last_event) {
-            if id <= last {
-                return None;
-            }
-            if id != last + 1 {
-                tracing::warn!(id = self.call.id(), server, last, next = id, "edge: event missing");
-                return Some(self.interrupted(server, Reason::EngineFailed));
-            }
-        }
         if !self.responder.has_started() {
             self.first_at = Some(clock::now());
             self.responder.start_stream(head.clone());
@@ -664,7 +693,6 @@
             responder::SendOutcome::Disconnected => return Some(flow::Event::CallerGone),
             responder::SendOutcome::Expired => return Some(flow::Event::Expired),
         }
-        self.last_event = event.id.or(self.last_event);
         self.events += 1;
         let now = clock::now();
         let gap = self.last_at.map_or(time::Duration::ZERO, |last| now - last);
