Read at most two buffers until the head of a response is complete

A server that sends informational responses without end kept the entry's one thread busy for 1.0 s in a test with 24 such requests (log line «process did not run»), so that their callers were answered after 2.2 s instead of 1.5 s.

Cause: 256 KiB of such responses were read, four times what a buffer holds. A head of up to 64 KiB and the begin of the body need twice its size.

--- a/crates/edge/src/connections.rs
+++ b/crates/edge/src/connections.rs
@@ -95,7 +95,7 @@
 const MAX_BUFFER_BYTES: usize = 64 * 1024;
 /// Maximum number of bytes that are read until the head of a response is complete: informational
 /// responses, the head, and the begin of the body.
-const MAX_HEAD_BYTES: usize = 256 * 1024;
+const MAX_HEAD_BYTES: usize = 2 * MAX_BUFFER_BYTES;
 /// Timeout for opening a connection. A reachable server accepts within milliseconds; the rest is
 /// for one retransmission of the first packet.
 const CONNECT_TIMEOUT: time::Duration = time::Duration::from_millis(1_300);
