Give each deployment of the tests addresses of its own

What was seen: restarted_server failed in 6 of 90 plays, six of it at once beside five of entry_asleep, as its server got no request. The entry of the test could not listen, and the requests went to an entry of another process.

Cause: the addresses depended on the process id modulo 120 alone. Whoever waited for the entry asked its address whether it was ready, and the other one answered. Entries of such deployments also name each other as peers (by reading).

Change: a deployment takes a range of addresses that no other one on the machine holds, shown by a port that it listens on, and by that of the first entry, which may have outlived its test.

Processes of older code hold no port; of them only the first entry is seen.

--- a/crates/e2e/src/lib.rs
+++ b/crates/e2e/src/lib.rs
@@ -2,7 +2,7 @@
 //!
 //! `stack` starts entries with agents in front of the servers; `caller` sends requests to them.
 //! `site` starts entries on the users' platform, which has no agents; `edge` is one such entry, and
-//! `call` sends requests to it.
+//! `call` sends requests to it; `subnet` has the addresses of a deployment.
 //!
 //! ```no_run
 //! # async fn example() -> anyhow::Result<()> {
@@ -22,3 +22,4 @@
 pub mod relay;
 pub mod site;
 pub mod stack;
+pub mod subnet;
--- a/crates/e2e/src/site.rs
+++ b/crates/e2e/src/site.rs
@@ -1,13 +1,13 @@
 //! A deployment on the users' platform: entry processes with a fake store and fake backend
 //! servers.
 
-use std::{collections, env, fs, net, path, process, sync::atomic, time};
+use std::{collections, env, fs, net, path, process, time};
 
 use serde_json::json;
 
 use rhubarb_fakes::{backend, handles, store};
 
-use crate::{call, edge, relay};
+use crate::{call, edge, relay, subnet};
 
 /// A running deployment. Its entries are killed on drop.
 #[derive(Debug)]
@@ -30,7 +30,7 @@
     pub store_relays: Vec<relay::Relay>,
     handles: handles::Handles,
     dir: path::PathBuf,
-    subnet: [u8; 2],
+    subnet: subnet::Subnet,
 }
 
 /// Numbers of processes and servers of a deployment.
@@ -137,10 +137,9 @@
     /// # Errors
     /// Returns an error if a fake cannot be started.
     pub async fn prepare(sizes: Sizes) -> anyhow::Result<Site> {
-        static COUNT: atomic::AtomicU8 = atomic::AtomicU8::new(1);
-        let subnet =
-            [(process::id() % 120 + 2) as u8, COUNT.fetch_add(1, atomic::Ordering::Relaxed)];
-        let dir = env::temp_dir().join(format!("rhubarb-site-{}-{}", process::id(), subnet[1]));
+        let subnet = subnet::Subnet::take()?;
+        let [first, second] = subnet.bytes();
+        let dir = env::temp_dir().join(format!("rhubarb-site-{}-{first}-{second}", process::id()));
         fs::create_dir_all(&dir)?;
         let handles = handles::Handles::default();
         let backends = |name: &str, stage: &str, count: usize| {
@@ -178,7 +177,7 @@
     }
 
     fn ip(&self, host: u8) -> net::IpAddr {
-        [127, self.subnet[0], self.subnet[1], host].into()
+        self.subnet.ip(host)
     }
 
     /// All servers.
