--- a/crates/e2e/tests/platform_store.rs
+++ b/crates/e2e/tests/platform_store.rs
@@ -343,6 +343,27 @@
     Ok(())
 }
 
+// Guards against servers that one entry drops, as their rows expired while the store did not answer and
+// the entry's feed, which waits for long, was still open when it did again.
+#[tokio::test]
+async fn expired_unnoticed() -> anyhow::Result<()> {
+    let site = site::Site::start(site::Sizes { edges: 3, ..site::Sizes::default() }).await?;
+    tokio::time::sleep(time::Duration::from_millis(1_500)).await;
+    site.store.set_mode(store::Mode::Unresponsive);
+    tokio::time::sleep(time::Duration::from_millis(4_000)).await;
+    let row = site.store.get("servers", "i-plain-1").unwrap();
+    site.store.remove("servers", "i-plain-1");
+    site.store.set_mode(store::Mode::Up);
+    tokio::time::sleep(time::Duration::from_millis(1_000)).await;
+    site.store.put("servers", "i-plain-1", String::from_utf8(row)?);
+    tokio::time::sleep(time::Duration::from_millis(2_500)).await;
+    for edge in &site.edges {
+        let log = edge.log();
+        assert!(!log.contains(r#"Gone(\"i-plain-1\")"#), "{log}");
+    }
+    Ok(())
+}
+
 // Waits until the log of an entry contains `text` at least `count` times.
 async fn wait_log(site: &site::Site, edge: usize, text: &str, count: usize) -> anyhow::Result<()> {
     for _ in 0..100 {
