Decide in core whether a service has had one version only

The decision by which a stream is taken up without its version being known is moved from the shell to core::releases, where tests reach it; the time of a new timeout is passed on and not used yet. No change of behaviour.

--- a/crates/core/src/releases.rs
+++ b/crates/core/src/releases.rs
@@ -47,8 +47,8 @@
         self.known_since = self.known_since.map(|since| since.max(now));
     }
 
-    /// Sets the time after its begin within which a stream may be taken up.
-    pub fn set_window(&mut self, window: time::Duration) {
+    /// Sets the time after its begin within which a stream may be taken up, from `now` on.
+    pub fn set_window(&mut self, window: time::Duration, _now: time::Instant) {
         self.window = window.min(MAX_WINDOW);
     }
 
@@ -106,6 +106,18 @@
         let (software, _) = recent.next()?;
         recent.next().is_none().then_some(*software)
     }
+
+    /// The same, with what other entries have `answered` to that question.
+    pub fn agreed(
+        &self,
+        service: &str,
+        answered: &collections::BTreeSet<ids::SoftwareTag>,
+        now: time::Instant,
+    ) -> Option<ids::SoftwareTag> {
+        let agreed = answered.first().copied().filter(|_| answered.len() == 1);
+        let single = self.only(service, now).or(agreed);
+        single.filter(|software| answered.iter().all(|said| said == software))
+    }
 }
 
 /// Longest time within which a stream may be taken up.
--- a/crates/edge/src/directory.rs
+++ b/crates/edge/src/directory.rs
@@ -197,7 +197,7 @@
         let streams =
             config.routes.iter().filter(|route| matches!(route.kind, routing::Kind::Stream { .. }));
         let longest = streams.map(|route| route.timeout).max().unwrap_or_default();
-        self.releases.set_window(longest.mul_f64(STREAM_WINDOW));
+        self.releases.set_window(longest.mul_f64(STREAM_WINDOW), rhubarb_node::clock::now());
         self.config = Some(sync::Arc::new(config));
         let ids: Vec<_> = self.fleet.instances().keys().cloned().collect();
         for id in ids {
@@ -429,6 +429,16 @@
         self.releases.only(service, now)
     }
 
+    /// The same, with what other entries have `answered` to that question.
+    pub(crate) fn agreed_software(
+        &self,
+        service: &str,
+        answered: &collections::BTreeSet<ids::SoftwareTag>,
+        now: time::Instant,
+    ) -> Option<ids::SoftwareTag> {
+        self.releases.agreed(service, answered, now)
+    }
+
     /// Whether others need to know which versions begin streams of a service.
     pub(crate) fn needs_origins(&self, service: &str, now: time::Instant) -> bool {
         self.releases.only(service, now).is_none()
--- a/crates/edge/src/origins.rs
+++ b/crates/edge/src/origins.rs
@@ -47,17 +47,14 @@
 /// Version that began the stream that a call takes up; none if it cannot be found out.
 pub(crate) async fn find(call: &call::Call) -> Option<ids::SoftwareTag> {
     let (edge, service) = (&call.edge, call.service.as_str());
-    let only = || edge.directory().only_software(service, clock::now());
     let Some(attempt) = call.head.resumes.as_ref().map(|first| ids::attempt_tag(first.as_bytes()))
     else {
-        return only();
+        return edge.directory().only_software(service, clock::now());
     };
     edge.answers().only.insert(attempt, collections::BTreeSet::new());
     let found = ask_all(edge, attempt, service).await;
     let answered = edge.answers().only.remove(&attempt).unwrap_or_default();
-    let agreed = answered.first().copied().filter(|_| answered.len() == 1);
-    // This entry, or another one, has seen no other version for as long as a stream lasts.
-    let single = only().or(agreed).filter(|software| answered.iter().all(|said| said == software));
+    let single = edge.directory().agreed_software(service, &answered, clock::now());
     tracing::info!(
         id = call.id(),
         resumes = ?call.head.resumes,
