Name the only version of a service once config and servers are known

What callers saw: possibly text of two versions in a stream that they took up after all entries had started anew; not seen here, reported by another operator. Cause: the time that a stream lasts was zero until a config was applied, so an entry with the servers alone named the version that was registered, to callers and to peers that asked; one with the first rows of the servers did the same.

--- a/crates/core/src/releases.rs
+++ b/crates/core/src/releases.rs
@@ -9,7 +9,10 @@
 pub struct Releases {
     // Since when all versions are known; none if nothing has run before.
     known_since: Option<time::Instant>,
-    window: time::Duration,
+    // Whether the registered servers are known.
+    is_known: bool,
+    // Time after its begin within which a stream may be taken up, once it is known.
+    window: Option<time::Duration>,
     servers: collections::BTreeMap<ids::ServerName, Server>,
     services: collections::BTreeMap<ids::ServiceName, Versions>,
 }
@@ -32,11 +35,11 @@
 impl Releases {
     /// Creates a history that begins `now`. If nothing has run before, it is complete from then on.
     pub fn new(is_first: bool, now: time::Instant) -> Releases {
-        let window = time::Duration::ZERO;
         let known_since = (!is_first).then_some(now);
         Releases {
             known_since,
-            window,
+            is_known: false,
+            window: None,
             servers: collections::BTreeMap::new(),
             services: collections::BTreeMap::new(),
         }
@@ -44,17 +47,18 @@
 
     /// Records that the servers are known for the first time.
     pub fn set_known(&mut self, now: time::Instant) {
+        self.is_known = true;
         self.known_since = self.known_since.map(|since| since.max(now));
     }
 
     /// Sets the time after its begin within which a stream may be taken up, from `now` on.
     pub fn set_window(&mut self, window: time::Duration, _now: time::Instant) {
-        self.window = window.min(MAX_WINDOW);
+        self.window = Some(window.min(MAX_WINDOW));
     }
 
-    /// That time.
+    /// That time; the longest one while it is not known.
     pub fn window(&self) -> time::Duration {
-        self.window
+        self.window.unwrap_or(MAX_WINDOW)
     }
 
     /// Records the version of a server; returns whether its service has another number of versions.
@@ -95,12 +99,13 @@
     /// The only version of a service by which a stream may have begun that can still be taken up; none
     /// if there are several, or if that is not known.
     pub fn only(&self, service: &str, now: time::Instant) -> Option<ids::SoftwareTag> {
-        if self.known_since.is_some_and(|since| now < since + self.window) {
+        let window = self.window.filter(|_| self.is_known)?;
+        if self.known_since.is_some_and(|since| now < since + window) {
             return None;
         }
         let versions = self.services.get(service)?;
         let is_recent = |version: &Version| {
-            version.servers > 0 || version.gone_at.is_some_and(|at| now <= at + self.window)
+            version.servers > 0 || version.gone_at.is_some_and(|at| now <= at + window)
         };
         let mut recent = versions.iter().filter(|(_, version)| is_recent(version));
         let (software, _) = recent.next()?;
