Count streams that began under a longer timeout than the one in force

Cause: a config that shortens the timeouts of streams took effect for those that had begun before, and a version that had just left no longer counted while they could still be taken up, at another version.

--- a/crates/core/src/releases.rs
+++ b/crates/core/src/releases.rs
@@ -13,6 +13,8 @@
     is_known: bool,
     // Time after its begin within which a stream may be taken up, once it is known.
     window: Option<time::Duration>,
+    // Longer ones that were replaced, and when the streams that began by then are over.
+    replaced: Vec<(time::Duration, time::Instant)>,
     servers: collections::BTreeMap<ids::ServerName, Server>,
     services: collections::BTreeMap<ids::ServiceName, Versions>,
 }
@@ -40,6 +42,7 @@
             known_since,
             is_known: false,
             window: None,
+            replaced: Vec::new(),
             servers: collections::BTreeMap::new(),
             services: collections::BTreeMap::new(),
         }
@@ -52,13 +55,23 @@
     }
 
     /// Sets the time after its begin within which a stream may be taken up, from `now` on.
-    pub fn set_window(&mut self, window: time::Duration, _now: time::Instant) {
-        self.window = Some(window.min(MAX_WINDOW));
+    pub fn set_window(&mut self, window: time::Duration, now: time::Instant) {
+        let old = self.window.replace(window.min(MAX_WINDOW)).unwrap_or_default();
+        self.replaced.retain(|(replaced, until)| *replaced > old && now <= *until);
+        if old > window {
+            self.replaced.push((old, now + old));
+        }
+    }
+
+    /// That time, or a longer one under which streams have begun; the longest while none is known.
+    pub fn window(&self, now: time::Instant) -> time::Duration {
+        self.known_window(now).unwrap_or(MAX_WINDOW)
     }
 
-    /// That time; the longest one while it is not known.
-    pub fn window(&self) -> time::Duration {
-        self.window.unwrap_or(MAX_WINDOW)
+    fn known_window(&self, now: time::Instant) -> Option<time::Duration> {
+        let replaced = self.replaced.iter().filter(|(_, until)| now <= *until);
+        self.window
+            .map(|window| replaced.map(|(longer, _)| *longer).fold(window, time::Duration::max))
     }
 
     /// Records the version of a server; returns whether its service has another number of versions.
@@ -99,7 +112,7 @@
     /// The only version of a service by which a stream may have begun that can still be taken up; none
     /// if there are several, or if that is not known.
     pub fn only(&self, service: &str, now: time::Instant) -> Option<ids::SoftwareTag> {
-        let window = self.window.filter(|_| self.is_known)?;
+        let window = self.known_window(now).filter(|_| self.is_known)?;
         if self.known_since.is_some_and(|since| now < since + window) {
             return None;
         }
--- a/crates/edge/src/directory.rs
+++ b/crates/edge/src/directory.rs
@@ -415,8 +415,8 @@
     }
 
     /// Time after its begin within which a stream may be taken up.
-    pub(crate) fn stream_window(&self) -> time::Duration {
-        self.releases.window()
+    pub(crate) fn stream_window(&self, now: time::Instant) -> time::Duration {
+        self.releases.window(now)
     }
 
     /// The only software version by which streams of a service may have begun that can still be taken
--- a/crates/edge/src/watch.rs
+++ b/crates/edge/src/watch.rs
@@ -423,7 +423,7 @@
         edge.connections.sweep();
         edge.rejected().expire(&edge.counters);
         edge.limits().quotas.expire(clock::now());
-        let window = edge.directory().stream_window();
+        let window = edge.directory().stream_window(clock::now());
         edge.origins().expire(window, clock::now());
         let mut directory = edge.directory();
         while let Some(change) = directory.fleet.next_expired(clock::now()) {
