Remember versions that have left for as long as any stream lasts

Cause: the time within which a stream may be taken up was cut to 600 s, so that with timeouts beyond 400 s a version that had left counted for too short a time.

--- a/crates/core/src/releases.rs
+++ b/crates/core/src/releases.rs
@@ -56,16 +56,16 @@
 
     /// Sets the time after its begin within which a stream may be taken up, from `now` on.
     pub fn set_window(&mut self, window: time::Duration, now: time::Instant) {
-        let old = self.window.replace(window.min(MAX_WINDOW)).unwrap_or_default();
+        let old = self.window.replace(window).unwrap_or_default();
         self.replaced.retain(|(replaced, until)| *replaced > old && now <= *until);
         if old > window {
             self.replaced.push((old, now + old));
         }
     }
 
-    /// That time, or a longer one under which streams have begun; the longest while none is known.
+    /// That time, or a longer one under which streams have begun; a usual one while none is known.
     pub fn window(&self, now: time::Instant) -> time::Duration {
-        self.known_window(now).unwrap_or(MAX_WINDOW)
+        self.known_window(now).unwrap_or(MIN_KEPT)
     }
 
     fn known_window(&self, now: time::Instant) -> Option<time::Duration> {
@@ -96,6 +96,7 @@
     /// Records that a server is gone.
     pub fn remove(&mut self, id: &str, now: time::Instant) {
         let Some(server) = self.servers.remove(id) else { return };
+        let kept = self.window(now).max(MIN_KEPT);
         let Some(versions) = self.services.get_mut(&server.service) else { return };
         if let Some(version) = versions.get_mut(&server.software) {
             version.servers = version.servers.saturating_sub(1);
@@ -103,9 +104,8 @@
                 version.gone_at = Some(now);
             }
         }
-        let window = MAX_WINDOW;
         versions.retain(|_, version| {
-            version.servers > 0 || version.gone_at.is_some_and(|at| now <= at + window)
+            version.servers > 0 || version.gone_at.is_some_and(|at| now <= at + kept)
         });
     }
 
@@ -138,5 +138,5 @@
     }
 }
 
-/// Longest time within which a stream may be taken up.
-const MAX_WINDOW: time::Duration = time::Duration::from_secs(600);
+/// Minimum time for which a version that has left is kept, since a config may lengthen the timeouts.
+const MIN_KEPT: time::Duration = time::Duration::from_secs(600);
