Take a peer's single version only if no other one is known here

Cause: an entry at which a stream was taken up, and which knew two versions, went on at the one that a peer named as the only one. Changes of the servers reach entries up to a second apart, so the peer may not have heard of the second, by which the stream had begun.

--- a/crates/core/src/releases.rs
+++ b/crates/core/src/releases.rs
@@ -116,25 +116,37 @@
         if self.known_since.is_some_and(|since| now < since + window) {
             return None;
         }
-        let versions = self.services.get(service)?;
-        let is_recent = |version: &Version| {
+        let mut recent = self.recent(service, window, now);
+        recent.next().filter(|_| recent.next().is_none())
+    }
+
+    // Versions that streams which can still be taken up may have, as far as is known here.
+    fn recent(
+        &self,
+        service: &str,
+        window: time::Duration,
+        now: time::Instant,
+    ) -> impl Iterator<Item = ids::SoftwareTag> {
+        let is_recent = move |version: &Version| {
             version.servers > 0 || version.gone_at.is_some_and(|at| now <= at + window)
         };
-        let mut recent = versions.iter().filter(|(_, version)| is_recent(version));
-        let (software, _) = recent.next()?;
-        recent.next().is_none().then_some(*software)
+        let versions = self.services.get(service).into_iter().flatten();
+        versions.filter(move |(_, version)| is_recent(version)).map(|(software, _)| *software)
     }
 
-    /// The same, with what other entries have `answered` to that question.
+    /// The same, with what other entries have `answered` to that question. Changes of the servers reach
+    /// entries one after the other, so that the answers count only if no other version is known here.
     pub fn agreed(
         &self,
         service: &str,
         answered: &collections::BTreeSet<ids::SoftwareTag>,
         now: time::Instant,
     ) -> Option<ids::SoftwareTag> {
-        let agreed = answered.first().copied().filter(|_| answered.len() == 1);
-        let single = self.only(service, now).or(agreed);
-        single.filter(|software| answered.iter().all(|said| said == software))
+        let window = self.known_window(now).filter(|_| self.is_known)?;
+        let single = self.only(service, now).or_else(|| answered.first().copied())?;
+        let is_agreed = answered.iter().all(|said| *said == single);
+        let is_alone = self.recent(service, window, now).all(|known| known == single);
+        (is_agreed && is_alone).then_some(single)
     }
 }
 
