--- a/crates/e2e/tests/platform_versions.rs
+++ b/crates/e2e/tests/platform_versions.rs
@@ -117,6 +117,21 @@
     Ok(())
 }
 
+// Guards against a stream that cannot be taken up a second time, since its caller names the attempt that
+// took it up before (issue 41, LOST).
+#[tokio::test]
+async fn taken_twice() -> anyhow::Result<()> {
+    let site = start(3).await?;
+    let begun = begin(&site, 0, 10).await?;
+    assert_eq!(resume_all(&site, 1, &begun).await?, begun.len());
+    let again = begun.iter().map(|(attempt, name)| (format!("{attempt}-again"), name.clone()));
+    let again: collections::BTreeMap<_, _> = again.collect();
+    for edge in [2, 1] {
+        assert_eq!(resume_all(&site, edge, &again).await?, begun.len(), "at entry {edge}");
+    }
+    Ok(())
+}
+
 // Guards against an entry that goes on with an interrupted stream at another version (issue 32, ORDER).
 #[tokio::test]
 async fn retried_alike() -> anyhow::Result<()> {
