Record a stream that is taken up under both attempts of its caller

What callers saw: with several versions in service, a stream that had been taken up once was refused as unknown-version when it was taken up again by the id of the attempt that had done so. Cause: its version was recorded under the first attempt only. Change: it is recorded under both. taken_twice failed before, 1 of 1, and passes, 1 of 1, with the 9 other tests of the file.

--- a/crates/edge/src/origins.rs
+++ b/crates/edge/src/origins.rs
@@ -26,19 +26,22 @@
 /// entries of its zone, so that one of them had the stream.
 const FIRST_ASKED: usize = 120;
 
-/// Tag of the attempt that began the stream of a call: the one that it takes up, or its own.
-pub(crate) fn stream_tag(call: &call::Call) -> Option<ids::AttemptTag> {
-    let first = call.head.resumes.as_ref().or(call.head.attempt_id.as_ref())?;
-    Some(ids::attempt_tag(first.as_bytes()))
+/// Tags of the attempts by which callers may name the stream of a call: the one that it takes up, and its
+/// own.
+fn stream_tags(call: &call::Call) -> impl Iterator<Item = ids::AttemptTag> {
+    let attempts = call.head.resumes.iter().chain(&call.head.attempt_id);
+    attempts.map(|attempt| ids::attempt_tag(attempt.as_bytes()))
 }
 
 /// Records the version that began the stream of a call at a server; none if it is uncertain.
 pub(crate) fn record(call: &call::Call, server: &str, origin: Option<ids::SoftwareTag>) {
-    let Some(attempt) = stream_tag(call) else { return };
     let edge = &call.edge;
-    let (service, server) = (call.service.clone(), ids::server_tag(server));
-    let stream = core_origins::Own { attempt, service, server, at: clock::now(), is_told: false };
-    edge.origins().record_own(stream, origin);
+    for attempt in stream_tags(call) {
+        let (service, server) = (call.service.clone(), ids::server_tag(server));
+        let stream =
+            core_origins::Own { attempt, service, server, at: clock::now(), is_told: false };
+        edge.origins().record_own(stream, origin);
+    }
     if edge.directory().needs_origins(&call.service, clock::now()) {
         edge.origin_begun.notify_one();
     }
