--- a/crates/e2e/tests/platform_versions.rs
+++ b/crates/e2e/tests/platform_versions.rs
@@ -283,3 +283,100 @@
     assert_eq!(site.runs("a1"), 1);
     Ok(())
 }
+
+// Restarts all entries, which were killed at once; `meanwhile` happens before they start again.
+async fn restart_all(
+    site: &mut site::Site,
+    meanwhile: impl AsyncFnOnce(&mut site::Site) -> anyhow::Result<()>,
+) -> anyhow::Result<()> {
+    site.edges.iter_mut().for_each(|edge| edge.kill());
+    meanwhile(site).await?;
+    for number in 0..site.edges.len() {
+        site.restart_edge(number)?;
+    }
+    site.wait_ready().await
+}
+
+// Gives the engines that generate tokens another version, under new ids.
+async fn upgrade(site: &mut site::Site, software: &str) -> anyhow::Result<()> {
+    for number in 0..site.decode.len() {
+        let old = site.decode[number].clone();
+        site.upgrade_server(&old, software).await?;
+    }
+    Ok(())
+}
+
+async fn start_single() -> anyhow::Result<site::Site> {
+    let sizes = site::Sizes { edges: 2, plain: 0, prefill: 0, decode: 2, ..site::Sizes::default() };
+    let mut site = site::Site::prepare(sizes).await?;
+    site.store.set_era("1");
+    for _ in 0..sizes.edges {
+        site.add_edge().await?;
+    }
+    site.wait_ready().await?;
+    tokio::time::sleep(LEARN_TIME).await;
+    Ok(site)
+}
+
+// Guards against streams that nobody can take up after all entries were killed, though there has been
+// one version all the time (issue 41, LOST).
+#[tokio::test]
+async fn all_killed() -> anyhow::Result<()> {
+    let mut site = start_single().await?;
+    let begun = begin(&site, 0, 6).await?;
+    for _ in 0..2 {
+        restart_all(&mut site, async |_| Ok(())).await?;
+        for edge in [0, 1] {
+            assert_eq!(resume_all(&site, edge, &begun).await?, begun.len(), "at entry {edge}");
+        }
+    }
+    Ok(())
+}
+
+// The same for entries that start anew after a restore of the store, which one of them has survived.
+#[tokio::test]
+async fn killed_after_restore() -> anyhow::Result<()> {
+    let mut site = start_single().await?;
+    let copy = site.store.copy();
+    let begun = begin(&site, 0, 6).await?;
+    let lost = site.store.restore(copy);
+    site.store.rewrite(lost);
+    tokio::time::sleep(time::Duration::from_secs(8)).await;
+    restart_all(&mut site, async |_| Ok(())).await?;
+    assert_eq!(resume_all(&site, 0, &begun).await?, begun.len());
+    Ok(())
+}
+
+// The version of the streams leaves while no entry runs: they do not go on at the next one.
+#[tokio::test]
+async fn left_meanwhile() -> anyhow::Result<()> {
+    let mut site = start_single().await?;
+    let begun = begin(&site, 0, 6).await?;
+    restart_all(&mut site, async |site| upgrade(site, SECOND).await).await?;
+    assert_eq!(resume_all(&site, 0, &begun).await?, 0);
+    assert_eq!(begin(&site, 1, 4).await?.len(), 4);
+    assert_eq!(resume_all(&site, 1, &begun).await?, 0);
+    Ok(())
+}
+
+// The store is restored, while no entry runs, from a copy that lacks the version of the streams.
+#[tokio::test]
+async fn copy_older() -> anyhow::Result<()> {
+    let mut site = start_single().await?;
+    let copy = site.store.copy();
+    upgrade(&mut site, SECOND).await?;
+    tokio::time::sleep(LEARN_TIME).await;
+    let begun = begin(&site, 0, 6).await?;
+    assert!(begun.values().all(|version| version == SECOND), "{begun:?}");
+    upgrade(&mut site, backend::FIRST_SOFTWARE).await?;
+    tokio::time::sleep(LEARN_TIME).await;
+    restart_all(&mut site, async |site| {
+        let lost = site.store.restore(copy);
+        site.store.rewrite(lost);
+        Ok(())
+    })
+    .await?;
+    assert_eq!(resume_all(&site, 0, &begun).await?, 0);
+    assert_eq!(begin(&site, 1, 4).await?.len(), 4);
+    Ok(())
+}
--- a/crates/fakes/src/store.rs
+++ b/crates/fakes/src/store.rs
@@ -7,7 +7,7 @@
 use serde_json::json;
 use tokio::sync as lock;
 
-use rhubarb_node::{locks, response, server};
+use rhubarb_node::{clock, locks, response, server};
 
 use crate::{copy, transaction};
 
@@ -277,7 +277,7 @@
         let content = &state.content;
         let rows = content.rows.iter().filter(|(key, row)| in_range(key) && row.value.is_some());
         let rows: Vec<_> = rows.map(|(key, row)| row_json(key, row)).collect();
-        let reply = json!({"rows": rows, "has_more": false, "ver": content.version, "now_ms": 1});
+        let reply = json!({"rows": rows, "has_more": false, "ver": content.version, "now_ms": clock::unix_ms()});
         state.mark(response::json(StatusCode::OK, &reply))
     }
 
@@ -318,7 +318,7 @@
             content.rows.iter().filter(|(key, row)| is_newer(key, row)).collect();
         rows.sort_by_key(|(_, row)| row.version);
         let rows: Vec<_> = rows.into_iter().map(|(key, row)| row_json(key, row)).collect();
-        let reply = json!({"rows": rows, "ver": content.version, "now_ms": 1});
+        let reply = json!({"rows": rows, "ver": content.version, "now_ms": clock::unix_ms()});
         (!rows.is_empty()).then(|| state.mark(response::json(StatusCode::OK, &reply)))
     }
 
@@ -349,7 +349,7 @@
             let reply = json!({"rows": [], "ver": content.version});
             return state.mark(response::json(StatusCode::PRECONDITION_FAILED, &reply));
         }
-        let reply = json!({"ver": content.write(writes), "now_ms": 1});
+        let reply = json!({"ver": content.write(writes), "now_ms": clock::unix_ms()});
         let response = state.mark(response::json(StatusCode::OK, &reply));
         drop(state);
         self.inner.changed.notify_waiters();
