--- /dev/null
+++ b/crates/core/src/history.rs
@@ -0,0 +1,76 @@
+//! Versions that the servers of a service have had, as kept in the platform's store.
+
+use std::{collections, time};
+
+use serde::{Deserialize, Serialize};
+
+use crate::{ids, stamp};
+
+/// Content of the row of one service. Times are those of the store's clock in milliseconds.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct History {
+    /// Era of the store in which it was written. After a restore it may lack what was written later.
+    pub era: stamp::Era,
+    /// Since when all versions are named; none if since the first start.
+    pub since_ms: Option<u64>,
+    /// Time after its begin within which a stream may be taken up, in milliseconds.
+    pub window_ms: u64,
+    /// Versions, and when the last server of each was gone; none while there are servers.
+    pub versions: collections::BTreeMap<ids::SoftwareTag, Option<u64>>,
+}
+
+/// When and in which era a history was read.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Reading {
+    /// Era of the store.
+    pub era: stamp::Era,
+    /// The store's clock in milliseconds.
+    pub now_ms: u64,
+    /// When the store was asked, before that.
+    pub asked: time::Instant,
+    /// When it had answered, after that.
+    pub answered: time::Instant,
+}
+
+impl Reading {
+    /// Moment here at which the store's clock was at `ms`, or a later one.
+    pub fn instant(&self, ms: u64) -> time::Instant {
+        let age = time::Duration::from_millis(self.now_ms.saturating_sub(ms));
+        self.answered.checked_sub(age).unwrap_or(self.answered)
+    }
+
+    /// The store's clock at a moment, or later.
+    pub fn millis(&self, at: time::Instant) -> u64 {
+        let age = self.asked.saturating_duration_since(at).as_millis() as u64;
+        let later = at.saturating_duration_since(self.asked).as_millis() as u64;
+        (self.now_ms + later).saturating_sub(age)
+    }
+}
+
+/// Whether the row of a service is to be written.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Need {
+    /// It says what it has to.
+    None,
+    /// One entry writes it.
+    Tidy,
+    /// A version has no record, so that no streams begin at it.
+    Version,
+}
+
+/// Reads per second of a fleet that looks after a new version.
+const READS: f64 = 300.0;
+/// Number of entries to count in a fleet of unknown size.
+const UNKNOWN_ENTRIES: u32 = 300;
+/// Time for which the others leave a new version to the leader.
+const LEAD_TIME: time::Duration = time::Duration::from_millis(100);
+
+/// Delay before an entry among `entries`, if that is known, looks whether a version still has no record;
+/// `random` is from 0 to 1. Only one that knows others leads.
+pub fn delay(is_leader: bool, entries: Option<u32>, random: f64) -> time::Duration {
+    if is_leader {
+        return time::Duration::ZERO;
+    }
+    let entries = f64::from(entries.unwrap_or(UNKNOWN_ENTRIES));
+    LEAD_TIME + time::Duration::from_secs_f64(entries / READS * random)
+}
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -31,6 +31,7 @@
 pub mod flow;
 pub mod gate;
 pub mod handover;
+pub mod history;
 pub mod ids;
 pub mod key_history;
 pub mod lease;
