Keep the versions of each service in the platform's store

Cause: for how long a service has had a single version was known to entries alone. Change: the versions of a service, when each was gone, and since when that is complete are on record in the table `releases`. Entries read it at their start, in a new era and after a gap in their news.

--- a/crates/edge/src/directory.rs
+++ b/crates/edge/src/directory.rs
@@ -3,8 +3,8 @@
 use std::{collections, net, sync, time};
 
 use rhubarb_core::{
-    beginnings, cells, demand, engines, fleet, ids, load, pauses, pool, queue_limit, quotas,
-    releases, retry, retry_detector, routing, stamp,
+    beginnings, cells, demand, engines, fleet, history, ids, load, pauses, pool, queue_limit,
+    quotas, releases, retry, retry_detector, routing, stamp,
 };
 use rhubarb_wire::share;
 
@@ -77,6 +77,8 @@
     releases: releases::Releases,
     // Servers that were down since their rows were last written.
     unverified: collections::BTreeSet<ids::ServerName>,
+    // Engines that are not used yet, since the store has no record of their versions.
+    held: collections::BTreeSet<ids::ServerName>,
 }
 
 /// Time after its begin within which a stream may be taken up, as a multiple of the longest timeout of
@@ -152,6 +154,7 @@
             leaving,
             releases,
             unverified: collections::BTreeSet::new(),
+            held: collections::BTreeSet::new(),
         }
     }
 
@@ -284,6 +287,7 @@
     fn remove_server(&mut self, id: &str) {
         self.releases.remove(id, rhubarb_node::clock::now());
         self.unverified.remove(id);
+        self.held.remove(id);
         self.processes.retain(|_, known| known != id);
         for service in self.services.values_mut() {
             service.pool.remove(id);
@@ -309,6 +313,9 @@
             .as_ref()
             .and_then(|config| config.services.get(&instance.service))
             .and_then(|service| service.engine.clone());
+        let now = rhubarb_node::clock::now();
+        let is_used = self.releases.is_used(&instance.service, software, now);
+        let is_held = engine.is_some() && !is_used;
         let service = self.service(&instance.service);
         let is_new = service.pool.get(id).is_none();
         service.pool.add(id, &instance.zone);
@@ -318,7 +325,10 @@
             service.pool.update_load(id, idle, rhubarb_node::clock::now());
         }
         service.pool.set_leaving(id, instance.leaving);
-        if let Some(engine) = engine {
+        if is_held {
+            service.engines.remove(id);
+            self.held.insert(id.to_string());
+        } else if let Some(engine) = engine {
             service.engines.set(id, &instance, engine.slots, engine.memory);
             if let Some(stage) = instance.stage {
                 service.beginnings.set(id, (process, software), stage, engine.memory);
@@ -326,6 +336,40 @@
         }
     }
 
+    /// Uses the engines that were held back, as far as their versions may be used `now`; returns whether
+    /// there were any.
+    pub(crate) fn release_held(&mut self) -> bool {
+        let held = std::mem::take(&mut self.held);
+        for id in &held {
+            self.update_server(id);
+        }
+        let used = held.difference(&self.held);
+        let mut released = 0;
+        for id in used {
+            tracing::info!(server = id, "edge: engine of a recorded version used");
+            released += 1;
+        }
+        released > 0
+    }
+
+    /// Services whose histories of versions are to be written, in the store's `era`.
+    pub(crate) fn history_needs(
+        &self,
+        era: stamp::Era,
+        now: time::Instant,
+    ) -> collections::BTreeMap<ids::ServiceName, history::Need> {
+        let services = self.config.iter().flat_map(|config| &config.services);
+        let with_engines = services.filter(|(_, service)| service.engine.is_some());
+        let needs =
+            with_engines.map(|(name, _)| (name.clone(), self.releases.need(name, era, now)));
+        needs.filter(|(_, need)| *need != history::Need::None).collect()
+    }
+
+    /// Versions of the servers of each service.
+    pub(crate) fn releases(&mut self) -> &mut releases::Releases {
+        &mut self.releases
+    }
+
     /// The service `name`, created on first use.
     pub(crate) fn service(&mut self, name: &str) -> &mut Service {
         let (zone, retry_limits) = (&self.zone, self.retry_limits);
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -23,6 +23,7 @@
 mod edge;
 mod eras;
 mod exchange;
+mod histories;
 mod ingress;
 mod lag;
 mod leader;
--- a/crates/edge/src/metrics.rs
+++ b/crates/edge/src/metrics.rs
@@ -37,6 +37,7 @@
     pub(crate) engine_full: counter::Counter,
     pub(crate) kept_tokens: counter::Counter,
     pub(crate) stray_responses: counter::Counter,
+    pub(crate) histories_written: counter::Counter,
     pub(crate) refused_ranks: RankFamily,
     pub(crate) leaving: SourceFamily,
     pub(crate) pauses: counter::Counter,
@@ -64,6 +65,8 @@
                 "kept_tokens",
                 "Tokens of prompts that the engines which were to read them were expected to keep",
             ),
+            histories_written: registry
+                .counter("histories_written", "Rows of the versions of a service written"),
             stray_responses: registry
                 .counter("stray_responses", "Answers of servers that belonged to another request"),
             refused_ranks: registry.family("refused_ranks", "Requests refused, by rank"),
--- a/crates/edge/src/rows.rs
+++ b/crates/edge/src/rows.rs
@@ -73,7 +73,8 @@
             store::Table::Members
             | store::Table::Leases
             | store::Table::Suspects
-            | store::Table::Trials => store::Version::default(),
+            | store::Table::Trials
+            | store::Table::Releases => store::Version::default(),
         }
     }
 
--- a/crates/edge/src/run.rs
+++ b/crates/edge/src/run.rs
@@ -11,8 +11,8 @@
 use tokio::{sync as tokio_sync, task};
 
 use crate::{
-    discovery, edge, eras, ingress, leader, ledger, origins, pauses, peers, reload, snapshots,
-    verdicts, watch,
+    discovery, edge, eras, histories, ingress, leader, ledger, origins, pauses, peers, reload,
+    snapshots, verdicts, watch,
 };
 
 /// Maximum number of connections from callers; leaves file descriptors for servers and the store.
@@ -47,6 +47,7 @@
     tokio::spawn(eras::run(edge.clone()));
     tokio::spawn(pauses::report(edge.clone()));
     tokio::spawn(verdicts::run(edge.clone()));
+    tokio::spawn(histories::run(edge.clone()));
     tokio::spawn(leader::run(edge.clone()));
     tokio::spawn(reload::run(edge.clone(), signals::hangups()?));
     let (snapshots, shares) =
