Show that a repeated refusal counts for a later attempt on its connection

What callers saw: 503 «not run, try again» for a request that a server had run, or a stream that may not be repeated and ran twice.

Cause: a connection remembers the id of its last exchange only. The first attempt of a request is refused on a connection, another request is served there or a hold is granted, and the request comes again. A server that now writes its refusal once more is believed: the id is the right one.

The stand-in for servers that answer twice can refuse attempts, and repeat a refusal when the same attempt comes again, twice as well, behind another answer and between its head and body.

--- /dev/null
+++ b/crates/e2e/tests/platform_repeats.rs
@@ -0,0 +1,140 @@
+//! Servers that write an earlier refusal once more on a kept connection.
+
+use std::time;
+
+use hyper::Method;
+
+use rhubarb_e2e::{call, site};
+use rhubarb_fakes::{backend, stutter};
+
+/// Attempts of each plain case.
+const ROUNDS: usize = 4;
+/// Streams: whether one comes again on the connection on which it was refused depends on which of
+/// several connections is free first.
+const STREAMS: usize = 12;
+/// Time for which a refused request keeps its connection, in which another one is served.
+const REFUSAL_DELAY: time::Duration = time::Duration::from_millis(200);
+/// Time in which a request that was sent reaches the server.
+const SETTLE_TIME: time::Duration = time::Duration::from_millis(200);
+const POLL_INTERVAL: time::Duration = time::Duration::from_millis(5);
+
+// A deployment with one server of each kind, and the proxy in front of the server that `chosen`
+// names.
+async fn start(
+    chosen: impl Fn(&site::Site) -> backend::Backend,
+    repeat: stutter::Repeat,
+) -> anyhow::Result<(site::Site, stutter::Stutter)> {
+    let sizes = site::Sizes { plain: 1, prefill: 1, decode: 1, ..site::Sizes::default() };
+    let mut site = site::Site::prepare(sizes).await?;
+    let server = chosen(&site);
+    let address = server.address().expect("the server has an address");
+    let stutter = stutter::Stutter::start(address).await?;
+    stutter.set_repeat(repeat);
+    let mut row = site::server_row(&server);
+    row["address"] = serde_json::json!(stutter.address);
+    site.store.put("servers", &server.id, row.to_string());
+    site.add_edge().await?;
+    site.wait_ready().await?;
+    Ok((site, stutter))
+}
+
+// Checks that a response is that of `attempt`, which ran once, also a while later: the proxy forwards a
+// request after it has repeated a refusal.
+async fn check_answered(site: &site::Site, attempt: &str, reply: &call::Reply) {
+    let echoed = reply.headers.get("x-attempt-id").and_then(|id| id.to_str().ok());
+    assert_eq!(echoed, Some(attempt), "{reply:?}");
+    tokio::time::sleep(SETTLE_TIME).await;
+    let runs = site.runs(attempt);
+    assert!(reply.status == 200 && runs == 1, "{attempt} ran {runs} times: {reply:?}");
+}
+
+async fn call(site: &site::Site, path: &str, attempt: &str) -> anyhow::Result<call::Reply> {
+    site.edges[0].call(Method::POST, path, attempt, attempt).await
+}
+
+// An attempt is refused on two connections, and another one is served on the first of them meanwhile,
+// before it comes again.
+async fn retry_after_other(repeat: stutter::Repeat) -> anyhow::Result<()> {
+    let (site, stutter) = start(|site| site.plain[0].clone(), repeat).await?;
+    for number in 0..ROUNDS {
+        let (first, second) = (format!("first-{number}"), format!("second-{number}"));
+        let refused = stutter.refused();
+        stutter.refuse(2, REFUSAL_DELAY);
+        let other = async {
+            while stutter.refused() < refused + 2 {
+                tokio::time::sleep(POLL_INTERVAL).await;
+            }
+            call(&site, site::UNSAFE, &second).await
+        };
+        let (reply, other) = tokio::join!(call(&site, site::UNSAFE, &first), other);
+        check_answered(&site, &second, &other?).await;
+        check_answered(&site, &first, &reply?).await;
+    }
+    Ok(())
+}
+
+// Guards against a request that ran and is reported as not run: the refusal of its first attempt,
+// repeated on the same connection after another request was served there, counted as the answer to
+// its retry.
+#[tokio::test(flavor = "multi_thread")]
+async fn plain_retry() -> anyhow::Result<()> {
+    retry_after_other(stutter::Repeat::Refusal).await
+}
+
+// The same with a refusal that is repeated twice.
+#[tokio::test(flavor = "multi_thread")]
+async fn repeated_twice() -> anyhow::Result<()> {
+    retry_after_other(stutter::Repeat::RefusalTwice).await
+}
+
+// Guards against a stream that runs twice: the refusal of its first run, repeated after the next hold
+// on the connection was granted, counted as the answer to its second run.
+#[tokio::test(flavor = "multi_thread")]
+async fn decode_retry() -> anyhow::Result<()> {
+    let (site, stutter) = start(|site| site.decode[0].clone(), stutter::Repeat::Refusal).await?;
+    for number in 0..STREAMS {
+        let attempt = format!("stream-{number}");
+        stutter.refuse(1, time::Duration::ZERO);
+        let reply = call(&site, site::STREAM, &attempt).await?;
+        check_answered(&site, &attempt, &reply).await;
+        assert_eq!(reply.body.as_deref(), Some(site::full_stream().as_str()));
+    }
+    Ok(())
+}
+
+// Refuses one attempt on a connection and then sends others, one after another, while the server
+// repeats the refusal. Returns the responses to the others.
+async fn others_after_refusal(repeat: stutter::Repeat) -> anyhow::Result<Vec<call::Reply>> {
+    let (site, stutter) = start(|site| site.plain[0].clone(), repeat).await?;
+    stutter.refuse(1, time::Duration::ZERO);
+    let mut replies = Vec::new();
+    for number in 0..ROUNDS * 4 {
+        let attempt = format!("other-{number}");
+        let reply = call(&site, site::UNSAFE, &attempt).await?;
+        let echoed = reply.headers.get("x-attempt-id").and_then(|id| id.to_str().ok());
+        assert_eq!(echoed, Some(attempt.as_str()), "{reply:?}");
+        assert_eq!(site.runs(&attempt), 1, "{reply:?}");
+        replies.push(reply);
+    }
+    Ok(replies)
+}
+
+// Guards against a request that is sent on a connection on which bytes behind the last answer have
+// arrived already: they would be taken for its answer.
+#[tokio::test(flavor = "multi_thread")]
+async fn repeated_behind() -> anyhow::Result<()> {
+    for reply in others_after_refusal(stutter::Repeat::Behind).await? {
+        assert_eq!(reply.status, 200, "{reply:?}");
+    }
+    Ok(())
+}
+
+// Guards against a request that ran and is reported as not run: a refusal between head and body of its
+// answer.
+#[tokio::test(flavor = "multi_thread")]
+async fn repeated_inside() -> anyhow::Result<()> {
+    for reply in others_after_refusal(stutter::Repeat::Inside).await? {
+        assert!(reply.status == 200 || reply.status == 502, "{reply:?}");
+    }
+    Ok(())
+}
