Keep an attempt off every connection that has carried it before

What callers saw: 503 «not run, try again» for a request that ran, or a stream that may not be repeated and ran twice, before a server that writes an earlier refusal once more.

Cause: a connection remembered its last exchange only, so that another exchange, a hold included, was enough for the same attempt to be sent there again. An old refusal of the attempt then bears the right id.

Change: core::exchanges keeps the attempts of a connection, and whether a response without an id came on it. A request goes on a connection on which no earlier response could be taken for its own: a run or prefill where its attempt has not been; reports, orders and callers' requests without an id where all responses had ids. Holds and releases may still follow a response with an id, one for each stream: their names are checked, and a response without a name shows no more than a busy engine. The record is complete: after 512 exchanges with ids the connection is closed.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -26,6 +26,7 @@
 pub mod demand;
 pub mod engine;
 pub mod engines;
+pub mod exchanges;
 pub mod fair_share;
 pub mod fleet;
 pub mod flow;
--- a/crates/e2e/tests/platform_repeats.rs
+++ b/crates/e2e/tests/platform_repeats.rs
@@ -12,6 +12,8 @@
 /// Streams: whether one comes again on the connection on which it was refused depends on which of
 /// several connections is free first.
 const STREAMS: usize = 12;
+/// More requests than one connection carries.
+const MANY: usize = 600;
 /// Time for which a refused request keeps its connection, in which another one is served.
 const REFUSAL_DELAY: time::Duration = time::Duration::from_millis(200);
 /// Time in which a request that was sent reaches the server.
@@ -138,3 +140,16 @@
     }
     Ok(())
 }
+
+// Guards against a new connection for each request, or more than a few: what a connection remembers of
+// its exchanges must not keep it from the next one.
+#[tokio::test(flavor = "multi_thread")]
+async fn connections_reused() -> anyhow::Result<()> {
+    let (site, stutter) = start(|site| site.plain[0].clone(), stutter::Repeat::Never).await?;
+    for number in 0..MANY {
+        let reply = call(&site, site::UNSAFE, &format!("many-{number}")).await?;
+        assert_eq!(reply.status, 200, "{reply:?}");
+    }
+    assert!(stutter.connections() <= MANY / 100, "{} connections", stutter.connections());
+    Ok(())
+}
--- a/crates/edge/src/connections.rs
+++ b/crates/edge/src/connections.rs
@@ -4,11 +4,12 @@
 
 use bytes::Bytes;
 use http_body_util::Full;
-use hyper::{HeaderMap, Request, Response, body, client::conn::http1, header};
+use hyper::{Request, Response, body, client::conn::http1, header};
 use hyper_util::rt;
 use prometheus_client::metrics::counter;
 use tokio::net as tokio_net;
 
+use rhubarb_core::exchanges;
 use rhubarb_node::{clock, locks};
 use rhubarb_platform::{request, response};
 
@@ -35,18 +36,7 @@
     idle_until: time::Instant,
     // Number of requests sent on it.
     requests: u64,
-    last: LastExchange,
-}
-
-// What a late second response on a connection would look like: that of its last exchange.
-#[derive(Clone, Debug, PartialEq, Eq)]
-enum LastExchange {
-    // None yet, so nothing can be late.
-    New,
-    // Its response echoed this id.
-    Identified(header::HeaderValue),
-    // Its response had no id.
-    Anonymous,
+    exchanges: exchanges::Exchanges,
 }
 
 /// Response whose body has not been read yet, and its connection.
@@ -140,12 +130,13 @@
         {
             request.headers_mut().insert(header::HOST, host);
         }
-        while let Some(mut connection) = self.checkout(address, request.headers()) {
+        let proof = request::response_proof(&request);
+        while let Some(mut connection) = self.checkout(address, proof) {
             if let Err(err) = permit() {
                 self.keep_idle(connection);
                 return Err(err);
             }
-            match connection.send(request).await {
+            match connection.send(request, proof).await {
                 Ok(response) => return Ok(PendingResponse { response, connection }),
                 Err(SendFailure::Unsent(unsent, _)) => request = *unsent,
                 Err(failure) => return Err(self.lost(address, failure)),
@@ -154,7 +145,7 @@
         let mut connection =
             connect(address).await.map_err(|err| SendError::Unsent(err.to_string()))?;
         permit()?;
-        match connection.send(request).await {
+        match connection.send(request, proof).await {
             Ok(response) => Ok(PendingResponse { response, connection }),
             Err(failure) => Err(self.lost(address, failure)),
         }
@@ -172,9 +163,9 @@
         }
     }
 
-    // Takes the most recently used connection that is fit for a request with these headers, so that
-    // surplus connections expire.
-    fn checkout(&self, address: net::SocketAddr, headers: &HeaderMap) -> Option<Connection> {
+    // Takes the most recently used connection on which a response with this proof would be told from
+    // all earlier ones, so that surplus connections expire.
+    fn checkout(&self, address: net::SocketAddr, proof: exchanges::Proof) -> Option<Connection> {
         if locks::lock(&self.stuttering).contains_key(&address) {
             return None;
         }
@@ -183,7 +174,7 @@
         let now = clock::now();
         connections
             .retain(|connection| connection.idle_until > now && connection.sender.is_ready());
-        let fit = connections.iter().rposition(|connection| connection.is_fit(headers))?;
+        let fit = connections.iter().rposition(|connection| connection.exchanges.admits(proof))?;
         Some(connections.remove(fit))
     }
 
@@ -208,7 +199,8 @@
     ) {
         let timeout =
             idle_timeout.map_or(IDLE_TIMEOUT, |timeout| timeout.saturating_sub(IDLE_MARGIN));
-        if connection.sender.is_closed() || timeout.is_zero() {
+        let is_full = connection.exchanges.is_full();
+        if connection.sender.is_closed() || timeout.is_zero() || is_full {
             return;
         }
         connection.idle_until = clock::now() + timeout;
@@ -256,28 +248,18 @@
 }
 
 impl Connection {
-    // Whether a late second response to the last request would be told from the response to a
-    // request with these headers. The id does not tell responses to the same attempt apart, nor
-    // those without an id.
-    fn is_fit(&self, headers: &HeaderMap) -> bool {
-        match (&self.last, request::attempt_id(headers)) {
-            (LastExchange::New, _) => true,
-            (LastExchange::Identified(last), Some(id)) => last != id,
-            (LastExchange::Identified(_), None) | (LastExchange::Anonymous, Some(_)) => true,
-            (LastExchange::Anonymous, None) => false,
-        }
-    }
-
     // Sends a request and returns its response, which is shown to belong to it: it echoes the
     // request's id, or both have none.
     async fn send(
         &mut self,
         request: Request<Full<Bytes>>,
+        proof: exchanges::Proof,
     ) -> Result<Response<body::Incoming>, SendFailure> {
         if let Err(err) = self.sender.ready().await {
             return Err(SendFailure::Unsent(Box::new(request), err.to_string()));
         }
         self.requests += 1;
+        self.exchanges.record(proof);
         let attempt_id = request::attempt_id(request.headers()).cloned();
         self.bound.set(MAX_HEAD_BYTES);
         let sending = self.sender.try_send_request(request);
@@ -311,7 +293,6 @@
             );
             return Err(SendFailure::Stray);
         }
-        self.last = attempt_id.map_or(LastExchange::Anonymous, LastExchange::Identified);
         Ok(())
     }
 }
@@ -340,7 +321,7 @@
         address,
         idle_until: clock::now(),
         requests: 0,
-        last: LastExchange::New,
+        exchanges: exchanges::Exchanges::default(),
     })
 }
 
--- a/crates/fakes/src/stutter.rs
+++ b/crates/fakes/src/stutter.rs
@@ -36,6 +36,8 @@
     // Number of attempts that are still to be refused, and that were.
     to_refuse: sync::Arc<atomic::AtomicUsize>,
     refused: sync::Arc<atomic::AtomicUsize>,
+    // Number of connections accepted.
+    connections: sync::Arc<atomic::AtomicUsize>,
     // Time from the arrival of a request to its refusal.
     delay: sync::Arc<sync::Mutex<time::Duration>>,
 }
@@ -53,11 +55,13 @@
         let address = listener.local_addr()?;
         let (to_refuse, refused) = (sync::Arc::default(), sync::Arc::default());
         let (repeat, delay) = (sync::Arc::default(), sync::Arc::default());
-        let stutter = Stutter { address, repeat, to_refuse, refused, delay };
+        let connections = sync::Arc::default();
+        let stutter = Stutter { address, repeat, to_refuse, refused, connections, delay };
         let shared = stutter.clone();
         tokio::spawn(async move {
             while let Ok((client, _)) = listener.accept().await {
                 let stutter = shared.clone();
+                stutter.connections.fetch_add(1, atomic::Ordering::Relaxed);
                 // A connection that fails is closed, which its client sees.
                 tokio::spawn(async move { stutter.serve(client, target).await });
             }
@@ -87,6 +91,11 @@
         self.refused.load(atomic::Ordering::Relaxed)
     }
 
+    /// Number of connections that it has accepted.
+    pub fn connections(&self) -> usize {
+        self.connections.load(atomic::Ordering::Relaxed)
+    }
+
     async fn serve(&self, mut client: tcp::TcpStream, target: net::SocketAddr) -> io::Result<()> {
         let mut pending = Vec::new();
         let mut last = Vec::new();
