Test repeated refusals of prefills, and connections of streams with holds

prefill_retry: a prefill that is refused and sent again to the same engine does not meet its old refusal. hold_connections: 150 streams, each with a hold before it, need at most 6 connections to their decode engine.

--- a/crates/e2e/tests/platform_repeats.rs
+++ b/crates/e2e/tests/platform_repeats.rs
@@ -186,3 +186,31 @@
     assert!(stutter.connections() <= MANY / 100, "{} connections", stutter.connections());
     Ok(())
 }
+
+// The same for streams, each of which takes a hold on the connection before.
+#[tokio::test(flavor = "multi_thread")]
+async fn hold_connections() -> anyhow::Result<()> {
+    let (site, stutter) = start(|site| site.decode[0].clone(), stutter::Repeat::Never).await?;
+    for number in 0..MANY / 4 {
+        let reply = call(&site, site::STREAM, &format!("many-{number}")).await?;
+        assert_eq!(reply.status, 200, "{reply:?}");
+    }
+    assert!(stutter.connections() <= MANY / 100, "{} connections", stutter.connections());
+    Ok(())
+}
+
+// Guards against a prefill that goes on from a repeated refusal of its first attempt, so that what the
+// engine read is read again.
+#[tokio::test(flavor = "multi_thread")]
+async fn prefill_retry() -> anyhow::Result<()> {
+    let (site, stutter) = start(|site| site.prefill[0].clone(), stutter::Repeat::Refusal).await?;
+    for number in 0..STREAMS {
+        let attempt = format!("prefill-{number}");
+        stutter.refuse(1, time::Duration::ZERO);
+        let reply = call(&site, site::STREAM, &attempt).await?;
+        check_answered(&site, &attempt, &reply).await;
+        assert_eq!(reply.body.as_deref(), Some(site::full_stream().as_str()));
+    }
+    assert_eq!(stutter.repeated(), 0, "an attempt came again on its connection");
+    Ok(())
+}
--- a/crates/fakes/src/stutter.rs
+++ b/crates/fakes/src/stutter.rs
@@ -120,6 +120,8 @@
                 (Repeat::RefusalTwice, Some((_, refusal))) => refusal.repeat(2),
                 _ => Vec::new(),
             };
+            let is_refusal = repeat != Repeat::Last && !early.is_empty();
+            self.repeated.fetch_add(usize::from(is_refusal), atomic::Ordering::Relaxed);
             client.write_all(&early).await?;
             let refused = attempt.filter(|_| self.take_refusal());
             if let Some(id) = refused {
