--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -27,6 +27,7 @@
 pub mod engine;
 pub mod engines;
 pub mod event_order;
+pub mod exchanges;
 pub mod fair_share;
 pub mod fleet;
 pub mod flow;
