--- a/crates/edge/src/origins.rs
+++ b/crates/edge/src/origins.rs
@@ -52,7 +52,9 @@
     let (edge, service) = (&call.edge, call.service.as_str());
     let Some(attempt) = call.head.resumes.as_ref().map(|first| ids::attempt_tag(first.as_bytes()))
     else {
-        return edge.directory().only_software(service, clock::now());
+        let single = edge.directory().only_software(service, clock::now());
+        tracing::info!(id = call.id(), single, "edge: version of a stream looked up");
+        return single;
     };
     edge.answers().only.insert(attempt, collections::BTreeSet::new());
     let found = ask_all(edge, attempt, service).await;
