Check answers cut off in stops and streams joined after a cut in the soak

Replies keep what arrived of a body. Callers take up all streams that were cut off, at any entry, from the last whole event that they have, until they are complete, eight times at most; some callers send one request after another without a pause. The report counts apart the streams that were taken up, and the new ones that began, soon after all entries were killed.

checks::cut_off_in_stop, checks::versions_after_cut and arrivals::lost_in_stop pass; with the three checks switched off each of them fails, one run each.

--- a/crates/e2e/src/call.rs
+++ b/crates/e2e/src/call.rs
@@ -3,10 +3,11 @@
 use std::{net, time};
 
 use bytes::Bytes;
-use hyper::{HeaderMap, Method, header};
+use http_body_util::BodyExt;
+use hyper::{HeaderMap, Method, body, header};
 
 use rhubarb_fakes::caller;
-use rhubarb_node::{client, response};
+use rhubarb_node::client;
 
 /// Host that the default routes of a site match.
 pub const HOST: &str = "x.example";
@@ -50,18 +51,33 @@
         }
         let (head, body) = client.send(request, CALL_TIMEOUT).await?.into_parts();
         let head_after = start.elapsed();
-        let reading = response::read_body(body, MAX_BODY_BYTES);
-        let body = tokio::time::timeout(CALL_TIMEOUT, reading).await.ok().and_then(Result::ok);
+        let mut received = Vec::new();
+        let reading = read(body, &mut received);
+        let is_whole = tokio::time::timeout(CALL_TIMEOUT, reading).await.unwrap_or(false);
+        let received = String::from_utf8_lossy(&received).into_owned();
         Ok(Reply {
             status: head.status.as_u16(),
             headers: head.headers,
             head_after,
-            body: body.map(|body| String::from_utf8_lossy(&body).into_owned()),
+            body: is_whole.then(|| received.clone()),
+            received,
             elapsed: start.elapsed(),
         })
     }
 }
 
+// Appends a body to `received` as it arrives; whether it was complete.
+async fn read(mut body: body::Incoming, received: &mut Vec<u8>) -> bool {
+    while let Some(frame) = body.frame().await {
+        let Ok(frame) = frame else { return false };
+        received.extend(frame.into_data().unwrap_or_default());
+        if received.len() > MAX_BODY_BYTES {
+            return false;
+        }
+    }
+    true
+}
+
 /// A response whose body is complete or was cut off.
 #[derive(Clone, Debug)]
 pub struct Reply {
@@ -73,6 +89,8 @@
     pub head_after: time::Duration,
     /// Response body; `None` if it was cut off.
     pub body: Option<String>,
+    /// What arrived of the body.
+    pub received: String,
     /// Time from sending the request to the end of the response.
     pub elapsed: time::Duration,
 }
--- a/crates/soak/src/arrival_checks.rs
+++ b/crates/soak/src/arrival_checks.rs
@@ -240,21 +240,12 @@
 // Last time at which all entries were down at once while the store could not keep for them what they
 // knew, or lost it.
 fn forgotten_at(history: &record::History) -> Option<time::Instant> {
-    let is_down = |edge: usize, at: time::Instant| {
-        history.windows.iter().any(|window| {
-            window.edge == edge
-                && window.fault != EntryFault::Frozen
-                && window.from <= at
-                && window.until.is_none_or(|until| until >= at)
-        })
-    };
-    let starts = history.windows.iter().map(|window| window.from);
-    let all_down = starts.filter(|at| (0..history.edges).all(|edge| is_down(edge, *at)));
     let is_disturbed = |at: &time::Instant| {
         let mut places = (0..history.edges).map(Place::Edge).chain([Place::Store]);
         places.any(|place| history.is_disturbed(&place, *at - CONTACT, *at + CONTACT))
     };
-    all_down.filter(is_disturbed).max()
+    let ends = [EntryFault::Killed, EntryFault::Stopped];
+    history.outages(&ends).into_iter().filter(is_disturbed).max()
 }
 
 // Checks that servers get no more requests than the limits that they name. Requests without an
--- a/crates/soak/src/callers.rs
+++ b/crates/soak/src/callers.rs
@@ -6,7 +6,7 @@
 use rand::RngExt;
 
 use rhubarb_e2e::{call, site};
-use rhubarb_fakes::caller;
+use rhubarb_fakes::{backend, caller};
 use rhubarb_node::{client, locks};
 
 use crate::record;
@@ -49,8 +49,16 @@
 const DEADLY_RATIO: f64 = 0.1;
 /// Share of the requests that are sent again and again and crash servers, while there are such.
 const REPEATED_RATIO: f64 = 0.08;
-/// Share of the streams that their callers take up at an entry after they have ended.
+/// Share of the callers that stay with one entry whose requests follow one another without a pause.
+const EAGER_RATIO: f64 = 0.4;
+/// Share of the complete streams that their callers take up, as after a cut. Those that were cut off
+/// are all taken up.
 const RESUME_RATIO: f64 = 0.3;
+/// Last event from which complete streams are taken up.
+const LAST_EVENT: u64 = 1;
+/// Maximum number of times that a caller takes a stream up, and pause before each time.
+const MAX_TAKE_UPS: usize = 8;
+const TAKE_UP_PAUSE_MS: std::ops::Range<u64> = 20..600;
 /// Number of other parts that prompts have in common.
 const SOUND_PARTS: u64 = 50;
 /// Time after which a caller abandons a request.
@@ -86,6 +94,7 @@
     let client = client::Client::with_idle_timeout(IDLE_TIMEOUT);
     let home = rand::random_range(0..shared.edges.len());
     let stays = rand::random_bool(STAY_RATIO);
+    let is_eager = stays && rand::random_bool(EAGER_RATIO);
     while !shared.is_stopped() {
         let edge = if stays { home } else { rand::random_range(0..shared.edges.len()) };
         let kind = record::KINDS[rand::random_range(0..record::KINDS.len())];
@@ -101,35 +110,74 @@
             (false, false) => Flavor::Sound,
         };
         let record = call(&shared, &client, edge, kind, flavor).await;
-        let is_streamed = flavor == Flavor::Sound
-            && kind == record::Kind::Resumable
-            && matches!(&record.end, record::End::Answer(reply) if reply.status == 200);
-        let first = record.attempt.clone();
+        let can_resume = flavor == Flavor::Sound && kind == record::Kind::Resumable;
+        let cut = can_resume.then(|| cut_stream(&record)).flatten();
+        let is_served = matches!(&record.end, record::End::Answer(reply) if reply.status == 200);
         shared.history().records.push(record);
-        if is_streamed && rand::random_bool(RESUME_RATIO) {
-            let edge = rand::random_range(0..shared.edges.len());
-            let record = resume(&shared, &client, edge, first).await;
-            shared.history().records.push(record);
+        if let Some(stream) = cut {
+            take_up(&shared, &client, stream).await;
         }
-        let pause = rand::rng().random_range(PAUSE_MS);
+        if !(is_eager && is_served) {
+            let pause = rand::rng().random_range(PAUSE_MS);
+            tokio::time::sleep(time::Duration::from_millis(pause)).await;
+        }
+    }
+}
+
+// Stream that the caller of `record` takes up: one that was cut off, or some of the complete ones.
+fn cut_stream(record: &record::Record) -> Option<record::TakeUp> {
+    let record::End::Answer(reply) = &record.end else { return None };
+    if reply.status != 200 {
+        return None;
+    }
+    let last = match &reply.body {
+        None => record::last_event(&reply.received)?,
+        Some(_) => rand::random_bool(RESUME_RATIO).then_some(LAST_EVENT)?,
+    };
+    let first = record.attempt.clone();
+    (last + 1 < backend::EVENTS).then_some(record::TakeUp { first, last })
+}
+
+// Takes a stream up until it is complete or refused for good, at any entry.
+async fn take_up(shared: &Shared, client: &client::Client, mut stream: record::TakeUp) {
+    for _ in 0..MAX_TAKE_UPS {
+        let pause = rand::rng().random_range(TAKE_UP_PAUSE_MS);
         tokio::time::sleep(time::Duration::from_millis(pause)).await;
+        if shared.is_stopped() {
+            return;
+        }
+        let edge = rand::random_range(0..shared.edges.len());
+        let record = resume(shared, client, edge, stream.clone()).await;
+        let is_over = match &record.end {
+            record::End::Answer(reply) if reply.status == 200 => {
+                stream.last = record::last_event(&reply.received).unwrap_or(stream.last);
+                reply.body.is_some() || stream.last + 1 >= backend::EVENTS
+            }
+            record::End::Answer(reply) => reply.status != 503,
+            record::End::Unreachable | record::End::ConnectionLost(_) => false,
+            record::End::Abandoned => true,
+        };
+        shared.history().records.push(record);
+        if is_over {
+            return;
+        }
     }
 }
 
-// Takes up the stream that `first` began, as after a cut.
+// Takes a stream up once.
 async fn resume(
     shared: &Shared,
     client: &client::Client,
     edge: usize,
-    first: String,
+    stream: record::TakeUp,
 ) -> record::Record {
     let number = shared.next_attempt.fetch_add(1, atomic::Ordering::Relaxed);
-    let (attempt, last) = (format!("s{number}"), record::LAST_EVENT.to_string());
+    let (attempt, last) = (format!("s{number}"), stream.last.to_string());
     let (body, prompt) = (record::body(&attempt), format!("f1:200,{number:x}:50"));
     let headers = [
         (caller::PROMPT, prompt.as_str()),
         ("last-event-id", last.as_str()),
-        ("resumes", first.as_str()),
+        ("resumes", stream.first.as_str()),
         (caller::KEY, record::customer(&attempt).keys[0]),
     ];
     let kind = record::Kind::Resumable;
@@ -137,7 +185,7 @@
     let began = time::Instant::now();
     shared.note_sent(&attempt, edge);
     let end = ended(call.send(client, Method::POST, shared.edges[edge]).await);
-    let (ended, resumes) = (time::Instant::now(), Some(first));
+    let (ended, resumes) = (time::Instant::now(), Some(stream));
     record::Record { attempt, kind, edge, began, ended, end, resumes }
 }
 
--- a/crates/soak/src/check.rs
+++ b/crates/soak/src/check.rs
@@ -25,6 +25,10 @@
 /// of 8 s.
 const GRACE_END: time::Duration = time::Duration::from_millis(6_667);
 
+/// Time within which a stopping entry may close a connection whose request it did not read, the
+/// platform's `loss_slack_ms`.
+const LOSS_SLACK: time::Duration = time::Duration::from_millis(200);
+
 /// Checks the whole history and returns all violations.
 pub fn check(history: &record::History, runs: &Runs) -> Vec<Violation> {
     let mut violations = arrival_checks::check(history);
@@ -47,24 +51,20 @@
     violations
 }
 
-// Checks that all events of a stream, over all requests that take it up, are of one version.
+// Checks that all events of a stream, over all requests that take it up, are of one version, also
+// those of answers that were cut off.
 fn check_versions(history: &record::History) -> Vec<Violation> {
-    let body = |record: &record::Record| match &record.end {
-        record::End::Answer(reply) if reply.status == 200 && record.kind.is_model() => {
-            reply.body.clone()
-        }
-        _ => None,
-    };
-    let versions =
-        |record: &record::Record| body(record).map(|body| record::split_versions(&body).0);
-    let first: collections::BTreeMap<_, _> =
-        history.records.iter().map(|record| (&record.attempt, versions(record))).collect();
+    let mut streams: collections::BTreeMap<&str, collections::BTreeSet<String>> =
+        collections::BTreeMap::new();
     let mut violations = Vec::new();
-    for record in &history.records {
-        let Some(mut found) = versions(record) else { continue };
-        if let Some(Some(begun)) = record.resumes.as_ref().and_then(|attempt| first.get(attempt)) {
-            found.extend(begun.iter().cloned());
+    for record in history.records.iter().filter(|record| record.kind.is_model()) {
+        let record::End::Answer(reply) = &record.end else { continue };
+        if reply.status != 200 {
+            continue;
         }
+        let first = record.resumes.as_ref().map_or(&record.attempt, |stream| &stream.first);
+        let found = streams.entry(first).or_default();
+        found.extend(record::split_versions(record::whole_events(&reply.received)).0);
         if found.len() > 1 {
             let reason = format!("events of the versions {found:?}");
             violations.push(violation(Invariant::OneVersion, record, &reason));
@@ -109,7 +109,7 @@
     let mixed = arrival_checks::check_answer(record, &reply.headers);
     violations.extend(mixed.map(|reason| violation(Invariant::Mixed, record, reason)));
     let body = record::body(&record.attempt);
-    let expected = record.kind.expected_body(&body, record.resumes.is_some());
+    let expected = record.kind.expected_body(&body, record.resumes.as_ref());
     let received = reply.body.as_ref().map(|body| match record.kind.is_model() {
         true => record::split_versions(body).1,
         false => body.clone(),
@@ -121,6 +121,9 @@
     if reply.status == 200 && !is_complete && !(reply.body.is_none() && may_truncate) {
         violations.push(violation(Invariant::Intact, record, "unexpected response body"));
     }
+    if reply.body.is_none() && is_cut_in_stop(history, record) {
+        violations.push(violation(Invariant::GracefulStop, record, "cut off in a stop"));
+    }
     if reply.elapsed > record.kind.timeout() + TIMEOUT_MARGIN && !overlaps_fault(history, record) {
         violations.push(violation(Invariant::Deadline, record, "exceeded the timeout"));
     }
@@ -131,6 +134,26 @@
     history.windows.iter().any(|window| window.overlaps(record))
 }
 
+// Whether a stop, and no other fault, cut off the answer to a request. A stream may end early because
+// its server broke off, so only one that ends at the end of the grace period counts.
+fn is_cut_in_stop(history: &record::History, record: &record::Record) -> bool {
+    let mut windows = history.windows.iter().filter(|window| window.overlaps(record));
+    if windows.clone().any(|window| window.fault != record::EntryFault::Stopped) {
+        return false;
+    }
+    windows.any(|stop| {
+        let is_ended = |until: time::Instant| record.ended + record::START_DURATION > until;
+        let is_excused = is_excused_by_end(record, stop);
+        let is_at_end = record.ended >= stop.from + GRACE_END;
+        !stop.until.is_some_and(is_ended) && !is_excused && (is_at_end || !record.kind.is_model())
+    })
+}
+
+// Whether a request was sent early enough in a stop, and lasted until the end of the grace period.
+fn is_excused_by_end(record: &record::Record, stop: &record::FaultWindow) -> bool {
+    record.began <= stop.from + LATE_REQUEST && record.ended >= stop.from + GRACE_END
+}
+
 // A graceful stop excuses only requests that were sent after it, when the listener may be closed,
 // and that were not passed on to a server, or were sent soon after it and lasted until the end of
 // the grace period. Any other fault excuses all requests that overlap it.
@@ -151,10 +174,13 @@
     let Some(stop) = windows.next() else {
         return Some(violation(Invariant::Answered, record, "no response"));
     };
-    let is_early = record.began <= stop.from + LATE_REQUEST;
-    let reached_end = is_early && record.ended >= stop.from + GRACE_END;
-    let is_lost = passed_on.contains(record.attempt.as_str()) && !reached_end;
-    is_lost.then(|| violation(Invariant::GracefulStop, record, "passed on and lost in a stop"))
+    if passed_on.contains(record.attempt.as_str()) {
+        let reason = "passed on and lost in a stop";
+        return (!is_excused_by_end(record, stop))
+            .then(|| violation(Invariant::GracefulStop, record, reason));
+    }
+    let is_held = record.ended > record.began + LOSS_SLACK + TIMEOUT_MARGIN;
+    is_held.then(|| violation(Invariant::GracefulStop, record, "held and lost in a stop"))
 }
 
 fn check_probes(history: &record::History) -> Vec<Violation> {
--- a/crates/soak/src/record.rs
+++ b/crates/soak/src/record.rs
@@ -86,15 +86,15 @@
 
     /// Complete response body to a request with `body`; a stream that is taken up has the events after
     /// the last one that the caller has.
-    pub fn expected_body(self, body: &str, is_taken_up: bool) -> String {
-        match self {
-            Kind::Safe | Kind::Unsafe => body.to_string(),
-            Kind::Resumable | Kind::Stream if is_taken_up => {
+    pub fn expected_body(self, body: &str, resumes: Option<&TakeUp>) -> String {
+        match (self, resumes) {
+            (Kind::Safe | Kind::Unsafe, _) => body.to_string(),
+            (Kind::Resumable | Kind::Stream, Some(stream)) => {
                 let events = site::full_stream();
-                let next = format!("id: {}\n", LAST_EVENT + 1);
+                let next = format!("id: {}\n", stream.last + 1);
                 events.find(&next).map_or(String::new(), |at| events[at..].to_string())
             }
-            Kind::Resumable | Kind::Stream => site::full_stream(),
+            (Kind::Resumable | Kind::Stream, None) => site::full_stream(),
         }
     }
 }
@@ -127,12 +127,29 @@
     pub ended: time::Instant,
     /// How it ended.
     pub end: End,
-    /// Attempt id of the stream that it takes up.
-    pub resumes: Option<String>,
+    /// Stream that it takes up.
+    pub resumes: Option<TakeUp>,
+}
+
+/// A stream that a caller takes up.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct TakeUp {
+    /// Attempt id of the request that began it.
+    pub first: String,
+    /// Last event that the caller has.
+    pub last: u64,
+}
+
+/// The whole events in what arrived of a stream.
+pub fn whole_events(received: &str) -> &str {
+    received.rfind("\n\n").map_or("", |end| &received[..end + 2])
 }
 
-/// Last event that a caller has that takes a stream up.
-pub const LAST_EVENT: u64 = 1;
+/// Id of the last whole event in what arrived of a stream.
+pub fn last_event(received: &str) -> Option<u64> {
+    let mut lines = whole_events(received).lines().rev();
+    lines.find_map(|line| line.strip_prefix("id: "))?.parse().ok()
+}
 
 /// Versions that the events in `body` name, and the body without them.
 pub fn split_versions(body: &str) -> (collections::BTreeSet<String>, String) {
@@ -291,6 +308,20 @@
 }
 
 impl History {
+    /// Times from which all entries had one of the faults `faults` at once.
+    pub fn outages(&self, faults: &[EntryFault]) -> Vec<time::Instant> {
+        let is_down = |edge: usize, at: time::Instant| {
+            self.windows.iter().any(|window| {
+                window.edge == edge
+                    && faults.contains(&window.fault)
+                    && window.from <= at
+                    && window.until.is_none_or(|until| until >= at)
+            })
+        };
+        let starts = self.windows.iter().map(|window| window.from);
+        starts.filter(|at| (0..self.edges).all(|edge| is_down(edge, *at))).collect()
+    }
+
     /// Whether `place` was disturbed at some time between `from` and `until`.
     pub fn is_disturbed(&self, place: &Place, from: time::Instant, until: time::Instant) -> bool {
         self.disturbances.iter().any(|disturbance| {
--- a/crates/soak/src/soak.rs
+++ b/crates/soak/src/soak.rs
@@ -16,8 +16,12 @@
     pub answered: usize,
     /// Number of requests that an entry rejected with status 503.
     pub rejected: usize,
-    /// Number of streams that callers took up again, and of those that went on.
+    /// Number of requests to take a stream up again that entries answered, and of those that went on.
     pub taken_up: (usize, usize),
+    /// The same soon after all entries were killed, of streams that began before.
+    pub outage_taken: (usize, usize),
+    /// Number of resumable streams that callers sent anew then, and of those that began.
+    pub outage_begun: (usize, usize),
     /// Violated invariants.
     pub violations: Vec<check::Violation>,
     /// Logs of the entries; empty if no invariant was violated.
@@ -27,8 +31,11 @@
 impl fmt::Display for Report {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         let Report { requests, answered, rejected, taken_up, violations, .. } = self;
+        let (taken, begun) = (self.outage_taken, self.outage_begun);
         write!(f, "{requests} requests, {answered} answered, {rejected} rejected")?;
         write!(f, ", {} of {} streams taken up", taken_up.1, taken_up.0)?;
+        write!(f, " ({} of {} soon after all entries were killed", taken.1, taken.0)?;
+        write!(f, ", {} of {} new ones begun then)", begun.1, begun.0)?;
         write!(f, ", {} violations", violations.len())?;
         let mut counts = collections::BTreeMap::new();
         for violation in violations {
@@ -51,6 +58,8 @@
 
 /// Time limit for recovery after the last fault, the platform's `recover_s`.
 const RECOVERY_LIMIT: time::Duration = time::Duration::from_secs(15);
+/// Time after all entries were killed for which streams are counted apart.
+const OUTAGE_SPAN: time::Duration = time::Duration::from_secs(6);
 /// Maximum number of entries whose recovery is checked at a time, so that the checks alone do not
 /// occupy all engines.
 const MAX_CHECKS: usize = 16;
@@ -175,6 +184,16 @@
     }
 }
 
+// Number of requests that an entry answered, and of those that were served.
+fn count_served<'a>(records: impl Iterator<Item = &'a record::Record>) -> (usize, usize) {
+    let statuses = records.filter_map(|record| match &record.end {
+        record::End::Answer(reply) => Some(reply.status),
+        _ => None,
+    });
+    let statuses: Vec<_> = statuses.collect();
+    (statuses.len(), statuses.iter().filter(|status| **status == 200).count())
+}
+
 fn build_report(injector: injector::Injector) -> Report {
     let mut runs = check::Runs::new();
     for server in injector.site.servers().iter().chain(&injector.site.replaced) {
@@ -202,11 +221,27 @@
         true => Vec::new(),
         false => injector.site.edges.iter().map(edge::Edge::log).collect(),
     };
-    let resumed = history.records.iter().filter(|record| record.resumes.is_some());
-    let goes_on = |record: &&record::Record| matches!(&record.end, record::End::Answer(reply) if reply.status == 200);
-    let taken_up = (resumed.clone().count(), resumed.filter(goes_on).count());
+    let outages = history.outages(&[record::EntryFault::Killed]);
+    // Last outage that was soon before a request.
+    let outage_before = |record: &record::Record| {
+        let span =
+            |down: &time::Instant| *down < record.began && record.began < *down + OUTAGE_SPAN;
+        outages.iter().copied().filter(span).max()
+    };
+    let streams = history.records.iter().filter(|record| record.kind == record::Kind::Resumable);
+    let (resumed, new): (Vec<_>, Vec<_>) =
+        streams.partition(|record: &&record::Record| record.resumes.is_some());
+    let begun: collections::BTreeMap<_, _> =
+        history.records.iter().map(|record| (&record.attempt, record.began)).collect();
+    let outage_taken = resumed.iter().copied().filter(|record| {
+        let first = record.resumes.as_ref().and_then(|stream| begun.get(&stream.first));
+        first.zip(outage_before(record)).is_some_and(|(first, down)| *first < down)
+    });
+    let outage_begun = new.into_iter().filter(|record| outage_before(record).is_some());
     Report {
-        taken_up,
+        taken_up: count_served(resumed.iter().copied()),
+        outage_taken: count_served(outage_taken),
+        outage_begun: count_served(outage_begun),
         requests: history.records.len(),
         answered: replies.clone().filter(|reply| !reply.is_local()).count(),
         rejected: replies.filter(|reply| reply.is_local() && reply.status == 503).count(),
--- a/crates/soak/tests/arrivals.rs
+++ b/crates/soak/tests/arrivals.rs
@@ -63,9 +63,11 @@
             map.insert(*name, value.parse().unwrap());
         }
         let head_after = self.at(millis) - began;
-        let body = Some(format!("body of {attempt}"));
+        let received = format!("body of {attempt}");
+        let body = Some(received.clone());
         let elapsed = head_after;
-        let reply = call::Reply { status: 200, headers: map, head_after, body, elapsed };
+        let (status, headers) = (200, map);
+        let reply = call::Reply { status, headers, head_after, body, received, elapsed };
         self.ended(attempt, millis, End::Answer(reply));
     }
 
@@ -256,6 +258,7 @@
         story.violated()
     };
     assert_eq!(lost(500, 600, false), [], "the request crossed the end of the connection");
+    assert_eq!(lost(500, 2_300, false), [Invariant::GracefulStop], "held without an answer");
     assert_eq!(lost(500, 600, true), [Invariant::GracefulStop]);
     assert_eq!(lost(2_900, 7_900, true), [], "the grace period ended");
     assert_eq!(lost(3_100, 7_900, true), [Invariant::GracefulStop]);
--- a/crates/soak/tests/checks.rs
+++ b/crates/soak/tests/checks.rs
@@ -16,8 +16,9 @@
         headers.insert("x-response-seal", header::HeaderValue::from_static("i-1/1/a1"));
     }
     let body = body.map(str::to_string);
+    let received = body.clone().unwrap_or_default();
     let elapsed = time::Duration::from_millis(80);
-    call::Reply { status, headers, head_after: elapsed, body, elapsed }
+    call::Reply { status, headers, head_after: elapsed, body, received, elapsed }
 }
 
 fn rejection() -> call::Reply {
@@ -121,6 +122,65 @@
     assert_eq!(violated(lost(), &[stopped_before], 0), []);
 }
 
+// An answer of a stopping entry that ended early was excused as one beside any other fault.
+#[test]
+fn cut_off_in_stop() {
+    let cut = |kind| record(kind, End::Answer(reply(200, false, None)));
+    // Sent and cut off at these times after the signal, by an entry that ran for 9 s after it.
+    let violated = |kind, sent_ms: u64, lasted_ms: u64, others: &[EntryFault]| {
+        let mut record = cut(kind);
+        record.ended = record.began + time::Duration::from_millis(lasted_ms);
+        let stop = window(EntryFault::Stopped, &record, sent_ms as i64, 10_000);
+        let others = others.iter().map(|fault| window(*fault, &record, 0, 100));
+        let windows: Vec<_> = std::iter::once(stop).chain(others).collect();
+        violated(record, &windows, 1)
+    };
+    assert_eq!(violated(Kind::Safe, 1_000, 500, &[]), [Invariant::GracefulStop]);
+    assert_eq!(violated(Kind::Safe, 1_000, 6_500, &[]), [], "until the end of the grace period");
+    assert_eq!(violated(Kind::Safe, 4_000, 3_500, &[]), [Invariant::GracefulStop], "late");
+    assert_eq!(violated(Kind::Safe, 1_000, 500, &[EntryFault::Killed]), []);
+    assert_eq!(violated(Kind::Safe, 9_200, 100, &[]), [], "started again");
+    assert_eq!(violated(Kind::Resumable, 1_000, 500, &[]), [], "may be the server's");
+    assert_eq!(violated(Kind::Resumable, 4_000, 3_500, &[]), [Invariant::GracefulStop], "late");
+    assert_eq!(violated(Kind::Resumable, 1_000, 6_500, &[]), []);
+}
+
+// The events that had arrived of a stream that was cut off were not compared with those that follow.
+#[test]
+fn versions_after_cut() {
+    let event =
+        |number: u64, suffix: &str| format!("id: {number}\ndata: token-{number}{suffix}\n\n");
+    let events = |numbers: std::ops::Range<u64>, suffix: &str| -> String {
+        numbers.map(|number| event(number, suffix)).collect()
+    };
+    let answered = |attempt: &str, received: String, is_whole: bool| {
+        let mut reply = reply(200, false, None);
+        reply.headers.insert("x-response-seal", format!("i-1/1/{attempt}").parse().unwrap());
+        reply.body = is_whole.then(|| received.clone());
+        reply.received = received;
+        let record = record(Kind::Resumable, End::Answer(reply));
+        record::Record { attempt: attempt.to_string(), ..record }
+    };
+    let take_up = |attempt: &str, last: u64, received: String, is_whole: bool| {
+        let resumes = Some(record::TakeUp { first: "a1".to_string(), last });
+        record::Record { resumes, ..answered(attempt, received, is_whole) }
+    };
+    let violated = |records: Vec<record::Record>| -> Vec<Invariant> {
+        let history = record::History { records, ..record::History::default() };
+        let violations = check::check(&history, &check::Runs::new());
+        violations.into_iter().map(|violation| violation.invariant).collect()
+    };
+    let first = || answered("a1", events(0..2, "@v2") + "id: 2\ndata: to", false);
+    let next = |suffix| take_up("a2", 1, events(2..3, suffix), false);
+    let last = |suffix| take_up("a3", 2, events(3..6, suffix), true);
+    assert_eq!(violated(vec![first(), next("@v2"), last("@v2")]), []);
+    assert_eq!(violated(vec![first(), next("@v2"), last("")]), [Invariant::OneVersion]);
+    let early = || answered("a1", "id: 0\ndata: token-0@v".to_string(), false);
+    assert_eq!(violated(vec![early(), next("@v2")]), [], "no whole event had arrived");
+    assert_eq!(record::last_event(&(events(0..2, "@v2") + "id: 2\ndata: to")), Some(1));
+    assert_eq!(record::last_event("id: 0\ndata: token-0@v"), None);
+}
+
 #[test]
 fn late_answer() {
     let mut slow = reply(200, false, Some("body of a1"));
