Draw stops of all entries in succession and kills of all beside new versions in the soak

Entries were told to stop one at a time, and the versions of engines changed apart from kills of all entries. Half of the plans now stop all entries, 100 to 300 ms apart, beside kills, SIGHUP, second stops and configs; half kill all at once, with one to four changes of versions from 1.5 s before to 1.5 s after; half have servers that break off in series (LATER_SERVER_FAULTS). All are drawn apart, so that the steps of earlier seeds stay the same and new ones join them.

--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -132,6 +132,25 @@
 const SLOW_NATURE: u32 = 350;
 const SLOW_MS: std::ops::Range<u64> = 500..4_000;
 const COLD: time::Duration = time::Duration::from_secs(2);
+/// The same for planned stops of all entries in short succession, beside other changes, and the time
+/// in which these begin.
+const STOP_FAULTS: u64 = 0x8cb9_2ba7_2f3d_8dd7;
+const STOP_INTERVAL_MS: std::ops::Range<u64> = 100..300;
+const DURING_STOPS: std::ops::Range<u64> = 1..6;
+const STOP_SPAN_MS: std::ops::Range<u64> = 0..7_000;
+/// The same for kills of all entries while streams run, and changes of versions around them.
+const OUTAGE_FAULTS: u64 = 0x9fb2_1c65_1e98_df25;
+const OUTAGE_MS: std::ops::Range<u64> = 50..1_500;
+const AROUND_OUTAGE_MS: u64 = 1_500;
+const OUTAGE_VERSIONS: std::ops::Range<u64> = 1..5;
+/// The same for faults of engines in the middle of streams, and of what servers answer.
+const ANSWER_FAULTS: u64 = 0x27d4_eb2f_1656_67c5;
+const LATER_SERVER_FAULTS: [backend::Fault; 4] = [
+    backend::Fault::AbortsStream,
+    backend::Fault::TruncatesStream,
+    backend::Fault::Resets,
+    backend::Fault::Fails,
+];
 /// Time from a copy of the store to the restore from it.
 const COPY_AGE_MS: std::ops::Range<u64> = 500..5_000;
 /// Time after a restore of the store within which the operator and the servers write again.
@@ -238,6 +257,12 @@
         generator.draw_versions(length, sizes);
         generator.random = rngs::StdRng::seed_from_u64(seed ^ PACE_FAULTS);
         generator.draw_paces(length);
+        generator.random = rngs::StdRng::seed_from_u64(seed ^ STOP_FAULTS);
+        generator.draw_stops(length);
+        generator.random = rngs::StdRng::seed_from_u64(seed ^ OUTAGE_FAULTS);
+        generator.draw_outage(length, sizes);
+        generator.random = rngs::StdRng::seed_from_u64(seed ^ ANSWER_FAULTS);
+        generator.draw_answers(length);
         generator.steps.sort_by_key(|step| step.at);
         Plan { seed, length, sizes, callers, steps: generator.steps }
     }
@@ -248,6 +273,10 @@
         time::Duration::from_millis(self.random.random_range(range))
     }
 
+    fn within(&mut self, length: time::Duration) -> time::Duration {
+        self.millis(0..length.as_millis() as u64)
+    }
+
     fn pick<T: Copy>(&mut self, choices: &[T]) -> T {
         choices[self.random.random_range(0..choices.len())]
     }
@@ -382,6 +411,66 @@
         }
     }
 
+    // Planned stops of all entries, one soon after the other, in half of the plans. Meanwhile some
+    // get other signals, and the config changes.
+    fn draw_stops(&mut self, length: time::Duration) {
+        if self.random.random_bool(0.5) {
+            return;
+        }
+        let from = self.within(length);
+        let mut at = from;
+        for edge in 0..self.edges {
+            self.push(at, Change::Stop(edge));
+            self.push(at, Change::Start(edge));
+            at += self.millis(STOP_INTERVAL_MS);
+        }
+        for _ in 0..self.random.random_range(DURING_STOPS) {
+            let at = from + self.millis(STOP_SPAN_MS);
+            let edge = self.random.random_range(0..self.edges);
+            match self.random.random_range(0..5) {
+                0 => self.push_pair([at, at], Change::Kill(edge), Change::Start(edge)),
+                1 | 2 => self.push(at, Change::Reload(edge)),
+                3 => self.draw_configs(at),
+                _ => self.push_pair([at, at], Change::Stop(edge), Change::Start(edge)),
+            }
+        }
+    }
+
+    // A kill of all entries at once, and changes of the versions of engines before and after it, in
+    // half of the plans.
+    fn draw_outage(&mut self, length: time::Duration, sizes: site::Sizes) {
+        if self.random.random_bool(0.5) {
+            return;
+        }
+        let at = self.within(length);
+        let until = at + self.millis(OUTAGE_MS);
+        self.kill_all([at, until]);
+        let engines = sizes.plain..sizes.plain + sizes.prefill + sizes.decode;
+        for _ in 0..self.random.random_range(OUTAGE_VERSIONS) {
+            let around = time::Duration::from_millis(AROUND_OUTAGE_MS);
+            let changed_at = (at + self.millis(0..2 * AROUND_OUTAGE_MS)).saturating_sub(around);
+            let engine = self.random.random_range(engines.clone());
+            let number = self.random.random_range(VERSIONS);
+            self.push(changed_at, Change::Software(engine, number));
+        }
+    }
+
+    // Faults of servers, one after another, in half of the plans.
+    fn draw_answers(&mut self, length: time::Duration) {
+        if self.random.random_bool(0.5) {
+            return;
+        }
+        let mut at = self.millis(LATER_INTERVAL_MS);
+        while at < length {
+            let server = self.random.random_range(0..self.servers);
+            let until = at + self.millis(FAULT_DURATION_MS);
+            let fault = self.pick(&LATER_SERVER_FAULTS);
+            let healthy = Change::ServerFault(server, backend::Fault::None);
+            self.push_pair([at, until], Change::ServerFault(server, fault), healthy);
+            at += self.millis(LATER_INTERVAL_MS);
+        }
+    }
+
     fn draw_store_fault(&mut self, span: [time::Duration; 2]) {
         let mode = self.pick(&STORE_MODES);
         self.push_pair(span, Change::Store(mode), Change::Store(store::Mode::Up));
--- a/crates/soak/tests/short.rs
+++ b/crates/soak/tests/short.rs
@@ -80,6 +80,26 @@
     assert!(overlap, "no entry has two faults at a time");
 }
 
+// All entries are told to stop in short succession, and all are killed at once, in some of the seeds
+// that are run.
+#[test]
+fn drawn_series() {
+    let plans: Vec<_> = SEEDS.map(|seed| plan::Plan::draw(seed, LENGTH)).collect();
+    let at_once = |plan: &plan::Plan, span: time::Duration, wanted: fn(usize) -> plan::Change| {
+        plan.steps.iter().any(|start| {
+            let within = |at: time::Duration| start.at <= at && at <= start.at + span;
+            (0..plan.sizes.edges).all(|edge| {
+                let change = wanted(edge);
+                plan.steps.iter().any(|step| step.change == change && within(step.at))
+            })
+        })
+    };
+    let several = || plans.iter().filter(|plan| plan.sizes.edges > 1);
+    let span = time::Duration::from_millis(1_200);
+    assert!(several().any(|plan| at_once(plan, span, plan::Change::Stop)));
+    assert!(several().any(|plan| at_once(plan, time::Duration::ZERO, plan::Change::Kill)));
+}
+
 #[test]
 fn same_plan() {
     let plan = plan::Plan::draw(7, LENGTH);
