Let eager callers of the soak pause once faults are over

The check is unchanged; these callers keep to the pause of the others while it runs, as all callers did before. Not played again yet with this change.

--- a/crates/soak/src/callers.rs
+++ b/crates/soak/src/callers.rs
@@ -23,6 +23,8 @@
     pub(crate) version: atomic::AtomicU64,
     /// Whether callers and probes have to end.
     pub(crate) stopped: atomic::AtomicBool,
+    /// Whether the faults are over and the recovery of entries is checked.
+    pub(crate) recovering: atomic::AtomicBool,
     /// Number of the next attempt id.
     pub(crate) next_attempt: atomic::AtomicU64,
     /// Whether some requests have a part in their prompts that crashes engines.
@@ -49,7 +51,8 @@
 const DEADLY_RATIO: f64 = 0.1;
 /// Share of the requests that are sent again and again and crash servers, while there are such.
 const REPEATED_RATIO: f64 = 0.08;
-/// Share of the callers that stay with one entry whose requests follow one another without a pause.
+/// Share of the callers that stay with one entry whose requests follow one another without a pause
+/// while there are faults. Later they would occupy all slots of a single engine.
 const EAGER_RATIO: f64 = 0.4;
 /// Share of the complete streams that their callers take up, as after a cut. Those that were cut off
 /// are all taken up.
@@ -117,7 +120,8 @@
         if let Some(stream) = cut {
             take_up(&shared, &client, stream).await;
         }
-        if !(is_eager && is_served) {
+        let is_recovering = shared.recovering.load(atomic::Ordering::Relaxed);
+        if !(is_eager && is_served) || is_recovering {
             let pause = rand::rng().random_range(PAUSE_MS);
             tokio::time::sleep(time::Duration::from_millis(pause)).await;
         }
--- a/crates/soak/src/soak.rs
+++ b/crates/soak/src/soak.rs
@@ -79,6 +79,7 @@
         ready: site.edges.iter().map(|edge| edge.ready).collect(),
         version: atomic::AtomicU64::new(1),
         stopped: atomic::AtomicBool::new(false),
+        recovering: atomic::AtomicBool::new(false),
         next_attempt: atomic::AtomicU64::new(0),
         deadly: atomic::AtomicBool::new(false),
         repeated: atomic::AtomicBool::new(false),
@@ -97,6 +98,7 @@
         injector.apply(step.change).await?;
     }
     injector.clear_faults().await?;
+    shared.recovering.store(true, atomic::Ordering::Relaxed);
     wait_recovered(&mut injector).await?;
     shared.stopped.store(true, atomic::Ordering::Relaxed);
     for task in tasks {
