Give each deployment of the end-to-end tests a subnet of its own

A deployment took 127.x.y.0/24 with x from its process number modulo 120 and y counted in its process, so that two processes could have the same addresses; the entries of the second one could not listen.

A deployment now listens at a port of its subnet as long as it lives, and takes the next subnet if the port is taken.

--- a/crates/e2e/src/site.rs
+++ b/crates/e2e/src/site.rs
@@ -1,7 +1,7 @@
 //! A deployment on the users' platform: entry processes with a fake store and fake backend
 //! servers.
 
-use std::{collections, env, fs, net, path, process, sync::atomic, time};
+use std::{collections, env, fs, io, net, path, process, sync::atomic, time};
 
 use serde_json::json;
 
@@ -31,6 +31,8 @@
     handles: handles::Handles,
     dir: path::PathBuf,
     subnet: [u8; 2],
+    // Keeps the subnet.
+    _claim: net::TcpListener,
 }
 
 /// Numbers of processes and servers of a deployment.
@@ -113,6 +115,10 @@
 /// Time after which an engine releases an unused hold.
 pub const HOLD_LIFETIME: time::Duration = time::Duration::from_secs(2);
 
+/// Number of subnets with the same third byte.
+const SUBNETS: u32 = 120;
+/// Port at which a deployment listens to keep its subnet.
+const CLAIM_PORT: u16 = 7600;
 const START_TIMEOUT: time::Duration = time::Duration::from_secs(20);
 const POLL_INTERVAL: time::Duration = time::Duration::from_millis(20);
 /// Interval between checks whether servers have started again.
@@ -138,8 +144,8 @@
     /// Returns an error if a fake cannot be started.
     pub async fn prepare(sizes: Sizes) -> anyhow::Result<Site> {
         static COUNT: atomic::AtomicU8 = atomic::AtomicU8::new(1);
-        let subnet =
-            [(process::id() % 120 + 2) as u8, COUNT.fetch_add(1, atomic::Ordering::Relaxed)];
+        let count = COUNT.fetch_add(1, atomic::Ordering::Relaxed);
+        let (claim, subnet) = claim_subnet((process::id() % SUBNETS) as u8, count)?;
         let dir = env::temp_dir().join(format!("rhubarb-site-{}-{}", process::id(), subnet[1]));
         fs::create_dir_all(&dir)?;
         let handles = handles::Handles::default();
@@ -159,6 +165,7 @@
             handles: handles.clone(),
             dir,
             subnet,
+            _claim: claim,
         };
         for backend in site.servers() {
             let address = backend.serve(site.ip(1)).await?;
@@ -417,6 +424,24 @@
     }
 }
 
+/// Finds a subnet 127.x.`third`.0/24 that no other deployment on this machine uses, from the one with the
+/// number `first` on, and keeps it while the listener is open.
+///
+/// # Errors
+/// Returns an error if none is free.
+pub fn claim_subnet(first: u8, third: u8) -> io::Result<(net::TcpListener, [u8; 2])> {
+    for offset in 0..SUBNETS {
+        let second = ((u32::from(first) + offset) % SUBNETS + 2) as u8;
+        let address = net::Ipv4Addr::new(127, second, third, 1);
+        match net::TcpListener::bind((address, CLAIM_PORT)) {
+            Ok(claim) => return Ok((claim, [second, third])),
+            Err(err) if err.kind() == io::ErrorKind::AddrInUse => {}
+            Err(err) => return Err(err),
+        }
+    }
+    Err(io::Error::new(io::ErrorKind::AddrInUse, "other deployments use all subnets"))
+}
+
 impl Drop for Site {
     fn drop(&mut self) {
         self.edges.clear();
