End an answer as complete only where it was finished

An answer that was given up while its caller read slowly ended as if it were complete: a stream cut off at its deadline, at the end of a planned stop or after an engine's failure could not be told from a whole one.

A streamed body now ends as complete only after Responder::finish, which the edge and both paths of the entry call when the answer is whole. A task that ends without a result cuts it too.

--- a/crates/edge/src/stream.rs
+++ b/crates/edge/src/stream.rs
@@ -706,7 +706,8 @@
         None
     }
 
-    fn finish(&self) {
+    fn finish(&mut self) {
+        self.responder.finish();
         let call = &self.call;
         call.edge.counters.requests.answered.inc();
         let first = self.first_at.map(|at| at - call.arrived);
--- a/crates/entry/src/plain.rs
+++ b/crates/entry/src/plain.rs
@@ -59,6 +59,7 @@
         match step {
             flow::Step::Send => return Some(self.attempt().await),
             flow::Step::Finish => {
+                self.responder.finish();
                 self.count_answer();
                 self.ticket.set_outcome(Outcome::Answered, None);
             }
--- a/crates/entry/src/response_writer.rs
+++ b/crates/entry/src/response_writer.rs
@@ -70,7 +70,11 @@
         if self.stream {
             self.start_stream();
             let event = Bytes::from(self.encoder.last_event(reason));
-            return self.responder.send(event, deadline).await;
+            let sent = self.responder.send(event, deadline).await;
+            if sent == responder::SendOutcome::Sent {
+                self.responder.finish();
+            }
+            return sent;
         }
         let body = self.encoder.json_body(&self.text, reason, usage);
         self.respond(response::json(StatusCode::OK, &body));
--- a/crates/node/src/responder.rs
+++ b/crates/node/src/responder.rs
@@ -1,6 +1,6 @@
 //! Sends the response to a caller, and waits for events while the caller stays connected.
 
-use std::{io, time};
+use std::{io, sync, sync::atomic, time};
 
 use bytes::Bytes;
 use hyper::Response;
@@ -16,6 +16,7 @@
 pub struct Responder {
     head: Option<oneshot::Sender<Response<response::Body>>>,
     body: Option<mpsc::Sender<io::Result<Bytes>>>,
+    is_complete: sync::Arc<atomic::AtomicBool>,
 }
 
 /// Result of sending a chunk.
@@ -44,7 +45,8 @@
     /// Creates a responder and the receiver of its response.
     pub fn new() -> (Responder, oneshot::Receiver<Response<response::Body>>) {
         let (head, receiver) = oneshot::channel();
-        (Responder { head: Some(head), body: None }, receiver)
+        let is_complete = sync::Arc::new(atomic::AtomicBool::new(false));
+        (Responder { head: Some(head), body: None, is_complete }, receiver)
     }
 
     /// Whether the response has started.
@@ -59,11 +61,13 @@
         }
     }
 
-    /// Starts a response whose body follows in chunks.
+    /// Starts a response whose body follows in chunks. It looks complete only after
+    /// [`Responder::finish`], also if the responder is dropped.
     pub fn start_stream(&mut self, response: Response<()>) {
         let (sender, receiver) = mpsc::channel(MAX_CHUNKS);
         self.body = Some(sender);
-        self.respond(response.map(|()| response::stream(receiver)));
+        let is_complete = self.is_complete.clone();
+        self.respond(response.map(|()| response::stream_until(receiver, is_complete)));
     }
 
     /// Sends a chunk, and waits until `deadline` while the buffer is full.
@@ -77,6 +81,12 @@
         }
     }
 
+    /// Ends a streamed response as complete.
+    pub fn finish(&mut self) {
+        self.is_complete.store(true, atomic::Ordering::Release);
+        self.body = None;
+    }
+
     /// Aborts a streamed response, so that the caller cannot mistake it for a complete one.
     pub async fn abort(&mut self, reason: &str) {
         if let Some(body) = self.body.take() {
--- a/crates/node/src/response.rs
+++ b/crates/node/src/response.rs
@@ -1,6 +1,6 @@
 //! Response bodies and simple HTTP responses.
 
-use std::{convert, fmt, io, pin, task};
+use std::{convert, fmt, io, pin, sync, sync::atomic, task};
 
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited, combinators};
@@ -18,11 +18,20 @@
 /// Returns a body that streams the chunks from `receiver`; it ends when all senders are dropped,
 /// and an error aborts the connection.
 pub fn stream(receiver: mpsc::Receiver<io::Result<Bytes>>) -> Body {
-    ChannelBody { receiver }.boxed()
+    stream_until(receiver, sync::Arc::new(atomic::AtomicBool::new(true)))
+}
+
+/// Returns a body like [`stream`] that ends as complete only if `is_complete` is set by then.
+pub fn stream_until(
+    receiver: mpsc::Receiver<io::Result<Bytes>>,
+    is_complete: sync::Arc<atomic::AtomicBool>,
+) -> Body {
+    ChannelBody { receiver, is_complete }.boxed()
 }
 
 struct ChannelBody {
     receiver: mpsc::Receiver<io::Result<Bytes>>,
+    is_complete: sync::Arc<atomic::AtomicBool>,
 }
 
 impl body::Body for ChannelBody {
@@ -33,7 +42,10 @@
         mut self: pin::Pin<&mut Self>,
         cx: &mut task::Context<'_>,
     ) -> task::Poll<Option<io::Result<body::Frame<Bytes>>>> {
-        self.receiver.poll_recv(cx).map(|chunk| chunk.map(|chunk| chunk.map(body::Frame::data)))
+        let chunk = task::ready!(self.receiver.poll_recv(cx));
+        let is_cut = chunk.is_none() && !self.is_complete.swap(true, atomic::Ordering::AcqRel);
+        let cut = is_cut.then(|| Err(io::Error::other("the answer was given up")));
+        task::Poll::Ready(chunk.or(cut).map(|chunk| chunk.map(body::Frame::data)))
     }
 }
 
