Count short stalls before a stop as well

A SIGTERM that was handled 400 to 500 ms late, beside a stall too short to be counted, left answers due after the kill: 85 ms in a review's case.

Cause: a stall counted from 500 ms on, the margins of a stop are 400 ms. Stalls count from 250 ms on now, and a signal only if it is handled within 100 ms of their end, which loses less of the grace period. Only long ones are logged.

--- a/crates/core/src/stalls.rs
+++ b/crates/core/src/stalls.rs
@@ -17,11 +17,11 @@
 
 /// Interval at which [`Stalls::record`] is called.
 pub const PERIOD: time::Duration = time::Duration::from_millis(200);
-/// Delay of a call beyond which the process counts as stalled; timers are late by less on a busy
-/// instance.
-const MIN_STALL: time::Duration = time::Duration::from_millis(300);
+/// Delay of a call beyond which the process counts as stalled. With [`PERIOD`] it is less than the margins
+/// of a planned stop, which cover the signals of shorter stalls.
+const MIN_STALL: time::Duration = time::Duration::from_millis(50);
 /// Time after a stall in which a signal that came during it is handled.
-const SIGNAL_DELAY: time::Duration = time::Duration::from_millis(500);
+const SIGNAL_DELAY: time::Duration = time::Duration::from_millis(100);
 
 impl Stalls {
     /// Starts with a process that runs at `now`.
--- a/crates/edge/src/watch.rs
+++ b/crates/edge/src/watch.rs
@@ -33,6 +33,8 @@
 /// Longest delay before an entry follows the store in place of others: a cell has up to forty
 /// entries, of which the first begins after a fraction of it.
 const MAX_TAKEOVER_DELAY: time::Duration = time::Duration::from_millis(2_000);
+/// Shortest stall of the process that is logged.
+const LOGGED_STALL: time::Duration = time::Duration::from_millis(500);
 
 /// Follows `table`; does not return.
 pub(crate) async fn follow(edge: sync::Arc<edge::Edge>, table: store::Table) {
@@ -413,7 +415,7 @@
     let mut suspension = suspension::Suspension::new(clock::now(), boot::time());
     loop {
         tokio::time::sleep(stalls::PERIOD).await;
-        if let Some(duration) = edge.record_running() {
+        if let Some(duration) = edge.record_running().filter(|duration| *duration >= LOGGED_STALL) {
             let millis = duration.as_millis() as u64;
             tracing::warn!(millis, "edge: process did not run");
         }
