Take an entry for reachable as the balancer uses its availability zone

A stream that a stopping entry refused was sent again at once as long as any other entry was ready, also the only one of four in its availability zone, all of which the balancer then uses.

At least half of the own zone must be ready now, or none there and one elsewhere. members::ready_peers, rewritten for this, required the short delay for one ready entry of three, which is not what callers meet; it now has the cases around the half and other zones.

--- a/crates/core/src/members.rs
+++ b/crates/core/src/members.rs
@@ -322,10 +322,18 @@
         }
     }
 
-    /// Whether another entry has said within three heartbeats that it is ready for callers.
+    /// Whether a caller of this entry, which is not ready, reaches one that is. Those of its availability
+    /// zone are all used by the balancer while less than half of them are ready, and those of other
+    /// zones if none is.
     pub fn has_ready_peer(&self, now: time::Instant) -> bool {
-        let is_ready = |at: time::Instant| now <= at + READY_TIMEOUT;
-        self.members.values().any(|member| member.ready_at.is_some_and(is_ready))
+        let is_near = |member: &&Member| member.zone == self.zone;
+        let is_ready =
+            |member: &&Member| member.ready_at.is_some_and(|at| now <= at + READY_TIMEOUT);
+        let near = self.live_members(now).map(|(_, member)| member).filter(is_near).count() + 1;
+        match self.members.values().filter(is_near).filter(is_ready).count() {
+            0 => self.members.values().any(|member| is_ready(&member)),
+            ready => ready * 2 >= near,
+        }
     }
 
     /// Number of entries that share the fleet's budgets, this one included; `None` while nothing is
--- a/crates/core/tests/members.rs
+++ b/crates/core/tests/members.rs
@@ -168,19 +168,25 @@
     assert!(!members.is_speaker(now), "of the same cell");
 }
 
+// Guards against callers that use up their retries at entries that stop, beside few that are ready.
 #[test]
 fn ready_peers() {
     let now = time::Instant::now();
     let mut members = members::Members::new(ip(1), ZONE, now);
     assert!(!members.has_ready_peer(now));
-    for last in [2, 3] {
+    for last in [2, 3, 4] {
         members.record_heartbeat(heartbeat(last, 1), 1, now);
-        members.record_ready(ip(last), true, now);
     }
+    members.record_ready(ip(2), true, now);
+    assert!(!members.has_ready_peer(now), "the balancer uses all four");
+    members.record_ready(ip(3), true, now);
+    assert!(members.has_ready_peer(now), "two of four");
+    assert!(!members.has_ready_peer(now + 3 * SECOND), "they are not heard any more");
     members.record_ready(ip(2), false, now);
-    assert!(members.has_ready_peer(now), "the other one is still ready");
     members.record_ready(ip(3), false, now);
     assert!(!members.has_ready_peer(now));
-    members.record_ready(ip(3), true, now);
-    assert!(!members.has_ready_peer(now + 3 * SECOND), "it is not heard any more");
+    let far = members::Heartbeat { zone: ZONE + 1, ..heartbeat(9, 1) };
+    members.record_heartbeat(far, 1, now);
+    members.record_ready(ip(9), true, now);
+    assert!(members.has_ready_peer(now), "none in the zone, one in another");
 }
