Read the grace period again when a stop begins

The settings may change without a signal up to 2 s before they are read, so that a stop counted on a grace period that was shorter by then.

--- a/crates/edge/src/edge.rs
+++ b/crates/edge/src/edge.rs
@@ -252,7 +252,12 @@
 
     /// Starts the planned stop.
     pub(crate) fn stop(&self) -> stopping::Stop {
-        let (now, grace) = (clock::now(), self.settings().grace);
+        // The settings may have changed since they were read last.
+        let loaded = settings::load().inspect_err(|err| {
+            tracing::error!(%err, "edge: settings not used, the earlier ones stay");
+        });
+        let grace = loaded.map_or(self.settings().grace, |settings| settings.grace);
+        let now = clock::now();
         let asked_at = locks::lock(&self.stalls).signalled_since(now);
         let stop = stopping::Stop::new(now, grace).asked_since(asked_at);
         self.stopping.send_replace(Some(stop));
