Leave the deadline of a request as it is when a stop has begun

A stream that began during a planned stop ended with the answers that had not begun, after a pause of the process seconds before the end of the drain, since the earlier time was stored as its deadline.

--- a/crates/edge/src/ingress.rs
+++ b/crates/edge/src/ingress.rs
@@ -83,7 +83,7 @@
         }
     };
     let timeout = head.timeout.unwrap_or(route.timeout).min(route.timeout);
-    let mut deadline = arrived + timeout;
+    let deadline = arrived + timeout;
     let (stop, now) = (edge.stopping(), clock::now());
     let refuse_late = || {
         let retry = stop.map(|stop| stop.retry_delay(edge.members().has_ready_peer(now), now));
@@ -92,13 +92,10 @@
             None => Refusal::not_run(Reason::TooLate, outcome::RETRY_SOON),
         })
     };
-    if let Some(stop) = stop {
-        if !stop.admits(route.kind, route.target, deadline, now) {
-            return refuse_late();
-        }
-        deadline = deadline.min(stop.answered_by());
-    }
-    if now >= deadline {
+    let is_admitted = stop.is_none_or(|stop| {
+        now < stop.answered_by() && stop.admits(route.kind, route.target, deadline, now)
+    });
+    if !is_admitted || now >= deadline {
         return refuse_late();
     }
     let rank = customer.and_then(|customer| customer.rank).unwrap_or(route.rank);
