--- a/crates/e2e/tests/platform_versions.rs
+++ b/crates/e2e/tests/platform_versions.rs
@@ -28,6 +28,8 @@
 
 /// Time after which an entry has told others of the streams that it has begun.
 const TELL_TIME: time::Duration = time::Duration::from_millis(500);
+/// Time after which it has written them to the store.
+const STORE_TIME: time::Duration = time::Duration::from_secs(1);
 
 fn engines(site: &site::Site, software: &str) -> Vec<backend::Backend> {
     site.decode.iter().filter(|engine| engine.software() == software).cloned().collect()
@@ -380,3 +382,24 @@
     assert_eq!(begin(&site, 1, 4).await?.len(), 4);
     Ok(())
 }
+
+// Guards against streams that nobody can take up after all entries were killed while the service had
+// several versions (issue 41, LOST). One that began just before may be refused.
+#[tokio::test]
+async fn all_killed_mixed() -> anyhow::Result<()> {
+    let mut site = start(3).await?;
+    let mut begun = begin(&site, 0, 8).await?;
+    begun.extend(begin(&site, 1, 8).await?);
+    let names: collections::BTreeSet<_> = begun.values().collect();
+    assert_eq!(names.len(), 2, "{begun:?}");
+    tokio::time::sleep(STORE_TIME).await;
+    let late = begin(&site, 2, 4).await?;
+    for _ in 0..2 {
+        restart_all(&mut site, async |_| Ok(())).await?;
+        for edge in [0, 1, 2] {
+            assert_eq!(resume_all(&site, edge, &begun).await?, begun.len(), "at entry {edge}");
+            resume_all(&site, edge, &late).await?;
+        }
+    }
+    Ok(())
+}
