Keep the versions of streams in the store while a service has several

Callers that took up a stream after all entries were killed while its service had several versions were refused as unknown-version: which version began it was known to entries alone.

Each entry now writes the streams that it has begun to rows of its own in the table `streams`, in batches and only while there are several versions; one at which a stream is taken up that no entry knows reads the table. An entry that knows that a stream's version is uncertain says so when it is asked, since the store may not have that yet. Rows of an earlier era of the store are not believed.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -75,6 +75,7 @@
 pub mod stalls;
 pub mod stamp;
 pub mod stopping;
+pub mod stream_records;
 pub mod subset;
 pub mod suspects;
 pub mod suspension;
--- a/crates/core/src/origins.rs
+++ b/crates/core/src/origins.rs
@@ -33,6 +33,8 @@
     pub at: time::Instant,
     /// Whether others have been told of it.
     pub is_told: bool,
+    /// Whether it has been written to the store.
+    pub is_stored: bool,
 }
 
 /// Maximum number of streams in each of two generations.
@@ -56,7 +58,7 @@
         let attempts: Vec<_> = streams
             .filter(is_later)
             .map(|stream| {
-                stream.is_told = false;
+                (stream.is_told, stream.is_stored) = (false, false);
                 stream.attempt
             })
             .collect();
@@ -109,17 +111,45 @@
         count: usize,
         is_needed: impl Fn(&str) -> bool,
     ) -> Vec<(ids::AttemptTag, Origin)> {
-        let untold = self.own.iter_mut().filter(|stream| !stream.is_told);
-        let needed = untold.filter(|stream| is_needed(&stream.service)).take(count);
-        let attempts: Vec<_> = needed
-            .map(|stream| {
-                stream.is_told = true;
-                stream.attempt
-            })
-            .collect();
+        self.take(count, is_needed, |stream| &mut stream.is_told)
+    }
+
+    /// The same for streams that have not been written to the store.
+    pub fn take_unstored(
+        &mut self,
+        count: usize,
+        is_needed: impl Fn(&str) -> bool,
+    ) -> Vec<(ids::AttemptTag, Origin)> {
+        self.take(count, is_needed, |stream| &mut stream.is_stored)
+    }
+
+    fn take(
+        &mut self,
+        count: usize,
+        is_needed: impl Fn(&str) -> bool,
+        flag: impl Fn(&mut Own) -> &mut bool,
+    ) -> Vec<(ids::AttemptTag, Origin)> {
+        let mut attempts = Vec::new();
+        for stream in &mut self.own {
+            if attempts.len() < count && !*flag(stream) && is_needed(&stream.service) {
+                *flag(stream) = true;
+                attempts.push(stream.attempt);
+            }
+        }
         attempts.into_iter().map(|attempt| (attempt, self.get(attempt))).collect()
     }
 
+    /// Records that own streams have to be written to the store again; `is_lost` names them.
+    pub fn set_unstored(&mut self, is_lost: impl Fn(ids::AttemptTag) -> bool) {
+        let lost = self.own.iter_mut().filter(|stream| is_lost(stream.attempt));
+        lost.for_each(|stream| stream.is_stored = false);
+    }
+
+    /// Whether it is known that the version that began a stream is uncertain.
+    pub fn is_uncertain(&self, attempt: ids::AttemptTag) -> bool {
+        self.entry(attempt).is_some_and(|known| known.is_none())
+    }
+
     /// Number of streams that are known.
     pub fn len(&self) -> usize {
         self.current.len() + self.previous.len()
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -47,6 +47,7 @@
 mod snapshots;
 mod socket;
 mod stream;
+mod stream_records;
 mod suspects;
 mod trials;
 mod verdicts;
--- a/crates/edge/src/metrics.rs
+++ b/crates/edge/src/metrics.rs
@@ -38,6 +38,7 @@
     pub(crate) kept_tokens: counter::Counter,
     pub(crate) stray_responses: counter::Counter,
     pub(crate) histories_written: counter::Counter,
+    pub(crate) stream_records: counter::Counter,
     pub(crate) refused_ranks: RankFamily,
     pub(crate) leaving: SourceFamily,
     pub(crate) pauses: counter::Counter,
@@ -67,6 +68,8 @@
             ),
             histories_written: registry
                 .counter("histories_written", "Rows of the versions of a service written"),
+            stream_records: registry
+                .counter("stream_records_written", "Rows of the versions of streams written"),
             stray_responses: registry
                 .counter("stray_responses", "Answers of servers that belonged to another request"),
             refused_ranks: registry.family("refused_ranks", "Requests refused, by rank"),
--- a/crates/edge/src/origins.rs
+++ b/crates/edge/src/origins.rs
@@ -12,7 +12,7 @@
 use rhubarb_node::clock;
 use rhubarb_wire::origins;
 
-use crate::{call, edge};
+use crate::{call, edge, stream_records};
 
 /// Delay in which streams that begin are told together.
 const BATCH_DELAY: time::Duration = time::Duration::from_millis(100);
@@ -38,8 +38,9 @@
     let edge = &call.edge;
     for attempt in stream_tags(call) {
         let (service, server) = (call.service.clone(), ids::server_tag(server));
-        let stream =
-            core_origins::Own { attempt, service, server, at: clock::now(), is_told: false };
+        let at = clock::now();
+        let (is_told, is_stored) = (false, false);
+        let stream = core_origins::Own { attempt, service, server, at, is_told, is_stored };
         edge.origins().record_own(stream, origin);
     }
     if edge.directory().needs_origins(&call.service, clock::now()) {
@@ -56,16 +57,22 @@
     };
     edge.answers().only.insert(attempt, collections::BTreeSet::new());
     let found = ask_all(edge, attempt, service).await;
-    let answered = edge.answers().only.remove(&attempt).unwrap_or_default();
+    let answered = edge.answers().only.get(&attempt).cloned().unwrap_or_default();
     let single = edge.directory().agreed_software(service, &answered, clock::now());
+    let stored = match found.or(single) {
+        None => stream_records::find(edge, attempt).await,
+        Some(_) => None,
+    };
+    edge.answers().only.remove(&attempt);
     tracing::info!(
         id = call.id(),
         resumes = ?call.head.resumes,
         found,
         single,
+        stored,
         "edge: version of a stream looked up"
     );
-    found.or(single)
+    found.or(single).or(stored)
 }
 
 // Asks the other entries for the version that began a stream, until one knows it. Stops early if this
@@ -180,11 +187,15 @@
         origins::Content::Asked { attempt, service } => {
             let origin = edge.origins().get(attempt);
             let only = edge.directory().only_software(&service, clock::now());
-            if origin.is_none() && only.is_none() {
-                return;
-            }
-            let answer = origins::Content::Answered { attempt, origin, only };
-            match origins::Message::new(answer).encode() {
+            let message = match (origin, only) {
+                // The store may name a version that has become uncertain since.
+                (None, None) if edge.origins().is_uncertain(attempt) => {
+                    origins::Message::tell(&[(attempt, None)])
+                }
+                (None, None) => return,
+                _ => origins::Message::new(origins::Content::Answered { attempt, origin, only }),
+            };
+            match message.encode() {
                 Ok(bytes) => {
                     if let Err(err) = socket.send_to(&bytes, from).await {
                         tracing::debug!(%from, %err, "edge: origin of a stream not answered");
--- a/crates/edge/src/rows.rs
+++ b/crates/edge/src/rows.rs
@@ -74,7 +74,8 @@
             | store::Table::Leases
             | store::Table::Suspects
             | store::Table::Trials
-            | store::Table::Releases => store::Version::default(),
+            | store::Table::Releases
+            | store::Table::Streams => store::Version::default(),
         }
     }
 
--- a/crates/edge/src/run.rs
+++ b/crates/edge/src/run.rs
@@ -12,7 +12,7 @@
 
 use crate::{
     discovery, edge, eras, histories, ingress, leader, ledger, origins, pauses, peers, reload,
-    snapshots, verdicts, watch,
+    snapshots, stream_records, verdicts, watch,
 };
 
 /// Maximum number of connections from callers; leaves file descriptors for servers and the store.
@@ -48,6 +48,8 @@
     tokio::spawn(pauses::report(edge.clone()));
     tokio::spawn(verdicts::run(edge.clone()));
     tokio::spawn(histories::run(edge.clone()));
+    tokio::spawn(stream_records::write(edge.clone()));
+    tokio::spawn(stream_records::clean(edge.clone()));
     tokio::spawn(leader::run(edge.clone()));
     tokio::spawn(reload::run(edge.clone(), signals::hangups()?));
     let (snapshots, shares) =
--- a/crates/wire/src/origins.rs
+++ b/crates/wire/src/origins.rs
@@ -19,7 +19,7 @@
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Content {
     /// Streams that the sender has begun, by their versions.
-    Told(Vec<(origins::Origin, Vec<FixedTag>)>),
+    Told(Groups),
     /// Asks for the version that began a stream.
     Asked {
         /// The stream.
@@ -38,6 +38,9 @@
     },
 }
 
+/// Streams by their versions.
+pub type Groups = Vec<(origins::Origin, Vec<FixedTag>)>;
+
 /// Tag of an attempt in eight bytes: as a number of variable length it would take up to ten.
 pub type FixedTag = [u8; 8];
 
@@ -46,6 +49,16 @@
 /// Streams in one datagram, which fits into a packet.
 pub const MAX_TOLD: usize = 120;
 
+/// Groups streams by their versions.
+pub fn group(streams: &[(ids::AttemptTag, origins::Origin)]) -> Groups {
+    let mut groups: collections::BTreeMap<origins::Origin, Vec<FixedTag>> =
+        collections::BTreeMap::new();
+    for (attempt, origin) in streams {
+        groups.entry(*origin).or_default().push(attempt.to_be_bytes());
+    }
+    groups.into_iter().collect()
+}
+
 impl Message {
     /// Creates a datagram.
     pub fn new(content: Content) -> Message {
@@ -54,12 +67,7 @@
 
     /// Creates a datagram that tells the versions of streams.
     pub fn tell(streams: &[(ids::AttemptTag, origins::Origin)]) -> Message {
-        let mut told: collections::BTreeMap<origins::Origin, Vec<FixedTag>> =
-            collections::BTreeMap::new();
-        for (attempt, origin) in streams {
-            told.entry(*origin).or_default().push(attempt.to_be_bytes());
-        }
-        Message::new(Content::Told(told.into_iter().collect()))
+        Message::new(Content::Told(group(streams)))
     }
 
     /// Whether these bytes are such a datagram and no share.
