Stop reading sooner where the head of a response does not end

With two buffers of informational responses for each of 24 requests and their repeats the entry's one thread was still busy for too long in a debug build.

No more is read after 32 KiB without the end of a head, instead of 128; the last read may bring more.

--- a/crates/edge/src/connections.rs
+++ b/crates/edge/src/connections.rs
@@ -83,9 +83,9 @@
 
 /// Maximum size of the buffer for what is received, in bytes; a longer head is invalid.
 const MAX_BUFFER_BYTES: usize = 64 * 1024;
-/// Maximum number of bytes that are read until the head of a response is complete: informational
-/// responses, the head, and the begin of the body.
-const MAX_HEAD_BYTES: usize = 2 * MAX_BUFFER_BYTES;
+/// Number of bytes after which no more is read until the head of a response is complete: informational
+/// responses and the head. The last read may go beyond, into the body.
+const MAX_HEAD_BYTES: usize = 32 * 1024;
 /// Timeout for opening a connection. A reachable server accepts within milliseconds; the rest is
 /// for one retransmission of the first packet.
 const CONNECT_TIMEOUT: time::Duration = time::Duration::from_millis(1_300);
