--- a/crates/edge/src/edge.rs
+++ b/crates/edge/src/edge.rs
@@ -10,9 +10,7 @@
 use rhubarb_node::{client, clock, locks};
 use rhubarb_platform::{settings, store};
 
-use crate::{
-    answers, connections, dates, directory, lag, limits, metrics, orders, rejected, stream_records,
-};
+use crate::{answers, connections, dates, directory, lag, limits, metrics, orders, rejected};
 
 /// State of one entry.
 #[derive(Debug)]
@@ -35,8 +33,8 @@
     pub(crate) origin_begun: tokio_sync::Notify,
     /// Notifies requests that look the version of a stream up that another entry has told something.
     pub(crate) origin_learned: tokio_sync::Notify,
-    /// Reads of the versions of streams in the store, one at a time.
-    pub(crate) stream_reads: tokio_sync::Mutex<stream_records::Reads>,
+    /// When the last read of the versions of streams in the store began; locked during a read.
+    pub(crate) stream_read: tokio_sync::Mutex<Option<time::Instant>>,
     /// Notifies the fetcher of snapshots that a peer has newer rows of the store.
     pub(crate) lag_detected: tokio_sync::Notify,
     /// Notifies the followers of the store that its feed does not deliver changes.
@@ -98,7 +96,7 @@
             evidence_changed: tokio_sync::Notify::new(),
             origin_begun: tokio_sync::Notify::new(),
             origin_learned: tokio_sync::Notify::new(),
-            stream_reads: tokio_sync::Mutex::default(),
+            stream_read: tokio_sync::Mutex::default(),
             lag_detected: tokio_sync::Notify::new(),
             feed_stalled: tokio_sync::Notify::new(),
             feed_changes: atomic::AtomicU64::new(0),
--- a/crates/edge/src/stream_records.rs
+++ b/crates/edge/src/stream_records.rs
@@ -37,12 +37,6 @@
 /// Pause between the pages of a search.
 const PAGE_PAUSE: time::Duration = time::Duration::from_secs(1);
 
-/// Reads of an entry.
-#[derive(Debug, Default)]
-pub(crate) struct Reads {
-    started_at: Option<time::Instant>,
-}
-
 fn fleet_size(edge: &edge::Edge) -> Option<u32> {
     edge.directory().entry_count
 }
@@ -123,15 +117,15 @@
 
 // Waits for a read that has started at `asked` or later; requests share it.
 async fn read_after(edge: &edge::Edge, asked: time::Instant) {
-    let mut reads = edge.stream_reads.lock().await;
-    if reads.started_at.is_some_and(|at| at >= asked) {
+    let mut started_at = edge.stream_read.lock().await;
+    if started_at.is_some_and(|at| at >= asked) {
         return;
     }
-    if let Some(last) = reads.started_at {
+    if let Some(last) = *started_at {
         let interval = stream_records::read_interval(fleet_size(edge));
         tokio::time::sleep_until((last + interval).into()).await;
     }
-    reads.started_at = Some(clock::now());
+    *started_at = Some(clock::now());
     let rows = tokio::time::timeout(READ_TIMEOUT, read(edge)).await;
     match rows {
         Ok(Ok(rows)) => learn(edge, &rows),
