--- a/review/3/case.rs
+++ b/review/3/case.rs
@@ -11,14 +11,12 @@
     time::{Duration, Instant},
 };
 
-use lib::{Verdict, client, entry, record, server, sleep_ms, store};
-
-const HEAD: &str = r#""services":[{"name":"club-a","health_path":"/health","max_connections":110,"protocol":"h1","tls":false},{"name":"club-b","health_path":"/health","max_connections":110,"protocol":"h1","tls":false}],"limits":{"max_header_bytes":16384,"max_body_bytes":4194304,"header_timeout_ms":3000,"idle_timeout_ms":15000}"#;
-const FIRST: &str = r#"{"name":"r-first","host":"yard.example","prefix":"/first/","kind":"safe","timeout_ms":1200,"target_latency_ms":150,"priority":2,"service":"club-a","max_attempts":2,"sticky":false,"resumable":false}"#;
-const ADDED: &str = r#"{"name":"r-added","host":"yard.example","prefix":"/added/","kind":"safe","timeout_ms":1200,"target_latency_ms":150,"priority":2,"service":"club-b","max_attempts":2,"sticky":false,"resumable":false}"#;
+use lib::{Verdict, client, deployment, entry, record, sleep_ms, store};
 
 /// Requests a second on each of the two routes, at all entries together.
 const RATE: u64 = 100;
+/// Time that a server takes for a request.
+const WORK_MS: u64 = 30;
 /// Time for which the servers are dark: less than three heartbeats, after which their rows would go.
 const DARK_MS: u64 = 3_300;
 /// Times from the start of traffic.
@@ -40,31 +38,18 @@
 
 fn run(folder: &Path) -> Verdict {
     let store = store::Store::start();
-    store.put("op", "config", &format!(r#"{{"version":7,"routes":[{FIRST}],{HEAD}}}"#));
-    let engines = server::Engines::default();
-    let zones = ["ens-a", "ens-b", "tij-c"];
-    let mut servers = Vec::new();
-    for service in ["club-a", "club-b"] {
-        for (index, zone) in zones.iter().enumerate() {
-            let spec = server::Spec {
-                id: format!("i-{service}{index}"),
-                service: service.to_string(),
-                zone: zone.to_string(),
-                stage: None,
-                slots: 6,
-                event_ms: 0,
-                events: 0,
-                work_ms: 30,
-            };
-            servers.push(server::Server::start(&store, &engines, spec, "v1"));
-        }
-    }
+    let services = ["club-a", "club-b"].map(deployment::plain_service);
+    let first = deployment::plain_route("first", "safe", "club-a", 1_200, 150);
+    let added = deployment::plain_route("added", "safe", "club-b", 1_200, 150);
+    store.put("op", "config", &deployment::config(7, &[first.clone()], &services));
+    deployment::start_plain(&store, "club-a", WORK_MS);
+    let servers = deployment::start_plain(&store, "club-b", WORK_MS);
     let entries = entry::start(3, folder, &store, &[]);
     if !lib::are_ready(&entries) {
         return Verdict::NotRun;
     }
     // The route is added long before the disruption.
-    store.put("op", "config", &format!(r#"{{"version":9,"routes":[{FIRST},{ADDED}],{HEAD}}}"#));
+    store.put("op", "config", &deployment::config(9, &[first, added], &services));
     sleep_ms(3_000);
     let start = Instant::now();
     let seen = Mutex::new(Vec::new());
@@ -72,9 +57,9 @@
         scope.spawn(|| {
             sleep_ms(DARK_AT_MS);
             if lib::has_trouble() {
-                servers[3..].iter().for_each(|server| server.set_dark(true));
+                servers.iter().for_each(|server| server.set_dark(true));
                 sleep_ms(DARK_MS);
-                servers[3..].iter().for_each(|server| server.set_dark(false));
+                servers.iter().for_each(|server| server.set_dark(false));
             }
         });
         for number in 0..2 * RATE * END_MS / 1_000 {
@@ -90,7 +75,7 @@
                     entry,
                     // All pages differ.
                     first: &format!("GET /{kind}/{number}"),
-                    host: "yard.example",
+                    host: deployment::HOST,
                     headers: &[],
                     body: b"",
                     limit: Duration::from_millis(2_500),
--- a/review/4/case.rs
+++ b/review/4/case.rs
@@ -14,13 +14,7 @@
     time::{Duration, Instant},
 };
 
-use lib::{Verdict, client, entry, record, server, sleep_ms, store};
-
-const CONFIG: &str = r#"{"version":7,"routes":[
-{"name":"r-board","host":"yard.example","prefix":"/board/","kind":"safe","timeout_ms":3000,"target_latency_ms":300,"priority":2,"service":"yard-app","max_attempts":2,"sticky":false,"resumable":false},
-{"name":"r-lot","host":"yard.example","prefix":"/lot/","kind":"unsafe","timeout_ms":3000,"target_latency_ms":300,"priority":2,"service":"yard-app","max_attempts":1,"sticky":false,"resumable":false}],
-"services":[{"name":"yard-app","health_path":"/health","max_connections":110,"protocol":"h1","tls":false}],
-"limits":{"max_header_bytes":16384,"max_body_bytes":4194304,"header_timeout_ms":3000,"idle_timeout_ms":15000}}"#;
+use lib::{Verdict, client, deployment, entry, record, sleep_ms, store};
 
 /// Time for which the servers are down.
 const DOWN_MS: u64 = 2_000;
@@ -41,23 +35,16 @@
 
 fn run(folder: &Path) -> Verdict {
     let store = store::Store::start();
-    store.put("op", "config", CONFIG);
-    let engines = server::Engines::default();
-    let start_server = |(index, zone): (usize, &&str)| {
-        let spec = server::Spec {
-            id: format!("i-app{index}"),
-            service: "yard-app".to_string(),
-            zone: zone.to_string(),
-            stage: None,
-            slots: 6,
-            event_ms: 0,
-            events: 0,
-            work_ms: 60,
-        };
-        server::Server::start(&store, &engines, spec, "v1")
-    };
-    let zones = ["ens-a", "ens-b", "tij-c"];
-    let servers: Vec<_> = zones.iter().enumerate().map(start_server).collect();
+    let config = deployment::config(
+        7,
+        &[
+            deployment::plain_route("board", "safe", "yard-app", 3_000, 300),
+            deployment::plain_route("lot", "unsafe", "yard-app", 3_000, 300),
+        ],
+        &[deployment::plain_service("yard-app")],
+    );
+    store.put("op", "config", &config);
+    let servers = deployment::start_plain(&store, "yard-app", 60);
     let entries = entry::start(3, folder, &store, &[]);
     if !lib::are_ready(&entries) {
         return Verdict::NotRun;
@@ -81,7 +68,7 @@
                     let answer = client::Request {
                         entry,
                         first,
-                        host: "yard.example",
+                        host: deployment::HOST,
                         headers: &[],
                         body: body.as_bytes(),
                         limit: Duration::from_secs(3),
@@ -119,9 +106,7 @@
     }
     // Own answers with 3xx or 4xx, other than 408, 421 and 429.
     let is_denied = |one: &&Seen| {
-        !one.is_sealed
-            && (300..500).contains(&one.status)
-            && ![408, 421, 429].contains(&one.status)
+        !one.is_sealed && (300..500).contains(&one.status) && ![408, 421, 429].contains(&one.status)
     };
     let denied = seen.iter().filter(is_denied).count();
     let last = seen.iter().filter(is_denied).map(|one| one.sent_s).fold(0.0, f64::max);
--- a/review/lib/mod.rs
+++ b/review/lib/mod.rs
@@ -4,6 +4,8 @@
 
 #[path = "client.rs"]
 pub mod client;
+#[path = "deployment.rs"]
+pub mod deployment;
 #[path = "entry.rs"]
 pub mod entry;
 #[path = "http.rs"]
--- a/review/lib/run.sh
+++ b/review/lib/run.sh
@@ -35,11 +35,16 @@
 touch "$work/left"
 "$program" "$work" "$case_folder/record.txt" &
 driver=$!
-( sleep 115; kill -KILL "$driver" 2>/dev/null ) &
-watchdog=$!
+# Within 115 s, as a case runs for 120 s at most.
+while kill -0 "$driver" 2>/dev/null && [ "$SECONDS" -lt 115 ]; do
+    sleep 0.2
+done
+if kill -0 "$driver" 2>/dev/null; then
+    echo "the case did not end in time"
+    exit 2
+fi
 wait "$driver"
 status=$?
-kill "$watchdog" 2>/dev/null
 case $status in
     0 | 1 | 2)
         rm -f "$work/left"
--- a/review/lib/server.rs
+++ b/review/lib/server.rs
@@ -181,9 +181,7 @@
         let (address, version, born) = (self.address, &state.version, state.born);
         let word = if state.is_draining { "draining" } else { "ready" };
         let stage = stage.map_or(String::new(), |stage| {
-            format!(
-                r#","stage":"{stage}","models":[{{"name":"m","version":1,"adapters":[]}}]"#
-            )
+            format!(r#","stage":"{stage}","models":[{{"name":"m","version":1,"adapters":[]}}]"#)
         });
         let row = format!(
             r#"{{"service":"{service}","address":"{address}","zone":"{zone}","version":"{version}","batch_slots":{slots},"state":"{word}","cold_remaining_ms":0,"sequence":1,"born":{born}{stage}}}"#
@@ -352,8 +350,7 @@
         process: u64,
     ) -> std::io::Result<()> {
         let attempt = head.get("x-attempt-id").unwrap_or_default();
-        let after: u64 =
-            head.get("last-event-id").and_then(|text| text.parse().ok()).unwrap_or(0);
+        let after: u64 = head.get("last-event-id").and_then(|text| text.parse().ok()).unwrap_or(0);
         let mut state = self.state.lock().unwrap();
         state.running += 1;
         let version = state.version.clone();
--- a/review/lib/store.rs
+++ b/review/lib/store.rs
@@ -111,10 +111,7 @@
                 let state = self.inner.0.lock().unwrap();
                 let (from, to) = (parameter(query, "from"), parameter(query, "to"));
                 let rows = state.rows.iter().filter(|((of, key), (value, _))| {
-                    *of == table
-                        && value.is_some()
-                        && *key >= from
-                        && (to.is_empty() || *key < to)
+                    *of == table && value.is_some() && *key >= from && (to.is_empty() || *key < to)
                 });
                 let rows: Vec<_> = rows.map(|(key, row)| row_json(key, row)).collect();
                 ("200 OK", self.rows_json(&rows, state.version))
@@ -128,8 +125,10 @@
                     if state.mode != Mode::Up {
                         return BUSY;
                     }
-                    let changed =
-                        state.rows.iter().filter(|((of, _), (_, ver))| *of == table && *ver > after);
+                    let changed = state
+                        .rows
+                        .iter()
+                        .filter(|((of, _), (_, ver))| *of == table && *ver > after);
                     let mut changed: Vec<_> = changed.collect();
                     changed.sort_by_key(|(_, (_, version))| *version);
                     let left = until.saturating_duration_since(Instant::now());
@@ -173,9 +172,7 @@
                 self.inner.1.notify_all();
                 ("200 OK", self.rows_json(&[], version))
             }
-            ("GET", "/v1/blob-list") => {
-                ("200 OK", br#"{"names":[],"has_more":false}"#.to_vec())
-            }
+            ("GET", "/v1/blob-list") => ("200 OK", br#"{"names":[],"has_more":false}"#.to_vec()),
             ("PUT", _) => {
                 let name = path.trim_start_matches("/v1/blob-put/").to_string();
                 self.inner.0.lock().unwrap().objects.insert(name, body.to_vec());
