Log misdirected requests and the balance of the retry budget

Change: a line and a counter for each 421 of any kind of request, holds and orders too; spent and limit in the line of each retry.

--- a/crates/core/src/retry.rs
+++ b/crates/core/src/retry.rs
@@ -30,6 +30,15 @@
     retries: collections::VecDeque<time::Instant>,
 }
 
+/// What an entry has withdrawn from its share of a budget, and what it may withdraw.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Balance {
+    /// Retries withdrawn in the window.
+    pub spent: u32,
+    /// Retries that may be withdrawn in the window.
+    pub limit: f64,
+}
+
 /// Usable part of the budget; the rest covers entries that are not known yet.
 const USABLE_SHARE: f64 = 0.7;
 
@@ -62,18 +71,23 @@
     ///
     /// While the number of entries is unknown, only what this entry's requests have earned is left.
     pub fn try_withdraw(&mut self, count: u32, entries: Option<u32>, now: time::Instant) -> bool {
-        self.prune(now);
-        let share = |entries: u32| f64::from(self.limits.slack) / f64::from(entries.max(1));
-        let slack = entries.map_or(0.0, share);
-        let earned = self.limits.ratio * self.requests.len() as f64;
-        let spent = self.retries.len() as f64 + f64::from(count);
-        let is_allowed = spent <= (slack + earned) * USABLE_SHARE;
+        let Balance { spent, limit } = self.balance(entries, now);
+        let is_allowed = f64::from(spent + count) <= limit;
         if is_allowed {
             self.retries.extend((0..count).map(|_| now));
         }
         is_allowed
     }
 
+    /// Balance of the share of one of `entries` entries.
+    pub fn balance(&mut self, entries: Option<u32>, now: time::Instant) -> Balance {
+        self.prune(now);
+        let share = |entries: u32| f64::from(self.limits.slack) / f64::from(entries.max(1));
+        let slack = entries.map_or(0.0, share);
+        let earned = self.limits.ratio * self.requests.len() as f64;
+        Balance { spent: self.retries.len() as u32, limit: (slack + earned) * USABLE_SHARE }
+    }
+
     fn prune(&mut self, now: time::Instant) {
         let window = self.limits.window;
         for times in [&mut self.requests, &mut self.retries] {
--- a/crates/edge/src/call.rs
+++ b/crates/edge/src/call.rs
@@ -136,7 +136,10 @@
         sends: u32,
         reason: outcome::Reason,
     ) -> bool {
-        let is_allowed = self.edge.directory().withdraw_retry(&self.service, sends, clock::now());
+        let mut directory = self.edge.directory();
+        let balance = directory.retry_balance(&self.service, clock::now());
+        let is_allowed = directory.withdraw_retry(&self.service, sends, clock::now());
+        drop(directory);
         if is_allowed {
             self.edge
                 .counters
@@ -151,6 +154,8 @@
             server,
             reason = reason.name(),
             sends,
+            spent = balance.spent,
+            limit = balance.limit,
             is_allowed,
             "edge: retry requested"
         );
--- a/crates/edge/src/directory.rs
+++ b/crates/edge/src/directory.rs
@@ -603,6 +603,12 @@
         self.fleet.get(id).is_none_or(|instance| instance.leaving)
     }
 
+    /// What this entry has withdrawn from a service's retry budget, and what it may withdraw.
+    pub(crate) fn retry_balance(&mut self, service: &str, now: time::Instant) -> retry::Balance {
+        let entries = self.entry_count;
+        self.service(service).retry_budget.balance(entries, now)
+    }
+
     /// Withdraws the `sends` requests of a retry from a service's budget; false if it is too low.
     pub(crate) fn withdraw_retry(&mut self, service: &str, sends: u32, now: time::Instant) -> bool {
         let entries = self.entry_count;
--- a/crates/edge/src/exchange.rs
+++ b/crates/edge/src/exchange.rs
@@ -138,6 +138,10 @@
 // Records what a response of any kind says about its server.
 fn observe<B>(edge: &edge::Edge, target: &directory::Target, response: &Response<B>) {
     let server = target.id.as_str();
+    if response.status() == StatusCode::MISDIRECTED_REQUEST {
+        edge.counters.misdirected.inc();
+        tracing::info!(server, address = %target.address, "edge: request misdirected");
+    }
     pauses::observe(edge, target, response);
     quotas::observe(edge, target, response);
     let notice = response::leaving_notice(response.headers());
--- a/crates/edge/src/metrics.rs
+++ b/crates/edge/src/metrics.rs
@@ -44,6 +44,7 @@
     pub(crate) pauses: counter::Counter,
     pub(crate) withheld: counter::Counter,
     pub(crate) limits: counter::Counter,
+    pub(crate) misdirected: counter::Counter,
     pub(crate) crashes: counter::Counter,
     pub(crate) rejected_causes: gauge::Gauge,
     pub(crate) dropped_lines: gauge::Gauge,
@@ -83,6 +84,10 @@
             ),
             limits: registry
                 .counter("server_limits", "Limits that servers have named, and changes of them"),
+            misdirected: registry.counter(
+                "misdirected_requests",
+                "Requests of any kind that another server answered at the address of the one meant",
+            ),
             crashes: registry.counter(
                 "crash_losses",
                 "Requests that a server's crash ended before their answers began",
