Send nothing to an address at which another server answers

Cause: a 421 changed only its own request. The server was ejected like an unreachable one, for a second, and chosen again as soon as no other had room; no other entry learned of it. Change: core::misdirected. A 421 of any kind of request closes the place (process and address) for holds, runs and prefills, and who answers there is asked at once: an engine by its report, a plain server by its health check. Another server: the place stays closed, the other entries are told, and one of them asks again in growing intervals. The same server: it is used again at once, an engine in the stage that it reports. No result: it is used again after a second, then two, so a stray 421 loses no server. A newer row ends a verdict. Datagrams have format 8. Failed try: without a bound for findings that return from others, each echo counted as newer and put the check off for good (stray_rejection; core misdirected::echoes_ignored).

--- a/crates/core/src/engine.rs
+++ b/crates/core/src/engine.rs
@@ -44,6 +44,8 @@
     pub(crate) stage: fleet::Stage,
     pub(crate) software: ids::SoftwareTag,
     pub(crate) usable: bool,
+    // Whether another server answers at its address.
+    pub(crate) misdirected: bool,
     pub(crate) slots: u32,
     pub(crate) memory: u32,
     pub(crate) runs: collections::BTreeMap<ids::RunId, Run>,
@@ -180,6 +182,11 @@
         (u64::from(self.committed(now)) * 1000 / u64::from(self.capacity().max(1))) as u32
     }
 
+    // Whether it goes on serving at its address.
+    pub(crate) fn is_staying(&self) -> bool {
+        self.usable && !self.misdirected
+    }
+
     pub(crate) fn is_changing(&self, now: time::Instant) -> bool {
         self.changing_until.is_some_and(|until| now < until)
     }
--- a/crates/core/src/engines.rs
+++ b/crates/core/src/engines.rs
@@ -112,6 +112,7 @@
             stage,
             software,
             usable: true,
+            misdirected: false,
             slots,
             memory,
             runs: collections::BTreeMap::new(),
@@ -173,6 +174,13 @@
         }
     }
 
+    /// Sets whether another server answers at the address of an engine, which then gets no requests.
+    pub fn set_misdirected(&mut self, id: &str, misdirected: bool) {
+        if let Some(engine) = self.engines.get_mut(id) {
+            engine.misdirected = misdirected;
+        }
+    }
+
     /// Stage of an engine.
     pub fn stage(&self, id: &str) -> Option<fleet::Stage> {
         self.engines.get(id).map(|engine| engine.stage)
@@ -196,7 +204,7 @@
     /// their limits.
     pub fn paused(&self, stage: fleet::Stage, now: time::Instant) -> Option<pauses::Closed> {
         let serves = |engine: &engine::Engine| {
-            engine.usable && engine.stage == stage && !engine.is_changing(now)
+            engine.is_staying() && engine.stage == stage && !engine.is_changing(now)
         };
         let serving = self.engines.values().filter(|engine| serves(engine));
         // One that is open sorts first.
@@ -210,7 +218,7 @@
         now: time::Instant,
     ) -> impl Iterator<Item = (&ids::ServerName, &engine::Engine)> + Clone {
         let accepts = move |engine: &engine::Engine| {
-            engine.usable && !engine.is_changing(now) && engine.closed(now).is_none()
+            engine.is_staying() && !engine.is_changing(now) && engine.closed(now).is_none()
         };
         self.engines.iter().filter(move |(_, engine)| engine.stage == stage && accepts(engine))
     }
@@ -218,7 +226,9 @@
     /// Whether a decode engine of the version `software` stays, also one that gets no requests now.
     pub fn has_decode(&self, software: ids::SoftwareTag) -> bool {
         let is_decode = |engine: &engine::Engine| {
-            engine.usable && engine.stage == fleet::Stage::Decode && engine.software == software
+            engine.is_staying()
+                && engine.stage == fleet::Stage::Decode
+                && engine.software == software
         };
         self.engines.values().any(is_decode)
     }
@@ -523,7 +533,7 @@
 
     /// Engines that are not leaving, with their stage, or the one that they change to.
     pub fn candidates(&self, now: time::Instant) -> Vec<stages::Candidate> {
-        let all = self.engines.iter().filter(|(_, engine)| engine.usable);
+        let all = self.engines.iter().filter(|(_, engine)| engine.is_staying());
         let candidates = all.map(|(id, engine)| {
             let is_changing = engine.is_changing(now);
             let stage = if is_changing { engine.stage.other() } else { engine.stage };
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -42,6 +42,7 @@
 pub mod load;
 pub mod log_limit;
 pub mod members;
+pub mod misdirected;
 pub mod origins;
 pub mod outcome;
 pub mod outlier;
--- a/crates/core/src/pool.rs
+++ b/crates/core/src/pool.rs
@@ -114,13 +114,13 @@
         self.servers.remove(name);
     }
 
-    /// Number of servers with a recent load report and at least one slot, neither leaving nor
+    /// Number of servers with a recent load report and at least one slot that stay and are not
     /// ejected.
     pub fn usable_count(&self, now: time::Instant) -> usize {
         let usable = self.servers.values().filter(|server| {
             let is_fresh = server.reported_at.is_some_and(|at| now <= at + STALE_AFTER);
             let is_ejected = server.ejected_until.is_some_and(|until| now < until);
-            is_fresh && server.load.slots > 0 && !server.is_leaving() && !is_ejected
+            is_fresh && server.load.slots > 0 && server.is_staying() && !is_ejected
         });
         usable.count()
     }
@@ -210,9 +210,16 @@
         }
     }
 
+    /// Sets whether another server answers at the address of a server, which then gets no requests.
+    pub fn set_misdirected(&mut self, name: &str, misdirected: bool) {
+        if let Some(server) = self.servers.get_mut(name) {
+            server.misdirected = misdirected;
+        }
+    }
+
     /// When the first server may be sent to again, if all that stay are paused or at their limits.
     pub fn paused(&self, now: time::Instant) -> Option<pauses::Closed> {
-        let staying = self.servers.values().filter(|server| !server.is_leaving());
+        let staying = self.servers.values().filter(|server| server.is_staying());
         // One that is open sorts first.
         staying.map(|server| server.closed(now)).min().flatten()
     }
@@ -292,7 +299,8 @@
     /// Chooses a server: the better of two random ones, or the prefix's preferred server.
     ///
     /// Ejected servers are chosen only if there is no other, servers that were tried only if there
-    /// are no ejected ones either, and leaving and paused servers never.
+    /// are no ejected ones either, and servers that leave, are paused or have lost their address
+    /// never.
     pub fn pick(&self, criteria: Criteria<'_>, now: time::Instant) -> Option<ids::ServerName> {
         let usable = self.candidates(criteria.tried, |_| true, now);
         let count = usable.len();
--- a/crates/core/src/routing.rs
+++ b/crates/core/src/routing.rs
@@ -104,6 +104,8 @@
 pub struct Service {
     /// Connections that one server accepts from all callers together.
     pub connections: u32,
+    /// Path of the health check, if it is known.
+    pub health_path: Option<String>,
     /// Engines, if the service runs a model.
     pub engine: Option<Engine>,
 }
--- a/crates/core/src/server.rs
+++ b/crates/core/src/server.rs
@@ -29,6 +29,8 @@
     pub paused: Option<pauses::Closed>,
     /// Time in which it gets no requests, because this entry's part of its limit is used up.
     pub limited: Option<pauses::Closed>,
+    /// Whether another server answers at its address.
+    pub misdirected: bool,
     /// Whether it is leaving, as last reported.
     pub leaving: bool,
     /// Whether the platform's list says that it is leaving; load reports do not change it.
@@ -65,6 +67,7 @@
             ejected_until: None,
             paused: None,
             limited: None,
+            misdirected: false,
             leaving: false,
             listed_leaving: false,
             leaver: None,
@@ -78,10 +81,15 @@
         self.leaving || self.listed_leaving
     }
 
-    /// Whether new work may be sent to the server, which neither leaves nor has asked for a pause or
+    /// Whether the server goes on serving at its address.
+    pub(crate) fn is_staying(&self) -> bool {
+        !self.is_leaving() && !self.misdirected
+    }
+
+    /// Whether new work may be sent to the server, which stays and has neither asked for a pause nor
     /// for fewer requests.
     pub(crate) fn accepts(&self, now: time::Instant) -> bool {
-        !self.is_leaving() && self.closed(now).is_none()
+        self.is_staying() && self.closed(now).is_none()
     }
 
     /// Time in which it gets no requests because of a pause or a limit.
--- a/crates/e2e/tests/platform_budget.rs
+++ b/crates/e2e/tests/platform_budget.rs
@@ -105,7 +105,8 @@
     tokio::time::sleep(time::Duration::from_millis(2_500)).await;
     let runs = site.plain[0].requests().len();
     send(&site, "b", site::SAFE, time::Duration::from_secs(1)).await;
-    assert!(site.plain[0].requests().len() > runs, "the server gets no requests any more");
+    let log = site.edges[0].log();
+    assert!(site.plain[0].requests().len() > runs, "the server gets no requests any more: {log}");
     Ok(())
 }
 
--- a/crates/edge/src/directory.rs
+++ b/crates/edge/src/directory.rs
@@ -3,8 +3,8 @@
 use std::{collections, net, sync, time};
 
 use rhubarb_core::{
-    beginnings, cells, demand, engines, fleet, history, ids, load, pauses, pool, queue_limit,
-    quotas, releases, retry, retry_detector, routing, stamp,
+    beginnings, cells, demand, engines, fleet, history, ids, load, misdirected, pauses, pool,
+    queue_limit, quotas, releases, retry, retry_detector, routing, stamp,
 };
 use rhubarb_wire::share;
 
@@ -51,6 +51,11 @@
         let (server, started_ms) = &self.process;
         ids::process_tag(server, *started_ms)
     }
+
+    /// The process at its registered address.
+    pub(crate) fn place(&self) -> misdirected::Place {
+        misdirected::Place { process: self.process_tag(), address: self.address }
+    }
 }
 
 /// The config and the servers in use, with the state of each service.
@@ -511,6 +516,36 @@
         target.filter(|target| target.process_tag() == process)
     }
 
+    /// The registered server with this process and address.
+    pub(crate) fn target_at(&self, place: misdirected::Place) -> Option<Target> {
+        self.target_of(place.process).filter(|target| target.place() == place)
+    }
+
+    /// Sets whether another server answers at a place, which then gets no requests.
+    pub(crate) fn set_misdirected(&mut self, place: misdirected::Place, is_other: bool) {
+        let Some(target) = self.target_at(place) else { return };
+        for service in self.services.values_mut() {
+            service.pool.set_misdirected(&target.id, is_other);
+            service.engines.set_misdirected(&target.id, is_other);
+        }
+    }
+
+    /// Service of a server, if the config has it.
+    pub(crate) fn service_of(&self, id: &str) -> Option<&routing::Service> {
+        self.config.as_ref()?.services.get(&self.fleet.get(id)?.service)
+    }
+
+    /// Uses an engine in the stage that it has reported, until its row is written again.
+    pub(crate) fn correct_stage(&mut self, id: &str, stage: fleet::Stage) {
+        let Some(instance) = self.fleet.get(id).filter(|known| known.stage != Some(stage)) else {
+            return;
+        };
+        let instance = fleet::Instance { stage: Some(stage), ..instance.clone() };
+        if let Some(change) = self.fleet.set(id, instance) {
+            self.record_change(&change, self.rows.version(), Source::Answer);
+        }
+    }
+
     /// This entry's part of the limit of a server.
     pub(crate) fn quota_part(&self, server: &str, now: time::Instant) -> quotas::Part {
         let Place { rank, entries, peers } = self.place;
--- a/crates/edge/src/edge.rs
+++ b/crates/edge/src/edge.rs
@@ -5,7 +5,8 @@
 use tokio::{net as tokio_net, sync as tokio_sync};
 
 use rhubarb_core::{
-    allowance, ids, log_limit, members, origins, pauses, recent, releases, stalls, stopping, usage,
+    allowance, ids, log_limit, members, misdirected, origins, pauses, recent, releases, stalls,
+    stopping, usage,
 };
 use rhubarb_node::{client, clock, locks};
 use rhubarb_platform::{settings, store};
@@ -29,6 +30,8 @@
     /// Notifies the sender of commitments that this entry knows more of prompts that crash servers, or
     /// of limits of servers, which all entries need.
     pub(crate) evidence_changed: tokio_sync::Notify,
+    /// Notifies the checker of addresses that a place is to be checked.
+    pub(crate) misdirected_changed: tokio_sync::Notify,
     /// Notifies the teller that a stream has begun whose software version others need to know.
     pub(crate) origin_begun: tokio_sync::Notify,
     /// Notifies requests that look the version of a stream up that another entry has told something.
@@ -55,6 +58,7 @@
     lag: sync::Mutex<lag::Lag>,
     pauses: sync::Mutex<pauses::Pauses>,
     limits: sync::Mutex<limits::Limits>,
+    misdirected: sync::Mutex<misdirected::Misdirected>,
     allowances: sync::Mutex<allowance::Allowances>,
     // When this entry last had news of the store, or a peer that has them.
     in_touch_at: sync::Mutex<time::Instant>,
@@ -94,6 +98,7 @@
             commitments_changed: tokio_sync::Notify::new(),
             memory_freed: tokio_sync::Notify::new(),
             evidence_changed: tokio_sync::Notify::new(),
+            misdirected_changed: tokio_sync::Notify::new(),
             origin_begun: tokio_sync::Notify::new(),
             origin_learned: tokio_sync::Notify::new(),
             stream_read: tokio_sync::Mutex::default(),
@@ -109,6 +114,7 @@
             lag: sync::Mutex::default(),
             pauses: sync::Mutex::default(),
             limits: sync::Mutex::default(),
+            misdirected: sync::Mutex::default(),
             allowances: sync::Mutex::new(allowances),
             in_touch_at: sync::Mutex::new(clock::now()),
             rejected: sync::Mutex::default(),
@@ -175,6 +181,11 @@
         locks::lock(&self.limits)
     }
 
+    /// Servers at whose addresses others answer; locked before the directory.
+    pub(crate) fn misdirected(&self) -> sync::MutexGuard<'_, misdirected::Misdirected> {
+        locks::lock(&self.misdirected)
+    }
+
     /// This entry's parts of the limits of customers.
     pub(crate) fn allowances(&self) -> sync::MutexGuard<'_, allowance::Allowances> {
         locks::lock(&self.allowances)
--- a/crates/edge/src/exchange.rs
+++ b/crates/edge/src/exchange.rs
@@ -11,7 +11,7 @@
 use rhubarb_node::clock;
 use rhubarb_platform::response;
 
-use crate::{call, connections, directory, edge, pauses, quotas, suspects};
+use crate::{call, connections, directory, edge, misdirected, pauses, quotas, suspects};
 
 /// Maximum size of a buffered response body, in bytes.
 const MAX_BODY_BYTES: usize = 16 * 1024 * 1024;
@@ -138,10 +138,7 @@
 // Records what a response of any kind says about its server.
 fn observe<B>(edge: &edge::Edge, target: &directory::Target, response: &Response<B>) {
     let server = target.id.as_str();
-    if response.status() == StatusCode::MISDIRECTED_REQUEST {
-        edge.counters.misdirected.inc();
-        tracing::info!(server, address = %target.address, "edge: request misdirected");
-    }
+    misdirected::observe(edge, target, response);
     pauses::observe(edge, target, response);
     quotas::observe(edge, target, response);
     let notice = response::leaving_notice(response.headers());
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -30,6 +30,7 @@
 mod ledger;
 mod limits;
 mod metrics;
+mod misdirected;
 mod orders;
 mod origins;
 mod pauses;
--- a/crates/edge/src/peers.rs
+++ b/crates/edge/src/peers.rs
@@ -8,7 +8,7 @@
 use rhubarb_node::clock;
 use rhubarb_wire::{origins as wire_origins, share};
 
-use crate::{directory, edge, lag, origins, quotas, suspects as watch};
+use crate::{directory, edge, lag, misdirected, origins, quotas, suspects as watch};
 
 /// Interval between datagrams to the peers without changes; they are also the heartbeats.
 const HEARTBEAT_PERIOD: time::Duration = time::Duration::from_millis(300);
@@ -167,6 +167,7 @@
         follows: edge.follows_store() && !edge.is_disconnected(),
         is_ready: edge.is_ready(),
         limits: share::Limit::collect(&edge.limits().quotas, seq, clock::now()),
+        misdirected: share::Misdirected::collect(&edge.misdirected(), seq, clock::now()),
         evidence: share::Evidence::collect(&edge.rejected().suspects, seq, clock::now()),
         ..share::Share::default()
     }
@@ -303,7 +304,10 @@
     drop(members);
     let evidence: Vec<_> = share.evidence.iter().map(Into::into).collect();
     let limits: Vec<_> = share.limits.iter().map(Into::into).collect();
-    let is_news = quotas::merge(edge, &limits, &share.name) | watch::merge(edge, &evidence);
+    let misdirected: Vec<_> = share.misdirected.iter().map(Into::into).collect();
+    let is_news = quotas::merge(edge, &limits, &share.name)
+        | misdirected::merge(edge, &misdirected, &share.name)
+        | watch::merge(edge, &evidence);
     if is_news && cell != Some(own_cell) {
         // The sender has reached only a few entries of this cell.
         edge.evidence_changed.notify_one();
--- a/crates/edge/src/watch.rs
+++ b/crates/edge/src/watch.rs
@@ -7,7 +7,7 @@
 use rhubarb_platform::{config, registration, store};
 use rhubarb_wire::share;
 
-use crate::{boot, directory, edge, eras, origins};
+use crate::{boot, directory, edge, eras, misdirected, origins};
 
 /// Time that the store holds a feed request open without changes. A feed that stalls is detected
 /// earlier, by the newer versions of the peers.
@@ -329,6 +329,7 @@
 
 fn set_server(edge: &edge::Edge, row: &store::Row, source: directory::Source) {
     let parsed = row.value.as_ref().map(|value| registration::read(value));
+    let mut known_places = edge.misdirected();
     let mut directory = edge.directory();
     directory.record_row(&row.key);
     let known = directory.fleet.get(&row.key).map(|known| known.software.clone());
@@ -346,7 +347,10 @@
         None => directory.fleet.remove(&row.key, clock::now()),
     };
     apply_change(&mut directory, change, row.version, source);
-    drop(directory);
+    if let Some(target) = directory.target(&row.key).filter(|_| row.value.is_some()) {
+        misdirected::register(&mut known_places, &mut directory, target.place());
+    }
+    drop((directory, known_places));
     if let Some(started_ms) = restarted {
         origins::retract(edge, &row.key, started_ms);
     }
--- a/crates/fakes/src/arrivals.rs
+++ b/crates/fakes/src/arrivals.rs
@@ -36,9 +36,9 @@
 }
 
 impl Arrival {
-    /// Whether it asks for work: all but reports and what frees memory.
+    /// Whether it asks for work: all but reports, health checks and what frees memory.
     pub fn is_work(&self) -> bool {
-        self.method != Method::DELETE && self.target != "/v1/report"
+        self.method != Method::DELETE && !["/v1/report", "/health"].contains(&&*self.target)
     }
 
     /// Arrival of `request` now, at a server in its start `born`.
--- a/crates/fakes/src/backend.rs
+++ b/crates/fakes/src/backend.rs
@@ -358,6 +358,7 @@
         match (&parts.method, path.as_str()) {
             (&Method::POST, "/v1/hold-take") => self.create_hold(fault),
             (&Method::GET, "/v1/report") => self.report().await,
+            (&Method::GET, "/health") => replies::healthy(&self.id),
             (&Method::POST, "/v1/order") => self.order(&content),
             (&Method::DELETE, _) if path.starts_with("/v1/") => self.release(&path),
             _ => {
--- a/crates/fakes/src/replies.rs
+++ b/crates/fakes/src/replies.rs
@@ -22,6 +22,13 @@
     not_run(StatusCode::SERVICE_UNAVAILABLE)
 }
 
+/// Answer of the server `id` to a health check.
+pub(crate) fn healthy(id: &str) -> Response<response::Body> {
+    let mut reply = response::text(StatusCode::OK, "");
+    reply.headers_mut().insert("x-instance-id", header_value(id));
+    reply
+}
+
 /// Rejection by another server that now has the address.
 pub(crate) fn misdirected() -> Response<response::Body> {
     let mut reply = not_run(StatusCode::MISDIRECTED_REQUEST);
--- a/crates/wire/src/share.rs
+++ b/crates/wire/src/share.rs
@@ -6,8 +6,8 @@
 use serde::{Deserialize, Serialize};
 
 use rhubarb_core::{
-    allowance, beginnings, cause, engine, ids, members, quotas, reports, speeds, stages, stamp,
-    suspects, urgency,
+    allowance, beginnings, cause, engine, ids, members, misdirected, quotas, reports, speeds,
+    stages, stamp, suspects, urgency,
 };
 
 /// Maximum size of a datagram, in bytes; fits into one packet.
@@ -42,6 +42,8 @@
     pub evidence: Vec<Evidence>,
     /// What the sender knows of limits that servers have named.
     pub limits: Vec<Limit>,
+    /// What the sender knows of servers at whose addresses others answer.
+    pub misdirected: Vec<Misdirected>,
     /// Requests that the sender got in the last seconds, by service; empty without limits, and in
     /// datagrams to other cells.
     pub demand: collections::BTreeMap<ids::ServiceName, u32>,
@@ -70,7 +72,7 @@
 }
 
 /// Version of the format of [`Share`].
-pub const FORMAT: u8 = 7;
+pub const FORMAT: u8 = 8;
 
 /// Heartbeat of one entry.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -196,6 +198,49 @@
     }
 }
 
+/// What the sender knows of one process of a server at its registered address.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Misdirected {
+    /// Process of the server.
+    pub process: ids::ProcessTag,
+    /// Its registered address.
+    pub address: net::SocketAddr,
+    /// Whether another server answers there.
+    pub is_other: bool,
+    /// Time since that was found, in milliseconds.
+    pub ago_ms: u64,
+}
+
+/// Misdirected servers in one datagram.
+pub const MAX_MISDIRECTED: usize = 8;
+
+impl Misdirected {
+    /// Misdirected servers for the datagram with number `seq`.
+    pub fn collect(
+        known: &misdirected::Misdirected,
+        seq: u64,
+        now: time::Instant,
+    ) -> Vec<Misdirected> {
+        known.statements(MAX_MISDIRECTED, seq, now).into_iter().map(Into::into).collect()
+    }
+}
+
+impl From<misdirected::Statement> for Misdirected {
+    fn from(said: misdirected::Statement) -> Misdirected {
+        let misdirected::Statement { place, is_other, ago } = said;
+        let misdirected::Place { process, address } = place;
+        Misdirected { process, address, is_other, ago_ms: ago.as_millis() as u64 }
+    }
+}
+
+impl From<&Misdirected> for misdirected::Statement {
+    fn from(said: &Misdirected) -> misdirected::Statement {
+        let Misdirected { process, address, is_other, ago_ms } = *said;
+        let place = misdirected::Place { process, address };
+        misdirected::Statement { place, is_other, ago: time::Duration::from_millis(ago_ms) }
+    }
+}
+
 /// What an entry's requests have used of the limits of customers.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Used {
@@ -368,7 +413,8 @@
 
 impl Share {
     /// Encodes the datagram. Places of beginnings, speeds, the use of customers, relayed heartbeats, then
-    /// the demand of the cell, evidence and limits are removed until it fits into a packet.
+    /// the demand of the cell, evidence, limits and misdirected servers are removed until it fits into a
+    /// packet.
     ///
     /// # Errors
     /// Returns an error if the state cannot be encoded, or does not fit without them.
@@ -388,7 +434,8 @@
             let is_reduced = self.members.is_empty()
                 && (self.reduce_digest()
                     || self.evidence.pop().is_some()
-                    || self.limits.pop().is_some());
+                    || self.limits.pop().is_some()
+                    || self.misdirected.pop().is_some());
             if is_reduced {
                 continue;
             }
