Give an entry that may have run before no slack for one window

An engine service that rejected requests while entries were killed again and again got more retries than its budget: 250 where 208 were allowed.

Cause: a restart empties what an entry has spent, and SharedBudget gave each new process its whole share of the slack, in the first seconds a larger one (count of entries at least 8). Change: a process that does not start with the whole system has no share of the slack in its first window; what its requests earn it may spend at once, as what was spent before was earned by earlier requests.

--- a/crates/core/src/retry.rs
+++ b/crates/core/src/retry.rs
@@ -26,6 +26,8 @@
 #[derive(Clone, Debug)]
 pub struct SharedBudget {
     limits: BudgetLimits,
+    // Start of the process, if it may have followed another one.
+    started_at: Option<time::Instant>,
     requests: collections::VecDeque<time::Instant>,
     retries: collections::VecDeque<time::Instant>,
 }
@@ -44,9 +46,13 @@
 
 impl SharedBudget {
     /// Creates an unused budget.
-    pub fn new(limits: BudgetLimits) -> SharedBudget {
+    ///
+    /// `started_at` is the start of an entry that may have run before. Nobody knows what it had spent of
+    /// the slack by then, so its share is empty for one window. What its requests earn is not:
+    /// earlier requests have earned what was spent before.
+    pub fn new(limits: BudgetLimits, started_at: Option<time::Instant>) -> SharedBudget {
         let (requests, retries) = Default::default();
-        SharedBudget { limits, requests, retries }
+        SharedBudget { limits, started_at, requests, retries }
     }
 
     /// Changes the limits.
@@ -83,7 +89,9 @@
     pub fn balance(&mut self, entries: Option<u32>, now: time::Instant) -> Balance {
         self.prune(now);
         let share = |entries: u32| f64::from(self.limits.slack) / f64::from(entries.max(1));
-        let slack = entries.map_or(0.0, share);
+        let window = self.limits.window;
+        let is_new = self.started_at.is_some_and(|at| now < at + window);
+        let slack = entries.filter(|_| !is_new).map_or(0.0, share);
         let earned = self.limits.ratio * self.requests.len() as f64;
         Balance { spent: self.retries.len() as u32, limit: (slack + earned) * USABLE_SHARE }
     }
--- a/crates/core/tests/retries.rs
+++ b/crates/core/tests/retries.rs
@@ -38,7 +38,7 @@
 #[test]
 fn window_slides() {
     let now = time::Instant::now();
-    let mut budget = retry::SharedBudget::new(LIMITS);
+    let mut budget = retry::SharedBudget::new(LIMITS, None);
     while budget.try_withdraw(1, Some(1), now) {}
     assert!(!budget.try_withdraw(1, Some(1), now + 9 * SECOND));
     assert!(budget.try_withdraw(1, Some(1), now + 11 * SECOND));
@@ -53,7 +53,7 @@
         steps in proptest::collection::vec((0usize..5, 0u64..400, 0u32..4), 1..600),
     ) {
         let start = time::Instant::now();
-        let mut entries: Vec<_> = (0..5).map(|_| retry::SharedBudget::new(LIMITS)).collect();
+        let mut entries: Vec<_> = (0..5).map(|_| retry::SharedBudget::new(LIMITS, None)).collect();
         let (mut requests, mut retries) = (Vec::new(), Vec::new());
         let mut now = start;
         for (entry, pause, count) in steps {
@@ -81,10 +81,40 @@
 #[test]
 fn unknown_entries() {
     let now = time::Instant::now();
-    let mut budget = retry::SharedBudget::new(LIMITS);
+    let mut budget = retry::SharedBudget::new(LIMITS, None);
     assert!(!budget.try_withdraw(1, None, now));
     for _ in 0..100 {
         budget.record_request(now);
     }
     assert!(budget.try_withdraw(1, None, now), "earned by requests");
 }
+
+// Guards against entries that restart and spend their shares of the slack again (issue 47, BUDGET):
+// whenever they restart, the retries of all in any window stay within the shared limit.
+#[test]
+fn restarted_entries() {
+    let start = time::Instant::now();
+    let mut retries = Vec::new();
+    let mut entries: Vec<_> = (0..5).map(|_| retry::SharedBudget::new(LIMITS, None)).collect();
+    for tick in 0..250 {
+        let now = start + tick * SECOND / 10;
+        if tick % 22 == 21 {
+            let restarted = |_| retry::SharedBudget::new(LIMITS, Some(now));
+            entries = (0..5).map(restarted).collect();
+        }
+        for entry in &mut entries {
+            while entry.try_withdraw(1, Some(5), now) {
+                retries.push(now);
+            }
+        }
+    }
+    for from in &retries {
+        let within = retries.iter().filter(|at| **at >= *from && **at < *from + LIMITS.window);
+        let spent = within.count();
+        assert!(spent <= LIMITS.slack as usize, "{spent} retries in a window");
+    }
+    // An entry that stays has its share again after one window.
+    let mut stays = retry::SharedBudget::new(LIMITS, Some(start));
+    assert!(!stays.try_withdraw(1, Some(5), start + 9 * SECOND));
+    assert!(stays.try_withdraw(1, Some(5), start + LIMITS.window));
+}
--- a/crates/edge/src/directory.rs
+++ b/crates/edge/src/directory.rs
@@ -63,6 +63,8 @@
 pub(crate) struct Directory {
     zone: ids::ZoneName,
     retry_limits: retry::BudgetLimits,
+    // Start of the process, if it may have followed another one.
+    started_at: Option<time::Instant>,
     config: Option<sync::Arc<routing::Config>>,
     /// Rows as read from the store.
     pub(crate) rows: rows::Rows,
@@ -135,17 +137,20 @@
 }
 
 impl Directory {
-    /// Creates a directory that knows nothing, for an entry in `zone`. `leaving` counts the servers
-    /// that are found to be leaving; `releases` has no server yet.
+    /// Creates a directory that knows nothing, for an entry in `zone` that has started at `started_at`
+    /// if it may have run before. `leaving` counts the servers that are found to be leaving;
+    /// `releases` has no server yet.
     pub(crate) fn new(
         zone: &str,
         retry_limits: retry::BudgetLimits,
+        started_at: Option<time::Instant>,
         leaving: metrics::SourceFamily,
         releases: releases::Releases,
     ) -> Directory {
         Directory {
             zone: zone.to_string(),
             retry_limits,
+            started_at,
             config: None,
             rows: rows::Rows::default(),
             fleet: fleet::Fleet::default(),
@@ -377,14 +382,14 @@
 
     /// The service `name`, created on first use.
     pub(crate) fn service(&mut self, name: &str) -> &mut Service {
-        let (zone, retry_limits) = (&self.zone, self.retry_limits);
+        let (zone, retry_limits, started_at) = (&self.zone, self.retry_limits, self.started_at);
         let mut engines = engines::Engines::default();
         engines.set_cells(&self.partition, self.own_cell);
         let new_service = || Service {
             pool: new_pool(zone),
             engines,
             beginnings: beginnings::Beginnings::default(),
-            retry_budget: retry::SharedBudget::new(retry_limits),
+            retry_budget: retry::SharedBudget::new(retry_limits, started_at),
             demand: demand::Demand::default(),
             queue_limit: queue_limit::QueueLimit::default(),
             retry_detectors: collections::BTreeMap::new(),
--- a/crates/edge/src/edge.rs
+++ b/crates/edge/src/edge.rs
@@ -78,8 +78,10 @@
         let counters = metrics::Counters::new();
         let leaving = counters.leaving.clone();
         let releases = releases::Releases::new(settings.is_first, clock::now());
+        let (zone, retry_limits) = (&settings.zone, settings.retry_limits);
+        let started_at = (!settings.is_first).then(clock::now);
         let directory =
-            directory::Directory::new(&settings.zone, settings.retry_limits, leaving, releases);
+            directory::Directory::new(zone, retry_limits, started_at, leaving, releases);
         let store = store::Store::new(client::Client::new(), settings.store_addr);
         let (incarnation, dates) = (rand::random(), dates::Dates::new());
         let members =
