--- a/crates/fakes/src/store.rs
+++ b/crates/fakes/src/store.rs
@@ -30,9 +30,15 @@
     era: Option<String>,
     mode: Mode,
     calls: u64,
+    // Table to whose rows texts are added, and these texts.
+    odd_rows: (String, Vec<String>),
 }
 
 impl State {
+    fn odd_texts(&self, table: &str) -> &[String] {
+        if self.odd_rows.0 == table { &self.odd_rows.1 } else { &[] }
+    }
+
     // Adds the era in which a response was computed.
     fn mark(&self, mut response: Response<response::Body>) -> Response<response::Body> {
         if let Some(era) = &self.era {
@@ -172,6 +178,13 @@
         self.inner.changed.notify_waiters();
     }
 
+    /// Adds `texts` as rows to all responses with rows of `table` from now on, as they are.
+    pub fn set_odd_rows(&self, table: &str, texts: &[&str]) {
+        let texts = texts.iter().map(|text| text.to_string());
+        self.state().odd_rows = (table.to_string(), texts.collect());
+        self.inner.changed.notify_waiters();
+    }
+
     /// Number of calls received.
     pub fn calls(&self) -> u64 {
         self.state().calls
@@ -278,7 +291,7 @@
         let rows = content.rows.iter().filter(|(key, row)| in_range(key) && row.value.is_some());
         let rows: Vec<_> = rows.map(|(key, row)| row_json(key, row)).collect();
         let reply = json!({"rows": rows, "has_more": false, "ver": content.version, "now_ms": clock::unix_ms()});
-        state.mark(response::json(StatusCode::OK, &reply))
+        state.mark(rows_response(&reply, state.odd_texts(&table)))
     }
 
     async fn feed(&self, query: &str) -> Response<response::Body> {
@@ -319,7 +332,8 @@
         rows.sort_by_key(|(_, row)| row.version);
         let rows: Vec<_> = rows.into_iter().map(|(key, row)| row_json(key, row)).collect();
         let reply = json!({"rows": rows, "ver": content.version, "now_ms": clock::unix_ms()});
-        (!rows.is_empty()).then(|| state.mark(response::json(StatusCode::OK, &reply)))
+        let odd = state.odd_texts(table);
+        (!rows.is_empty()).then(|| state.mark(rows_response(&reply, odd)))
     }
 
     fn write_rows(&self, content: &Bytes) -> Response<response::Body> {
@@ -357,6 +371,19 @@
     }
 }
 
+// Response with rows, to which texts are added as they are.
+fn rows_response(reply: &serde_json::Value, odd: &[String]) -> Response<response::Body> {
+    let mut text = reply.to_string();
+    if !odd.is_empty() {
+        let end = if reply["rows"].as_array().is_some_and(Vec::is_empty) { "" } else { "," };
+        text = text.replacen("\"rows\":[", &format!("\"rows\":[{}{end}", odd.join(",")), 1);
+    }
+    let mut reply = Response::new(response::full(text));
+    let json = header::HeaderValue::from_static("application/json");
+    reply.headers_mut().insert(header::CONTENT_TYPE, json);
+    reply
+}
+
 fn row_json(key: &copy::Key, row: &copy::Row) -> serde_json::Value {
     use base64::Engine;
     let value =
