Test answers that are cut at every byte

Others saw a success with a short body, framed as whole, after a server had stopped in the middle of a head. It cannot happen here: a head without its blank line, a length without all its bytes and chunks without the last one are errors of the HTTP library on every path, and nothing of them goes to a caller as whole. Change: tests only. platform_heads cuts an answer with a length, with chunks and without either after each byte, on new and kept connections, for plain requests of both kinds, streams of both kinds, and the client of the store and of the older interface. By the protocol an answer without a length ends with its connection, so one whose body is cut there, not reset, counts as whole; that stays.

--- a/crates/fakes/src/raw.rs
+++ b/crates/fakes/src/raw.rs
@@ -29,6 +29,15 @@
     Unframed(String),
     /// The same, but the connection is reset at its end.
     Reset(String),
+    /// The first bytes of an answer, after which the connection is closed.
+    Cut {
+        /// The whole answer; `{id}` stands for the header that echoes the attempt id.
+        text: String,
+        /// Number of bytes that are sent.
+        at: usize,
+        /// Whether the first answer on a connection is sent whole, and a later one is cut.
+        kept: bool,
+    },
 }
 
 /// A server on its own port; clones share their state.
@@ -74,6 +83,7 @@
 
     async fn serve(&self, mut client: tcp::TcpStream) -> io::Result<()> {
         let mut pending = Vec::new();
+        let mut answered = 0;
         loop {
             let Some(head) = read_head(&mut client, &mut pending).await? else { return Ok(()) };
             let line = head.lines().next().unwrap_or_default();
@@ -86,14 +96,30 @@
                 continue;
             }
             let id = head.lines().find(|line| line.starts_with("x-attempt-id:"));
-            return self.answer(&mut client, id.unwrap_or("x-none: 1")).await;
+            let id = id.unwrap_or("x-none: 1");
+            let answer = locks::lock(&self.answer).clone();
+            if let Answer::Cut { text, at, kept } = &answer {
+                let text = text.replace("{id}", id);
+                if *kept && answered == 0 {
+                    client.write_all(text.as_bytes()).await?;
+                    answered += 1;
+                    continue;
+                }
+                let end = (*at).min(text.len());
+                return client.write_all(&text.as_bytes()[..end]).await;
+            }
+            return self.answer(&mut client, &answer, id).await;
         }
     }
 
-    async fn answer(&self, client: &mut tcp::TcpStream, id: &str) -> io::Result<()> {
+    async fn answer(
+        &self,
+        client: &mut tcp::TcpStream,
+        answer: &Answer,
+        id: &str,
+    ) -> io::Result<()> {
         let sealed = format!("HTTP/1.1 200 OK\r\n{id}\r\nx-response-seal: raw\r\n");
-        let answer = locks::lock(&self.answer).clone();
-        let (head, piece) = match &answer {
+        let (head, piece) = match answer {
             Answer::EndlessHead => (sealed, "x-pad: pad\r\n".repeat(PIECE_BYTES / 12)),
             Answer::EndlessInterim => {
                 (String::new(), "HTTP/1.1 103 Early Hints\r\n\r\n".repeat(PIECE_BYTES / 28))
@@ -121,6 +147,7 @@
                 }
                 return Ok(());
             }
+            Answer::Cut { .. } => return Ok(()),
         };
         client.write_all(head.as_bytes()).await?;
         loop {
