Prove that a service has one version before a stream is taken up on that ground

Callers took streams up at an entry that had stood still or was cut off while servers of a new version joined, and got the rest from a server of another version (ORDER).

Cause: an entry that no other answers, and one asked without Resumes, took its own belief that there is one version for true, however old; an entry that knows of several did not answer at all. Change: the belief counts if it is shown to hold after the request came: by a read of the histories of versions, in which a version stands before streams begin at it, or, while the store does not answer, by more than half of the fleet without dissent (core::agreement). Entries that know several versions say so. Reads for streams are shared by the requests that wait, 50 ms apart, and at most 1,000 a second in a fleet. Numbers in a history are bounded. What callers lose: while the store is away and less than half of the fleet answers, a stream that nobody knows is refused as unknown-version.

--- a/crates/core/src/history.rs
+++ b/crates/core/src/history.rs
@@ -43,7 +43,7 @@
     pub fn millis(&self, at: time::Instant) -> u64 {
         let age = self.asked.saturating_duration_since(at).as_millis() as u64;
         let later = at.saturating_duration_since(self.asked).as_millis() as u64;
-        (self.now_ms + later).saturating_sub(age)
+        self.now_ms.saturating_add(later).saturating_sub(age)
     }
 }
 
@@ -60,8 +60,12 @@
 
 /// Reads per second of a fleet that looks after a new version.
 const READS: f64 = 300.0;
+/// The same of a fleet at whose entries streams are taken up.
+const LOOKUPS: f64 = 1_000.0;
 /// Number of entries to count in a fleet of unknown size.
 const UNKNOWN_ENTRIES: u32 = 300;
+/// Shortest interval between such reads.
+const MIN_READ_INTERVAL: time::Duration = time::Duration::from_millis(50);
 /// Time for which the others leave a new version to the leader.
 const LEAD_TIME: time::Duration = time::Duration::from_millis(100);
 
@@ -70,6 +74,12 @@
     entries.unwrap_or(UNKNOWN_ENTRIES)
 }
 
+/// Interval between reads of an entry among `entries` at which streams are taken up.
+pub fn read_interval(entries: Option<u32>) -> time::Duration {
+    let interval = f64::from(fleet_size(entries)) / LOOKUPS;
+    MIN_READ_INTERVAL.max(time::Duration::from_secs_f64(interval))
+}
+
 /// Delay before an entry among `entries`, if that is known, looks whether a version still has no record;
 /// `random` is from 0 to 1. Only one that knows others leads.
 pub fn delay(is_leader: bool, entries: Option<u32>, random: f64) -> time::Duration {
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -13,6 +13,7 @@
 
 pub mod abandoned;
 pub mod account;
+pub mod agreement;
 pub mod allowance;
 pub mod answered;
 pub mod backoff;
--- a/crates/core/src/releases.rs
+++ b/crates/core/src/releases.rs
@@ -156,6 +156,12 @@
         recent.next().filter(|_| recent.next().is_none())
     }
 
+    /// Whether streams that can still be taken up may have begun by several versions of a service, as
+    /// far as is known.
+    pub fn has_several(&self, service: &str, now: time::Instant) -> bool {
+        self.recent(service, self.window(now), now).nth(1).is_some()
+    }
+
     // Since when all versions of a service are known; none if ever since.
     fn complete_since(&self, service: &str) -> Option<time::Instant> {
         let stored = self.rows.get(service).and_then(|row| row.complete);
@@ -166,7 +172,7 @@
     /// Adds the row of a service in the store.
     pub fn load(&mut self, service: &str, row: &history::History, reading: &history::Reading) {
         let is_current = row.era == reading.era;
-        let window = time::Duration::from_millis(row.window_ms);
+        let window = time::Duration::from_millis(row.window_ms).min(MAX_WINDOW);
         if self.window.is_none_or(|known| known < window) {
             self.replaced.retain(|(replaced, _)| *replaced != window);
             self.replaced.push((window, reading.answered + window));
@@ -186,7 +192,7 @@
             }
         }
         let since = row.since_ms.map(|ms| reading.instant(ms));
-        let (era, window_ms) = (row.era, row.window_ms);
+        let (era, window_ms) = (row.era, window.as_millis() as u64);
         let complete = is_current.then_some(since);
         self.rows.insert(service.to_string(), Row { era, window_ms, complete });
     }
@@ -265,7 +271,8 @@
         }
         let window = self.window(now);
         let kept_ms = (window.max(MIN_KEPT) + SPREAD).as_millis() as u64;
-        versions.retain(|_, gone_ms| gone_ms.is_none_or(|ms| reading.now_ms <= ms + kept_ms));
+        let is_kept = |ms: u64| reading.now_ms <= ms.saturating_add(kept_ms);
+        versions.retain(|_, gone_ms| gone_ms.is_none_or(is_kept));
         let window_ms = window.as_millis() as u64;
         history::History { era: reading.era, since_ms, window_ms, versions }
     }
@@ -324,5 +331,7 @@
 const GONE_TIME: time::Duration = time::Duration::from_secs(2);
 /// Time after which streams begin at a version though the store has no record of it.
 const MAX_HOLD: time::Duration = time::Duration::from_secs(10);
+/// Longest window that a row may name.
+const MAX_WINDOW: time::Duration = time::Duration::from_secs(86_400);
 /// Minimum time for which a version that has left is kept, since a config may lengthen the timeouts.
 const MIN_KEPT: time::Duration = time::Duration::from_secs(600);
--- a/crates/e2e/tests/platform_versions.rs
+++ b/crates/e2e/tests/platform_versions.rs
@@ -6,7 +6,7 @@
 use rustix::process as signals;
 use tokio::task;
 
-use rhubarb_e2e::{call, site};
+use rhubarb_e2e::{call, relay, site};
 use rhubarb_fakes::backend;
 
 /// The second version; the first is that of all servers unless they are given another.
@@ -431,3 +431,97 @@
     assert_eq!(resume_all(&site, 1, &begun).await?, 0);
     Ok(())
 }
+
+// Sends a stream to an entry and ends the entry as soon as the stream has begun, before it has told
+// anybody of it.
+async fn begin_and_die(site: &mut site::Site, edge: usize, attempt: &str) -> anyhow::Result<()> {
+    let (address, name) = (site.edges[edge].frontend, attempt.to_string());
+    tokio::spawn(async move {
+        let call = call::Call { path: site::RESUMABLE, attempt: &name, body: "b", headers: &[] };
+        _ = call.send(&rhubarb_node::client::Client::new(), Method::POST, address).await;
+    });
+    let deadline = time::Instant::now() + LEARN_TIME;
+    while site.runs(attempt) == 0 {
+        anyhow::ensure!(time::Instant::now() < deadline, "{}", site.edges[edge].log());
+        tokio::time::sleep(time::Duration::from_millis(1)).await;
+    }
+    tokio::time::sleep(time::Duration::from_millis(40)).await;
+    site.edges[edge].kill();
+    Ok(())
+}
+
+// A fleet of two entries of which the second one stands still during a release, and a stream that the
+// first one has begun at the new version before it ended. `is_cut` keeps the store from the second entry.
+async fn release_unseen(is_cut: bool) -> anyhow::Result<()> {
+    let sizes = site::Sizes {
+        edges: 2,
+        plain: 0,
+        prefill: 1,
+        decode: 2,
+        relays: true,
+        direct: true,
+        plain_direct: false,
+    };
+    let mut site = site::Site::start(sizes).await?;
+    tokio::time::sleep(LEARN_TIME).await;
+    let old = site.decode.clone();
+    site.edges[1].signal(signals::Signal::STOP);
+    if is_cut {
+        site.store_relays[1].set_modes(relay::Mode::Buffer, relay::Mode::Buffer);
+    }
+    upgrade(&mut site, SECOND).await?;
+    tokio::time::sleep(LEARN_TIME).await;
+    begin_and_die(&mut site, 0, "first").await?;
+    site.edges[1].signal(signals::Signal::CONT);
+    let reply = resume(&site, 1, "first", 1).await?;
+    let body = reply.body.unwrap_or_default();
+    let is_joined = old.iter().any(|engine| engine.runs().contains_key("first-again"));
+    anyhow::ensure!(!is_joined, "goes on at the first version: {body}\n{}", site.edges[1].log());
+    anyhow::ensure!(!versions(&body).contains(backend::FIRST_SOFTWARE), "{body}");
+    Ok(())
+}
+
+// Guards against an entry that stood still during a release and goes on with a stream of the new version
+// at an old server (issue 47, ORDER).
+#[tokio::test]
+async fn release_while_frozen() -> anyhow::Result<()> {
+    release_unseen(false).await
+}
+
+// The same for one that is also cut off from the store and from all others.
+#[tokio::test]
+async fn release_while_cut() -> anyhow::Result<()> {
+    release_unseen(true).await
+}
+
+// Guards against a stream that goes on at an engine which has started again in place with another version,
+// before its row says so (issue 47 and review case 1, ORDER).
+#[tokio::test]
+async fn restarted_in_place() -> anyhow::Result<()> {
+    let sizes = site::Sizes { edges: 1, plain: 0, prefill: 0, decode: 3, ..site::Sizes::default() };
+    let site = site::Site::start(sizes).await?;
+    for engine in &site.decode {
+        engine.set_fault(backend::Fault::Stalls);
+    }
+    let address = site.edges[0].frontend;
+    let mut calls = task::JoinSet::new();
+    for number in 0..8 {
+        calls.spawn(async move {
+            let attempt = format!("a{number}");
+            let call =
+                call::Call { path: site::RESUMABLE, attempt: &attempt, body: "b", headers: &[] };
+            call.receive(&rhubarb_node::client::Client::new(), Method::POST, address).await
+        });
+    }
+    tokio::time::sleep(time::Duration::from_millis(400)).await;
+    for engine in &site.decode {
+        engine.crash();
+        engine.set_software(SECOND);
+        engine.set_fault(backend::Fault::None);
+    }
+    for received in calls.join_all().await {
+        let text = received?.text;
+        assert!(versions(&text).len() <= 1, "{text}");
+    }
+    Ok(())
+}
--- a/crates/edge/src/directory.rs
+++ b/crates/edge/src/directory.rs
@@ -483,7 +483,7 @@
         self.releases.only(service, now)
     }
 
-    /// The same, with what other entries have `answered` to that question.
+    /// [`Directory::only_software`] with what other entries have `answered` to that question.
     pub(crate) fn agreed_software(
         &self,
         service: &str,
@@ -493,6 +493,11 @@
         self.releases.agreed(service, answered, now)
     }
 
+    /// Whether streams of a service may have begun by several versions, as far as is known.
+    pub(crate) fn has_several(&self, service: &str, now: time::Instant) -> bool {
+        self.releases.has_several(service, now)
+    }
+
     /// Whether others need to know which versions begin streams of a service.
     pub(crate) fn needs_origins(&self, service: &str, now: time::Instant) -> bool {
         self.releases.only(service, now).is_none()
--- a/crates/edge/src/edge.rs
+++ b/crates/edge/src/edge.rs
@@ -38,6 +38,8 @@
     pub(crate) origin_learned: tokio_sync::Notify,
     /// When the last read of the versions of streams in the store began; locked during a read.
     pub(crate) stream_read: tokio_sync::Mutex<Option<time::Instant>>,
+    /// When the last read of the histories of versions for a stream began; locked during a read.
+    pub(crate) history_read: tokio_sync::Mutex<Option<time::Instant>>,
     /// Notifies the fetcher of snapshots that a peer has newer rows of the store.
     pub(crate) lag_detected: tokio_sync::Notify,
     /// Notifies the followers of the store that its feed does not deliver changes.
@@ -104,6 +106,7 @@
             origin_begun: tokio_sync::Notify::new(),
             origin_learned: tokio_sync::Notify::new(),
             stream_read: tokio_sync::Mutex::default(),
+            history_read: tokio_sync::Mutex::default(),
             lag_detected: tokio_sync::Notify::new(),
             feed_stalled: tokio_sync::Notify::new(),
             feed_changes: atomic::AtomicU64::new(0),
--- a/crates/edge/src/histories.rs
+++ b/crates/edge/src/histories.rs
@@ -13,6 +13,9 @@
 const PERIOD: time::Duration = time::Duration::from_millis(100);
 /// Timeout of the first read, which new engines wait for.
 const FIRST_TIMEOUT: time::Duration = time::Duration::from_millis(500);
+/// Timeout of a read that a stream which is taken up waits for, and the longest time of the wait.
+const LOOKUP_TIMEOUT: time::Duration = time::Duration::from_millis(300);
+const MAX_WAIT: time::Duration = time::Duration::from_secs(1);
 /// Timeout of other calls to the store.
 const STORE_TIMEOUT: time::Duration = time::Duration::from_millis(1_500);
 /// Base of the delay after a failed call, which doubles with each of them, before jitter.
@@ -168,7 +171,7 @@
             tracing::warn!(service = row.key, "edge: history of versions is invalid");
             continue;
         };
-        tracing::info!(service = row.key, ?history, era, now_ms, "edge: history of versions read");
+        tracing::debug!(service = row.key, ?history, era, now_ms, "edge: history of versions read");
         directory.releases().load(&row.key, &history, &reading);
         known.insert(row.key, Row { version: row.version, history });
     }
@@ -176,6 +179,33 @@
     Ok((reading, known))
 }
 
+/// Reads the table, unless a read has begun at `asked` or later; returns whether it was read. A version
+/// is on record before streams begin at it, so nothing older than the read is missed.
+pub(crate) async fn refresh(edge: &edge::Edge, asked: time::Instant) -> bool {
+    let refreshing = async {
+        let mut started_at = edge.history_read.lock().await;
+        if started_at.is_some_and(|at| at >= asked) {
+            return true;
+        }
+        if let Some(last) = *started_at {
+            let entries = edge.directory().entry_count;
+            tokio::time::sleep_until((last + history::read_interval(entries)).into()).await;
+        }
+        let at = clock::now();
+        match read(edge, LOOKUP_TIMEOUT).await {
+            Ok(_) => {
+                *started_at = Some(at);
+                true
+            }
+            Err(err) => {
+                tracing::info!(%err, "edge: histories of versions not read for a stream");
+                false
+            }
+        }
+    };
+    tokio::time::timeout(MAX_WAIT, refreshing).await.unwrap_or(false)
+}
+
 // Reads the rows again and writes those that are still to be written.
 async fn write(edge: &edge::Edge, known: &Known) -> Result<(), store::StoreError> {
     let (reading, rows) = read(edge, STORE_TIMEOUT).await?;
--- a/crates/edge/src/origins.rs
+++ b/crates/edge/src/origins.rs
@@ -4,15 +4,15 @@
 //! servers of their service may have several versions it tells them to a few others, its keepers, and
 //! an entry at which a caller takes a stream up asks all.
 
-use std::{collections, net, sync, time};
+use std::{net, sync, time};
 
 use tokio::net as tokio_net;
 
-use rhubarb_core::{ids, origins as core_origins};
+use rhubarb_core::{agreement, ids, origins as core_origins};
 use rhubarb_node::clock;
 use rhubarb_wire::origins;
 
-use crate::{call, edge, stream_records};
+use crate::{call, edge, histories, stream_records};
 
 /// Delay in which streams that begin are told together.
 const BATCH_DELAY: time::Duration = time::Duration::from_millis(100);
@@ -51,21 +51,26 @@
 /// Version that began the stream that a call takes up; none if it cannot be found out.
 pub(crate) async fn find(call: &call::Call) -> Option<ids::SoftwareTag> {
     let (edge, service) = (&call.edge, call.service.as_str());
+    let asked = clock::now();
     let Some(attempt) = call.head.resumes.as_ref().map(|first| ids::attempt_tag(first.as_bytes()))
     else {
+        let is_current = histories::refresh(edge, asked).await;
         let single = edge.directory().only_software(service, clock::now());
-        tracing::info!(id = call.id(), single, "edge: version of a stream looked up");
+        let single = single.filter(|_| is_current);
+        tracing::info!(id = call.id(), single, is_current, "edge: version of a stream looked up");
         return single;
     };
-    edge.answers().only.insert(attempt, collections::BTreeSet::new());
+    edge.answers().said.insert(attempt, agreement::Agreement::default());
     let found = ask_all(edge, attempt, service).await;
-    let answered = edge.answers().only.get(&attempt).cloned().unwrap_or_default();
-    let single = edge.directory().agreed_software(service, &answered, clock::now());
+    let single = match found {
+        None => agreed(edge, attempt, service, asked).await,
+        Some(_) => None,
+    };
     let stored = match found.or(single) {
         None => stream_records::find(edge, attempt).await,
         Some(_) => None,
     };
-    edge.answers().only.remove(&attempt);
+    edge.answers().said.remove(&attempt);
     tracing::info!(
         id = call.id(),
         resumes = ?call.head.resumes,
@@ -77,6 +82,26 @@
     found.or(single).or(stored)
 }
 
+// The only version of a service, as this entry and those that have answered know, if that is shown to
+// hold at `asked` or later: by the store, or by most entries of the fleet. An entry alone may have
+// stood still or been cut off while a version was added.
+async fn agreed(
+    edge: &edge::Edge,
+    attempt: ids::AttemptTag,
+    service: &str,
+    asked: time::Instant,
+) -> Option<ids::SoftwareTag> {
+    let said = edge.answers().said.get(&attempt).cloned().unwrap_or_default();
+    if said.has_dissent() {
+        return None;
+    }
+    let is_current = histories::refresh(edge, asked).await;
+    let directory = edge.directory();
+    let is_shown = is_current || said.is_majority(directory.entry_count);
+    let single = directory.agreed_software(service, &said.versions(), clock::now());
+    single.filter(|_| is_shown)
+}
+
 // Asks the other entries for the version that began a stream, until one knows it. Stops early if this
 // entry or another knows of one version only.
 async fn ask_all(
@@ -106,8 +131,8 @@
                 break;
             }
         }
-        let is_answered = edge.answers().only.get(&attempt).is_some_and(|only| !only.is_empty());
-        if is_answered || edge.directory().only_software(service, clock::now()).is_some() {
+        let said = edge.answers().said.get(&attempt).cloned().unwrap_or_default();
+        if said.has_answer() || edge.directory().only_software(service, clock::now()).is_some() {
             return None;
         }
     }
@@ -189,12 +214,13 @@
         origins::Content::Asked { attempt, service } => {
             let origin = edge.origins().get(attempt);
             let only = edge.directory().only_software(&service, clock::now());
+            let is_mixed = edge.directory().has_several(&service, clock::now());
             let message = match (origin, only) {
                 // The store may name a version that has become uncertain since.
                 (None, None) if edge.origins().is_uncertain(attempt) => {
                     origins::Message::tell(&[(attempt, None)])
                 }
-                (None, None) => return,
+                (None, None) if !is_mixed => return,
                 _ => origins::Message::new(origins::Content::Answered { attempt, origin, only }),
             };
             match message.encode() {
@@ -210,8 +236,10 @@
             if origin.is_some() {
                 edge.origins().record_told(attempt, origin);
             }
-            if let Some(answers) = edge.answers().only.get_mut(&attempt) {
-                answers.extend(only);
+            if let Some(said) = edge.answers().said.get_mut(&attempt)
+                && origin.is_none()
+            {
+                said.record(from.ip(), only);
             }
             edge.origin_learned.notify_waiters();
         }
--- a/crates/edge/src/stream_records.rs
+++ b/crates/edge/src/stream_records.rs
@@ -157,7 +157,7 @@
 
 // Records what rows say of the streams that are being looked up.
 fn learn(edge: &edge::Edge, rows: &store::Rows) {
-    let open: collections::BTreeSet<_> = edge.answers().only.keys().copied().collect();
+    let open: collections::BTreeSet<_> = edge.answers().said.keys().copied().collect();
     let era = rows.version.era;
     let mut told = Vec::new();
     for row in &rows.rows {
--- a/crates/wire/src/origins.rs
+++ b/crates/wire/src/origins.rs
@@ -33,7 +33,8 @@
         attempt: ids::AttemptTag,
         /// The version, if the sender knows it.
         origin: origins::Origin,
-        /// The only version by which streams of the service may have begun, as the sender knows.
+        /// The only version by which streams of the service may have begun, as the sender knows; none
+        /// without an origin if it knows several.
         only: Option<ids::SoftwareTag>,
     },
 }
