Ask an engine which process it is before a begun stream goes on there

All engines of a service crashed and were back within half a second under their ids with the next version; running streams went on there, across two versions (ORDER), before the new rows were read. One entry that had stood still for three seconds did the same.

Cause: the row as an entry knows it was all that told the version of an engine. Only crashes that ended a request before its answer began marked an engine as unverified; lost streams and refused connections did not, and nothing was asked before the request was sent. Change: a request that goes on with a begun stream is sent on a new connection, after the engine's report on the same connection has named the registered start of its process (born); else another engine is chosen. A connection that is refused or lost, and a hold that fails, put the engine's process in doubt until its report or a newer row says which one it is; streams that begin meanwhile count as uncertain. Limit: a stream that begins at an engine of which nothing was lost, before its new row is read, is put down to the old version until then.

--- a/crates/edge/src/connections.rs
+++ b/crates/edge/src/connections.rs
@@ -53,6 +53,8 @@
     Unsent(String),
     /// No byte was written, since the server is leaving.
     Leaving,
+    /// No byte was written, since another process of the server answers than the registered one.
+    Replaced,
     /// No byte was written, since the server has asked for a pause.
     Paused,
     /// No byte was written, since this entry's part of the server's limit is used up.
@@ -72,6 +74,7 @@
         match self {
             SendError::Unsent(err) => write!(f, "not sent: {err}"),
             SendError::Leaving => f.write_str("not sent: the server is leaving"),
+            SendError::Replaced => f.write_str("not sent: the server has started again"),
             SendError::Paused => f.write_str("not sent: the server has asked for a pause"),
             SendError::Limited => f.write_str("not sent: the server limits its requests"),
             SendError::Rejected => f.write_str("not sent: the request crashes servers"),
@@ -86,6 +89,10 @@
 /// Number of bytes after which no more is read until the head of a response is complete: informational
 /// responses and the head. The last read may go beyond, into the body.
 const MAX_HEAD_BYTES: usize = 32 * 1024;
+/// Maximum size of the response to a probe, in bytes.
+const MAX_PROBE_BYTES: usize = 1 << 20;
+/// Timeout of a probe, which a server answers within milliseconds.
+const PROBE_TIMEOUT: time::Duration = time::Duration::from_millis(300);
 /// Timeout for opening a connection. A reachable server accepts within milliseconds; the rest is
 /// for one retransmission of the first packet.
 const CONNECT_TIMEOUT: time::Duration = time::Duration::from_millis(1_300);
@@ -126,11 +133,7 @@
         mut request: Request<Full<Bytes>>,
         permit: impl Fn() -> Result<(), SendError>,
     ) -> Result<PendingResponse, SendError> {
-        if !request.headers().contains_key(header::HOST)
-            && let Ok(host) = header::HeaderValue::from_str(&address.to_string())
-        {
-            request.headers_mut().insert(header::HOST, host);
-        }
+        set_host(&mut request, address);
         let proof = request::response_proof(&request);
         while let Some(mut connection) = self.checkout(address, proof) {
             if let Err(err) = permit() {
@@ -152,6 +155,45 @@
         }
     }
 
+    /// Sends `request` on a new connection after `probe`, if `is_expected` holds for the body of its
+    /// response: the process that answers the probe gets the request as well, or nobody does.
+    ///
+    /// `permit` is asked before the probe and before the request.
+    pub(crate) async fn send_after(
+        &self,
+        address: net::SocketAddr,
+        mut probe: Request<Full<Bytes>>,
+        is_expected: impl Fn(&Bytes) -> bool,
+        mut request: Request<Full<Bytes>>,
+        permit: impl Fn() -> Result<(), SendError>,
+    ) -> Result<PendingResponse, SendError> {
+        for request in [&mut probe, &mut request] {
+            set_host(request, address);
+        }
+        permit()?;
+        let unsent = |err: String| SendError::Unsent(err);
+        let mut connection = connect(address).await.map_err(|err| unsent(err.to_string()))?;
+        let probing = async {
+            let proof = request::response_proof(&probe);
+            let Ok(response) = connection.send(probe, proof).await else { return None };
+            let is_success = response.status().is_success();
+            let body = self.buffers.read(response.into_body(), MAX_PROBE_BYTES).await;
+            body.ok().filter(|_| is_success)
+        };
+        let body = tokio::time::timeout(PROBE_TIMEOUT, probing).await.ok().flatten();
+        let body =
+            body.ok_or_else(|| unsent("the state of the server was not read".to_string()))?;
+        if !is_expected(&body) {
+            return Err(SendError::Replaced);
+        }
+        permit()?;
+        let proof = request::response_proof(&request);
+        match connection.send(request, proof).await {
+            Ok(response) => Ok(PendingResponse { response, connection }),
+            Err(failure) => Err(self.lost(address, failure)),
+        }
+    }
+
     fn lost(&self, address: net::SocketAddr, failure: SendFailure) -> SendError {
         match failure {
             SendFailure::Unsent(_, err) => SendError::Unsent(err),
@@ -298,6 +340,15 @@
     }
 }
 
+// Names the server as the host, unless the request names another.
+fn set_host(request: &mut Request<Full<Bytes>>, address: net::SocketAddr) {
+    if !request.headers().contains_key(header::HOST)
+        && let Ok(host) = header::HeaderValue::from_str(&address.to_string())
+    {
+        request.headers_mut().insert(header::HOST, host);
+    }
+}
+
 async fn connect(address: net::SocketAddr) -> io::Result<Connection> {
     let connecting = tokio::time::timeout(CONNECT_TIMEOUT, tokio_net::TcpStream::connect(address));
     let stream =
--- a/crates/edge/src/directory.rs
+++ b/crates/edge/src/directory.rs
@@ -446,14 +446,12 @@
         self.engine(service).map_or(1, |engine| engine.event_tokens)
     }
 
-    /// Records that a server was down.
-    pub(crate) fn record_down(&mut self, id: &str) {
-        if self.fleet.get(id).is_some() {
-            self.unverified.insert(id.to_string());
-        }
+    /// Records that a server was down; returns whether that is new.
+    pub(crate) fn record_down(&mut self, id: &str) -> bool {
+        self.fleet.get(id).is_some() && self.unverified.insert(id.to_string())
     }
 
-    /// Records that a row of a server was read.
+    /// Records that a row of a server was read, or that its process is the registered one.
     pub(crate) fn record_row(&mut self, id: &str) {
         self.unverified.remove(id);
     }
--- a/crates/edge/src/exchange.rs
+++ b/crates/edge/src/exchange.rs
@@ -9,9 +9,9 @@
 use hyper::{Request, Response, StatusCode};
 
 use rhubarb_node::clock;
-use rhubarb_platform::response;
+use rhubarb_platform::{engine, response};
 
-use crate::{call, connections, directory, edge, misdirected, pauses, quotas, suspects};
+use crate::{call, connections, directory, edge, misdirected, pauses, processes, quotas, suspects};
 
 /// Maximum size of a buffered response body, in bytes.
 const MAX_BODY_BYTES: usize = 16 * 1024 * 1024;
@@ -46,19 +46,80 @@
     request: Request<Full<Bytes>>,
     cost: quotas::Cost,
 ) -> Result<connections::PendingResponse, connections::SendError> {
+    let sending = send_if(&call.edge, target, request, cost, || permit_call(call)).await;
+    record_sending(call, target, &sending);
+    sending
+}
+
+/// Sends a request like [`send_call`] that goes on with a begun stream, if the engine is still the process
+/// that is registered.
+pub(crate) async fn send_begun(
+    call: &call::Call,
+    target: &directory::Target,
+    request: Request<Full<Bytes>>,
+    cost: quotas::Cost,
+) -> Result<connections::PendingResponse, connections::SendError> {
+    let edge = &call.edge;
+    let Some(started_ms) = target.process.1 else {
+        return send_call(call, target, request, cost).await;
+    };
     let permit = || {
-        if clock::now() >= call.deadline() {
-            return Err(connections::SendError::Expired);
-        }
-        suspects::permit(call)
+        permit_call(call)?;
+        permit_send(edge, target, cost)
     };
-    let sending = send_if(&call.edge, target, request, cost, permit).await;
+    let probe = engine::report_request(&target.id);
+    let is_expected = |body: &Bytes| processes::is_registered(target, started_ms, body);
+    let sending =
+        edge.connections.send_after(target.address, probe, is_expected, request, permit).await;
+    match &sending {
+        Ok(pending) => observe(edge, target, &pending.response),
+        Err(connections::SendError::Unsent(_)) => suspects::check_abandoned(edge, target).await,
+        Err(_) => {}
+    }
+    record_sending(call, target, &sending);
+    sending
+}
+
+// Whether a request of `call` may still be sent.
+fn permit_call(call: &call::Call) -> Result<(), connections::SendError> {
+    if clock::now() >= call.deadline() {
+        return Err(connections::SendError::Expired);
+    }
+    suspects::permit(call)
+}
+
+// Whether a request may be sent to a server.
+fn permit_send(
+    edge: &edge::Edge,
+    target: &directory::Target,
+    cost: quotas::Cost,
+) -> Result<(), connections::SendError> {
+    if edge.directory().is_leaving(&target.id) {
+        return Err(connections::SendError::Leaving);
+    }
+    pauses::permit(edge, target)?;
+    quotas::permit(edge, target, cost)
+}
+
+// Records what sending a request of `call` has shown.
+fn record_sending(
+    call: &call::Call,
+    target: &directory::Target,
+    sending: &Result<connections::PendingResponse, connections::SendError>,
+) {
     let may_have_reached =
         matches!(sending, Ok(_) | Err(connections::SendError::ConnectionLost(_)));
     if let Some(charge) = call.charge.as_ref().filter(|_| may_have_reached) {
         charge.keep();
     }
-    sending
+    if let Err(
+        connections::SendError::Unsent(_)
+        | connections::SendError::ConnectionLost(_)
+        | connections::SendError::Replaced,
+    ) = sending
+    {
+        processes::doubt(&call.edge, target);
+    }
 }
 
 async fn send_if(
@@ -70,11 +131,7 @@
 ) -> Result<connections::PendingResponse, connections::SendError> {
     let permit = || {
         is_permitted()?;
-        if edge.directory().is_leaving(&target.id) {
-            return Err(connections::SendError::Leaving);
-        }
-        pauses::permit(edge, target)?;
-        quotas::permit(edge, target, cost)
+        permit_send(edge, target, cost)
     };
     let sending = edge.connections.send(target.address, request, permit).await;
     if let Err(connections::SendError::Unsent(_)) = sending {
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -37,6 +37,7 @@
 mod peers;
 mod plain;
 mod prefill;
+mod processes;
 mod quotas;
 mod reader;
 mod refuse;
--- a/crates/edge/src/plain.rs
+++ b/crates/edge/src/plain.rs
@@ -205,7 +205,9 @@
                 );
                 Attempt::Unsent(Reason::NoServer)
             }
-            responder::WaitOutcome::Event(Err(connections::SendError::Leaving)) => {
+            responder::WaitOutcome::Event(Err(
+                connections::SendError::Leaving | connections::SendError::Replaced,
+            )) => {
                 tracing::info!(
                     id = self.call.id(),
                     server = target.id,
--- a/crates/edge/src/prefill.rs
+++ b/crates/edge/src/prefill.rs
@@ -146,7 +146,9 @@
             call.record_outcome(&target.id, pool::ServerOutcome::Failure(Reason::NoServer));
             return PrefillResult::Unsent(target.id);
         }
-        responder::WaitOutcome::Event(Err(connections::SendError::Leaving)) => {
+        responder::WaitOutcome::Event(Err(
+            connections::SendError::Leaving | connections::SendError::Replaced,
+        )) => {
             tracing::info!(
                 id = call.id(),
                 server = target.id,
--- a/crates/edge/src/stream.rs
+++ b/crates/edge/src/stream.rs
@@ -13,8 +13,8 @@
 use outcome::{Outcome, RETRY_SOON, Reason, Refusal};
 
 use crate::{
-    call, connections, directory, exchange, origins, prefill, quotas, reader, refuse, reservation,
-    suspects,
+    call, connections, directory, exchange, origins, prefill, processes, quotas, reader, refuse,
+    reservation, suspects,
 };
 
 /// Model request in progress.
@@ -342,7 +342,14 @@
         self.run_events = 0;
         self.order.begin_run();
         let cost = if hold.is_some() { quotas::Cost::Paid } else { quotas::Cost::One };
-        let sending = exchange::send_call(&self.call, target, request, cost);
+        let is_begun = self.software.is_some();
+        let call = &self.call;
+        let sending = async {
+            match is_begun {
+                true => exchange::send_begun(call, target, request, cost).await,
+                false => exchange::send_call(call, target, request, cost).await,
+            }
+        };
         let deadline = self.call.deadline();
         let sent = self.call.wait(&mut self.responder, sending, deadline).await;
         SendResult::Sent(match sent {
@@ -357,7 +364,9 @@
                 );
                 return SendResult::NotSent(Reason::NoServer);
             }
-            responder::WaitOutcome::Event(Err(connections::SendError::Leaving)) => {
+            responder::WaitOutcome::Event(Err(
+                connections::SendError::Leaving | connections::SendError::Replaced,
+            )) => {
                 return SendResult::NotSent(Reason::Leaving);
             }
             responder::WaitOutcome::Event(Err(connections::SendError::Expired)) => {
@@ -414,6 +423,7 @@
 
     // Failure of a run whose connection was lost.
     async fn lost(&self, target: &directory::Target) -> flow::Event {
+        processes::doubt(&self.call.edge, target);
         if self.run_events < suspects::BEGUN_EVENTS {
             suspects::record_loss(&self.call, target).await;
         }
--- a/crates/edge/src/suspects.rs
+++ b/crates/edge/src/suspects.rs
@@ -131,7 +131,7 @@
 // Records a crash with the request that was lost with it, and with those given up just before.
 fn record_crash(edge: &edge::Edge, target: &directory::Target, lost: &[cause::Cause]) {
     let (server, now) = (target.process_tag(), clock::now());
-    edge.directory().record_down(&target.id);
+    let _ = edge.directory().record_down(&target.id);
     edge.counters.crashes.inc();
     let mut rejected = edge.rejected();
     rejected.suspects.record_crash(lost, server, now);
--- a/crates/fakes/src/backend.rs
+++ b/crates/fakes/src/backend.rs
@@ -397,7 +397,9 @@
     async fn report(&self) -> Response<response::Body> {
         let report_time = self.state().stage.report_time;
         tokio::time::sleep(report_time).await;
-        response::json(StatusCode::OK, &self.state().stage.report(self.running()))
+        let mut report = self.state().stage.report(self.running());
+        report["born"] = json!(self.born());
+        response::json(StatusCode::OK, &report)
     }
 
     fn order(&self, content: &Bytes) -> Response<response::Body> {
