Count only the rest of a stream that is taken up against its deadline

Cause: misses_deadline compared the time left with the time of a whole answer. Change: the events that the caller has, by Last-Event-Id, are taken off the expected answer.

--- a/crates/e2e/tests/platform_versions.rs
+++ b/crates/e2e/tests/platform_versions.rs
@@ -7,7 +7,7 @@
 use tokio::task;
 
 use rhubarb_e2e::{call, relay, site};
-use rhubarb_fakes::backend;
+use rhubarb_fakes::{backend, pace};
 
 /// The second version; the first is that of all servers unless they are given another.
 const SECOND: &str = "v2";
@@ -525,3 +525,35 @@
     }
     Ok(())
 }
+
+// Guards against a stream that is refused as too late by the time of a whole answer, though little of it is
+// missing (review case 2, LOST).
+#[tokio::test]
+async fn late_take_up() -> anyhow::Result<()> {
+    let site = start_single().await?;
+    for engine in &site.decode {
+        engine.set_pace(pace::Pace { nature: 1_500, ..pace::Pace::default() });
+    }
+    let size = [("x-token-usage", "10,6"), ("x-length-hint", "6")];
+    for number in 0..2 {
+        let attempt = format!("usual-{number}");
+        let edge = &site.edges[number];
+        let reply = edge.call_with(Method::POST, site::RESUMABLE, &attempt, "b", &size).await?;
+        assert_eq!((reply.status, reply.body), (200, Some(site::full_stream())));
+    }
+    let rest = [
+        size[0],
+        size[1],
+        ("last-event-id", "4"),
+        ("resumes", "usual-0"),
+        ("x-deadline-ms", "900"),
+    ];
+    let reply = site.edges[1].call_with(Method::POST, site::RESUMABLE, "again", "b", &rest).await?;
+    assert_eq!((reply.status, reply.body.as_deref()), (200, Some("id: 5\ndata: token-5\n\n")));
+    // A whole answer takes longer.
+    let short = [size[0], size[1], ("x-deadline-ms", "700")];
+    let reply =
+        site.edges[1].call_with(Method::POST, site::RESUMABLE, "short", "b", &short).await?;
+    assert_eq!(reply.status, 503);
+    Ok(())
+}
--- a/crates/edge/src/stream.rs
+++ b/crates/edge/src/stream.rs
@@ -174,9 +174,12 @@
             return false;
         }
         let mut directory = self.call.edge.directory();
+        // Of a stream that is taken up the rest is left.
+        let events = self.order.last().map_or(0, |last| last.saturating_add(1));
+        let done = events.saturating_mul(u64::from(directory.event_tokens(&self.call.service)));
+        let rest = u64::from(self.need.output).saturating_sub(done) as u32;
         let engines = &directory.service(&self.call.service).engines;
-        let expected = engines.answer_time(self.need.output);
-        self.call.time_left() < expected.mul_f64(MIN_TIME_SHARE)
+        self.call.time_left() < engines.answer_time(rest).mul_f64(MIN_TIME_SHARE)
     }
 
     async fn reserve(&mut self) -> flow::Event {
