Count a request that has ended without an answer no longer as sent

After all servers of a plain service had been cut off for 3.3 s every entry refused its requests as no-room for good (CONFIG, 0 of 1,159).

Cause: what was sent since the last report of load counts until the next one. Requests that timed out stayed counted, the queues looked full, nothing was sent any more, and so no report came. Change: the end of a request takes it off; one with an answer has brought a report by then, which sets the count anew. What is in flight counts at least, as before. The older interface, whose agents report each second, is as it was.

--- a/crates/core/src/pool.rs
+++ b/crates/core/src/pool.rs
@@ -237,6 +237,10 @@
     pub fn record_end(&mut self, name: &str, outcome: ServerOutcome, now: time::Instant) {
         if let Some(server) = self.servers.get_mut(name) {
             server.open = server.open.saturating_sub(1);
+            if self.tuning.by_time {
+                // Without an answer there is no report that would count it instead.
+                server.sent = server.sent.saturating_sub(1);
+            }
         }
         self.record_outcome(name, outcome, now);
     }
--- a/crates/core/tests/uneven_servers.rs
+++ b/crates/core/tests/uneven_servers.rs
@@ -2,7 +2,7 @@
 
 use std::{collections, time};
 
-use rhubarb_core::{load, pool};
+use rhubarb_core::{load, outcome, pool};
 
 const MILLI: time::Duration = time::Duration::from_millis(1);
 const SLOTS: u32 = 6;
@@ -154,3 +154,26 @@
     pool.record_report("s-3", report(0, 0, 1.0), Some(16 * MILLI), now);
     assert_eq!(pool.pace("s-3", now), 1.0);
 }
+
+// Guards against servers that count as full for good after they were silent: requests that ended without an
+// answer were kept as sent, and nothing was sent any more that could bring a report (review case 3).
+#[test]
+fn silence_ends() {
+    let start = time::Instant::now();
+    let mut pool = pool::Pool::new("hall-a".to_string());
+    pool.set_tuning(pool::Tuning { suspect_after: None, backoff: true, by_time: true });
+    pool.add("s-0", "hall-a");
+    let load = load::Load { slots: 6, held: 1, ..load::Load::default() };
+    let usual = time::Duration::from_millis(30);
+    pool.record_report("s-0", load::Report::new(load, 1.0), Some(usual), start);
+    for _ in 0..40 {
+        pool.record_sent("s-0", time::Duration::ZERO);
+    }
+    assert_eq!(pool.busy("s-0", start), 41);
+    let silent = pool::ServerOutcome::Failure(outcome::Reason::EngineSilent);
+    let later = start + time::Duration::from_secs(3);
+    for left in (0..40).rev() {
+        pool.record_end("s-0", silent, later);
+        assert_eq!(pool.busy("s-0", later), left, "those in flight count");
+    }
+}
