Count crashes of several servers at once as one for what is often answered

Cause: three crashed processes with a lost request of one content reject that content. One event took them all, requests for the page were at each of them, and earlier answers to it were not counted, only those to parts of prompts. Change: answers are counted by content and request too (bodies up to 4 KiB), and what has four of them is trusted like such a part: it is rejected after five crashes, of which those of several servers within 0.8 s count as one. What was never answered, as a request that crashes servers, is rejected after three crashes as before, also at once. When too many crashes of one cause are kept, those at the same time go first. Failed try: 2 s instead of 0.8 s counted separate crashes of the test trusted_parts as one.

--- a/crates/core/src/suspects.rs
+++ b/crates/core/src/suspects.rs
@@ -24,7 +24,9 @@
 #[derive(Clone, Debug, Default)]
 pub struct Suspects {
     suspects: collections::BTreeMap<cause::Cause, Suspect>,
-    answered: answered::Answered,
+    // Answers by parts of prompts, and by requests and their contents, most of which never come again.
+    parts: answered::Answered,
+    requests: answered::Answered,
 }
 
 #[derive(Clone, Debug)]
@@ -85,10 +87,11 @@
 /// Crashes after which a cause is rejected. One may come from any cause, and a request that was at one
 /// server that crashed may by chance be at a second.
 pub const MIN_CRASHES: usize = 3;
-/// The same for parts with at least [`TRUSTED_ANSWERS`] answers: such a part may be in many of the
-/// requests that a crash ends without being its cause.
+/// The same for causes with at least [`TRUSTED_ANSWERS`] answers, which may be in many of the requests
+/// that a crash ends without being its cause. Crashes of several servers at once count as one: they may
+/// have a common cause, and such a part or content is at many servers at any time.
 pub const TRUSTED_CRASHES: usize = 5;
-/// Answers that make a part trusted.
+/// Answers that make a cause trusted.
 pub const TRUSTED_ANSWERS: u32 = 4;
 /// Most crashes kept for a cause.
 const MAX_CRASHES: usize = 16;
@@ -170,11 +173,11 @@
         at: time::Instant,
         now: time::Instant,
     ) -> bool {
-        let is_answered = self.answered.get(cause, now).is_some_and(|last| last.last_at >= at);
-        if is_answered || now >= at + CRASH_TTL {
+        let answers = self.answered(cause).get(cause, now);
+        if answers.is_some_and(|last| last.last_at >= at) || now >= at + CRASH_TTL {
             return false;
         }
-        let needed = self.needed(cause, now);
+        let is_trusted = self.is_trusted(cause, now);
         let suspect = self.suspect(cause, crash, now);
         if suspect.crashes.contains_key(&crash) {
             return false;
@@ -182,7 +185,7 @@
         suspect.crashes.insert(crash, at);
         suspect.changed_at = now;
         suspect.drop_oldest();
-        if suspect.crashes.len() >= needed {
+        if suspect.is_enough(0, is_trusted) {
             suspect.rejected_at.get_or_insert(now);
         }
         true
@@ -226,10 +229,7 @@
     ) -> Vec<cause::Cause> {
         let mut cleared = Vec::new();
         for cause in causes {
-            // Most requests never come again, and only suspects among them need to be remembered.
-            if cause.is_part() || self.suspects.contains_key(cause) {
-                self.answered.record(*cause, now);
-            }
+            self.answered_mut(*cause).record(*cause, now);
             if self.clear(*cause, now, now) {
                 cleared.push(*cause);
             }
@@ -249,11 +249,17 @@
         true
     }
 
-    // Crashes after which a cause is rejected.
-    fn needed(&self, cause: cause::Cause, now: time::Instant) -> usize {
-        let answers = self.answered.get(cause, now).map_or(0, |answers| answers.count);
-        let is_trusted = cause.is_part() && answers >= TRUSTED_ANSWERS;
-        if is_trusted { TRUSTED_CRASHES } else { MIN_CRASHES }
+    fn answered(&self, cause: cause::Cause) -> &answered::Answered {
+        if cause.is_part() { &self.parts } else { &self.requests }
+    }
+
+    fn answered_mut(&mut self, cause: cause::Cause) -> &mut answered::Answered {
+        if cause.is_part() { &mut self.parts } else { &mut self.requests }
+    }
+
+    fn is_trusted(&self, cause: cause::Cause, now: time::Instant) -> bool {
+        let answers = self.answered(cause).get(cause, now);
+        answers.is_some_and(|answers| answers.count >= TRUSTED_ANSWERS)
     }
 
     fn is_rejected(&self, cause: cause::Cause, now: time::Instant) -> bool {
@@ -262,7 +268,7 @@
 
     // Whether a cause has as many crashes as reject it. Most have too few for any answers to matter.
     fn exceeds(&self, cause: cause::Cause, suspect: &Suspect, now: time::Instant) -> bool {
-        suspect.crashes.len() >= MIN_CRASHES && suspect.crashes.len() >= self.needed(cause, now)
+        suspect.is_enough(0, false) && suspect.is_enough(0, self.is_trusted(cause, now))
     }
 
     // Suspects that are not in `own` and were at all crashes of `cause`, with the numbers of their
@@ -349,10 +355,10 @@
     /// another crash would show that one of them is the cause.
     pub fn may_repeat(&self, causes: &[cause::Cause], now: time::Instant) -> bool {
         !causes.iter().any(|cause| {
-            let crashes = self.suspects.get(cause).map_or(0, |suspect| suspect.crashes.len());
-            crashes > 0
-                && crashes + 1 >= self.needed(*cause, now)
-                && !self.is_explained(*cause, causes)
+            let is_one_short = |suspect: &Suspect| {
+                !suspect.crashes.is_empty() && suspect.is_enough(1, self.is_trusted(*cause, now))
+            };
+            self.suspects.get(cause).is_some_and(is_one_short) && !self.is_explained(*cause, causes)
         })
     }
 
@@ -418,7 +424,7 @@
     }
 
     fn describe(&self, cause: cause::Cause, suspect: &Suspect, now: time::Instant) -> Evidence {
-        let answers = self.answered.get(cause, now);
+        let answers = self.answered(cause).get(cause, now);
         let ago = |at: time::Instant| now.saturating_duration_since(at);
         let crashes = suspect.crashes.iter().map(|(crash, at)| (*crash, ago(*at)));
         let mut crashes: Vec<_> = crashes.collect();
@@ -442,10 +448,10 @@
         let mut has_changed = false;
         if let Some(last_at) = last_at {
             let answers = answered::Answers { count: evidence.answers, last_at };
-            self.answered.merge(cause, answers, now);
+            self.answered_mut(cause).merge(cause, answers, now);
             has_changed = self.clear(cause, last_at, now);
         }
-        let own = self.answered.get(cause, now);
+        let own = self.answered(cause).get(cause, now);
         let mut is_outdated = false;
         for (crash, ago) in &evidence.crashes {
             let Some(at) = now.checked_sub(*ago) else { continue };
@@ -477,10 +483,38 @@
         }
     }
 
+    // Whether its crashes and `more` reject the cause.
+    fn is_enough(&self, more: usize, is_trusted: bool) -> bool {
+        match is_trusted {
+            true => self.events() + more >= TRUSTED_CRASHES,
+            false => self.crashes.len() + more >= MIN_CRASHES,
+        }
+    }
+
+    // Crashes, of which those at the same time count as one.
+    fn events(&self) -> usize {
+        let mut times: Vec<_> = self.crashes.values().copied().collect();
+        times.sort();
+        let (mut events, mut first) = (0, None);
+        for at in times {
+            if first.is_none_or(|first| at > first + SAME_CRASH) {
+                (events, first) = (events + 1, Some(at));
+            }
+        }
+        events
+    }
+
+    // Drops crashes beyond those that are kept: first those at the same time as an earlier one, which
+    // show least, then the oldest.
     fn drop_oldest(&mut self) {
         while self.crashes.len() > MAX_CRASHES {
-            let oldest = self.crashes.iter().min_by_key(|(_, at)| **at).map(|(crash, _)| *crash);
-            oldest.and_then(|crash| self.crashes.remove(&crash));
+            let mut crashes: Vec<_> =
+                self.crashes.iter().map(|(crash, at)| (*at, *crash)).collect();
+            crashes.sort();
+            let mut pairs = crashes.windows(2);
+            let same = pairs.find(|pair| pair[1].0 <= pair[0].0 + SAME_CRASH).map(|pair| pair[1]);
+            let dropped = same.or(crashes.first().copied());
+            dropped.and_then(|(_, crash)| self.crashes.remove(&crash));
         }
     }
 
--- a/crates/core/tests/suspects.rs
+++ b/crates/core/tests/suspects.rs
@@ -171,6 +171,29 @@
     assert!(is_rejected(&known, &[FIRST], now));
 }
 
+// Guards against the rejection of what many ask for after all servers of a service have crashed at once
+// (review case 4, DENIED): a page that was answered before, and the first part of all prompts.
+#[test]
+fn common_crash() {
+    let now = time::Instant::now();
+    let mut known = suspects::Suspects::default();
+    let page = [Cause::Content(9), Cause::Request(10), FIRST];
+    (0..suspects::TRUSTED_ANSWERS).for_each(|_| _ = known.record_answer(&page, now));
+    // Each of eight servers ends with some requests; entries notice it within some time.
+    let at = |event: u32, server: u32| now + SECOND * (5 * event + 1) + SECOND / 20 * server;
+    for event in 0..4 {
+        for server in 0..8 {
+            known.record_crash(&page, event * 8 + server, at(event, server));
+            assert_eq!(known.check(&page, at(event, server)), Verdict::Allowed);
+        }
+    }
+    known.record_crash(&page, 99, at(4, 0));
+    assert!(is_rejected(&known, &page, at(4, 0)), "the fifth time");
+    // What was never answered is rejected after three crashes, also at once.
+    (0..3).for_each(|server| known.record_crash(&REPEATED, server, now));
+    assert!(is_rejected(&known, &REPEATED, now));
+}
+
 // Guards against a wrong verdict that stands: an answer anywhere clears the part everywhere.
 #[test]
 fn answers_clear() {
--- a/crates/edge/src/suspects.rs
+++ b/crates/edge/src/suspects.rs
@@ -7,6 +7,8 @@
 
 use crate::{call, connections, directory, edge, trials};
 
+/// Maximum size of a body that is read for the count of its answers, in bytes.
+const MAX_COUNTED_BYTES: usize = 4 * 1024;
 /// Number of events after which a server has survived the begin of an answer. It may have sent the
 /// first one before it crashed.
 pub(crate) const BEGUN_EVENTS: u64 = 2;
@@ -68,8 +70,9 @@
 /// Records that a server has begun to answer a request.
 pub(crate) fn record_answer(call: &call::Call) {
     let mut rejected = call.edge.rejected();
-    // Answers that clear no suspect are counted by the parts of their prompts alone.
-    let causes = match rejected.suspects.is_empty() {
+    // Answers that clear no suspect are counted by what can be told of their requests at little cost.
+    let is_costly = call.body.len() > MAX_COUNTED_BYTES;
+    let causes = match rejected.suspects.is_empty() && is_costly {
         true => call.parts(),
         false => call.causes().to_vec(),
     };
