Take a stream of a split route up at the service that began it

Cause: a request that takes a stream up was given a service by a new draw of the weights, before the version that began the stream, which tells the service, was looked up. The only version of the drawn service was taken for that of the stream. Change: the request goes to the service of the route that has servers of the found version. On a split route the only version of a service proves nothing; streams of such services are told to keepers and written to the store as those of a service with several versions.

--- a/crates/core/src/routing.rs
+++ b/crates/core/src/routing.rs
@@ -67,6 +67,11 @@
 }
 
 impl Route {
+    /// Services to which requests of the route may go.
+    pub fn services(&self) -> impl Iterator<Item = &ids::ServiceName> {
+        self.splits.iter().filter(|split| split.weight > 0).map(|split| &split.service)
+    }
+
     /// Chooses the service for a request; `draw` is random, uniform over `u64`.
     pub fn service(&self, draw: u64) -> Option<&ids::ServiceName> {
         let total: u64 = self.splits.iter().map(|split| u64::from(split.weight)).sum();
--- a/crates/e2e/tests/platform_versions.rs
+++ b/crates/e2e/tests/platform_versions.rs
@@ -4,6 +4,7 @@
 
 use hyper::Method;
 use rustix::process as signals;
+use serde_json::json;
 use tokio::task;
 
 use rhubarb_e2e::{call, relay, site};
@@ -557,3 +558,56 @@
     assert_eq!(reply.status, 503);
     Ok(())
 }
+
+// Config whose resumable route is split between two services of one version each, by weights.
+fn split_config(site: &site::Site, version: u64, weights: [u32; 2]) -> String {
+    let mut config = site.config(version);
+    let mut other = config["services"][1].clone();
+    other["name"] = json!("others");
+    config["services"].as_array_mut().expect("services are a list").push(other);
+    let routes = config["routes"].as_array_mut().expect("routes are a list");
+    let route = routes.iter_mut().find(|route| route["name"] == "resumable");
+    let route = route.expect("there is a resumable route");
+    route["service"] = serde_json::Value::Null;
+    route["traffic_split"] = json!([
+        {"service": "models", "weight": weights[0]}, {"service": "others", "weight": weights[1]},
+    ]);
+    config.to_string()
+}
+
+// Guards against streams of a split route that are given another service when they are taken up: they are
+// refused, or go on at a server of the other service (review case 5, LOST).
+#[tokio::test]
+async fn split_route() -> anyhow::Result<()> {
+    let sizes = site::Sizes { edges: 3, plain: 0, prefill: 0, decode: 2, ..site::Sizes::default() };
+    let mut site = site::Site::prepare(sizes).await?;
+    let mut row = site::server_row(&site.decode[1]);
+    row["service"] = json!("others");
+    site.store.put("servers", &site.decode[1].id, row.to_string());
+    site.store.put("op", "config", split_config(&site, 2, [95, 5]));
+    for _ in 0..sizes.edges {
+        site.add_edge().await?;
+    }
+    site.wait_ready().await?;
+    tokio::time::sleep(LEARN_TIME).await;
+    let begun = begin(&site, 0, 5).await?;
+    tokio::time::sleep(STORE_TIME).await;
+    site.store.put("op", "config", split_config(&site, 3, [5, 95]));
+    tokio::time::sleep(LEARN_TIME).await;
+    let check = async |site: &site::Site, last: u64| -> anyhow::Result<()> {
+        for attempt in begun.keys() {
+            let reply = resume(site, 1, attempt, last).await?;
+            assert_eq!(reply.status, 200, "{attempt}: {reply:?}\n{}", site.edges[1].log());
+            let again = format!("{attempt}-again");
+            for engine in &site.decode {
+                let (first, second) = (engine.runs().contains_key(attempt), engine.runs());
+                assert_eq!(first, second.contains_key(&again), "{attempt} changed its service");
+            }
+        }
+        Ok(())
+    };
+    check(&site, 1).await?;
+    // Others know them when their entry is dead.
+    site.edges[0].kill();
+    check(&site, 2).await
+}
--- a/crates/edge/src/directory.rs
+++ b/crates/edge/src/directory.rs
@@ -496,9 +496,30 @@
         self.releases.has_several(service, now)
     }
 
-    /// Whether others need to know which versions begin streams of a service.
+    /// Whether others need to know which versions begin streams of a service: it has several, or its
+    /// streams have another service beside it on a route.
     pub(crate) fn needs_origins(&self, service: &str, now: time::Instant) -> bool {
-        self.releases.only(service, now).is_none()
+        let is_split = |route: &routing::Route| {
+            let mut others = route.services().filter(|other| *other != service);
+            matches!(route.kind, routing::Kind::Stream { .. })
+                && others.next().is_some()
+                && route.services().any(|own| own == service)
+        };
+        let mut routes = self.config.iter().flat_map(|config| &config.routes);
+        self.releases.only(service, now).is_none() || routes.any(is_split)
+    }
+
+    /// The service among `services` that has servers with a version.
+    pub(crate) fn service_with<'a>(
+        &self,
+        software: ids::SoftwareTag,
+        mut services: impl Iterator<Item = &'a ids::ServiceName>,
+    ) -> Option<&'a ids::ServiceName> {
+        let has_server = |service: &ids::ServiceName| {
+            let known = self.services.get(service);
+            known.is_some_and(|known| known.engines.has_decode(software))
+        };
+        services.find(|service| has_server(service))
     }
 
     /// Services of which they do.
--- a/crates/edge/src/origins.rs
+++ b/crates/edge/src/origins.rs
@@ -52,19 +52,21 @@
 pub(crate) async fn find(call: &call::Call) -> Option<ids::SoftwareTag> {
     let (edge, service) = (&call.edge, call.service.as_str());
     let asked = clock::now();
+    // The version of a service tells nothing of streams that may be another service's.
+    let is_split = call.route.services().nth(1).is_some();
     let Some(attempt) = call.head.resumes.as_ref().map(|first| ids::attempt_tag(first.as_bytes()))
     else {
         let is_current = histories::refresh(edge, asked).await;
         let single = edge.directory().only_software(service, clock::now());
-        let single = single.filter(|_| is_current);
+        let single = single.filter(|_| is_current && !is_split);
         tracing::info!(id = call.id(), single, is_current, "edge: version of a stream looked up");
         return single;
     };
     edge.answers().said.insert(attempt, agreement::Agreement::default());
-    let found = ask_all(edge, attempt, service).await;
+    let found = ask_all(edge, attempt, service, is_split).await;
     let single = match found {
-        None => agreed(edge, attempt, service, asked).await,
-        Some(_) => None,
+        None if !is_split => agreed(edge, attempt, service, asked).await,
+        _ => None,
     };
     let stored = match found.or(single) {
         None => stream_records::find(edge, attempt).await,
@@ -103,11 +105,12 @@
 }
 
 // Asks the other entries for the version that began a stream, until one knows it. Stops early if this
-// entry or another knows of one version only.
+// entry or another knows of one version only, unless the route `is_split` between services.
 async fn ask_all(
     edge: &edge::Edge,
     attempt: ids::AttemptTag,
     service: &str,
+    is_split: bool,
 ) -> Option<ids::SoftwareTag> {
     for round in 0..MAX_ROUNDS {
         if let Some(software) = edge.origins().get(attempt) {
@@ -132,7 +135,8 @@
             }
         }
         let said = edge.answers().said.get(&attempt).cloned().unwrap_or_default();
-        if said.has_answer() || edge.directory().only_software(service, clock::now()).is_some() {
+        let only = edge.directory().only_software(service, clock::now());
+        if !is_split && (said.has_answer() || only.is_some()) {
             return None;
         }
     }
--- a/crates/edge/src/stream.rs
+++ b/crates/edge/src/stream.rs
@@ -213,14 +213,29 @@
         }
     }
 
-    // Finds out which version began the stream that the request takes up.
+    // Finds out which version began the stream that the request takes up, and of which service.
     async fn find_software(&mut self) -> Result<(), Refusal> {
         if self.software.is_some() || self.order.last().is_none() {
             return Ok(());
         }
         self.software = origins::find(&self.call).await;
         let unknown = Refusal::not_run(Reason::UnknownVersion, RETRY_SOON);
-        self.software.map(|_| ()).ok_or(unknown)
+        let software = self.software.ok_or(unknown)?;
+        self.set_service(software);
+        Ok(())
+    }
+
+    // Goes on at the service of the version that began the stream, whichever was drawn.
+    fn set_service(&mut self, software: ids::SoftwareTag) {
+        let call = &mut self.call;
+        let directory = call.edge.directory();
+        let service = directory.service_with(software, call.route.services()).cloned();
+        let config = directory.config();
+        drop(directory);
+        if let Some(service) = service.filter(|service| *service != call.service) {
+            call.priority = config.and_then(|config| config.priority(&service, call.urgency));
+            call.service = service;
+        }
     }
 
     // Version of the engine that is reserved.
