--- a/crates/edge/src/edge.rs
+++ b/crates/edge/src/edge.rs
@@ -32,6 +32,8 @@
     pub(crate) evidence_changed: tokio_sync::Notify,
     /// Notifies the checker of addresses that a place is to be checked.
     pub(crate) misdirected_changed: tokio_sync::Notify,
+    /// Notifies the asker that the process of an engine is in doubt.
+    pub(crate) process_doubted: tokio_sync::Notify,
     /// Notifies the teller that a stream has begun whose software version others need to know.
     pub(crate) origin_begun: tokio_sync::Notify,
     /// Notifies requests that look the version of a stream up that another entry has told something.
@@ -61,6 +63,8 @@
     pauses: sync::Mutex<pauses::Pauses>,
     limits: sync::Mutex<limits::Limits>,
     misdirected: sync::Mutex<misdirected::Misdirected>,
+    // Engines whose processes are in doubt and have not been asked.
+    doubts: sync::Mutex<Vec<directory::Target>>,
     allowances: sync::Mutex<allowance::Allowances>,
     // When this entry last had news of the store, or a peer that has them.
     in_touch_at: sync::Mutex<time::Instant>,
@@ -103,6 +107,7 @@
             memory_freed: tokio_sync::Notify::new(),
             evidence_changed: tokio_sync::Notify::new(),
             misdirected_changed: tokio_sync::Notify::new(),
+            process_doubted: tokio_sync::Notify::new(),
             origin_begun: tokio_sync::Notify::new(),
             origin_learned: tokio_sync::Notify::new(),
             stream_read: tokio_sync::Mutex::default(),
@@ -120,6 +125,7 @@
             pauses: sync::Mutex::default(),
             limits: sync::Mutex::default(),
             misdirected: sync::Mutex::default(),
+            doubts: sync::Mutex::default(),
             allowances: sync::Mutex::new(allowances),
             in_touch_at: sync::Mutex::new(clock::now()),
             rejected: sync::Mutex::default(),
@@ -191,6 +197,17 @@
         locks::lock(&self.misdirected)
     }
 
+    /// Adds an engine whose process is in doubt.
+    pub(crate) fn add_doubt(&self, target: directory::Target) {
+        locks::lock(&self.doubts).push(target);
+        self.process_doubted.notify_one();
+    }
+
+    /// Removes and returns the engines whose processes are in doubt.
+    pub(crate) fn take_doubts(&self) -> Vec<directory::Target> {
+        std::mem::take(&mut *locks::lock(&self.doubts))
+    }
+
     /// This entry's parts of the limits of customers.
     pub(crate) fn allowances(&self) -> sync::MutexGuard<'_, allowance::Allowances> {
         locks::lock(&self.allowances)
--- a/crates/edge/src/exchange.rs
+++ b/crates/edge/src/exchange.rs
@@ -11,7 +11,7 @@
 use rhubarb_node::clock;
 use rhubarb_platform::{engine, response};
 
-use crate::{call, connections, directory, edge, misdirected, pauses, processes, quotas, suspects};
+use crate::{call, connections, directory, doubts, edge, misdirected, pauses, quotas, suspects};
 
 /// Maximum size of a buffered response body, in bytes.
 const MAX_BODY_BYTES: usize = 16 * 1024 * 1024;
@@ -60,15 +60,15 @@
     cost: quotas::Cost,
 ) -> Result<connections::PendingResponse, connections::SendError> {
     let edge = &call.edge;
-    let Some(started_ms) = target.process.1 else {
+    if target.process.1.is_none() {
         return send_call(call, target, request, cost).await;
-    };
+    }
     let permit = || {
         permit_call(call)?;
         permit_send(edge, target, cost)
     };
     let probe = engine::report_request(&target.id);
-    let is_expected = |body: &Bytes| processes::is_registered(target, started_ms, body);
+    let is_expected = |body: &Bytes| is_registered(target, body);
     let sending =
         edge.connections.send_after(target.address, probe, is_expected, request, permit).await;
     match &sending {
@@ -80,6 +80,21 @@
     sending
 }
 
+/// Whether a report of an engine is of the registered process. One that does not tell its start, or whose
+/// row does not, is taken for it.
+pub(crate) fn is_registered(target: &directory::Target, report: &Bytes) -> bool {
+    match engine::read_report(report) {
+        Ok(state) => {
+            let starts = state.started_ms.zip(target.process.1);
+            starts.is_none_or(|(said, registered)| said == registered)
+        }
+        Err(err) => {
+            tracing::warn!(server = target.id, %err, "edge: state of engine cannot be parsed");
+            false
+        }
+    }
+}
+
 // Whether a request of `call` may still be sent.
 fn permit_call(call: &call::Call) -> Result<(), connections::SendError> {
     if clock::now() >= call.deadline() {
@@ -118,7 +133,7 @@
         | connections::SendError::Replaced,
     ) = sending
     {
-        processes::doubt(&call.edge, target);
+        doubts::record(&call.edge, target);
     }
 }
 
--- a/crates/edge/src/reservation.rs
+++ b/crates/edge/src/reservation.rs
@@ -11,7 +11,7 @@
 use outcome::{Outcome, Reason, Refusal};
 
 use crate::{
-    call, cleanup, connections, directory, edge, exchange, processes, quotas, refuse, suspects,
+    call, cleanup, connections, directory, doubts, edge, exchange, quotas, refuse, suspects,
 };
 
 /// Slot and memory of one request at a decode engine, released when dropped.
@@ -253,7 +253,7 @@
         Ok(Err(err)) => {
             tracing::info!(id = call.id(), server = id, %err, "edge: hold request failed");
             call.record_outcome(&id, pool::ServerOutcome::Failure(Reason::NoServer));
-            processes::doubt(&call.edge, &reservation.target);
+            doubts::record(&call.edge, &reservation.target);
             return HoldResult::Unavailable;
         }
         Err(_) => {
--- a/crates/edge/src/run.rs
+++ b/crates/edge/src/run.rs
@@ -11,8 +11,8 @@
 use tokio::{sync as tokio_sync, task};
 
 use crate::{
-    discovery, edge, eras, histories, ingress, leader, ledger, misdirected, origins, pauses, peers,
-    reload, snapshots, stream_records, verdicts, watch,
+    discovery, edge, eras, histories, ingress, leader, ledger, origins, pauses, peers, places,
+    processes, reload, snapshots, stream_records, verdicts, watch,
 };
 
 /// Maximum number of connections from callers; leaves file descriptors for servers and the store.
@@ -46,7 +46,8 @@
     tokio::spawn(watch::sweep(edge.clone()));
     tokio::spawn(eras::run(edge.clone()));
     tokio::spawn(pauses::report(edge.clone()));
-    tokio::spawn(misdirected::check(edge.clone()));
+    tokio::spawn(places::run(edge.clone()));
+    tokio::spawn(processes::run(edge.clone()));
     tokio::spawn(verdicts::run(edge.clone()));
     tokio::spawn(histories::run(edge.clone()));
     tokio::spawn(stream_records::write(edge.clone()));
--- a/crates/edge/src/stream.rs
+++ b/crates/edge/src/stream.rs
@@ -13,7 +13,7 @@
 use outcome::{Outcome, RETRY_SOON, Reason, Refusal};
 
 use crate::{
-    call, connections, directory, exchange, origins, prefill, processes, quotas, reader, refuse,
+    call, connections, directory, doubts, exchange, origins, prefill, quotas, reader, refuse,
     reservation, suspects,
 };
 
@@ -441,7 +441,7 @@
 
     // Failure of a run whose connection was lost.
     async fn lost(&self, target: &directory::Target) -> flow::Event {
-        processes::doubt(&self.call.edge, target);
+        doubts::record(&self.call.edge, target);
         if self.run_events < suspects::BEGUN_EVENTS {
             suspects::record_loss(&self.call, target).await;
         }
