Print what entries have logged where a rejected request reaches servers

Change: the message of check_late has the lines on lost requests and rejected causes; the test is listed.

--- a/crates/e2e/tests/platform_requests.rs
+++ b/crates/e2e/tests/platform_requests.rs
@@ -83,10 +83,24 @@
         assert_eq!(reply.status, 200, "{reply:?}");
     }
     let late = arrivals(site, "late-");
-    assert!(late <= MAX_LATE, "{late} arrivals too late, {before} and {} crashes", crashes(site));
+    let count = crashes(site);
+    let logs = evidence_logs(site);
+    assert!(late <= MAX_LATE, "{late} arrivals too late, {before} and {count} crashes\n{logs}");
     Ok(())
 }
 
+// What the entries have logged of lost requests and rejected causes.
+fn evidence_logs(site: &site::Site) -> String {
+    let logs: Vec<_> = site.edges.iter().map(rhubarb_e2e::edge::Edge::log).collect();
+    let lines = logs.iter().flat_map(|log| log.lines());
+    let is_told = |line: &&str| {
+        ["request lost", "causes of crashes", "cause of crashes", "started"]
+            .iter()
+            .any(|text| line.contains(text))
+    };
+    lines.filter(is_told).collect::<Vec<_>>().join("\n")
+}
+
 // Guards against a plain request that is sent on to one server after the other, which all fall
 // (issue 32, BUDGET).
 #[tokio::test]
