Wait in fault_table until servers that had moved are used again

Its case before lets both servers answer 421; where both checks came before the next case, the entry knew for half a second that another server is at each address, and refused at once, as it should. Addresses that move back within a millisecond without a new row exist in the test alone. Change: after that case the test waits until both servers are used again without a new row, which it requires within 2 s; no case or expectation is changed.

--- a/crates/e2e/tests/platform_budget.rs
+++ b/crates/e2e/tests/platform_budget.rs
@@ -9,8 +9,6 @@
 use rhubarb_fakes::backend;
 use rhubarb_node::client;
 
-use backend::Fault;
-
 /// Interval between the requests of a test.
 const INTERVAL: time::Duration = time::Duration::from_millis(40);
 /// Retries allowed for each request, as in the settings of [`site::Site`].
@@ -57,8 +55,8 @@
 #[tokio::test]
 async fn moved_plain() -> anyhow::Result<()> {
     let site = site::Site::start(sizes()).await?;
-    site.plain[0].set_fault(Fault::Moved);
-    site.plain[1].set_fault(Fault::Sheds);
+    site.plain[0].set_fault(backend::Fault::Moved);
+    site.plain[1].set_fault(backend::Fault::Sheds);
     for path in [site::SAFE, site::UNSAFE] {
         send(&site, path, path, time::Duration::from_secs(4)).await;
     }
@@ -71,8 +69,8 @@
 #[tokio::test]
 async fn moved_decode() -> anyhow::Result<()> {
     let site = site::Site::start(sizes()).await?;
-    site.decode[0].set_fault(Fault::Moved);
-    site.decode[1].set_fault(Fault::Full);
+    site.decode[0].set_fault(backend::Fault::Moved);
+    site.decode[1].set_fault(backend::Fault::Full);
     send(&site, "a", site::RESUMABLE, time::Duration::from_secs(4)).await;
     let wrong = misdirected(&site.decode[0]);
     assert!(wrong <= site.edges.len(), "{wrong} requests reached another server");
@@ -83,8 +81,8 @@
 #[tokio::test]
 async fn moved_prefill() -> anyhow::Result<()> {
     let site = site::Site::start(sizes()).await?;
-    site.prefill[0].set_fault(Fault::Moved);
-    site.prefill[1].set_fault(Fault::Sheds);
+    site.prefill[0].set_fault(backend::Fault::Moved);
+    site.prefill[1].set_fault(backend::Fault::Sheds);
     send(&site, "a", site::STREAM, time::Duration::from_secs(4)).await;
     let wrong = misdirected(&site.prefill[0]);
     assert!(wrong <= site.edges.len(), "{wrong} requests reached another server");
@@ -97,11 +95,11 @@
 async fn stray_rejection() -> anyhow::Result<()> {
     let site = site::Site::start(sizes()).await?;
     let before = site.plain[0].arrivals().len();
-    site.plain[0].set_fault(Fault::Moved);
+    site.plain[0].set_fault(backend::Fault::Moved);
     while !site.plain[0].arrivals()[before..].iter().any(|arrival| arrival.misdirected) {
         post(site.edges[0].frontend, site::SAFE, "a").await;
     }
-    site.plain[0].set_fault(Fault::None);
+    site.plain[0].set_fault(backend::Fault::None);
     tokio::time::sleep(time::Duration::from_millis(2_500)).await;
     let runs = site.plain[0].requests().len();
     send(&site, "b", site::SAFE, time::Duration::from_secs(1)).await;
@@ -124,7 +122,7 @@
     }
     site.wait_ready().await?;
     for server in &site.plain {
-        server.set_fault(Fault::Sheds);
+        server.set_fault(backend::Fault::Sheds);
     }
     let start = time::Instant::now();
     let mut requests = 0;
--- a/crates/e2e/tests/platform_plain.rs
+++ b/crates/e2e/tests/platform_plain.rs
@@ -74,6 +74,25 @@
             "{fault:?}: {:?}",
             reply.elapsed
         );
+        if fault == Fault::Moved {
+            wait_back(&site).await?;
+        }
+    }
+    Ok(())
+}
+
+/// Time within which a server that answers at its address again is asked and used again.
+const BACK_TIME: time::Duration = time::Duration::from_secs(2);
+
+// Ends the faults of all servers and waits until requests are served again. Servers that have all answered
+// as others are used again once they have been asked.
+async fn wait_back(site: &site::Site) -> anyhow::Result<()> {
+    site.plain.iter().for_each(|plain| plain.set_fault(Fault::None));
+    let since = time::Instant::now();
+    let runs = || site.plain.iter().all(|plain| plain.runs().contains_key("back"));
+    while !runs() {
+        anyhow::ensure!(since.elapsed() < BACK_TIME, "{}", site.edges[0].log());
+        site.edges[0].call(Method::POST, site::SAFE, "back", "b").await?;
     }
     Ok(())
 }
