Forget the time per token of a service after ten seconds without an answer

Callers of streams were refused for good (503, too-late) after some slow answers, also when the engines were fast again.

Cause: whether an answer can be complete before its deadline is estimated from the mean time per token. The estimate did not age, and only an answer corrects it; once it refuses all requests none can come. Evidence: with engines ten times as slow for one answer, a request was still refused 10.5 s after they were fast again (platform_streams slow_answers_lapse, failed without the limit, too-late in the reply); engines old_answers_lapse likewise. Change: without an answer for 10 s the time per token is unknown, as at the start, so that a request is sent and shows it.

--- a/crates/core/src/engines.rs
+++ b/crates/core/src/engines.rs
@@ -21,8 +21,8 @@
     mean_charge: Option<f64>,
     // Mean time for which a run holds memory, in seconds.
     run_time: Option<f64>,
-    // Mean time to generate one token, in seconds.
-    token_time: Option<f64>,
+    // Mean time to generate one token, in seconds, and when the last answer ended.
+    token_time: Option<(f64, time::Instant)>,
     speeds: speeds::Speeds,
     usage: stages::Usage,
     peer_usage: collections::BTreeMap<String, stages::Usage>,
@@ -86,6 +86,9 @@
 const SHORT_RUN_TIME: f64 = 1.5;
 /// Weight of one answer in the moving average of the time per token.
 const TOKEN_TIME_WEIGHT: f64 = 0.05;
+/// Time without an answer after which the time per token is no longer known: requests are refused for
+/// it, and only answers correct it.
+const TOKEN_TIME_TTL: time::Duration = time::Duration::from_secs(10);
 
 // Orders engines that rank as equal: FNV-1a of the id, seeded with `draw` and mixed by the
 // finalizer of MurmurHash3.
@@ -672,23 +675,28 @@
         known.map(|(id, engine)| time(id, engine)).min()
     }
 
-    /// Updates the mean time per token with an answer of `tokens`; `duration` is the time from
-    /// its first token to its last, without its longest gap.
-    pub fn record_answer(&mut self, tokens: u64, duration: time::Duration) {
+    /// Updates the mean time per token with an answer of `tokens` that has ended; `duration` is the
+    /// time from its first token to its last, without its longest gap.
+    pub fn record_answer(&mut self, tokens: u64, duration: time::Duration, now: time::Instant) {
         if tokens == 0 {
             return;
         }
         let time = duration.as_secs_f64() / tokens as f64;
-        let mean = self.token_time.unwrap_or(time);
-        self.token_time = Some(mean + TOKEN_TIME_WEIGHT * (time - mean));
+        let mean = self.token_time(now).unwrap_or(time);
+        self.token_time = Some((mean + TOKEN_TIME_WEIGHT * (time - mean), now));
     }
 
-    /// Expected time to generate an answer of `tokens`; zero until an answer was recorded.
-    pub fn answer_time(&self, tokens: u32) -> time::Duration {
-        let seconds = self.token_time.unwrap_or(0.0) * f64::from(tokens);
+    /// Expected time to generate an answer of `tokens`; zero if no answer was recorded lately.
+    pub fn answer_time(&self, tokens: u32, now: time::Instant) -> time::Duration {
+        let seconds = self.token_time(now).unwrap_or(0.0) * f64::from(tokens);
         time::Duration::from_secs_f64(seconds)
     }
 
+    fn token_time(&self, now: time::Instant) -> Option<f64> {
+        let (time, ended_at) = self.token_time?;
+        (now <= ended_at + TOKEN_TIME_TTL).then_some(time)
+    }
+
     /// Availability zone of an engine.
     pub fn zone(&self, id: &str) -> Option<&ids::ZoneName> {
         self.engines.get(id).map(|engine| &engine.zone)
--- a/crates/core/tests/engines.rs
+++ b/crates/core/tests/engines.rs
@@ -244,18 +244,31 @@
 fn answer_time_estimated() {
     // The time of an answer is estimated from earlier ones, so that no run starts whose answer
     // would not be complete before the caller's deadline.
-    let mut engines = engines(1, 1);
-    assert_eq!(engines.answer_time(700), time::Duration::ZERO, "no answer was recorded yet");
-    engines.record_answer(1_000, 5_000 * MILLI);
-    assert_eq!(engines.answer_time(700), 3_500 * MILLI);
-    engines.record_answer(0, MILLI);
+    let (mut engines, now) = (engines(1, 1), time::Instant::now());
+    assert_eq!(engines.answer_time(700, now), time::Duration::ZERO, "no answer was recorded yet");
+    engines.record_answer(1_000, 5_000 * MILLI, now);
+    assert_eq!(engines.answer_time(700, now), 3_500 * MILLI);
+    engines.record_answer(0, MILLI, now);
     for _ in 0..200 {
-        engines.record_answer(500, 5_000 * MILLI);
+        engines.record_answer(500, 5_000 * MILLI, now);
     }
-    let slower = engines.answer_time(700);
+    let slower = engines.answer_time(700, now);
     assert!(slower > 6_990 * MILLI && slower < 7_010 * MILLI, "{slower:?}");
 }
 
+// Guards against requests that are refused for good after some slow answers, since none is sent any more
+// that could correct the estimate (related to review case 3).
+#[test]
+fn old_answers_lapse() {
+    let (mut engines, now) = (engines(1, 1), time::Instant::now());
+    engines.record_answer(10, 10_000 * MILLI, now);
+    assert!(engines.answer_time(700, now + 9_000 * MILLI) > 600_000 * MILLI);
+    let later = now + 11_000 * MILLI;
+    assert_eq!(engines.answer_time(700, later), time::Duration::ZERO);
+    engines.record_answer(1_000, 5_000 * MILLI, later);
+    assert_eq!(engines.answer_time(700, later), 3_500 * MILLI, "the old answers count no more");
+}
+
 #[test]
 fn wait_estimated() {
     // With a long queue a new request is rejected at once instead of after a wasted wait.
--- a/crates/e2e/tests/platform_streams.rs
+++ b/crates/e2e/tests/platform_streams.rs
@@ -6,7 +6,7 @@
 use hyper::Method;
 
 use rhubarb_e2e::site;
-use rhubarb_fakes::backend;
+use rhubarb_fakes::{backend, pace};
 
 use backend::Fault;
 
@@ -21,6 +21,9 @@
     false
 }
 
+/// Time without an answer after which earlier ones tell nothing of the speed of engines.
+const LAPSE_TIME: time::Duration = time::Duration::from_millis(10_500);
+
 #[tokio::test]
 async fn complete_streams() -> anyhow::Result<()> {
     let site = site::Site::start(site::Sizes::default()).await?;
@@ -181,6 +184,30 @@
     Ok(())
 }
 
+// Guards against an entry that refuses the streams of a service for good after some slow answers: it sent
+// none any more that could show that the engines are fast again (related to review case 3).
+#[tokio::test]
+async fn slow_answers_lapse() -> anyhow::Result<()> {
+    let site = site::Site::start(site::Sizes::default()).await?;
+    let set_nature = |nature| {
+        let pace = pace::Pace { nature, ..pace::Pace::default() };
+        site.decode.iter().for_each(|engine| engine.set_pace(pace));
+    };
+    let usage = [("x-token-usage", "100,600")];
+    let send = async |attempt: &str| {
+        let edge = &site.edges[0];
+        edge.call_with(Method::POST, site::STREAM, attempt, "b", &usage).await
+    };
+    set_nature(1_000);
+    assert_eq!(send("slow").await?.body, Some(site::full_stream()));
+    // 600 tokens at this speed take longer than the timeout of the route.
+    assert_eq!(send("refused").await?.status, 503);
+    set_nature(100);
+    tokio::time::sleep(LAPSE_TIME).await;
+    assert_eq!(send("served").await?.body, Some(site::full_stream()));
+    Ok(())
+}
+
 // Guards against a resumed stream that is cut off though its caller has all events already.
 #[tokio::test]
 async fn nothing_left() -> anyhow::Result<()> {
--- a/crates/edge/src/stream.rs
+++ b/crates/edge/src/stream.rs
@@ -179,7 +179,7 @@
         let done = events.saturating_mul(u64::from(directory.event_tokens(&self.call.service)));
         let rest = u64::from(self.need.output).saturating_sub(done) as u32;
         let engines = &directory.service(&self.call.service).engines;
-        self.call.time_left() < engines.answer_time(rest).mul_f64(MIN_TIME_SHARE)
+        self.call.time_left() < engines.answer_time(rest, clock::now()).mul_f64(MIN_TIME_SHARE)
     }
 
     async fn reserve(&mut self) -> flow::Event {
@@ -766,7 +766,7 @@
             let duration = (last - first).saturating_sub(self.longest_gap);
             let mut directory = call.edge.directory();
             let engines = &mut directory.service(&call.service).engines;
-            engines.record_answer(tokens, duration);
+            engines.record_answer(tokens, duration, clock::now());
             // An answer that went on elsewhere is the work of two engines.
             if let Some(reservation) =
                 self.reservation.as_ref().filter(|_| self.flow.retries() == 0)
