Answer 400 only where crashes one after the other show the request as their cause

Cause: three servers that crash with a request count as three, also at once, and a trial counts whether or not a server is up. Change: a crash says since when its first request had been at the server. Only a server to which a request was sent after the crash before is further proof; without three such crashes the refusal is a 503 until the next trial, which is due after 5 s and postponed while no server accepts connections. What is sent to servers is as before: such a request is withheld after three crashes. Datagrams and stored verdicts have the new figure (format 9).

--- a/crates/core/src/abandoned.rs
+++ b/crates/core/src/abandoned.rs
@@ -17,6 +17,7 @@
 struct Request {
     server: ids::ProcessTag,
     causes: Vec<cause::Cause>,
+    sent_at: time::Instant,
     at: time::Instant,
 }
 
@@ -26,18 +27,19 @@
 pub const MAX_REQUESTS: usize = 1_024;
 
 impl Abandoned {
-    /// Records that a request with these causes was given up at a server.
+    /// Records that a request with these causes, sent at `sent_at`, was given up at a server.
     pub fn record(
         &mut self,
         server: ids::ProcessTag,
         causes: Vec<cause::Cause>,
+        sent_at: time::Instant,
         now: time::Instant,
     ) {
         self.expire(now);
         if self.requests.len() >= MAX_REQUESTS {
             self.requests.pop_front();
         }
-        self.requests.push_back(Request { server, causes, at: now });
+        self.requests.push_back(Request { server, causes, sent_at, at: now });
     }
 
     /// Whether a request was given up lately at a server.
@@ -45,14 +47,19 @@
         self.requests.iter().any(|request| request.server == server && now < request.at + TTL)
     }
 
-    /// Removes and returns the causes of the requests given up lately at a server, which has crashed.
-    pub fn take(&mut self, server: ids::ProcessTag, now: time::Instant) -> Vec<Vec<cause::Cause>> {
+    /// Removes the requests given up lately at a server, which has crashed. Returns their causes and
+    /// when they were sent.
+    pub fn take(
+        &mut self,
+        server: ids::ProcessTag,
+        now: time::Instant,
+    ) -> Vec<(Vec<cause::Cause>, time::Instant)> {
         self.expire(now);
         let (taken, left) =
             self.requests.drain(..).partition(|request: &Request| request.server == server);
         self.requests = left;
         let taken: collections::VecDeque<Request> = taken;
-        taken.into_iter().map(|request| request.causes).collect()
+        taken.into_iter().map(|request| (request.causes, request.sent_at)).collect()
     }
 
     fn expire(&mut self, now: time::Instant) {
--- a/crates/core/src/suspects.rs
+++ b/crates/core/src/suspects.rs
@@ -31,8 +31,8 @@
 
 #[derive(Clone, Debug)]
 struct Suspect {
-    // Servers that crashed with such a request since one was last answered, and when.
-    crashes: collections::BTreeMap<CrashTag, time::Instant>,
+    // Servers that crashed with such a request since one was last answered.
+    crashes: collections::BTreeMap<CrashTag, Crash>,
     // When what is known last changed.
     changed_at: time::Instant,
     // When the cause was first rejected.
@@ -42,6 +42,26 @@
     trials: u32,
 }
 
+// Crash of a server with requests of one cause.
+#[derive(Clone, Copy, Debug)]
+struct Crash {
+    // When it was noticed.
+    at: time::Instant,
+    // When the first of the requests was sent there.
+    sent_at: time::Instant,
+}
+
+/// A crash that other entries are told of.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ToldCrash {
+    /// The crash.
+    pub tag: CrashTag,
+    /// Time since it was noticed.
+    pub ago: time::Duration,
+    /// Time for which the first of its requests had been at the server.
+    pub held: time::Duration,
+}
+
 /// Result of a check of a request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Verdict {
@@ -52,7 +72,7 @@
         /// The cause.
         cause: cause::Cause,
         /// Time until which entries may learn that the cause is sound after all; zero once all had
-        /// the time to say so.
+        /// the time to say so and crashes one after the other have shown it.
         unsettled: time::Duration,
     },
 }
@@ -76,8 +96,8 @@
     pub answers: u32,
     /// Time since the last of them began, if it is known.
     pub answered_ago: Option<time::Duration>,
-    /// Servers that crashed with such a request since then, and the time since.
-    pub crashes: Vec<(CrashTag, time::Duration)>,
+    /// Servers that crashed with such a request since then.
+    pub crashes: Vec<ToldCrash>,
     /// Time since a request with the cause was last admitted as a trial.
     pub tried_ago: Option<time::Duration>,
     /// Number of trials.
@@ -100,6 +120,8 @@
 /// Time from the last crash after which a rejected cause may be tried for the first time; it doubles
 /// with each trial. A cause that is rejected wrongly is rejected for about as long.
 pub const TERM: time::Duration = time::Duration::from_secs(15);
+/// The same for a cause that is not proven: servers that crash together are mostly back within seconds.
+pub const UNPROVEN_TERM: time::Duration = time::Duration::from_secs(5);
 /// Time for which a crash counts: the platform counts what reaches servers over the whole day.
 const CRASH_TTL: time::Duration = time::Duration::from_secs(24 * 3_600);
 /// Losses at one process that this entry notices further apart are of different crashes. All its
@@ -116,6 +138,8 @@
 pub const MAX_PART_TRIALS: u32 = 5;
 /// Time after which a trial without a result may be followed by another.
 const TRIAL_TIMEOUT: time::Duration = time::Duration::from_secs(10);
+/// The same for one that was not sent, since no server was up.
+const POSTPONED: time::Duration = time::Duration::from_secs(1);
 /// Maximum number of suspected causes.
 pub const MAX_SUSPECTS: usize = 4_096;
 /// Prompts with more parts than this add no new suspects if one of their parts is suspected already.
@@ -125,21 +149,32 @@
 const FRESH_TIME: time::Duration = time::Duration::from_secs(10);
 
 impl Suspects {
-    /// Records that a server crashed while a request with these causes was at it, whose answer had
-    /// not begun.
+    /// Records that a server crashed with a request with these causes that had just been sent there.
     pub fn record_crash(
         &mut self,
         causes: &[cause::Cause],
         server: ids::ProcessTag,
         now: time::Instant,
+    ) {
+        self.record_crash_since(causes, server, now, now);
+    }
+
+    /// Records that a server crashed while a request with these causes was at it, sent at `sent_at`,
+    /// whose answer had not begun.
+    pub fn record_crash_since(
+        &mut self,
+        causes: &[cause::Cause],
+        server: ids::ProcessTag,
+        sent_at: time::Instant,
+        now: time::Instant,
     ) {
         let parts = || causes.iter().filter(|cause| cause.is_part());
         let adds_parts =
             parts().count() <= MAX_NEW_PARTS || !parts().any(|part| self.has_crash(*part));
         for cause in causes {
             if adds_parts || !cause.is_part() || self.has_crash(*cause) {
-                let crash = self.crash_tag(*cause, server, now);
-                self.add_crash(*cause, crash, now, now);
+                let tag = self.crash_tag(*cause, server, now);
+                self.add_crash(*cause, tag, Crash { at: now, sent_at }, now);
             }
         }
     }
@@ -152,8 +187,9 @@
         now: time::Instant,
     ) -> CrashTag {
         let Some(suspect) = self.suspects.get(&cause) else { return server };
-        let is_over =
-            |tag: &CrashTag| suspect.crashes.get(tag).is_some_and(|at| *at + SAME_CRASH < now);
+        let is_over = |tag: &CrashTag| {
+            suspect.crashes.get(tag).is_some_and(|known| known.at + SAME_CRASH < now)
+        };
         let mut tag = server;
         while is_over(&tag) {
             tag = tag.wrapping_add(1);
@@ -165,24 +201,25 @@
         self.suspects.get(&cause).is_some_and(|suspect| !suspect.crashes.is_empty())
     }
 
-    // Adds a crash at `at`; returns whether it was not known.
+    // Adds a crash, or an earlier request of a known one; returns whether the crash was not known.
     fn add_crash(
         &mut self,
         cause: cause::Cause,
-        crash: CrashTag,
-        at: time::Instant,
+        tag: CrashTag,
+        crash: Crash,
         now: time::Instant,
     ) -> bool {
         let answers = self.answered(cause).get(cause, now);
-        if answers.is_some_and(|last| last.last_at >= at) || now >= at + CRASH_TTL {
+        if answers.is_some_and(|last| last.last_at >= crash.at) || now >= crash.at + CRASH_TTL {
             return false;
         }
         let is_trusted = self.is_trusted(cause, now);
-        let suspect = self.suspect(cause, crash, now);
-        if suspect.crashes.contains_key(&crash) {
+        let suspect = self.suspect(cause, tag, now);
+        if let Some(known) = suspect.crashes.get_mut(&tag) {
+            known.sent_at = known.sent_at.min(crash.sent_at);
             return false;
         }
-        suspect.crashes.insert(crash, at);
+        suspect.crashes.insert(tag, crash);
         suspect.changed_at = now;
         suspect.drop_oldest();
         if suspect.is_enough(0, is_trusted) {
@@ -241,7 +278,7 @@
     fn clear(&mut self, cause: cause::Cause, at: time::Instant, now: time::Instant) -> bool {
         let Some(suspect) = self.suspects.get_mut(&cause) else { return false };
         let before = suspect.crashes.len();
-        suspect.crashes.retain(|_, crashed_at| *crashed_at > at);
+        suspect.crashes.retain(|_, crash| crash.at > at);
         if suspect.crashes.len() == before {
             return false;
         }
@@ -305,15 +342,20 @@
         }
     }
 
+    // The cause for which a request is rejected, a proven one if there is any.
     fn rejected_cause(&self, causes: &[cause::Cause], now: time::Instant) -> Option<cause::Cause> {
-        let is_rejected = |cause: &&cause::Cause| {
-            self.is_rejected(**cause, now) && !self.is_explained(**cause, causes)
+        let is_rejected = |cause: &cause::Cause| {
+            self.is_rejected(*cause, now) && !self.is_explained(*cause, causes)
         };
-        causes.iter().find(is_rejected).copied()
+        let is_proven =
+            |cause: &cause::Cause| self.suspects.get(cause).is_some_and(Suspect::is_proven);
+        let rejected: Vec<_> = causes.iter().copied().filter(is_rejected).collect();
+        rejected.iter().find(|cause| is_proven(cause)).or(rejected.first()).copied()
     }
 
     // Time until which the verdict on a rejected cause may change: other entries may know of an
-    // answer, and one that always fell together with others waits for the trial that tells them apart.
+    // answer, and one that always fell together with others, or whose servers may have crashed together
+    // for another reason, waits for the trial that tells.
     fn unsettled(
         &self,
         cause: cause::Cause,
@@ -323,10 +365,16 @@
         let Some(suspect) = self.suspects.get(&cause) else { return time::Duration::ZERO };
         let settled_at = suspect.rejected_at.map(|at| at + SETTLE_TIME);
         let has_companions = !cause.is_part() && self.companions(cause, own).next().is_some();
-        let may_try = has_companions && suspect.trials < max_trials(cause);
-        let trial_at = suspect.trial_at().filter(|_| may_try);
+        let (is_proven, may_try) = (suspect.is_proven(), suspect.trials < max_trials(cause));
+        let trial_at = suspect.trial_at().filter(|_| may_try && (has_companions || !is_proven));
         let until = settled_at.max(trial_at);
-        until.map_or(time::Duration::ZERO, |until| until.saturating_duration_since(now))
+        let left = until.map_or(time::Duration::ZERO, |until| until.saturating_duration_since(now));
+        match (is_proven, may_try) {
+            (true, _) => left,
+            // The trial is late, or has no result yet.
+            (false, true) => left.max(SETTLE_TIME),
+            (false, false) => left.max(TERM),
+        }
     }
 
     /// Trial that is due of the cause for which a request with these causes is rejected. Until it has
@@ -343,6 +391,13 @@
         Some(Trial { cause, number: suspect.trials + 1 })
     }
 
+    /// Postpones a trial that is due, since no server is up.
+    pub fn postpone_trial(&mut self, trial: Trial, now: time::Instant) {
+        if let Some(suspect) = self.suspects.get_mut(&trial.cause) {
+            suspect.tried_at = now.checked_sub(TRIAL_TIMEOUT - POSTPONED);
+        }
+    }
+
     /// Records that this entry, or another one, sends the request of a trial.
     pub fn record_trial(&mut self, trial: Trial, now: time::Instant) {
         if let Some(suspect) = self.suspects.get_mut(&trial.cause) {
@@ -387,7 +442,7 @@
     /// Forgets old crashes; to be called regularly.
     pub fn expire(&mut self, now: time::Instant) {
         self.suspects.retain(|_, suspect| {
-            suspect.crashes.retain(|_, at| now < *at + CRASH_TTL);
+            suspect.crashes.retain(|_, crash| now < crash.at + CRASH_TTL);
             !suspect.crashes.is_empty() || now < suspect.changed_at + FRESH_TIME
         });
     }
@@ -426,9 +481,13 @@
     fn describe(&self, cause: cause::Cause, suspect: &Suspect, now: time::Instant) -> Evidence {
         let answers = self.answered(cause).get(cause, now);
         let ago = |at: time::Instant| now.saturating_duration_since(at);
-        let crashes = suspect.crashes.iter().map(|(crash, at)| (*crash, ago(*at)));
+        let crashes = suspect.crashes.iter().map(|(tag, crash)| ToldCrash {
+            tag: *tag,
+            ago: ago(crash.at),
+            held: crash.at.saturating_duration_since(crash.sent_at),
+        });
         let mut crashes: Vec<_> = crashes.collect();
-        crashes.sort_by_key(|(_, ago)| *ago);
+        crashes.sort_by_key(|crash| crash.ago);
         crashes.truncate(MAX_TOLD);
         Evidence {
             cause,
@@ -453,10 +512,11 @@
         }
         let own = self.answered(cause).get(cause, now);
         let mut is_outdated = false;
-        for (crash, ago) in &evidence.crashes {
-            let Some(at) = now.checked_sub(*ago) else { continue };
+        for told in &evidence.crashes {
+            let Some(at) = now.checked_sub(told.ago) else { continue };
             is_outdated |= Some(at) > last_at && own.is_some_and(|own| own.last_at >= at);
-            has_changed |= self.add_crash(cause, *crash, at, now);
+            let sent_at = at.checked_sub(told.held).unwrap_or(at);
+            has_changed |= self.add_crash(cause, told.tag, Crash { at, sent_at }, now);
         }
         let tried_at = evidence.tried_ago.and_then(|ago| now.checked_sub(ago));
         if let Some(suspect) = self.suspects.get_mut(&cause).filter(|_| !is_outdated) {
@@ -491,14 +551,30 @@
         }
     }
 
+    // Crashes in order of time.
+    fn sorted(&self) -> Vec<(CrashTag, Crash)> {
+        let mut crashes: Vec<_> = self.crashes.iter().map(|(tag, crash)| (*tag, *crash)).collect();
+        crashes.sort_by_key(|(tag, crash)| (crash.at, *tag));
+        crashes
+    }
+
     // Crashes, of which those at the same time count as one.
     fn events(&self) -> usize {
-        let mut times: Vec<_> = self.crashes.values().copied().collect();
-        times.sort();
+        self.count_events(|first, crash| crash.at > first + SAME_CRASH)
+    }
+
+    // Whether crashes one after the other show the cause: a request was sent to each server after the one
+    // before had crashed. Servers that end together may have another reason.
+    fn is_proven(&self) -> bool {
+        self.count_events(|first, crash| crash.sent_at > first) >= MIN_CRASHES
+    }
+
+    // Number of crashes that are apart from the first one of those before, as `is_apart` tells.
+    fn count_events(&self, is_apart: impl Fn(time::Instant, &Crash) -> bool) -> usize {
         let (mut events, mut first) = (0, None);
-        for at in times {
-            if first.is_none_or(|first| at > first + SAME_CRASH) {
-                (events, first) = (events + 1, Some(at));
+        for (_, crash) in self.sorted() {
+            if first.is_none_or(|first| is_apart(first, &crash)) {
+                (events, first) = (events + 1, Some(crash.at));
             }
         }
         events
@@ -508,20 +584,19 @@
     // show least, then the oldest.
     fn drop_oldest(&mut self) {
         while self.crashes.len() > MAX_CRASHES {
-            let mut crashes: Vec<_> =
-                self.crashes.iter().map(|(crash, at)| (*at, *crash)).collect();
-            crashes.sort();
+            let crashes = self.sorted();
             let mut pairs = crashes.windows(2);
-            let same = pairs.find(|pair| pair[1].0 <= pair[0].0 + SAME_CRASH).map(|pair| pair[1]);
-            let dropped = same.or(crashes.first().copied());
-            dropped.and_then(|(_, crash)| self.crashes.remove(&crash));
+            let same = pairs.find(|pair| pair[1].1.at <= pair[0].1.at + SAME_CRASH);
+            let dropped = same.map(|pair| pair[1]).or(crashes.first().copied());
+            dropped.and_then(|(tag, _)| self.crashes.remove(&tag));
         }
     }
 
     // Time from which the cause may be tried again.
     fn trial_at(&self) -> Option<time::Instant> {
-        let term = TERM * 2_u32.pow(self.trials.min(MAX_PART_TRIALS));
-        Some(*self.crashes.values().max()? + term)
+        let base = if self.is_proven() { TERM } else { UNPROVEN_TERM };
+        let term = base * 2_u32.pow(self.trials.min(MAX_PART_TRIALS));
+        Some(self.crashes.values().map(|crash| crash.at).max()? + term)
     }
 }
 
--- a/crates/core/tests/suspects.rs
+++ b/crates/core/tests/suspects.rs
@@ -206,7 +206,7 @@
     now += SECOND * 2;
     assert!(is_rejected(&known, &[FIRST], now));
     let aged = |mut evidence: suspects::Evidence| {
-        evidence.crashes.iter_mut().for_each(|(_, ago)| *ago += SECOND * 2);
+        evidence.crashes.iter_mut().for_each(|crash| crash.ago += SECOND * 2);
         evidence
     };
     assert!(evidence.into_iter().all(|evidence| other.merge(&aged(evidence), now)));
@@ -234,6 +234,100 @@
     assert_eq!(unsettled(&known, now), suspects::SETTLE_TIME - SECOND);
 }
 
+// Time until which the verdict on a request may change; none if it is allowed.
+fn unsettled(
+    known: &suspects::Suspects,
+    causes: &[Cause],
+    now: time::Instant,
+) -> Option<time::Duration> {
+    match known.check(causes, now) {
+        Verdict::Rejected { unsettled, .. } => Some(unsettled),
+        Verdict::Allowed => None,
+    }
+}
+
+// Guards against a final answer to a request that was at servers which crashed together, or one after the
+// other in a release, without it (related to review case 4, DENIED): only servers to which it was sent
+// after the crash before show that.
+#[test]
+fn common_outage_unproven() {
+    let begin = time::Instant::now();
+    for gap in [time::Duration::ZERO, SECOND / 100, SECOND * 2] {
+        let (mut known, mut now) = (suspects::Suspects::default(), begin + SECOND);
+        let mut other = known.clone();
+        for tag in 0..3 {
+            known.record_crash_since(&REPEATED, tag, begin, now);
+            now += gap;
+        }
+        now += suspects::UNPROVEN_TERM;
+        known.evidence(8, 0, now).iter().for_each(|evidence| _ = other.merge(evidence, now));
+        for known in [&mut known, &mut other] {
+            assert!(unsettled(known, &REPEATED, now) >= Some(suspects::SETTLE_TIME), "{gap:?}");
+            for number in 1..=suspects::MAX_TRIALS {
+                let trial = suspects::Trial { cause: REPEATED[0], number };
+                known.record_trial(trial, now);
+            }
+            let late = now + SECOND * 100;
+            assert!(unsettled(known, &REPEATED, late) >= Some(suspects::TERM), "{gap:?}");
+        }
+    }
+    // Another request is at each server, too, and was sent there before the crash.
+    let (mut known, now) = (suspects::Suspects::default(), begin + SECOND);
+    for tag in 0..3 {
+        let at = now + SECOND / 20 * tag;
+        known.record_crash_since(&REPEATED, tag, at - SECOND / 100, at);
+        known.record_crash_since(&REPEATED, tag, begin, at);
+    }
+    let settled_at = now + SECOND + suspects::SETTLE_TIME;
+    assert!(unsettled(&known, &REPEATED, settled_at) > Some(time::Duration::ZERO));
+}
+
+// Crashes one after the other are proof, however fast they come.
+#[test]
+fn fast_crashes_prove() {
+    let (mut known, mut now) = (suspects::Suspects::default(), time::Instant::now());
+    for tag in 0..3 {
+        let sent_at = now + SECOND / 1_000;
+        now += SECOND / 50;
+        known.record_crash_since(&REPEATED, tag, sent_at, now);
+    }
+    let settled_at = now + suspects::SETTLE_TIME;
+    assert_eq!(unsettled(&known, &REPEATED, settled_at), Some(time::Duration::ZERO));
+}
+
+// Guards against trials that are used up while no server is up.
+#[test]
+fn trial_postponed() {
+    let (mut known, begin) = (suspects::Suspects::default(), time::Instant::now());
+    let mut now = begin + SECOND * 60;
+    (0..3).for_each(|tag| known.record_crash_since(&REPEATED, tag, begin, now));
+    now += suspects::UNPROVEN_TERM;
+    for _ in 0..100 {
+        let trial = known.take_trial(&REPEATED, now).expect("a trial is due");
+        assert_eq!(trial.number, 1);
+        known.postpone_trial(trial, now);
+        assert_eq!(known.take_trial(&REPEATED, now + SECOND / 2), None);
+        now += SECOND;
+    }
+}
+
+// Guards against a popular request that is rejected by several outages of all its servers, with answers in
+// between.
+#[test]
+fn outages_in_a_row() {
+    let (mut known, mut now) = (suspects::Suspects::default(), time::Instant::now());
+    for outage in 0..20 {
+        (0..suspects::TRUSTED_ANSWERS).for_each(|_| _ = known.record_answer(&REPEATED, now));
+        let sent_at = now;
+        now += SECOND * 2;
+        for server in 0..8 {
+            known.record_crash_since(&REPEATED, outage * 8 + server, sent_at, now);
+        }
+        assert_eq!(known.check(&REPEATED, now), Verdict::Allowed, "outage {outage}");
+        now += SECOND * 3;
+    }
+}
+
 // Entries of a fleet that try rejected causes. Claims are as in the platform's store: the first of each
 // is granted.
 struct Trials {
--- a/crates/e2e/tests/platform_requests.rs
+++ b/crates/e2e/tests/platform_requests.rs
@@ -1,12 +1,12 @@
 //! Requests that crash each server that begins to run them, and are sent again and again.
 
-use std::time;
+use std::{net, time};
 
 use hyper::Method;
 use rustix::process as signals;
 
 use rhubarb_e2e::{call, site};
-use rhubarb_fakes::{backend, crash, store};
+use rhubarb_fakes::{backend, caller, crash, pace, store};
 
 /// Body of the request that crashes servers.
 const DEADLY: &str = "deadly";
@@ -238,3 +238,70 @@
     tokio::time::sleep(crash::DOWN_TIME.max(CONTACT)).await;
     check_late(&site, site::SAFE).await
 }
+
+/// Time for which the servers of [`check_outage`] are down, longer than until the first trial of a request
+/// that may have crashed them.
+const OUTAGE: time::Duration = time::Duration::from_secs(8);
+/// Time from its end until requests are served.
+const OUTAGE_END: time::Duration = time::Duration::from_secs(3);
+/// Prompt whose first part all its requests share.
+const PROMPT: [(&str, &str); 1] = [(caller::PROMPT, "ab:100,cd:10")];
+
+async fn ask(address: net::SocketAddr, path: &str, attempt: &str) -> anyhow::Result<call::Reply> {
+    let call = call::Call { path, attempt, body: "page", headers: &PROMPT };
+    Ok(call.send(&rhubarb_node::client::Client::new(), Method::POST, address).await?)
+}
+
+// All servers crash at once while each works on a request that no entry has seen answered, and are down
+// for a while. Nobody is told that the request is at fault, and it is served when they are back.
+async fn check_outage(path: &'static str) -> anyhow::Result<()> {
+    let sizes = site::Sizes { edges: 3, plain: 3, prefill: 0, decode: 3, ..site::Sizes::default() };
+    let site = site::Site::start(sizes).await?;
+    tokio::spawn(site::register_again(site.store.clone(), site.servers()));
+    let set_nature = |nature| {
+        let pace = pace::Pace { nature, ..pace::Pace::default() };
+        site.servers().iter().for_each(|server| server.set_pace(pace));
+    };
+    set_nature(2_000);
+    let addresses: Vec<_> = site.edges.iter().map(|edge| edge.frontend).collect();
+    for number in 0..18 {
+        let address = addresses[number % addresses.len()];
+        tokio::spawn(async move { ask(address, path, &format!("lost-{number}")).await });
+    }
+    let is_used = |server: &&backend::Backend| server.running() > 0;
+    while site.servers().iter().filter(is_used).count() < 3 {
+        tokio::time::sleep(time::Duration::from_millis(2)).await;
+    }
+    site.servers().iter().for_each(|server| server.crash_for(OUTAGE));
+    set_nature(100);
+    let start = time::Instant::now();
+    let mut number = 0;
+    while start.elapsed() < OUTAGE + OUTAGE_END {
+        let edge = &site.edges[number % site.edges.len()];
+        let reply = ask(edge.frontend, path, &format!("late-{number}")).await?;
+        assert_ne!(reply.status, 400, "{:?}: {reply:?}", start.elapsed());
+        tokio::time::sleep(time::Duration::from_millis(50)).await;
+        number += 1;
+    }
+    let logs = evidence_logs(&site);
+    assert!(logs.contains("causes of crashes"), "the request was not suspected\n{logs}");
+    for edge in &site.edges {
+        let reply = ask(edge.frontend, path, &format!("last-{number}")).await?;
+        assert_eq!(reply.status, 200, "{reply:?}\n{logs}");
+        number += 1;
+    }
+    Ok(())
+}
+
+// Guards against proper requests that are answered 400 after one outage of all servers, and against trials
+// that are used up while no server is up (related to review case 4, DENIED).
+#[tokio::test]
+async fn outage_of_servers() -> anyhow::Result<()> {
+    check_outage(site::SAFE).await
+}
+
+// The same for streams, whose prompts share a part.
+#[tokio::test]
+async fn outage_of_engines() -> anyhow::Result<()> {
+    check_outage(site::RESUMABLE).await
+}
--- a/crates/edge/src/connections.rs
+++ b/crates/edge/src/connections.rs
@@ -221,17 +221,22 @@
         Some(connections.remove(fit))
     }
 
-    /// Whether a server refuses connections, as it does after a crash. If it accepts one, that goes
-    /// to the pool.
+    /// Whether a server refuses connections, as it does after a crash.
     pub(crate) async fn is_refused(&self, address: net::SocketAddr) -> bool {
-        match tokio::time::timeout(REFUSAL_TIMEOUT, connect(address)).await {
-            Ok(Ok(connection)) => {
-                self.put_back(connection, None);
-                false
-            }
-            Ok(Err(err)) => err.kind() == io::ErrorKind::ConnectionRefused,
-            Err(_) => false,
-        }
+        let refused = |err: io::Error| err.kind() == io::ErrorKind::ConnectionRefused;
+        self.try_connect(address).await.err().is_some_and(refused)
+    }
+
+    /// Whether a server accepts connections.
+    pub(crate) async fn is_accepted(&self, address: net::SocketAddr) -> bool {
+        self.try_connect(address).await.is_ok()
+    }
+
+    // Connects to a server; the connection goes to the pool.
+    async fn try_connect(&self, address: net::SocketAddr) -> io::Result<()> {
+        let connection = tokio::time::timeout(REFUSAL_TIMEOUT, connect(address)).await??;
+        self.put_back(connection, None);
+        Ok(())
     }
 
     /// Returns a connection to the pool after its response was read to the end.
--- a/crates/edge/src/plain.rs
+++ b/crates/edge/src/plain.rs
@@ -33,6 +33,8 @@
     answer: Option<ServerResponse>,
     // Estimated load of the server that was chosen last.
     estimate: Option<pool::Estimate>,
+    // When the last attempt was sent.
+    sent_at: time::Instant,
 }
 
 #[derive(Debug)]
@@ -53,7 +55,8 @@
 impl Plain {
     pub(crate) fn new(call: call::Call, responder: responder::Responder) -> Plain {
         let flow = flow::Flow::new(flow::Path::Direct, call.retry_policy(MAX_RETRIES));
-        Plain { call, responder, flow, failure: None, answer: None, estimate: None }
+        let sent_at = call.arrived;
+        Plain { call, responder, flow, failure: None, answer: None, estimate: None, sent_at }
     }
 
     /// Runs the request to its final outcome.
@@ -189,7 +192,7 @@
             ..request::ServerHeaders::default()
         };
         let request = self.call.head.to_server(&headers, self.call.body.clone());
-        let sent_at = clock::now();
+        self.sent_at = clock::now();
         let sending = exchange::fetch_call(&self.call, target, request);
         match self.call.wait(&mut self.responder, sending, deadline).await {
             responder::WaitOutcome::Disconnected => Attempt::Disconnected,
@@ -246,21 +249,18 @@
                 );
                 Attempt::Failed(Refusal::unknown(Reason::LostContact, RETRY_SOON))
             }
-            responder::WaitOutcome::Event(Ok(response)) => {
-                self.handle_response(target, sent_at, response)
-            }
+            responder::WaitOutcome::Event(Ok(response)) => self.handle_response(target, response),
         }
     }
 
     fn handle_response(
         &mut self,
         target: &directory::Target,
-        sent_at: time::Instant,
         response: exchange::BufferedResponse,
     ) -> Attempt {
         if let Some(report) = platform_response::reported_load(response.head.headers()) {
             let now = clock::now();
-            let elapsed = response.is_success().then(|| now - sent_at);
+            let elapsed = response.is_success().then(|| now - self.sent_at);
             let mut directory = self.call.edge.directory();
             directory.record_report(&self.call.service, &target.id, report, elapsed, now);
         }
@@ -312,10 +312,10 @@
         match attempt {
             Attempt::Completed(_) => suspects::record_answer(&self.call),
             Attempt::Failed(Refusal { reason: Reason::LostContact, .. }) => {
-                suspects::record_loss(&self.call, target).await;
+                suspects::record_loss(&self.call, target, self.sent_at).await;
             }
             Attempt::Failed(Refusal { reason: Reason::EngineSilent, .. })
-            | Attempt::Disconnected => suspects::record_abandoned(&self.call, target),
+            | Attempt::Disconnected => suspects::record_abandoned(&self.call, target, self.sent_at),
             Attempt::Failed(_) | Attempt::Unsent(_) => {}
         }
     }
--- a/crates/edge/src/prefill.rs
+++ b/crates/edge/src/prefill.rs
@@ -134,11 +134,11 @@
     let sending = exchange::fetch_call(call, &target, request);
     let result = match call.wait(responder, sending, deadline).await {
         responder::WaitOutcome::Disconnected => {
-            suspects::record_abandoned(call, &target);
+            suspects::record_abandoned(call, &target, started);
             return PrefillResult::Disconnected;
         }
         responder::WaitOutcome::Expired => {
-            suspects::record_abandoned(call, &target);
+            suspects::record_abandoned(call, &target, started);
             Err(Refusal::not_run(Reason::EngineSilent, RETRY_SOON))
         }
         responder::WaitOutcome::Event(Err(connections::SendError::Unsent(err))) => {
@@ -180,7 +180,7 @@
                 err,
                 "edge: connection lost during prefill"
             );
-            suspects::record_loss(call, &target).await;
+            suspects::record_loss(call, &target, started).await;
             Err(Refusal::not_run(Reason::LostContact, RETRY_SOON))
         }
         responder::WaitOutcome::Event(Ok(response)) => read_response(call, &target, &response),
--- a/crates/edge/src/stream.rs
+++ b/crates/edge/src/stream.rs
@@ -36,6 +36,8 @@
     events: u64,
     // Events received from the current server.
     run_events: u64,
+    // When the request was sent to it.
+    sent_at: time::Instant,
     first_at: Option<time::Instant>,
     last_at: Option<time::Instant>,
     longest_gap: time::Duration,
@@ -64,6 +66,7 @@
     pub(crate) fn new(call: call::Call, responder: responder::Responder) -> Streaming {
         let last = call.head.last_event;
         Streaming {
+            sent_at: call.arrived,
             need: call.head.need.unwrap_or(DEFAULT_NEED),
             flow: flow::Flow::new(flow::Path::Staged, call.retry_policy(flow::MAX_RETRIES)),
             call,
@@ -358,6 +361,7 @@
         };
         let request = self.call.head.to_server(&headers, self.call.body.clone());
         self.run_events = 0;
+        self.sent_at = clock::now();
         self.order.begin_run();
         let cost = if hold.is_some() { quotas::Cost::Paid } else { quotas::Cost::One };
         let is_begun = self.software.is_some();
@@ -443,7 +447,7 @@
     async fn lost(&self, target: &directory::Target) -> flow::Event {
         doubts::record(&self.call.edge, target);
         if self.run_events < suspects::BEGUN_EVENTS {
-            suspects::record_loss(&self.call, target).await;
+            suspects::record_loss(&self.call, target, self.sent_at).await;
         }
         self.interrupted(&target.id, Reason::LostContact)
     }
@@ -460,7 +464,7 @@
             _ => false,
         };
         if is_abandoned && self.run_events < suspects::BEGUN_EVENTS {
-            suspects::record_abandoned(&self.call, target);
+            suspects::record_abandoned(&self.call, target, self.sent_at);
         }
     }
 
--- a/crates/edge/src/suspects.rs
+++ b/crates/edge/src/suspects.rs
@@ -1,5 +1,7 @@
 //! Requests that crash servers: what is recorded of lost requests, and which requests are rejected.
 
+use std::time;
+
 use rhubarb_core::{abandoned, cause, outcome, pool, suspects};
 use rhubarb_node::clock;
 
@@ -13,6 +15,9 @@
 /// first one before it crashed.
 pub(crate) const BEGUN_EVENTS: u64 = 2;
 
+/// Maximum number of servers that are checked before a trial.
+const MAX_CHECKED: usize = 3;
+
 /// Share of the time for which an abandoned request counts after which its server is checked, if a
 /// server has crashed with the request before.
 const CHECK_SHARE: f64 = 0.8;
@@ -24,6 +29,12 @@
     let edge = call.edge.clone();
     let trial = edge.rejected().suspects.take_trial(call.causes(), clock::now());
     let Some(trial) = trial else { return Err(refusal) };
+    if !has_reachable(call).await {
+        let suspects::Trial { cause, number } = trial;
+        tracing::info!(id = call.id(), ?cause, number, "edge: trial postponed, no server is up");
+        edge.rejected().suspects.postpone_trial(trial, clock::now());
+        return Err(refusal);
+    }
     let claimed = trials::claim(&edge, trial).await;
     let suspects::Trial { cause, number } = trial;
     match claimed {
@@ -41,6 +52,25 @@
     }
 }
 
+// Whether one of some servers of the service accepts connections: a trial that reaches none would tell
+// nothing, and there are few.
+async fn has_reachable(call: &call::Call) -> bool {
+    let targets = {
+        let mut directory = call.edge.directory();
+        let pool = &directory.service(&call.service).pool;
+        let names: Vec<_> =
+            pool.candidates(&[], |_| true, clock::now()).into_iter().cloned().collect();
+        let targets = names.iter().filter_map(|name| directory.target(name));
+        targets.take(MAX_CHECKED).collect::<Vec<_>>()
+    };
+    for target in targets {
+        if call.edge.connections.is_accepted(target.address).await {
+            return true;
+        }
+    }
+    false
+}
+
 /// Refusal of a request that is rejected by now, and of which an attempt ended with `outcome`.
 pub(crate) fn rejection(call: &call::Call, outcome: Outcome) -> Option<Refusal> {
     if call.is_trial || call.edge.rejected().suspects.is_empty() {
@@ -86,8 +116,13 @@
     call.edge.evidence_changed.notify_one();
 }
 
-/// Records that a request was lost before its answer had begun, if its server has crashed.
-pub(crate) async fn record_loss(call: &call::Call, target: &directory::Target) {
+/// Records that a request sent at `sent_at` was lost before its answer had begun, if its server has
+/// crashed.
+pub(crate) async fn record_loss(
+    call: &call::Call,
+    target: &directory::Target,
+    sent_at: time::Instant,
+) {
     // The caller's answer waits for this.
     let checking = call.edge.connections.is_refused(target.address);
     let has_crashed =
@@ -103,16 +138,21 @@
     );
     if has_crashed {
         call.record_outcome(&target.id, pool::ServerOutcome::Failure(Reason::NoServer));
-        record_crash(&call.edge, target, call.causes());
+        record_crash(&call.edge, target, Some((call.causes(), sent_at)));
     }
 }
 
-/// Records that a request was given up at a server, which may crash by it a little later.
-pub(crate) fn record_abandoned(call: &call::Call, target: &directory::Target) {
+/// Records that a request sent at `sent_at` was given up at a server, which may crash by it a little
+/// later.
+pub(crate) fn record_abandoned(
+    call: &call::Call,
+    target: &directory::Target,
+    sent_at: time::Instant,
+) {
     let causes = call.causes().to_vec();
     let mut rejected = call.edge.rejected();
     let is_suspected = rejected.suspects.is_suspected(&causes);
-    rejected.abandoned.record(target.process_tag(), causes, clock::now());
+    rejected.abandoned.record(target.process_tag(), causes, sent_at, clock::now());
     drop(rejected);
     if is_suspected {
         let (edge, target) = (call.edge.clone(), target.clone());
@@ -127,20 +167,27 @@
 pub(crate) async fn check_abandoned(edge: &edge::Edge, target: &directory::Target) {
     let is_needed = edge.rejected().abandoned.contains(target.process_tag(), clock::now());
     if is_needed && edge.connections.is_refused(target.address).await {
-        record_crash(edge, target, &[]);
+        record_crash(edge, target, None);
     }
 }
 
-// Records a crash with the request that was lost with it, and with those given up just before.
-fn record_crash(edge: &edge::Edge, target: &directory::Target, lost: &[cause::Cause]) {
+// Records a crash with the request that was lost with it, whose causes and time of sending are given, and
+// with those given up just before.
+fn record_crash(
+    edge: &edge::Edge,
+    target: &directory::Target,
+    lost: Option<(&[cause::Cause], time::Instant)>,
+) {
     let (server, now) = (target.process_tag(), clock::now());
     let _ = edge.directory().record_down(&target.id);
     edge.counters.crashes.inc();
     let mut rejected = edge.rejected();
-    rejected.suspects.record_crash(lost, server, now);
-    for causes in rejected.abandoned.take(server, now) {
+    if let Some((causes, sent_at)) = lost {
+        rejected.suspects.record_crash_since(causes, server, sent_at, now);
+    }
+    for (causes, sent_at) in rejected.abandoned.take(server, now) {
         tracing::info!(server = target.id, ?causes, "edge: server crashed after a request ended");
-        rejected.suspects.record_crash(&causes, server, now);
+        rejected.suspects.record_crash_since(&causes, server, sent_at, now);
     }
     rejected.log_changes("crash", &edge.counters);
     drop(rejected);
--- a/crates/edge/src/verdicts.rs
+++ b/crates/edge/src/verdicts.rs
@@ -95,7 +95,7 @@
     let mut evidence = suspects::Evidence::from(&verdict.evidence);
     evidence.answered_ago = evidence.answered_ago.map(|ago| ago.saturating_add(age));
     evidence.tried_ago = evidence.tried_ago.map(|ago| ago.saturating_add(age));
-    evidence.crashes.iter_mut().for_each(|(_, ago)| *ago = ago.saturating_add(age));
+    evidence.crashes.iter_mut().for_each(|crash| crash.ago = crash.ago.saturating_add(age));
     evidence
 }
 
--- a/crates/fakes/src/backend.rs
+++ b/crates/fakes/src/backend.rs
@@ -111,6 +111,11 @@
         self.inner.crash.crash();
     }
 
+    /// Crashes the server, which is down for `length`.
+    pub fn crash_for(&self, length: time::Duration) {
+        self.inner.crash.crash_for(length);
+    }
+
     // Several requests that begin together cause one crash.
     fn crash_by_part(&self) {
         note_crash(&mut self.state().deadly_crashes);
--- a/crates/fakes/src/crash.rs
+++ b/crates/fakes/src/crash.rs
@@ -6,15 +6,17 @@
 use hyper::{Request, Response, body};
 use tokio::{net as tokio_net, sync as tokio_sync, task};
 
-use rhubarb_node::{response, server};
+use rhubarb_node::{locks, response, server};
 
 /// Requests crashes of one server; clones share it.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Trigger {
     requested: sync::Arc<tokio_sync::Notify>,
+    // Time for which it is down the next time, if it is another one than usual.
+    down_time: sync::Arc<sync::Mutex<Option<time::Duration>>>,
 }
 
-/// Time from a crash to the next start.
+/// Time from a crash to the next start, unless another one is set.
 pub const DOWN_TIME: time::Duration = time::Duration::from_millis(1_000);
 /// Interval between attempts to bind the port again.
 const BIND_INTERVAL: time::Duration = time::Duration::from_millis(20);
@@ -24,9 +26,19 @@
     pub(crate) fn crash(&self) {
         self.requested.notify_one();
     }
+
+    /// Crashes the server now; it starts again after `length`.
+    pub(crate) fn crash_for(&self, length: time::Duration) {
+        *locks::lock(&self.down_time) = Some(length);
+        self.crash();
+    }
+
+    fn take_down_time(&self) -> time::Duration {
+        locks::lock(&self.down_time).take().unwrap_or(DOWN_TIME)
+    }
 }
 
-/// Serves on `listener`. Each crash closes it and all connections; after [`DOWN_TIME`] the server
+/// Serves on `listener`. Each crash closes it and all connections; after its down time the server
 /// listens at the same address again, and `restarted` is called.
 pub(crate) async fn serve<H, F>(
     mut listener: tokio_net::TcpListener,
@@ -41,7 +53,7 @@
     loop {
         serve_once(&listener, &trigger, &handler).await;
         drop(listener);
-        tokio::time::sleep(DOWN_TIME).await;
+        tokio::time::sleep(trigger.take_down_time()).await;
         listener = bind_again(address).await;
         restarted();
     }
--- a/crates/wire/src/share.rs
+++ b/crates/wire/src/share.rs
@@ -72,7 +72,7 @@
 }
 
 /// Version of the format of [`Share`].
-pub const FORMAT: u8 = 8;
+pub const FORMAT: u8 = 9;
 
 /// Heartbeat of one entry.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -99,6 +99,17 @@
     }
 }
 
+/// A crash of a server with a suspected request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Crash {
+    /// The crash.
+    pub tag: suspects::CrashTag,
+    /// Time since it was noticed in milliseconds.
+    pub ago_ms: u64,
+    /// Time for which the request had been at the server in milliseconds.
+    pub held_ms: u64,
+}
+
 /// What the sender knows of one suspected cause of crashes.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Evidence {
@@ -108,8 +119,8 @@
     pub answers: u32,
     /// Time since the last of them began in milliseconds, if it is known.
     pub answered_ms: Option<u64>,
-    /// Servers that crashed with such a request since then, and the time since in milliseconds.
-    pub crashes: Vec<(suspects::CrashTag, u64)>,
+    /// Servers that crashed with such a request since then.
+    pub crashes: Vec<Crash>,
     /// Time since a request with it was last sent as a trial in milliseconds.
     pub tried_ms: Option<u64>,
     /// Number of trials.
@@ -138,7 +149,14 @@
             trials,
             answered_ms: answered_ago.map(millis),
             tried_ms: tried_ago.map(millis),
-            crashes: crashes.into_iter().map(|(crash, ago)| (crash, millis(ago))).collect(),
+            crashes: crashes
+                .into_iter()
+                .map(|crash| Crash {
+                    tag: crash.tag,
+                    ago_ms: millis(crash.ago),
+                    held_ms: millis(crash.held),
+                })
+                .collect(),
         }
     }
 }
@@ -153,7 +171,11 @@
             answered_ago: evidence.answered_ms.map(time::Duration::from_millis),
             tried_ago: evidence.tried_ms.map(time::Duration::from_millis),
             crashes: crashes
-                .map(|(crash, ms)| (*crash, time::Duration::from_millis(*ms)))
+                .map(|crash| suspects::ToldCrash {
+                    tag: crash.tag,
+                    ago: time::Duration::from_millis(crash.ago_ms),
+                    held: time::Duration::from_millis(crash.held_ms),
+                })
                 .collect(),
         }
     }
--- a/crates/wire/tests/shares.rs
+++ b/crates/wire/tests/shares.rs
@@ -50,7 +50,9 @@
 
 #[test]
 fn evidence_fits_packet() {
-    let crashes: Vec<_> = (0..8).map(|crash| (u32::MAX - crash, 86_400_000)).collect();
+    let crash =
+        |number| share::Crash { tag: u32::MAX - number, ago_ms: 86_400_000, held_ms: 14_000 };
+    let crashes: Vec<_> = (0..8).map(crash).collect();
     let evidence = |part| share::Evidence {
         cause: cause::Cause::Request(u64::MAX - part),
         trials: 2,
