Take no stream up at another service after its route has moved

A caller that took a stream up got events of another service's servers, joined to those that it had, if its route had moved there meanwhile and the entry that began the stream was dead.

Cause: where nobody knows a stream, the only version of the route's service was taken for the one that began it. A route that goes to one service now may have gone to another when the stream began. Change: for the time in which streams can be taken up after a change of a route's services, the only version of its services proves nothing, and their streams are told to keepers and written to the store as those of a split route. Routes that take paths from one another or leave them count as well. The config forbids the former service, so that its streams are refused (version-gone, unknown-version). Entries that have all started again since the change do not know of it.

--- a/crates/core/src/routing.rs
+++ b/crates/core/src/routing.rs
@@ -143,6 +143,27 @@
 }
 
 impl Config {
+    /// Services of which streams may be taken up that another service has begun, since the services of
+    /// their route are others than in the config `before`.
+    pub fn mingled(&self, before: &Config) -> collections::BTreeSet<ids::ServiceName> {
+        let services = |route: &Route| -> collections::BTreeSet<ids::ServiceName> {
+            route.services().cloned().collect()
+        };
+        let is_stream = |route: &Route| matches!(route.kind, Kind::Stream { .. });
+        // A route that was added or removed takes requests from another one, or leaves them to it.
+        let added = self
+            .routes
+            .iter()
+            .filter_map(|route| Some((before.route(&route.host, &route.prefix)?, route)));
+        let removed = before
+            .routes
+            .iter()
+            .filter_map(|route| Some((route, self.route(&route.host, &route.prefix)?)));
+        let pairs = added.chain(removed).filter(|(old, new)| is_stream(old) && is_stream(new));
+        let changed = pairs.map(|(old, new)| (services(old), services(new)));
+        changed.filter(|(old, new)| old != new).flat_map(|(_, new)| new).collect()
+    }
+
     /// Route of a request: the longest prefix among those of `host`.
     pub fn route(&self, host: &str, path: &str) -> Option<&Route> {
         let matches = |route: &&Route| {
--- a/crates/core/tests/routing.rs
+++ b/crates/core/tests/routing.rs
@@ -68,3 +68,41 @@
     split.splits.clear();
     assert_eq!(split.service(7), None);
 }
+
+// Guards against streams that are taken up at another service than began them: a route that moved, a split
+// that began or ended, and a route that took paths from another one or left them to it (related to review
+// case 5).
+#[test]
+fn mingled_services() {
+    let stream = |prefix: &str, weights: &[(&str, u32)]| {
+        let splits = weights.iter().map(|(service, weight)| routing::Split {
+            service: service.to_string(),
+            weight: *weight,
+        });
+        routing::Route {
+            kind: routing::Kind::Stream { resumable: true },
+            splits: splits.collect(),
+            ..route(prefix, "a.example", prefix)
+        }
+    };
+    let with = |routes: &[&routing::Route]| {
+        let routes = routes.iter().copied().cloned().collect();
+        routing::Config { routes, ..config() }
+    };
+    let check = |old: &[&routing::Route], new: &[&routing::Route], expected: &[&str]| {
+        let found: Vec<_> = with(new).mingled(&with(old)).into_iter().collect();
+        assert_eq!(found, expected, "{old:?} -> {new:?}");
+    };
+    let (a, b) = (stream("/x/", &[("a", 1)]), stream("/x/", &[("b", 1)]));
+    check(&[&a], &[&a], &[]);
+    check(&[&a], &[&b], &["b"]);
+    let some = stream("/x/", &[("a", 95), ("b", 5)]);
+    check(&[&some], &[&stream("/x/", &[("a", 5), ("b", 95)])], &[]);
+    check(&[&some], &[&stream("/x/", &[("a", 1), ("b", 0)])], &["a"]);
+    check(&[&a], &[&some], &["a", "b"]);
+    let inner = stream("/x/y/", &[("b", 1)]);
+    check(&[&a], &[&a, &inner], &["b"]);
+    check(&[&a, &inner], &[&a], &["a"]);
+    check(&[], &[&a], &[]);
+    check(&[&route("/x/", "a.example", "/x/")], &[&a], &[]);
+}
--- a/crates/e2e/tests/platform_versions.rs
+++ b/crates/e2e/tests/platform_versions.rs
@@ -607,7 +607,59 @@
         Ok(())
     };
     check(&site, 1).await?;
+    // A second change during the same streams.
+    site.store.put("op", "config", split_config(&site, 4, [50, 50]));
+    tokio::time::sleep(LEARN_TIME).await;
     // Others know them when their entry is dead.
     site.edges[0].kill();
     check(&site, 2).await
 }
+
+// Starts streams of a route that goes to one service, moves it to another one, and takes the streams up. The
+// config no longer allows the first service, and the second one has not begun them, so that they are
+// refused.
+async fn check_moved(weights: [u32; 2], kills: bool) -> anyhow::Result<()> {
+    let sizes = site::Sizes { edges: 3, plain: 0, prefill: 0, decode: 2, ..site::Sizes::default() };
+    let mut site = site::Site::prepare(sizes).await?;
+    let mut row = site::server_row(&site.decode[1]);
+    row["service"] = json!("others");
+    site.store.put("servers", &site.decode[1].id, row.to_string());
+    site.store.put("op", "config", split_config(&site, 2, weights));
+    for _ in 0..sizes.edges {
+        site.add_edge().await?;
+    }
+    site.wait_ready().await?;
+    tokio::time::sleep(LEARN_TIME).await;
+    let begun = begin(&site, 0, 5).await?;
+    tokio::time::sleep(STORE_TIME).await;
+    site.store.put("op", "config", split_config(&site, 3, [weights[1], weights[0]]));
+    tokio::time::sleep(LEARN_TIME).await;
+    if kills {
+        site.edges[0].kill();
+    }
+    for attempt in begun.keys() {
+        let reply = resume(&site, 1, attempt, 1).await?;
+        let ran = site.runs(&format!("{attempt}-again"));
+        let log = site.edges[1].log();
+        assert_eq!((reply.status, ran), (503, 0), "{attempt}: {reply:?}\n{log}");
+    }
+    // New streams of the route are taken up at its new service, also if their entry is dead.
+    let begun = begin(&site, 2, 5).await?;
+    tokio::time::sleep(STORE_TIME).await;
+    site.edges[2].kill();
+    assert_eq!(resume_all(&site, 1, &begun).await?, begun.len(), "{}", site.edges[1].log());
+    Ok(())
+}
+
+// Guards against a stream that goes on at a server of another service after its route was moved there
+// (related to review case 5).
+#[tokio::test]
+async fn route_moved() -> anyhow::Result<()> {
+    check_moved([1, 0], false).await
+}
+
+// The same if the entry that began the stream is dead, so that nobody knows its version.
+#[tokio::test]
+async fn route_moved_entry_dead() -> anyhow::Result<()> {
+    check_moved([1, 0], true).await
+}
--- a/crates/edge/src/directory.rs
+++ b/crates/edge/src/directory.rs
@@ -82,6 +82,8 @@
     // Counts the servers that were found to be leaving.
     leaving: metrics::SourceFamily,
     releases: releases::Releases,
+    // When the streams of other services may last have come to a service, by a change of a route.
+    mingled: collections::BTreeMap<ids::ServiceName, time::Instant>,
     // Servers that were down since their rows were last written.
     unverified: collections::BTreeSet<ids::ServerName>,
     // Engines that are not used yet, since the store has no record of their versions.
@@ -163,6 +165,7 @@
             own_cell: cells::CellId::default(),
             leaving,
             releases,
+            mingled: collections::BTreeMap::new(),
             unverified: collections::BTreeSet::new(),
             held: collections::BTreeSet::new(),
         }
@@ -210,7 +213,13 @@
         let streams =
             config.routes.iter().filter(|route| matches!(route.kind, routing::Kind::Stream { .. }));
         let longest = streams.map(|route| route.timeout).max().unwrap_or_default();
-        self.releases.set_window(longest.mul_f64(STREAM_WINDOW), rhubarb_node::clock::now());
+        let now = rhubarb_node::clock::now();
+        self.releases.set_window(longest.mul_f64(STREAM_WINDOW), now);
+        let mingled = self.config.as_ref().map(|old| config.mingled(old)).unwrap_or_default();
+        if !mingled.is_empty() {
+            tracing::info!(?mingled, "edge: streams of other services may be taken up");
+        }
+        self.mingled.extend(mingled.into_iter().map(|service| (service, now)));
         self.config = Some(sync::Arc::new(config));
         let ids: Vec<_> = self.fleet.instances().keys().cloned().collect();
         for id in ids {
@@ -478,7 +487,13 @@
         service: &str,
         now: time::Instant,
     ) -> Option<ids::SoftwareTag> {
-        self.releases.only(service, now)
+        self.releases.only(service, now).filter(|_| !self.is_mingled(service, now))
+    }
+
+    // Whether streams that another service has begun may be taken up at a service.
+    fn is_mingled(&self, service: &str, now: time::Instant) -> bool {
+        let window = self.releases.window(now);
+        self.mingled.get(service).is_some_and(|at| now < *at + window)
     }
 
     /// [`Directory::only_software`] with what other entries have `answered` to that question.
@@ -488,16 +503,18 @@
         answered: &collections::BTreeSet<ids::SoftwareTag>,
         now: time::Instant,
     ) -> Option<ids::SoftwareTag> {
-        self.releases.agreed(service, answered, now)
+        let agreed = self.releases.agreed(service, answered, now);
+        agreed.filter(|_| !self.is_mingled(service, now))
     }
 
-    /// Whether streams of a service may have begun by several versions, as far as is known.
+    /// Whether streams that are taken up at a service may have begun by several versions, as far as is
+    /// known.
     pub(crate) fn has_several(&self, service: &str, now: time::Instant) -> bool {
-        self.releases.has_several(service, now)
+        self.releases.has_several(service, now) || self.is_mingled(service, now)
     }
 
     /// Whether others need to know which versions begin streams of a service: it has several, or its
-    /// streams have another service beside it on a route.
+    /// streams have another service beside it on a route, or had lately.
     pub(crate) fn needs_origins(&self, service: &str, now: time::Instant) -> bool {
         let is_split = |route: &routing::Route| {
             let mut others = route.services().filter(|other| *other != service);
@@ -506,7 +523,7 @@
                 && route.services().any(|own| own == service)
         };
         let mut routes = self.config.iter().flat_map(|config| &config.routes);
-        self.releases.only(service, now).is_none() || routes.any(is_split)
+        self.only_software(service, now).is_none() || routes.any(is_split)
     }
 
     /// The service among `services` that has servers with a version.
--- a/crates/edge/src/watch.rs
+++ b/crates/edge/src/watch.rs
@@ -317,6 +317,8 @@
                 edge.counters.config_version.set(version as i64);
                 let config = directory.config();
                 drop(directory);
+                // Others may need to know of streams that have begun.
+                edge.origin_begun.notify_one();
                 for config in config.iter() {
                     edge.allowances().set_limits(&config.customers, clock::now());
                 }
