Tell an answer without a length that has ended from one whose server was killed

Callers got streams that were cut off between two events and looked complete (ORDER), and parts of plain answers that looked whole (MIXED), if the server of an answer without a length or chunks was killed.

Cause: the system closes the connections of a killed process like those of an answer that has ended. Change: after an end that nothing marks, the engine is asked which process it is; a closed port, another process or another server means that the answer was cut off. A resumable stream then goes on elsewhere, others end as cut off. Plain servers have no such question: their port is tried at once and again after 20 ms. A server that ends by itself just after the last byte of such an answer counts as killed: the answer is asked for again where that is allowed, and is else an error.

--- a/crates/edge/src/connections.rs
+++ b/crates/edge/src/connections.rs
@@ -4,7 +4,7 @@
 
 use bytes::Bytes;
 use http_body_util::Full;
-use hyper::{Request, Response, body, client::conn::http1, header};
+use hyper::{HeaderMap, Request, Response, body, client::conn::http1, header};
 use hyper_util::rt;
 use prometheus_client::metrics::counter;
 use tokio::net as tokio_net;
@@ -32,7 +32,7 @@
 pub(crate) struct Connection {
     sender: http1::SendRequest<Full<Bytes>>,
     bound: socket::ReadBound,
-    address: net::SocketAddr,
+    pub(crate) address: net::SocketAddr,
     idle_until: time::Instant,
     // Number of requests sent on it.
     requests: u64,
@@ -99,6 +99,8 @@
 /// Timeout of the check whether a server's port is closed; a server that is up accepts and one that
 /// has crashed refuses within milliseconds.
 const REFUSAL_TIMEOUT: time::Duration = time::Duration::from_millis(300);
+/// Time from the end of the connections of a process that was killed to that of its port.
+const EXIT_TIME: time::Duration = time::Duration::from_millis(20);
 /// A connection fails when sent data stays unacknowledged for this long.
 const UNACKED_TIMEOUT: time::Duration = time::Duration::from_millis(2_500);
 /// Idle time before the first keepalive probe, and interval between probes.
@@ -227,6 +229,20 @@
         self.try_connect(address).await.err().is_some_and(refused)
     }
 
+    /// Whether a response with these headers, which has been read to its end, was cut off there. The
+    /// system closes the connections of a process that was killed like those of an answer that has
+    /// ended, and its port just before or after them.
+    pub(crate) async fn is_cut_off(&self, address: net::SocketAddr, headers: &HeaderMap) -> bool {
+        if response::has_marked_end(headers) {
+            return false;
+        }
+        if self.is_refused(address).await {
+            return true;
+        }
+        tokio::time::sleep(EXIT_TIME).await;
+        self.is_refused(address).await
+    }
+
     /// Whether a server accepts connections.
     pub(crate) async fn is_accepted(&self, address: net::SocketAddr) -> bool {
         self.try_connect(address).await.is_ok()
--- a/crates/edge/src/exchange.rs
+++ b/crates/edge/src/exchange.rs
@@ -234,17 +234,29 @@
     }
 }
 
-/// Reads a response to the end and returns its connection to the pool.
+/// Reads a response to the end and returns its connection to the pool. One that its server did not finish
+/// has no body.
 pub(crate) async fn read_all(
     pool: &connections::ConnectionPool,
     pending: connections::PendingResponse,
 ) -> BufferedResponse {
     let idle_timeout = connections::idle_timeout(&pending.response);
     let (parts, body) = pending.response.into_parts();
-    let body = pool.buffers.read(body, MAX_BODY_BYTES).await;
-    match &body {
-        Ok(_) => pool.put_back(pending.connection, idle_timeout),
-        Err(err) => tracing::info!(%err, "edge: response of a server not read"),
-    }
-    BufferedResponse { head: Response::from_parts(parts, ()), body: body.ok() }
+    let head = Response::from_parts(parts, ());
+    let address = pending.connection.address;
+    let body = match pool.buffers.read(body, MAX_BODY_BYTES).await {
+        Ok(_) if pool.is_cut_off(address, head.headers()).await => {
+            tracing::info!(%address, "edge: response of a server ended with its process");
+            None
+        }
+        Ok(body) => {
+            pool.put_back(pending.connection, idle_timeout);
+            Some(body)
+        }
+        Err(err) => {
+            tracing::info!(%address, %err, "edge: response of a server not read");
+            None
+        }
+    };
+    BufferedResponse { head, body }
 }
--- a/crates/edge/src/processes.rs
+++ b/crates/edge/src/processes.rs
@@ -1,7 +1,9 @@
-//! Asks engines that may have started again which processes they are.
+//! Asks engines that may have ended or started again which processes they are.
 
 use std::{sync, time};
 
+use hyper::StatusCode;
+
 use rhubarb_core::backoff;
 use rhubarb_node::clock;
 use rhubarb_platform::engine;
@@ -25,6 +27,28 @@
     }
 }
 
+/// Whether the process of an engine has ended, as the engine or its closed port says. One that does not
+/// answer in time is taken to go on.
+pub(crate) async fn has_ended(edge: &edge::Edge, target: &directory::Target) -> bool {
+    let request = engine::report_request(&target.id);
+    let fetching = exchange::fetch_at(edge, target, request, quotas::Cost::One);
+    match tokio::time::timeout(TIMEOUT, fetching).await {
+        Ok(Ok(exchange::BufferedResponse { head, body: Some(body) })) => match head.status() {
+            StatusCode::OK => !exchange::is_registered(target, &body),
+            status => status == StatusCode::MISDIRECTED_REQUEST,
+        },
+        outcome => {
+            let reason = outcome.map(|result| result.err().map(|err| err.to_string()));
+            tracing::info!(
+                server = target.id,
+                ?reason,
+                "edge: engine has not said that it goes on"
+            );
+            edge.connections.is_refused(target.address).await
+        }
+    }
+}
+
 // Asks an engine which process it is until it or a newer row says so.
 async fn ask(edge: sync::Arc<edge::Edge>, target: directory::Target) {
     let mut backoff = backoff::Backoff::new(RETRY_DELAY, MAX_RETRY_DELAY);
--- a/crates/edge/src/stream.rs
+++ b/crates/edge/src/stream.rs
@@ -4,7 +4,7 @@
 use std::time;
 
 use bytes::Bytes;
-use hyper::{Response, header};
+use hyper::{HeaderMap, Response, header};
 
 use rhubarb_core::{engine, engines, event_order, flow, ids, outcome, pool, routing, sse};
 use rhubarb_node::{clock, responder, response};
@@ -13,8 +13,8 @@
 use outcome::{Outcome, RETRY_SOON, Reason, Refusal};
 
 use crate::{
-    call, connections, directory, doubts, exchange, origins, prefill, quotas, reader, refuse,
-    reservation, suspects,
+    call, connections, directory, doubts, exchange, origins, prefill, processes, quotas, reader,
+    refuse, reservation, suspects,
 };
 
 /// Model request in progress.
@@ -579,7 +579,8 @@
         let idle_timeout = connections::idle_timeout(&pending.response);
         let body_class = platform_response::classify_body(&pending.response);
         let is_stream = body_class == platform_response::BodyClass::Stream;
-        let mut reader = reader::Reader::new(pending.response.into_body());
+        let (parts, body) = pending.response.into_parts();
+        let mut reader = reader::Reader::new(body);
         loop {
             let until = self.stall_deadline();
             let event = match self.call.wait(&mut self.responder, reader.next(), until).await {
@@ -617,6 +618,18 @@
                     );
                     return self.lost(target).await;
                 }
+                responder::WaitOutcome::Event(reader::Item::End)
+                    if self.is_cut_off(target, &parts.headers).await =>
+                {
+                    tracing::info!(
+                        id = self.call.id(),
+                        server,
+                        events = self.run_events,
+                        last = self.order.last(),
+                        "edge: stream ended with its server"
+                    );
+                    return self.lost(target).await;
+                }
                 responder::WaitOutcome::Event(reader::Item::End) => {
                     if !self.responder.has_started() {
                         self.responder.start_stream(head.clone());
@@ -655,6 +668,12 @@
         }
     }
 
+    // Whether a stream that has ended was cut off by the end of its server.
+    async fn is_cut_off(&self, target: &directory::Target, headers: &HeaderMap) -> bool {
+        !platform_response::has_marked_end(headers)
+            && processes::has_ended(&self.call.edge, target).await
+    }
+
     // Reserves a slot at another server for a stalled stream, and withdraws the retry from the
     // budget.
     async fn reserve_failover(
--- a/crates/fakes/src/main.rs
+++ b/crates/fakes/src/main.rs
@@ -1,16 +1,20 @@
-//! Runs the fakes of a deployment in one process.
+//! Runs the fakes of a deployment, or one backend server of the users' platform, in one process.
 
 use std::{net, sync, time};
 
 use bpaf::Parser;
 
-use rhubarb_fakes::routes;
+use rhubarb_fakes::{raw, routes};
 use rhubarb_node::{server, signals};
 
+/// Time before each event of a server that answers with events.
+const INTERVAL: time::Duration = time::Duration::from_millis(20);
+
 struct Options {
     listen: net::SocketAddr,
     lag_ms: u64,
     weight_ms: u64,
+    events: Option<u64>,
 }
 
 fn options() -> bpaf::OptionParser<Options> {
@@ -26,7 +30,11 @@
         .help("Time to fetch weights in milliseconds")
         .argument::<u64>("MS")
         .fallback(50);
-    bpaf::construct!(Options { listen, lag_ms, weight_ms })
+    let events = bpaf::long("events")
+        .help("Be a server that answers with this number of events, without a length")
+        .argument::<u64>("COUNT")
+        .optional();
+    bpaf::construct!(Options { listen, lag_ms, weight_ms, events })
         .to_options()
         .descr("Stand-ins for the platform and the backend servers")
 }
@@ -34,6 +42,12 @@
 #[tokio::main]
 async fn main() -> anyhow::Result<()> {
     let options = options().run();
+    if let Some(count) = options.events {
+        let server =
+            raw::Raw::start_at(options.listen, raw::Answer::Events { count, interval: INTERVAL });
+        println!("listening http={}", server.await?.address);
+        return signals::wait_for_stop().await;
+    }
     let listener = server::bind(options.listen).await?;
     let address = listener.local_addr()?;
     let delays = routes::Delays {
--- a/crates/fakes/src/raw.rs
+++ b/crates/fakes/src/raw.rs
@@ -1,6 +1,6 @@
 //! Server that answers with bytes as given: without a length, cut off, or without end.
 
-use std::{io, net, sync, sync::atomic, time};
+use std::{io, net, ops, sync, sync::atomic, time};
 
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
@@ -29,6 +29,13 @@
     Unframed(String),
     /// The same, but the connection is reset at its end.
     Reset(String),
+    /// Events with numbers, without a length, from the one after the last that the request names.
+    Events {
+        /// Number of events of the whole stream.
+        count: u64,
+        /// Time before each.
+        interval: time::Duration,
+    },
     /// The first bytes of an answer, after which the connection is closed.
     Cut {
         /// The whole answer; `{id}` stands for the header that echoes the attempt id.
@@ -50,6 +57,8 @@
     holds: sync::Arc<atomic::AtomicU64>,
 }
 
+/// Report of an engine whose process was started at 1.
+const REPORT: &str = r#"{"stage":"decode","models":[],"busy":false,"sequence":1,"waiting":0,"running":0,"kv_used":0,"kv_total":0,"handles":0,"born":1}"#;
 const BUFFER_BYTES: usize = 16 * 1024;
 /// Size of the pieces of answers without end, in bytes, and the pause after each.
 const PIECE_BYTES: usize = 64 * 1024;
@@ -61,7 +70,15 @@
     /// # Errors
     /// Returns an error if no port is free.
     pub async fn start(ip: net::IpAddr, answer: Answer) -> io::Result<Raw> {
-        let listener = tcp::TcpListener::bind((ip, 0)).await?;
+        Raw::start_at((ip, 0).into(), answer).await
+    }
+
+    /// Starts a server at `address`.
+    ///
+    /// # Errors
+    /// Returns an error if the address is in use.
+    pub async fn start_at(address: net::SocketAddr, answer: Answer) -> io::Result<Raw> {
+        let listener = tcp::TcpListener::bind(address).await?;
         let address = listener.local_addr()?;
         let answer = sync::Arc::new(sync::Mutex::new(answer));
         let raw = Raw { address, answer, holds: sync::Arc::default() };
@@ -89,7 +106,10 @@
             let line = head.lines().next().unwrap_or_default();
             if line.contains(" /v1/") {
                 let number = self.holds.fetch_add(1, atomic::Ordering::Relaxed);
-                let body = format!("{{\"hold\":\"raw-{number}\"}}");
+                let body = match line.contains(" /v1/report") {
+                    true => REPORT.to_string(),
+                    false => format!("{{\"hold\":\"raw-{number}\"}}"),
+                };
                 let length = body.len();
                 let reply = format!("HTTP/1.1 200 OK\r\ncontent-length: {length}\r\n\r\n{body}");
                 client.write_all(reply.as_bytes()).await?;
@@ -108,6 +128,12 @@
                 let end = (*at).min(text.len());
                 return client.write_all(&text.as_bytes()[..end]).await;
             }
+            if let Answer::Events { count, interval } = answer {
+                let last = head.lines().find_map(|line| line.strip_prefix("last-event-id:"));
+                let last: Option<u64> = last.and_then(|last| last.trim().parse().ok());
+                let first = last.map_or(0, |last| last + 1);
+                return send_events(&mut client, id, first..count, interval).await;
+            }
             return self.answer(&mut client, &answer, id).await;
         }
     }
@@ -147,7 +173,7 @@
                 }
                 return Ok(());
             }
-            Answer::Cut { .. } => return Ok(()),
+            Answer::Events { .. } | Answer::Cut { .. } => return Ok(()),
         };
         client.write_all(head.as_bytes()).await?;
         loop {
@@ -157,6 +183,28 @@
     }
 }
 
+/// Text of the events with these numbers.
+pub fn events(numbers: ops::Range<u64>) -> String {
+    numbers.map(|number| format!("id: {number}\ndata: token-{number}\n\n")).collect()
+}
+
+async fn send_events(
+    client: &mut tcp::TcpStream,
+    id: &str,
+    numbers: ops::Range<u64>,
+    interval: time::Duration,
+) -> io::Result<()> {
+    let head = format!(
+        "HTTP/1.1 200 OK\r\n{id}\r\nx-response-seal: raw\r\ncontent-type: text/event-stream\r\n\r\n"
+    );
+    client.write_all(head.as_bytes()).await?;
+    for number in numbers {
+        tokio::time::sleep(interval).await;
+        client.write_all(events(number..number + 1).as_bytes()).await?;
+    }
+    Ok(())
+}
+
 // Reads one request with its body, if that has a length; `None` at the end of the connection. Returns
 // the head in lower case.
 async fn read_head(
