Take up a stream that is older than the processes of all entries

Callers could not take their streams up (503, unknown-version) after all entries had been killed, if a second version came before they had started again or within the time in which streams can be taken up: the entries that knew the streams were dead, and the store has a record of streams only while there are several versions (LOST).

Cause: what a process that has just started can tell was not used. If one version was alone on record when it first read the histories, all streams that are older than it began there; and a younger stream is known to the entry that began it, unless its process has ended, in whose place a later one has started. Change: entries answer the question for a stream with what they know of older ones. Where all entries of the fleet have answered, none of them can have replaced a process that used another version, and they name one, it goes on there. Datagrams on streams have format 101. A look-up without a result logs what was said. Result: release_while_dead passes; begun_after_restart, where a process begins streams at the new version and ends at once, holds ORDER and passed before. Found by a test on the way: a version that had left and was back counted as unused (histories alone_on_record). Limit: a version used without a record, as when nobody can write to the store for 10 s, is noticed only where servers tell their starts.

--- a/crates/core/src/agreement.rs
+++ b/crates/core/src/agreement.rs
@@ -2,6 +2,8 @@
 
 use std::{collections, net};
 
+use serde::{Deserialize, Serialize};
+
 use crate::ids;
 
 /// Answers to the question for the only version by which streams of a service may have begun.
@@ -9,6 +11,21 @@
 pub struct Agreement {
     // The only version that each entry knows; none if it knows several.
     answers: collections::BTreeMap<net::IpAddr, Option<ids::SoftwareTag>>,
+    // What each entry that does not know the stream says of those that are older than its process.
+    older: collections::BTreeMap<net::IpAddr, Older>,
+}
+
+/// What an entry knows of the streams of a service that can still be taken up and began before its
+/// process was started.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Older {
+    /// Any version may have begun them.
+    #[default]
+    Unknown,
+    /// There are none.
+    Nothing,
+    /// This version has begun them all.
+    Only(ids::SoftwareTag),
 }
 
 impl Agreement {
@@ -17,6 +34,28 @@
         self.answers.insert(ip, only);
     }
 
+    /// Records what the entry at `ip`, which does not know the stream, says of older ones.
+    pub fn record_older(&mut self, ip: net::IpAddr, older: Older) {
+        self.older.insert(ip, older);
+    }
+
+    /// Version of a stream that no entry knows, if all of a fleet of `entries` have answered, `own` being
+    /// what this one knows of older streams, and name no other. The stream is older than one of their
+    /// processes: it began at an entry that has ended, in whose place one of them was started since.
+    pub fn older(&self, own: Older, entries: Option<u32>) -> Option<ids::SoftwareTag> {
+        let all = || self.older.values().copied().chain([own]);
+        let is_complete = entries.is_some_and(|entries| all().count() as u32 >= entries);
+        if !is_complete || all().any(|said| said == Older::Unknown) {
+            return None;
+        }
+        let mut named = all().filter_map(|said| match said {
+            Older::Only(software) => Some(software),
+            _ => None,
+        });
+        let first = named.next()?;
+        named.all(|software| software == first).then_some(first)
+    }
+
     /// Whether an entry has named a version as the only one.
     pub fn has_answer(&self) -> bool {
         self.answers.values().any(Option::is_some)
--- a/crates/core/src/history.rs
+++ b/crates/core/src/history.rs
@@ -19,6 +19,21 @@
     pub versions: collections::BTreeMap<ids::SoftwareTag, Option<u64>>,
 }
 
+impl History {
+    /// The version by which all streams had begun when it was read that can still be taken up; none if
+    /// several are on record, or if that is not known. Streams begin at versions on record.
+    pub fn only(&self, reading: &Reading) -> Option<ids::SoftwareTag> {
+        let window = time::Duration::from_millis(self.window_ms);
+        let is_over = |ms: u64, spread| reading.instant(ms) + window + spread < reading.asked;
+        let is_complete = self.since_ms.is_none_or(|ms| is_over(ms, time::Duration::ZERO));
+        let is_recent = |gone_ms: &Option<u64>| gone_ms.is_none_or(|ms| !is_over(ms, SPREAD));
+        let mut recent = self.versions.iter().filter(|(_, gone_ms)| is_recent(gone_ms));
+        let (software, _) = recent.next()?;
+        let is_alone = is_complete && self.era == reading.era && recent.next().is_none();
+        is_alone.then_some(*software)
+    }
+}
+
 /// When and in which era a history was read.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Reading {
@@ -58,6 +73,8 @@
     Version,
 }
 
+/// Time by which entries may learn one after the other that a version has left.
+pub(crate) const SPREAD: time::Duration = time::Duration::from_secs(5);
 /// Reads per second of a fleet that looks after a new version.
 const READS: f64 = 300.0;
 /// The same of a fleet at whose entries streams are taken up.
--- a/crates/core/src/members.rs
+++ b/crates/core/src/members.rs
@@ -359,6 +359,11 @@
         self.largest = self.largest.max(count);
     }
 
+    /// Largest number of entries that the fleet has had, this one included, if the platform has told.
+    pub fn known_size(&self) -> Option<u32> {
+        self.size_known.then_some(self.largest)
+    }
+
     /// Partition of the fleet into cells.
     pub fn partition(&self) -> &cells::Partition {
         &self.partition
--- a/crates/core/src/releases.rs
+++ b/crates/core/src/releases.rs
@@ -58,7 +58,7 @@
 impl Version {
     // When the last server was gone for all entries.
     fn left_at(&self) -> Option<time::Instant> {
-        self.gone_at.max(self.stored_at.map(|at| at + SPREAD))
+        self.gone_at.max(self.stored_at.map(|at| at + history::SPREAD))
     }
 }
 
@@ -197,6 +197,11 @@
         self.rows.insert(service.to_string(), Row { era, window_ms, complete });
     }
 
+    /// Versions of a service that are known.
+    pub fn versions(&self, service: &str) -> impl Iterator<Item = ids::SoftwareTag> {
+        self.services.get(service).into_iter().flat_map(|versions| versions.keys().copied())
+    }
+
     /// Records that the rows of all services were read, or that the store does not answer.
     pub fn set_read(&mut self) {
         self.is_read = true;
@@ -270,7 +275,7 @@
             versions.insert(*software, said);
         }
         let window = self.window(now);
-        let kept_ms = (window.max(MIN_KEPT) + SPREAD).as_millis() as u64;
+        let kept_ms = (window.max(MIN_KEPT) + history::SPREAD).as_millis() as u64;
         let is_kept = |ms: u64| reading.now_ms <= ms.saturating_add(kept_ms);
         versions.retain(|_, gone_ms| gone_ms.is_none_or(is_kept));
         let window_ms = window.as_millis() as u64;
@@ -325,8 +330,6 @@
     }
 }
 
-/// Time by which entries may learn one after the other that a version has left.
-const SPREAD: time::Duration = time::Duration::from_secs(5);
 /// Time for which a version has to be gone before the store is told.
 const GONE_TIME: time::Duration = time::Duration::from_secs(2);
 /// Time after which streams begin at a version though the store has no record of it.
--- a/crates/core/tests/agreement.rs
+++ b/crates/core/tests/agreement.rs
@@ -4,6 +4,8 @@
 
 use rhubarb_core::agreement;
 
+use agreement::Older;
+
 fn ip(last: u8) -> net::IpAddr {
     [10, 0, 0, last].into()
 }
@@ -34,3 +36,26 @@
     assert!(said.has_answer() && said.has_dissent());
     assert!(!said.is_majority(Some(10)), "one entry knows of others");
 }
+
+// Guards against a stream that is put down to the wrong version, since the process that began it has ended
+// (ORDER), and against one that nobody takes up though all entries know how the older ones began (issue
+// 50, LOST).
+#[test]
+fn older_streams() {
+    let check = |said: &[Older], own, entries| {
+        let mut known = agreement::Agreement::default();
+        for (older, last) in said.iter().zip(1..) {
+            known.record_older(ip(last), *older);
+        }
+        known.older(own, entries)
+    };
+    let (only, other) = (Older::Only(7), Older::Only(8));
+    assert_eq!(check(&[only, only], only, Some(3)), Some(7));
+    assert_eq!(check(&[only, Older::Nothing], Older::Nothing, Some(3)), Some(7));
+    assert_eq!(check(&[only], only, Some(3)), None, "one has not answered");
+    assert_eq!(check(&[only, only], only, None), None, "the size is unknown");
+    assert_eq!(check(&[only, Older::Unknown], only, Some(3)), None, "one started later");
+    assert_eq!(check(&[only, only], Older::Unknown, Some(3)), None, "this one did");
+    assert_eq!(check(&[only, other], only, Some(3)), None, "they disagree");
+    assert_eq!(check(&[Older::Nothing; 2], Older::Nothing, Some(3)), None, "none is that old");
+}
--- a/crates/core/tests/histories.rs
+++ b/crates/core/tests/histories.rs
@@ -238,3 +238,26 @@
     other.load("models", &row, &clock.reading(1, 10));
     assert_eq!(other.need("models", 1, clock.at(10)), history::Need::None);
 }
+
+// Which version is alone on record when an entry starts, also beside servers of another one: no stream
+// that can still be taken up began there (issue 50, ORDER).
+#[test]
+fn alone_on_record() {
+    let clock = Clock::start();
+    let initial = |row: &history::History| row.only(&clock.reading(1, 100));
+    let gone = |seconds: u64| Some(BEGIN_MS + seconds * 1_000);
+    let row = |since_ms, versions: &[(u32, Option<u64>)]| history::History {
+        era: 1,
+        since_ms,
+        window_ms: WINDOW.as_millis() as u64,
+        versions: versions.iter().copied().collect(),
+    };
+    assert_eq!(initial(&row(None, &[(1, None)])), Some(1));
+    assert_eq!(initial(&row(gone(50), &[(1, None)])), Some(1));
+    assert_eq!(initial(&row(gone(90), &[(1, None)])), None, "complete for ten seconds");
+    assert_eq!(initial(&row(None, &[(1, None), (2, None)])), None);
+    assert_eq!(initial(&row(None, &[(1, None), (2, gone(90))])), None, "left just before");
+    assert_eq!(initial(&row(None, &[(1, None), (2, gone(50))])), Some(1), "left long before");
+    let copy = history::History { era: 0, ..row(None, &[(1, None)]) };
+    assert_eq!(initial(&copy), None, "a copy may lack the other one");
+}
--- a/crates/e2e/tests/platform_versions.rs
+++ b/crates/e2e/tests/platform_versions.rs
@@ -9,6 +9,7 @@
 
 use rhubarb_e2e::{call, relay, site};
 use rhubarb_fakes::{backend, pace};
+use rhubarb_node::clock;
 
 /// The second version; the first is that of all servers unless they are given another.
 const SECOND: &str = "v2";
@@ -433,6 +434,74 @@
     Ok(())
 }
 
+// Starts three entries before engines of one version that have run for long, and streams at the first
+// entry. Then all entries are killed, and start again beside an engine of the second version.
+async fn killed_before_release()
+-> anyhow::Result<(site::Site, collections::BTreeMap<String, String>)> {
+    let sizes = site::Sizes { edges: 3, plain: 0, prefill: 0, decode: 3, ..site::Sizes::default() };
+    let mut site = site::Site::prepare(sizes).await?;
+    for engine in &site.decode {
+        engine.set_born(clock::unix_ms() - 60_000);
+        site.announce(engine, "ready");
+    }
+    for _ in 0..sizes.edges {
+        site.add_edge().await?;
+    }
+    site.wait_ready().await?;
+    tokio::time::sleep(LEARN_TIME).await;
+    let begun = begin(&site, 0, 6).await?;
+    restart_all(&mut site, async |site| {
+        let old = site.decode[2].clone();
+        site.upgrade_server(&old, SECOND).await?;
+        site.decode[2].set_born(clock::unix_ms());
+        site.announce(&site.decode[2], "ready");
+        Ok(())
+    })
+    .await?;
+    tokio::time::sleep(LEARN_TIME).await;
+    Ok((site, begun))
+}
+
+// Guards against streams that nobody can take up since all entries were killed and another version came
+// before they had started again: no entry knows the streams, and the service has two versions (issue 50,
+// LOST).
+#[tokio::test]
+async fn release_while_dead() -> anyhow::Result<()> {
+    let (site, begun) = killed_before_release().await?;
+    for edge in [0, 1, 2] {
+        let resumed = resume_all(&site, edge, &begun).await?;
+        assert_eq!(resumed, begun.len(), "at entry {edge}\n{}", site.edges[edge].log());
+    }
+    Ok(())
+}
+
+// Guards against a stream of the second version that is taken for one of before, since the process that
+// began it has ended before it told anybody (ORDER).
+#[tokio::test]
+async fn begun_after_restart() -> anyhow::Result<()> {
+    let (mut site, _) = killed_before_release().await?;
+    let second = site.decode[2].clone();
+    let mut at_second = 0;
+    for number in 0..8 {
+        let attempt = format!("late-{number}");
+        begin_and_die(&mut site, 1, &attempt).await?;
+        let refused = resume(&site, 0, &attempt, 0).await?;
+        site.restart_edge(1)?;
+        site.wait_ready().await?;
+        tokio::time::sleep(LEARN_TIME).await;
+        let is_second = second.runs().contains_key(&attempt);
+        at_second += usize::from(is_second);
+        for reply in [refused, resume(&site, 0, &attempt, 0).await?] {
+            let body = reply.body.unwrap_or_default();
+            let expected = if is_second { SECOND } else { backend::FIRST_SOFTWARE };
+            let is_own = versions(&body).iter().all(|name| *name == expected);
+            assert!(reply.status == 503 || is_own, "{attempt}: {body}\n{}", site.edges[0].log());
+        }
+    }
+    assert!(at_second > 0, "no stream began at the second version");
+    Ok(())
+}
+
 // Sends a stream to an entry and ends the entry as soon as the stream has begun, before it has told
 // anybody of it.
 async fn begin_and_die(site: &mut site::Site, edge: usize, attempt: &str) -> anyhow::Result<()> {
--- a/crates/edge/src/directory.rs
+++ b/crates/edge/src/directory.rs
@@ -3,8 +3,8 @@
 use std::{collections, net, sync, time};
 
 use rhubarb_core::{
-    beginnings, cells, demand, engines, fleet, history, ids, load, misdirected, pauses, pool,
-    queue_limit, quotas, releases, retry, retry_detector, routing, stamp,
+    agreement, beginnings, cells, demand, engines, fleet, history, ids, load, misdirected, pauses,
+    pool, queue_limit, quotas, releases, retry, retry_detector, routing, stamp,
 };
 use rhubarb_wire::share;
 
@@ -84,6 +84,11 @@
     releases: releases::Releases,
     // When the streams of other services may last have come to a service, by a change of a route.
     mingled: collections::BTreeMap<ids::ServiceName, time::Instant>,
+    // When this process first read the histories of versions, in Unix milliseconds, and the versions
+    // that were the only ones on record then.
+    initial: Option<(u64, collections::BTreeMap<ids::ServiceName, ids::SoftwareTag>)>,
+    // Start of the first known server of each version that tells it, in Unix milliseconds.
+    starts: collections::BTreeMap<ids::SoftwareTag, u64>,
     // Servers that were down since their rows were last written.
     unverified: collections::BTreeSet<ids::ServerName>,
     // Engines that are not used yet, since the store has no record of their versions.
@@ -93,6 +98,9 @@
 /// Time after its begin within which a stream may be taken up, as a multiple of the longest timeout of
 /// a stream: callers come back after up to a third of the time that they have left.
 const STREAM_WINDOW: f64 = 1.5;
+/// Time from the start of the first server of a version within which no stream begins at it without a
+/// record, less the difference of clocks that is allowed for.
+const UNUSED_TIME: time::Duration = time::Duration::from_secs(7);
 /// Number of entries to count in a fleet of unknown size.
 const UNKNOWN_ENTRIES: u32 = 8;
 
@@ -166,6 +174,8 @@
             leaving,
             releases,
             mingled: collections::BTreeMap::new(),
+            initial: None,
+            starts: collections::BTreeMap::new(),
             unverified: collections::BTreeSet::new(),
             held: collections::BTreeSet::new(),
         }
@@ -323,6 +333,10 @@
             self.processes.insert(process, id.to_string());
         }
         let software = ids::software_tag(&instance.service, &instance.software);
+        if let Some(start) = instance.started_ms {
+            let first = self.starts.entry(software).or_insert(start);
+            *first = start.min(*first);
+        }
         if self.releases.set(id, &instance.service, software, rhubarb_node::clock::now()) {
             let (service, version) = (&instance.service, &instance.software);
             tracing::info!(service, version, software, "edge: software version of servers added");
@@ -507,6 +521,62 @@
         agreed.filter(|_| !self.is_mingled(service, now))
     }
 
+    /// Notes which versions were the only ones on record at the first read of the histories, at `now_ms`.
+    pub(crate) fn note_initial<'a>(
+        &mut self,
+        histories: impl Iterator<Item = (&'a ids::ServiceName, &'a history::History)>,
+        reading: &history::Reading,
+        now_ms: u64,
+    ) {
+        if self.initial.is_some() {
+            return;
+        }
+        let only = histories
+            .filter_map(|(service, history)| Some((service.clone(), history.only(reading)?)));
+        let only = only.collect();
+        tracing::info!(?only, now_ms, "edge: versions that are alone on record at the start");
+        self.initial = Some((now_ms, only));
+    }
+
+    /// What is known of the streams of a service that can still be taken up and began before this
+    /// process was started.
+    pub(crate) fn older_streams(&self, service: &str, now: time::Instant) -> agreement::Older {
+        let window = self.releases.window(now);
+        if self.is_mingled(service, now) {
+            return agreement::Older::Unknown;
+        }
+        if self.started_at.is_none_or(|at| now >= at + window) {
+            return agreement::Older::Nothing;
+        }
+        self.initial_software(service).map_or(agreement::Older::Unknown, agreement::Older::Only)
+    }
+
+    // The version by which all of them began: the only one on record. One without a record may be used
+    // after some time, and at once where no server of another one is registered: where servers tell
+    // their starts, any other must be newer than that, and younger than a server of the recorded one.
+    fn initial_software(&self, service: &str) -> Option<ids::SoftwareTag> {
+        let (read_ms, initial) = self.initial.as_ref()?;
+        let only = initial.get(service).copied()?;
+        let unused_from = read_ms.saturating_sub(UNUSED_TIME.as_millis() as u64);
+        let oldest = self.oldest_start(service, only).unwrap_or_default();
+        let is_later = |software: &ids::SoftwareTag| {
+            let first = self.starts.get(software);
+            first.is_none_or(|first| *first > unused_from && *first > oldest)
+        };
+        let mut others = self.releases.versions(service).filter(|software| *software != only);
+        others.all(|software| is_later(&software)).then_some(only)
+    }
+
+    // Start of the oldest registered server of a version, in Unix milliseconds.
+    fn oldest_start(&self, service: &str, software: ids::SoftwareTag) -> Option<u64> {
+        let instances = self.fleet.instances().values();
+        let own = instances.filter(|known| {
+            known.service == service
+                && ids::software_tag(&known.service, &known.software) == software
+        });
+        own.filter_map(|known| known.started_ms).min()
+    }
+
     /// Whether streams that are taken up at a service may have begun by several versions, as far as is
     /// known.
     pub(crate) fn has_several(&self, service: &str, now: time::Instant) -> bool {
--- a/crates/edge/src/histories.rs
+++ b/crates/edge/src/histories.rs
@@ -176,6 +176,8 @@
         known.insert(row.key, Row { version: row.version, history });
     }
     directory.releases().set_read();
+    let histories = known.iter().map(|(service, row)| (service, &row.history));
+    directory.note_initial(histories, &reading, edge.dates.now_ms());
     Ok((reading, known))
 }
 
--- a/crates/edge/src/origins.rs
+++ b/crates/edge/src/origins.rs
@@ -68,20 +68,41 @@
         None if !is_split => agreed(edge, attempt, service, asked).await,
         _ => None,
     };
-    let stored = match found.or(single) {
+    let older = match found.or(single) {
+        None if !is_split => older(edge, attempt, service),
+        _ => None,
+    };
+    let stored = match found.or(single).or(older) {
         None => stream_records::find(edge, attempt).await,
         Some(_) => None,
     };
-    edge.answers().said.remove(&attempt);
+    let said = edge.answers().said.remove(&attempt);
+    if found.or(single).or(older).or(stored).is_none() {
+        let entries = edge.members().known_size();
+        let own = edge.directory().older_streams(service, clock::now());
+        tracing::info!(id = call.id(), ?said, ?own, entries, "edge: version of a stream unknown");
+    }
     tracing::info!(
         id = call.id(),
         resumes = ?call.head.resumes,
         found,
         single,
+        older,
         stored,
         "edge: version of a stream looked up"
     );
-    found.or(single).or(stored)
+    found.or(single).or(older).or(stored)
+}
+
+// The version of a stream that no entry knows, as all of them say of streams that are older than their
+// processes.
+fn older(edge: &edge::Edge, attempt: ids::AttemptTag, service: &str) -> Option<ids::SoftwareTag> {
+    if edge.origins().is_uncertain(attempt) {
+        return None;
+    }
+    let entries = edge.members().known_size();
+    let own = edge.directory().older_streams(service, clock::now());
+    edge.answers().said.get(&attempt)?.older(own, entries)
 }
 
 // The only version of a service, as this entry and those that have answered know, if that is shown to
@@ -136,7 +157,9 @@
         }
         let said = edge.answers().said.get(&attempt).cloned().unwrap_or_default();
         let only = edge.directory().only_software(service, clock::now());
-        if !is_split && (said.has_answer() || only.is_some()) {
+        let is_shown =
+            said.has_answer() || only.is_some() || older(edge, attempt, service).is_some();
+        if !is_split && is_shown {
             return None;
         }
     }
@@ -219,13 +242,19 @@
             let origin = edge.origins().get(attempt);
             let only = edge.directory().only_software(&service, clock::now());
             let is_mixed = edge.directory().has_several(&service, clock::now());
+            let older = edge.directory().older_streams(&service, clock::now());
             let message = match (origin, only) {
                 // The store may name a version that has become uncertain since.
                 (None, None) if edge.origins().is_uncertain(attempt) => {
                     origins::Message::tell(&[(attempt, None)])
                 }
                 (None, None) if !is_mixed => return,
-                _ => origins::Message::new(origins::Content::Answered { attempt, origin, only }),
+                _ => origins::Message::new(origins::Content::Answered {
+                    attempt,
+                    origin,
+                    only,
+                    older,
+                }),
             };
             match message.encode() {
                 Ok(bytes) => {
@@ -236,7 +265,7 @@
                 Err(err) => tracing::error!(%err, "edge: origins of streams not encoded"),
             }
         }
-        origins::Content::Answered { attempt, origin, only } => {
+        origins::Content::Answered { attempt, origin, only, older } => {
             if origin.is_some() {
                 edge.origins().record_told(attempt, origin);
             }
@@ -244,6 +273,7 @@
                 && origin.is_none()
             {
                 said.record(from.ip(), only);
+                said.record_older(from.ip(), older);
             }
             edge.origin_learned.notify_waiters();
         }
--- a/crates/fakes/src/backend.rs
+++ b/crates/fakes/src/backend.rs
@@ -45,6 +45,8 @@
     holds_taken: u64,
     // Number of restarts.
     restarts: u64,
+    // What the first start is published as, if it is not 1.
+    first_born: Option<u64>,
     // Number of requests received while a fault was set.
     fault_hits: u64,
     arrivals: Vec<arrivals::Arrival>,
@@ -197,9 +199,16 @@
         state.clock.restart();
     }
 
-    /// Number of starts including the current one, published in the server's row as `born`.
+    /// Number of starts including the current one, published in the server's row as `born`, or the
+    /// time of the first one and that of the restarts.
     pub fn born(&self) -> u64 {
-        self.state().restarts + 1
+        let state = self.state();
+        state.first_born.unwrap_or(1) + state.restarts
+    }
+
+    /// Sets the time of its first start, in Unix milliseconds.
+    pub fn set_born(&self, first: u64) {
+        self.state().first_born = Some(first);
     }
 
     /// Sets its speed; when it is set first, the process has just started. From now on its work takes
--- a/crates/wire/src/origins.rs
+++ b/crates/wire/src/origins.rs
@@ -4,7 +4,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use rhubarb_core::{ids, origins};
+use rhubarb_core::{agreement, ids, origins};
 
 /// A datagram.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -36,6 +36,8 @@
         /// The only version by which streams of the service may have begun, as the sender knows; none
         /// without an origin if it knows several.
         only: Option<ids::SoftwareTag>,
+        /// What the sender knows of streams of the service that are older than its process.
+        older: agreement::Older,
     },
 }
 
@@ -46,7 +48,7 @@
 pub type FixedTag = [u8; 8];
 
 /// First byte, which differs from the formats of [`crate::share::Share`].
-pub const FORMAT: u8 = 100;
+pub const FORMAT: u8 = 101;
 /// Streams in one datagram, which fits into a packet.
 pub const MAX_TOLD: usize = 120;
 
