Let a stream that is taken up wait for room like an interrupted one

Callers that took a stream up were refused as no-room while new streams began: they counted as callers that had been refused before, which leave room for another request beside theirs and so get none at busy engines (LOST).

--- a/crates/edge/src/stream.rs
+++ b/crates/edge/src/stream.rs
@@ -149,7 +149,8 @@
     // request, while the caller still waits.
     fn slot_wait(&self) -> reservation::WaitLimit {
         let now = clock::now();
-        if self.events > 0 {
+        // The caller has a part of the answer, from here or from an entry before.
+        if self.events > 0 || self.order.last().is_some() {
             let until = self.call.deadline().min(now + RESUME_WAIT);
             return reservation::WaitLimit {
                 is_started: true,
