Try the port of a leaving engine twice, and bound the window that a history names

A stream without a length whose engine leaves and is then killed could still look complete: a leaving server is not asked which process it is, and its port was tried once, which a killed process may close after its connections. A window near the largest number in a row of the store would have made the sum of times overflow (histories alone_on_record has one now).

--- a/crates/core/src/history.rs
+++ b/crates/core/src/history.rs
@@ -23,7 +23,7 @@
     /// The version by which all streams had begun when it was read that can still be taken up; none if
     /// several are on record, or if that is not known. Streams begin at versions on record.
     pub fn only(&self, reading: &Reading) -> Option<ids::SoftwareTag> {
-        let window = time::Duration::from_millis(self.window_ms);
+        let window = time::Duration::from_millis(self.window_ms).min(MAX_WINDOW);
         let is_over = |ms: u64, spread| reading.instant(ms) + window + spread < reading.asked;
         let is_complete = self.since_ms.is_none_or(|ms| is_over(ms, time::Duration::ZERO));
         let is_recent = |gone_ms: &Option<u64>| gone_ms.is_none_or(|ms| !is_over(ms, SPREAD));
@@ -75,6 +75,8 @@
 
 /// Time by which entries may learn one after the other that a version has left.
 pub(crate) const SPREAD: time::Duration = time::Duration::from_secs(5);
+/// Longest window that a row may name.
+pub(crate) const MAX_WINDOW: time::Duration = time::Duration::from_secs(86_400);
 /// Reads per second of a fleet that looks after a new version.
 const READS: f64 = 300.0;
 /// The same of a fleet at whose entries streams are taken up.
--- a/crates/core/src/releases.rs
+++ b/crates/core/src/releases.rs
@@ -172,7 +172,7 @@
     /// Adds the row of a service in the store.
     pub fn load(&mut self, service: &str, row: &history::History, reading: &history::Reading) {
         let is_current = row.era == reading.era;
-        let window = time::Duration::from_millis(row.window_ms).min(MAX_WINDOW);
+        let window = time::Duration::from_millis(row.window_ms).min(history::MAX_WINDOW);
         if self.window.is_none_or(|known| known < window) {
             self.replaced.retain(|(replaced, _)| *replaced != window);
             self.replaced.push((window, reading.answered + window));
@@ -334,7 +334,5 @@
 const GONE_TIME: time::Duration = time::Duration::from_secs(2);
 /// Time after which streams begin at a version though the store has no record of it.
 const MAX_HOLD: time::Duration = time::Duration::from_secs(10);
-/// Longest window that a row may name.
-const MAX_WINDOW: time::Duration = time::Duration::from_secs(86_400);
 /// Minimum time for which a version that has left is kept, since a config may lengthen the timeouts.
 const MIN_KEPT: time::Duration = time::Duration::from_secs(600);
--- a/crates/core/tests/histories.rs
+++ b/crates/core/tests/histories.rs
@@ -260,4 +260,6 @@
     assert_eq!(initial(&row(None, &[(1, None), (2, gone(50))])), Some(1), "left long before");
     let copy = history::History { era: 0, ..row(None, &[(1, None)]) };
     assert_eq!(initial(&copy), None, "a copy may lack the other one");
+    let odd = history::History { window_ms: u64::MAX, ..row(gone(50), &[(1, None)]) };
+    assert_eq!(initial(&odd), None, "a window without end");
 }
--- a/crates/edge/src/connections.rs
+++ b/crates/edge/src/connections.rs
@@ -233,9 +233,11 @@
     /// system closes the connections of a process that was killed like those of an answer that has
     /// ended, and its port just before or after them.
     pub(crate) async fn is_cut_off(&self, address: net::SocketAddr, headers: &HeaderMap) -> bool {
-        if response::has_marked_end(headers) {
-            return false;
-        }
+        !response::has_marked_end(headers) && self.is_closed(address).await
+    }
+
+    /// Whether the port of a server is closed whose connections have just ended.
+    pub(crate) async fn is_closed(&self, address: net::SocketAddr) -> bool {
         if self.is_refused(address).await {
             return true;
         }
--- a/crates/edge/src/processes.rs
+++ b/crates/edge/src/processes.rs
@@ -44,7 +44,7 @@
                 ?reason,
                 "edge: engine has not said that it goes on"
             );
-            edge.connections.is_refused(target.address).await
+            edge.connections.is_closed(target.address).await
         }
     }
 }
