--- a/crates/edge/src/suspects.rs
+++ b/crates/edge/src/suspects.rs
@@ -124,7 +124,7 @@
     sent_at: time::Instant,
 ) {
     // The caller's answer waits for this.
-    let checking = call.edge.connections.is_refused(target.address);
+    let checking = call.edge.connections.is_closed(target.address);
     let has_crashed =
         tokio::time::timeout_at(call.deadline().into(), checking).await.unwrap_or(false);
     tracing::info!(
@@ -166,7 +166,7 @@
 /// Records the crash of a server that was not reached, if requests were given up there just before.
 pub(crate) async fn check_abandoned(edge: &edge::Edge, target: &directory::Target) {
     let is_needed = edge.rejected().abandoned.contains(target.process_tag(), clock::now());
-    if is_needed && edge.connections.is_refused(target.address).await {
+    if is_needed && edge.connections.is_closed(target.address).await {
         record_crash(edge, target, None);
     }
 }
