Log and measure the age of the config and the servers at each decision

Hypotheses on stale configs and leaving servers could not be told apart: no line said how old an entry's state was. The lines answered, streamed, refused and not sent to a leaving server now carry config_age_ms and servers_age_ms, the time since an answer of the store showed that all changes of the table were known, and two histograms observe both ages at each request. No decision uses them yet.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -32,6 +32,7 @@
 pub mod fair_share;
 pub mod fleet;
 pub mod flow;
+pub mod freshness;
 pub mod gate;
 pub mod handover;
 pub mod history;
--- a/crates/edge/src/call.rs
+++ b/crates/edge/src/call.rs
@@ -9,7 +9,7 @@
 use rhubarb_node::{clock, metrics, responder};
 use rhubarb_platform::request;
 
-use crate::{charge, edge, ledger};
+use crate::{charge, edge, ledger, tables};
 
 /// Request that has been read and routed.
 #[derive(Debug)]
@@ -121,6 +121,11 @@
         (clock::now() - self.arrived).as_millis() as u64
     }
 
+    /// Ages of the config and of the servers' rows in use.
+    pub(crate) fn ages(&self) -> tables::Ages {
+        self.edge.tables().ages(clock::now())
+    }
+
     /// Records the outcome of a request to a server of the service.
     pub(crate) fn record_outcome(&self, server: &str, outcome: pool::ServerOutcome) {
         let mut directory = self.edge.directory();
--- a/crates/edge/src/edge.rs
+++ b/crates/edge/src/edge.rs
@@ -11,7 +11,9 @@
 use rhubarb_node::{client, clock, locks};
 use rhubarb_platform::{settings, store};
 
-use crate::{answers, connections, dates, directory, lag, limits, metrics, orders, rejected};
+use crate::{
+    answers, connections, dates, directory, lag, limits, metrics, orders, rejected, tables,
+};
 
 /// State of one entry.
 #[derive(Debug)]
@@ -60,6 +62,7 @@
     members: sync::Mutex<members::Members>,
     orders: sync::Mutex<orders::Orders>,
     lag: sync::Mutex<lag::Lag>,
+    tables: sync::Mutex<tables::Tables>,
     pauses: sync::Mutex<pauses::Pauses>,
     limits: sync::Mutex<limits::Limits>,
     misdirected: sync::Mutex<misdirected::Misdirected>,
@@ -122,6 +125,7 @@
             members: sync::Mutex::new(members),
             orders: sync::Mutex::default(),
             lag: sync::Mutex::default(),
+            tables: sync::Mutex::default(),
             pauses: sync::Mutex::default(),
             limits: sync::Mutex::default(),
             misdirected: sync::Mutex::default(),
@@ -253,6 +257,11 @@
         locks::lock(&self.lag)
     }
 
+    /// Freshness of the config and of the servers' rows; locked without another lock.
+    pub(crate) fn tables(&self) -> sync::MutexGuard<'_, tables::Tables> {
+        locks::lock(&self.tables)
+    }
+
     /// Address at which the entry at `ip` listens for its peers.
     pub(crate) fn peer_address(&self, ip: net::IpAddr) -> net::SocketAddr {
         let (first, _) = self.settings().port_range;
--- a/crates/edge/src/ingress.rs
+++ b/crates/edge/src/ingress.rs
@@ -101,6 +101,7 @@
     let rank = customer.and_then(|customer| customer.rank).unwrap_or(route.rank);
     let urgency = urgency::Urgency { rank, route: route.rank };
     let is_retry = edge.directory().record_request(&service, &route.name, timeout);
+    observe_ages(edge);
     start(call::Call {
         is_retry,
         is_trial: false,
@@ -121,6 +122,19 @@
     .await
 }
 
+fn observe_ages(edge: &edge::Edge) {
+    let tables = *edge.tables();
+    let now = clock::now();
+    let counters = &edge.counters;
+    for (table, histogram) in
+        [(tables.config, &counters.config_age), (tables.servers, &counters.servers_age)]
+    {
+        if let Some(age) = table.age(now) {
+            histogram.observe(age.as_secs_f64());
+        }
+    }
+}
+
 async fn start(call: call::Call) -> Response<response::Body> {
     let in_flight = call::InFlight::new(&call.edge);
     call.edge.directory().service(&call.service).retry_budget.record_request(clock::now());
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -53,6 +53,7 @@
 mod stream;
 mod stream_records;
 mod suspects;
+mod tables;
 mod trials;
 mod verdicts;
 mod watch;
--- a/crates/edge/src/metrics.rs
+++ b/crates/edge/src/metrics.rs
@@ -50,6 +50,8 @@
     pub(crate) dropped_lines: gauge::Gauge,
     pub(crate) plain_time: histogram::Histogram,
     pub(crate) first_event: histogram::Histogram,
+    pub(crate) config_age: histogram::Histogram,
+    pub(crate) servers_age: histogram::Histogram,
 }
 
 impl Counters {
@@ -101,6 +103,14 @@
                 .seconds_histogram("plain_seconds", "Time to the answer of a plain call"),
             first_event: registry
                 .seconds_histogram("first_event_seconds", "Time to a stream's first event"),
+            config_age: registry.seconds_histogram(
+                "config_age_seconds",
+                "Time since all changes of the config were known, at each request",
+            ),
+            servers_age: registry.seconds_histogram(
+                "servers_age_seconds",
+                "Time since all changes of the servers were known, at each request",
+            ),
             registry,
         }
     }
--- a/crates/edge/src/plain.rs
+++ b/crates/edge/src/plain.rs
@@ -214,6 +214,7 @@
                 tracing::info!(
                     id = self.call.id(),
                     server = target.id,
+                    servers_age_ms = self.call.ages().servers,
                     "edge: request not sent to a leaving server"
                 );
                 Attempt::Unsent(Reason::Leaving)
@@ -331,10 +332,13 @@
             let is_good = response.head.status().is_success() && duration <= call.route.target;
             totals.good += u64::from(is_good);
         });
+        let ages = call.ages();
         tracing::info!(
             id = call.id(),
             route = call.route.name,
             config = call.version,
+            config_age_ms = ages.config,
+            servers_age_ms = ages.servers,
             server = response.server,
             busy = self.estimate.map(|estimate| estimate.busy),
             report_age_ms = self.estimate.map(|estimate| estimate.age.as_millis() as u64),
--- a/crates/edge/src/refuse.rs
+++ b/crates/edge/src/refuse.rs
@@ -21,7 +21,8 @@
     edge.counters.requests.refused.get_or_create(&metrics::reason_labels(refusal.reason)).inc();
     let id = attempt_id.and_then(|id| id.to_str().ok()).unwrap_or("-");
     let reason = refusal.reason.name();
-    tracing::info!(id, reason, outcome = refusal.outcome.name(), "edge: refused");
+    let (ages, outcome) = (edge.tables().ages(clock::now()), refusal.outcome.name());
+    tracing::info!(id, reason, outcome, config_age_ms = ages.config, "edge: refused");
     build_response(attempt_id, refusal)
 }
 
@@ -46,10 +47,13 @@
     let labels = edge_metrics::RankLabels { rank: call.urgency.rank };
     call.edge.counters.refused_ranks.get_or_create(&labels).inc();
     let retry_ms = refusal.retry.map(|retry| retry.as_millis() as u64);
+    let ages = call.ages();
     tracing::info!(
         id = call.id(),
         route = call.route.name,
         config = call.version,
+        config_age_ms = ages.config,
+        servers_age_ms = ages.servers,
         customer = call.head.customer,
         rank = call.urgency.rank,
         route_rank = call.urgency.route,
--- a/crates/edge/src/stream.rs
+++ b/crates/edge/src/stream.rs
@@ -767,11 +767,14 @@
             call.edge.counters.first_event.observe(first.as_secs_f64());
         }
         self.count_answer();
+        let ages = call.ages();
         tracing::info!(
             id = call.id(),
             resumes = ?call.head.resumes,
             route = call.route.name,
             config = call.version,
+            config_age_ms = ages.config,
+            servers_age_ms = ages.servers,
             server = self.reservation.as_ref().map(|reservation| reservation.target.id.as_str()),
             retries = self.flow.retries(),
             events = self.events,
--- a/crates/edge/src/watch.rs
+++ b/crates/edge/src/watch.rs
@@ -191,6 +191,7 @@
 ) -> Result<(), FollowError> {
     let reading = edge.store.read_all(table, READ_TIMEOUT);
     let all = reading.await.map_err(read_error)?;
+    edge.tables().record(table, clock::now());
     state.record_success(edge, table, all.version);
     let mut version = all.version;
     if table == store::Table::Servers {
@@ -222,6 +223,7 @@
             }
         };
         version = version.max(changes.version);
+        edge.tables().record(table, clock::now());
         state.record_feed();
         let has_changes = !changes.rows.is_empty();
         apply(edge, table, &changes.rows, directory::Source::Store);
