--- a/crates/fakes/src/store.rs
+++ b/crates/fakes/src/store.rs
@@ -1,6 +1,6 @@
 //! Fake of the store of the users' platform, with its published API for rows and objects.
 
-use std::{net, sync, time};
+use std::{collections, net, sync, time};
 
 use bytes::Bytes;
 use hyper::{Method, Request, Response, StatusCode, body, header};
@@ -32,6 +32,9 @@
     calls: u64,
     // Table to whose rows texts are added, and these texts.
     odd_rows: (String, Vec<String>),
+    // Number of calls of `Store::silence_feeds` by table; a feed compares it with the number at its
+    // start.
+    silences: collections::BTreeMap<String, u64>,
 }
 
 impl State {
@@ -178,6 +181,12 @@
         self.inner.changed.notify_waiters();
     }
 
+    /// Never answers the open feeds of `table`, whose connections stay open; later feeds work.
+    pub fn silence_feeds(&self, table: &str) {
+        *self.state().silences.entry(table.to_string()).or_default() += 1;
+        self.inner.changed.notify_waiters();
+    }
+
     /// Adds `texts` as rows to all responses with rows of `table` from now on, as they are.
     pub fn set_odd_rows(&self, table: &str, texts: &[&str]) {
         let texts = texts.iter().map(|text| text.to_string());
@@ -299,8 +308,13 @@
         let after = parameter(query, "after").parse().unwrap_or(0);
         let wait = parameter(query, "wait_ms").parse().unwrap_or(0);
         let deadline = tokio::time::Instant::now() + time::Duration::from_millis(wait);
+        let silences = |store: &Store| store.state().silences.get(&table).copied();
+        let at_start = silences(self);
         loop {
             let changed = self.inner.changed.notified();
+            if silences(self) != at_start {
+                tokio::time::sleep(HANG_TIME).await;
+            }
             if let Some(reply) = self.rows_since(&table, after) {
                 return reply;
             }
