Let every entry notice that nobody has confirmed the config or the servers

Callers saw an added route answered 404, and a server that leaves got requests, beyond contact_ms after the open feeds of the store had fallen silent.

Cause: only two entries of the fleet asked the store each second, only for the servers' table, and only their own silence was noticed. With the config's feeds silent nobody noticed for 21 s; with both checkers gone the others took their place after 3 s (4.4 s in several cells) and noticed 2 s later, 6 s in all.

Entries now know until when a table was known in full, tell its age in each datagram, and take over the age of a peer whose versions they have. The checkers ask for both tables. Whoever has a table that nobody has confirmed for 1.6 to 2.2 s asks the store on a new connection, and tells the others. No one's place in the fleet matters any more. One call a second more for the whole fleet.

Datagrams have format 10.

--- /dev/null
+++ b/crates/core/tests/freshness.rs
@@ -0,0 +1,36 @@
+//! Age of what is known of a table, and when the store is asked again.
+
+use std::time;
+
+use rhubarb_core::freshness;
+
+const SECOND: time::Duration = time::Duration::from_secs(1);
+
+#[test]
+fn newest_counts() {
+    let now = time::Instant::now();
+    let mut known = freshness::Freshness::default();
+    assert_eq!((known.age(now), known.check_at(true, 0.0)), (None, None));
+    known.record(now);
+    known.record(now - SECOND);
+    assert_eq!(known.age(now + SECOND), Some(SECOND));
+    assert_eq!(known.age(now - SECOND), Some(time::Duration::ZERO));
+}
+
+// Guards against entries that keep old information beyond 3 s, as nobody else notices that the feeds
+// are silent: one asks early enough for all to learn of it.
+#[test]
+fn checked_in_time() {
+    let now = time::Instant::now();
+    let mut known = freshness::Freshness::default();
+    known.record(now);
+    let first = known.check_at(true, 0.0).unwrap();
+    let last = known.check_at(true, 1.0).unwrap();
+    // Those that check each second have told by then.
+    assert!(first >= now + SECOND + time::Duration::from_millis(500));
+    // One call, a datagram and a snapshot later all know.
+    assert!(last <= now + time::Duration::from_millis(2_300));
+    assert!(known.check_at(false, 0.0).unwrap() > first, "news takes longer in several cells");
+    known.record(now + SECOND);
+    assert_eq!(known.check_at(true, 0.0), Some(first + SECOND));
+}
--- a/crates/edge/src/lag.rs
+++ b/crates/edge/src/lag.rs
@@ -5,6 +5,8 @@
 use rhubarb_core::ids;
 use rhubarb_platform::store;
 
+use crate::tables;
+
 /// Versions of the config and the servers that an entry has.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) struct Versions {
@@ -15,9 +17,18 @@
 }
 
 impl Versions {
+    /// Whether all that `other` has is known.
+    pub(crate) fn knows(&self, other: &Versions) -> tables::Known {
+        tables::Known {
+            config: other.config <= self.config,
+            servers: other.servers <= self.servers,
+        }
+    }
+
     /// Whether `other` is newer in the config or the servers.
     pub(crate) fn lags_behind(&self, other: &Versions) -> bool {
-        other.config > self.config || other.servers > self.servers
+        let known = self.knows(other);
+        !known.config || !known.servers
     }
 }
 
--- a/crates/edge/src/peers.rs
+++ b/crates/edge/src/peers.rs
@@ -8,7 +8,7 @@
 use rhubarb_node::clock;
 use rhubarb_wire::{origins as wire_origins, share};
 
-use crate::{directory, edge, lag, misdirected, origins, quotas, suspects as watch};
+use crate::{directory, edge, lag, misdirected, origins, quotas, suspects as watch, tables};
 
 /// Interval between datagrams to the peers without changes; they are also the heartbeats.
 const HEARTBEAT_PERIOD: time::Duration = time::Duration::from_millis(300);
@@ -156,6 +156,8 @@
     let directory = edge.directory();
     let (config, servers) = (directory.versions().config, directory.rows.newest_change());
     drop(directory);
+    let ages = edge.tables().ages(clock::now());
+    let millis = |age: u64| u32::try_from(age).ok();
     share::Share {
         format: share::FORMAT,
         name: edge.settings().name.clone(),
@@ -164,6 +166,8 @@
         zone: ids::zone_tag(&edge.settings().zone),
         config,
         servers,
+        config_ms: ages.config.and_then(millis),
+        servers_ms: ages.servers.and_then(millis),
         follows: edge.follows_store() && !edge.is_disconnected(),
         is_ready: edge.is_ready(),
         limits: share::Limit::collect(&edge.limits().quotas, seq, clock::now()),
@@ -331,6 +335,11 @@
     }
     let own = edge.directory().versions();
     let versions = lag::Versions { config: share.config, servers: share.servers };
+    let told = tables::Ages {
+        config: share.config_ms.map(u64::from),
+        servers: share.servers_ms.map(u64::from),
+    };
+    edge.tables().record_told(&told, &own.knows(&versions), now);
     if own.lags_behind(&versions) {
         edge.lag().record(from, versions);
         edge.lag_detected.notify_one();
--- a/crates/edge/src/watch.rs
+++ b/crates/edge/src/watch.rs
@@ -10,15 +10,17 @@
 use crate::{boot, directory, edge, eras, misdirected, origins};
 
 /// Time that the store holds a feed request open without changes. A feed that stalls is detected
-/// earlier, by the newer versions of the peers.
+/// earlier, by the newer versions of the peers, or as nobody tells that the table is current.
 const FEED_WAIT: time::Duration = time::Duration::from_secs(20);
-/// The same for the servers' table at a few entries of the fleet. Connections may go silent without
-/// a reset, at all entries at once, so these check often that their feeds work.
+/// The same at a few entries of the fleet. Connections may go silent without a reset, at all entries
+/// at once and for one table alone, so these check often that their feeds work.
 const CHECKER_WAIT: time::Duration = time::Duration::from_millis(1_000);
 /// Time after which a feed's response is late. With the wait it is the time after which a checker
 /// reads the store again; the others then have a second of the 3 s (`contact_ms`) in which old
 /// information may be used.
 const FEED_SLACK: time::Duration = time::Duration::from_millis(1_000);
+/// Timeout of the check whether there are changes that a feed has not delivered.
+const CHECK_TIMEOUT: time::Duration = time::Duration::from_millis(700);
 /// Pause after changes were read, so that one call returns the changes of that time together. A
 /// config is due within 2 s, and a server that leaves stops after 2 s.
 const FEED_PAUSE: time::Duration = time::Duration::from_millis(300);
@@ -206,14 +208,14 @@
             wait_for_source_loss(edge).await;
             version = version.max(edge.directory().rows.known_version(table));
         }
-        let is_checked = table == store::Table::Servers;
         let is_checker = is_checker(edge);
-        let wait = if is_checked && is_checker { CHECKER_WAIT } else { FEED_WAIT };
+        let wait = if is_checker { CHECKER_WAIT } else { FEED_WAIT };
         let changes = tokio::select! {
             changes = edge.store.feed(table, version, wait, FEED_SLACK) => {
                 changes.map_err(feed_error)?
             }
-            () = wait_until_checker(edge), if is_checked && !is_checker => continue,
+            () = wait_until_checker(edge), if !is_checker => continue,
+            () = wait_until_stale(edge, table), if !is_checker => check(edge, table, version).await?,
             () = eras::wait_for_next(edge, version.era) => {
                 return Err(FollowError::Feed(store::StoreError::EraChanged));
             }
@@ -247,6 +249,35 @@
     }
 }
 
+// Waits until nobody has told for long that the table is current. The entries that check it may have
+// ended, and this one's feed may have gone silent.
+async fn wait_until_stale(edge: &edge::Edge, table: store::Table) {
+    let delay = rand::random();
+    loop {
+        let is_single = edge.members().partition().is_single();
+        let freshness = edge.tables().get_mut(table).copied();
+        match freshness.and_then(|freshness| freshness.check_at(is_single, delay)) {
+            Some(at) if at > clock::now() => tokio::time::sleep_until(at.into()).await,
+            Some(_) => return,
+            None => tokio::time::sleep(SOURCE_CHECK).await,
+        }
+    }
+}
+
+// Asks the store on a new connection for the changes after `version`, and has the others told.
+async fn check(
+    edge: &edge::Edge,
+    table: store::Table,
+    version: store::Version,
+) -> Result<store::Rows, FollowError> {
+    edge.store.reconnect();
+    let asking = edge.store.feed(table, version, time::Duration::ZERO, CHECK_TIMEOUT);
+    let changes = asking.await.map_err(feed_error)?;
+    tracing::info!(?table, %version, changes = changes.rows.len(), "edge: feed checked");
+    edge.commitments_changed.notify_one();
+    Ok(changes)
+}
+
 // A restored store lacks the newest rows, which live servers write again: they are kept for the
 // grace period.
 fn begin_era(edge: &edge::Edge, version: store::Version) {
--- a/crates/wire/src/share.rs
+++ b/crates/wire/src/share.rs
@@ -32,6 +32,10 @@
     pub config: ids::ListVersion,
     /// Store version of the newest change to a server that the sender has seen.
     pub servers: stamp::Stamp,
+    /// Time since the sender knew all changes of the config, in milliseconds, if it ever did.
+    pub config_ms: Option<u32>,
+    /// The same for the servers' rows.
+    pub servers_ms: Option<u32>,
     /// Whether the sender receives the changes of the platform's store.
     pub follows: bool,
     /// Whether the sender is ready for callers.
@@ -72,7 +76,7 @@
 }
 
 /// Version of the format of [`Share`].
-pub const FORMAT: u8 = 9;
+pub const FORMAT: u8 = 10;
 
 /// Heartbeat of one entry.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
