Pass all rows on where removals before the copy are not known

An entry now remembers the version of its last copy of all rows; who knows less gets all rows and finds what is missing.

--- a/crates/core/src/row_stamps.rs
+++ b/crates/core/src/row_stamps.rs
@@ -15,6 +15,8 @@
     // come from the copy from which the store was restored.
     unproven: collections::BTreeMap<String, stamp::Version>,
     complete: stamp::Stamp,
+    // Stamp of the last copy of all rows; removals before it may be unknown.
+    copied: stamp::Stamp,
     newest_change: stamp::Stamp,
 }
 
@@ -92,6 +94,18 @@
         self.complete = self.complete.max(stamp);
     }
 
+    /// Records that all rows were copied as of `stamp`. What was added and removed since an earlier
+    /// copy may be unknown.
+    pub fn set_copied(&mut self, stamp: stamp::Stamp) {
+        self.copied = self.copied.max(stamp);
+        self.set_complete(stamp);
+    }
+
+    /// Whether all rows that were removed after `stamp` are known.
+    pub fn knows_removals(&self, stamp: stamp::Stamp) -> bool {
+        stamp >= self.copied
+    }
+
     /// Stamp as of which all rows are known.
     pub fn complete(&self) -> stamp::Stamp {
         self.complete
@@ -103,7 +117,7 @@
         self.newest_change
     }
 
-    /// Rows that were removed after `stamp`.
+    /// Known rows that were removed after `stamp`; all of them if [`RowStamps::knows_removals`].
     pub fn removed_since(
         &self,
         stamp: stamp::Stamp,
--- a/crates/core/tests/row_stamps.rs
+++ b/crates/core/tests/row_stamps.rs
@@ -24,7 +24,7 @@
     let keys = rows.iter().map(|(key, _)| *key).collect();
     let missing = stamps.missing_from(&keys, stamp);
     let removed = missing.into_iter().filter(|key| stamps.remove(key, stamp)).collect();
-    stamps.set_complete(stamp);
+    stamps.set_copied(stamp);
     removed
 }
 
@@ -194,3 +194,19 @@
         prop_assert_eq!(stamps.complete(), at(era, version));
     }
 }
+
+// Guards against a removal that a copy leaves out: an entry that reads all rows after it never knew the
+// row, nor does one that reads them again know what came and went in between.
+#[test]
+fn removals_unknown() {
+    let mut stamps = row_stamps::RowStamps::default();
+    read(&mut stamps, &[("a", 10)], at(0, 143));
+    assert!(!stamps.knows_removals(at(0, 130)));
+    assert!(stamps.knows_removals(at(0, 143)));
+    stamps.update("a", at(0, 150), false);
+    stamps.set_complete(at(0, 150));
+    assert!(stamps.knows_removals(at(0, 145)), "followed since the copy");
+    stamps.set_copied(at(0, 170));
+    assert!(!stamps.knows_removals(at(0, 160)));
+    assert!(stamps.knows_removals(at(1, 5)));
+}
--- a/crates/edge/src/rows.rs
+++ b/crates/edge/src/rows.rs
@@ -89,20 +89,27 @@
         self.stamps.set_complete(version);
     }
 
+    /// Records that all rows of the servers were read or copied as of `version`.
+    pub(crate) fn set_copied(&mut self, version: store::Version) {
+        self.stamps.set_copied(version);
+    }
+
     /// Version of the newest change of a server.
     pub(crate) fn newest_change(&self) -> store::Version {
         self.stamps.newest_change()
     }
 
     /// What is newer here than the versions of a peer, with the servers whose rows are awaited. A
-    /// peer in an earlier era gets all rows: it may know servers that this entry never knew.
+    /// peer that may know servers of whose removal this entry does not know, since it is in an earlier
+    /// era or they were removed before this entry read all rows, gets all rows.
     pub(crate) fn snapshot(
         &self,
         known: share::SnapshotRequest,
         awaited: Vec<share::AwaitedServer>,
     ) -> share::Snapshot {
         let is_same_era = known.servers.era >= self.version().era;
-        let after = if is_same_era { known.servers } else { stamp::Stamp::default() };
+        let is_continued = is_same_era && self.stamps.knows_removals(known.servers);
+        let after = if is_continued { known.servers } else { stamp::Stamp::default() };
         let removed = self.stamps.removed_since(after);
         let config = self.config.as_ref().filter(|(number, _)| *number > known.config);
         share::Snapshot {
--- a/crates/edge/src/watch.rs
+++ b/crates/edge/src/watch.rs
@@ -416,7 +416,7 @@
         remove_server(edge, &key, version, awaited, source);
     }
     let mut directory = edge.directory();
-    directory.rows.set_version(version);
+    directory.rows.set_copied(version);
     directory.set_fleet_known();
 }
 
