Date an outage of the store once for the fleet, and notice one that a feed has outlasted

Two opposite faults of one class: each entry decided by itself whether the store had been away, and until when to wait for rows that had expired meanwhile.

Datagrams now tell the rest of the sender's grace period. An entry that misses the store adopts it, and begins none of its own if others were answered meanwhile. One that was told nothing for 2.5 s takes the store to have been away, whether its feed failed or not. The period ends at most 2.8 s after the last refused call.

--- a/crates/core/src/fleet.rs
+++ b/crates/core/src/fleet.rs
@@ -81,6 +81,9 @@
 
 /// Time after the registry has recovered within which live servers renew expired registrations.
 const RECOVERY_GRACE: time::Duration = time::Duration::from_millis(1_800);
+/// Longest time that the registry counts as away after a refused call. With the grace period it is
+/// less than the 3 s after which a server without a registration must not be used.
+const MAX_UNNOTICED: time::Duration = time::Duration::from_millis(1_000);
 /// Time for which the announcement of a removed server is kept. Its registration may return after an
 /// outage of the registry, while the process still serves the last requests.
 const DEPARTURE_TTL: time::Duration = time::Duration::from_secs(3_600);
@@ -96,9 +99,24 @@
         self.instances.get(id)
     }
 
-    /// Records that the registry answers again after an outage.
-    pub fn registry_recovered(&mut self, now: time::Instant) {
-        self.grace_until = Some(now + RECOVERY_GRACE);
+    /// Records that the registry answers again after an outage, and when it last refused a call, if it
+    /// did: it may have been back since.
+    pub fn registry_recovered(&mut self, refused_at: Option<time::Instant>, now: time::Instant) {
+        let back_at = refused_at.map_or(now, |at| now.min(at + MAX_UNNOTICED));
+        self.grace_until = Some(back_at + RECOVERY_GRACE);
+    }
+
+    /// Applies the rest of the grace period of an entry that found the registry back earlier, unless one
+    /// runs here.
+    pub fn adopt_grace(&mut self, rest: time::Duration, now: time::Instant) {
+        if self.grace_left(now).is_zero() {
+            self.grace_until = Some(now + rest.min(RECOVERY_GRACE));
+        }
+    }
+
+    /// Rest of the grace period after the registry's last recovery; zero without one.
+    pub fn grace_left(&self, now: time::Instant) -> time::Duration {
+        self.grace_until.map_or(time::Duration::ZERO, |until| until.saturating_duration_since(now))
     }
 
     /// Sets the newest registration of a server.
--- a/crates/core/src/freshness.rs
+++ b/crates/core/src/freshness.rs
@@ -7,13 +7,19 @@
 const STALE_AGE: time::Duration = time::Duration::from_millis(1_600);
 /// The same in a fleet of several cells, where news passes through several entries.
 const CELLS_STALE_AGE: time::Duration = time::Duration::from_millis(2_600);
-/// Longest delay beyond that, so that one of several entries asks first and tells the others.
+/// Age that shows that nobody was answered, as somebody asks before it and tells the others.
+const OUTAGE_AGE: time::Duration = time::Duration::from_millis(2_500);
+/// Answers to others this soon after the first failed call may have come before the outage.
+const TOLD_MARGIN: time::Duration = time::Duration::from_millis(500);
+/// Longest delay of that question, so that one of several entries asks first and tells the others.
 const MAX_DELAY: time::Duration = time::Duration::from_millis(600);
 
 /// Time as of which an entry knows all changes of a table.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Freshness {
     current_at: Option<time::Instant>,
+    // When the store last answered another entry, as far as this one was told.
+    told_at: Option<time::Instant>,
 }
 
 impl Freshness {
@@ -22,6 +28,22 @@
         self.current_at = self.current_at.max(Some(at));
     }
 
+    /// Records that the store has answered another entry at `at`.
+    pub fn record_told(&mut self, at: time::Instant) {
+        self.told_at = self.told_at.max(Some(at));
+    }
+
+    /// Whether the store has answered others of late, though it has not answered this entry since
+    /// `failed_at`: then it was not away, or was back before.
+    pub fn is_answered(&self, failed_at: time::Instant, now: time::Instant) -> bool {
+        self.told_at.is_some_and(|at| at > failed_at + TOLD_MARGIN && now < at + STALE_AGE)
+    }
+
+    /// Whether the store may have been away since all changes were known: nobody was answered.
+    pub fn may_follow_outage(&self, now: time::Instant) -> bool {
+        self.age(now).is_some_and(|age| age > OUTAGE_AGE)
+    }
+
     /// When the entry is to ask the store whether there are changes, unless it learns before that there
     /// are none; `delay` is a random number from 0 to 1.
     pub fn check_at(&self, is_single_cell: bool, delay: f64) -> Option<time::Instant> {
--- a/crates/core/tests/fleet.rs
+++ b/crates/core/tests/fleet.rs
@@ -109,7 +109,7 @@
     let mut fleet = fleet::Fleet::default();
     fleet.set("i-1", instance(1, false));
     let now = time::Instant::now();
-    fleet.registry_recovered(now);
+    fleet.registry_recovered(None, now);
     assert_eq!(fleet.remove("i-1", now + 10 * MILLI), None);
     assert_eq!(fleet.next_expired(now + 1_000 * MILLI), None);
     fleet.set("i-1", instance(1, false));
@@ -121,7 +121,7 @@
     let mut fleet = fleet::Fleet::default();
     fleet.set("i-1", instance(1, false));
     let now = time::Instant::now();
-    fleet.registry_recovered(now);
+    fleet.registry_recovered(None, now);
     assert_eq!(fleet.remove("i-1", now), None);
     let gone = fleet.next_expired(now + 2_000 * MILLI);
     assert_eq!(gone, Some(Change::Gone("i-1".into())), "two seconds after the recovery");
@@ -131,7 +131,7 @@
 fn invalid_at_once() {
     let mut fleet = fleet::Fleet::default();
     fleet.set("i-1", instance(1, false));
-    fleet.registry_recovered(time::Instant::now());
+    fleet.registry_recovered(None, time::Instant::now());
     assert_eq!(fleet.set_invalid("i-1"), Some(Change::Gone("i-1".into())));
 }
 
@@ -147,3 +147,20 @@
     assert_eq!(fleet.next_expired(now + 400 * MILLI), None);
     assert_eq!(fleet.next_expired(now + 600 * MILLI), Some(Change::Gone("i-1".into())));
 }
+
+// Guards against a grace period that begins anew at each entry, as late as it reaches the registry, and
+// ends after a removed server must not be used.
+#[test]
+fn grace_of_return() {
+    let now = time::Instant::now();
+    let millis = time::Duration::from_millis;
+    let mut first = fleet::Fleet::default();
+    first.registry_recovered(Some(now - millis(1_500)), now);
+    assert_eq!(first.grace_left(now), millis(1_300), "back for half a second, as it may be");
+    let mut later = fleet::Fleet::default();
+    later.adopt_grace(first.grace_left(now), now);
+    later.adopt_grace(millis(1_700), now + millis(400));
+    assert_eq!(later.grace_left(now + millis(400)), millis(900));
+    later.adopt_grace(time::Duration::from_secs(60), now + millis(2_000));
+    assert!(later.grace_left(now + millis(2_000)) <= time::Duration::from_secs(2));
+}
--- a/crates/core/tests/freshness.rs
+++ b/crates/core/tests/freshness.rs
@@ -34,3 +34,30 @@
     known.record(now + SECOND);
     assert_eq!(known.check_at(true, 0.0), Some(first + SECOND));
 }
+
+// Guards against a grace period that an entry begins for itself, as it alone did not reach the store:
+// its peers know which servers are gone.
+#[test]
+fn cut_off_alone() {
+    let now = time::Instant::now();
+    let mut known = freshness::Freshness::default();
+    let failed_at = now - 4 * SECOND;
+    assert!(!known.is_answered(failed_at, now), "nobody has told anything");
+    known.record_told(failed_at);
+    assert!(!known.is_answered(failed_at, now), "told before the outage");
+    known.record_told(now - SECOND);
+    assert!(known.is_answered(failed_at, now));
+    assert!(!known.is_answered(failed_at, now + SECOND), "the store may be away by then");
+}
+
+// Guards against live servers that are dropped after an outage which an open feed has outlasted.
+#[test]
+fn outage_outlasted() {
+    let now = time::Instant::now();
+    let mut known = freshness::Freshness::default();
+    assert!(!known.may_follow_outage(now), "nothing is known yet");
+    known.record(now);
+    let checked = known.check_at(true, 1.0).unwrap();
+    assert!(!known.may_follow_outage(checked), "asked and answered before");
+    assert!(known.may_follow_outage(now + 4 * SECOND));
+}
--- a/crates/edge/src/peers.rs
+++ b/crates/edge/src/peers.rs
@@ -155,6 +155,7 @@
 fn build_head(edge: &edge::Edge, seq: u64) -> share::Share {
     let directory = edge.directory();
     let (config, servers) = (directory.versions().config, directory.rows.newest_change());
+    let grace = directory.fleet.grace_left(clock::now());
     drop(directory);
     let ages = edge.tables().ages(clock::now());
     let millis = |age: u64| u32::try_from(age).ok();
@@ -168,6 +169,7 @@
         servers,
         config_ms: ages.config.and_then(millis),
         servers_ms: ages.servers.and_then(millis),
+        grace_ms: grace.as_millis() as u32,
         follows: edge.follows_store() && !edge.is_disconnected(),
         is_ready: edge.is_ready(),
         limits: share::Limit::collect(&edge.limits().quotas, seq, clock::now()),
@@ -339,6 +341,11 @@
         config: share.config_ms.map(u64::from),
         servers: share.servers_ms.map(u64::from),
     };
+    let grace = time::Duration::from_millis(share.grace_ms.into());
+    let misses_store = edge.is_disconnected() || edge.tables().servers.may_follow_outage(now);
+    if misses_store && !grace.is_zero() {
+        edge.directory().fleet.adopt_grace(grace, now);
+    }
     edge.tables().record_told(&told, &own.knows(&versions), now);
     if own.lags_behind(&versions) {
         edge.lag().record(from, versions);
--- a/crates/edge/src/tables.rs
+++ b/crates/edge/src/tables.rs
@@ -54,7 +54,9 @@
         if let Some(at) = at(told.config).filter(|_| known.config) {
             self.config.record(at);
         }
-        if let Some(at) = at(told.servers).filter(|_| known.servers) {
+        let Some(at) = at(told.servers) else { return };
+        self.servers.record_told(at);
+        if known.servers {
             self.servers.record(at);
         }
     }
--- a/crates/edge/src/watch.rs
+++ b/crates/edge/src/watch.rs
@@ -43,8 +43,13 @@
     // Until the first response the table counts as unavailable, so that snapshots are fetched from
     // peers.
     let backoff = backoff::Backoff::new(RETRY_DELAY, MAX_RETRY_DELAY);
-    let mut state =
-        TableState { is_unavailable: true, lost_feed: false, is_first_read: true, backoff };
+    let mut state = TableState {
+        unavailable_at: Some(clock::now()),
+        refused_at: None,
+        lost_feed: false,
+        is_first_read: true,
+        backoff,
+    };
     edge.unavailable_tables.fetch_add(1, atomic::Ordering::Relaxed);
     loop {
         if !state.is_first_read {
@@ -105,7 +110,10 @@
 
 // Availability of one table in the store.
 struct TableState {
-    is_unavailable: bool,
+    // First failed call since the last answer, or the start of the process.
+    unavailable_at: Option<time::Instant>,
+    // Last call that the store refused since then.
+    refused_at: Option<time::Instant>,
     // Whether the last feed was lost, though the store may be available.
     lost_feed: bool,
     is_first_read: bool,
@@ -114,8 +122,11 @@
 
 impl TableState {
     fn record_failure(&mut self, edge: &edge::Edge, table: store::Table, err: &FollowError) {
-        if !self.is_unavailable {
-            self.is_unavailable = true;
+        if err.is_refused() {
+            self.refused_at = Some(clock::now());
+        }
+        if self.unavailable_at.is_none() {
+            self.unavailable_at = Some(clock::now());
             edge.unavailable_tables.fetch_add(1, atomic::Ordering::Relaxed);
             tracing::warn!(?table, %err, "edge: store unavailable");
         }
@@ -131,14 +142,15 @@
         if !self.lost_feed {
             self.backoff.reset();
         }
-        if self.is_unavailable {
-            self.is_unavailable = false;
+        if let Some(failed_at) = self.unavailable_at.take() {
             edge.unavailable_tables.fetch_sub(1, atomic::Ordering::Relaxed);
             tracing::info!(?table, %version, "edge: store available");
-            let mut directory = edge.directory();
-            if table == store::Table::Servers && directory.is_complete() {
-                directory.fleet.registry_recovered(clock::now());
-                tracing::info!("edge: missing servers are kept for a grace period");
+            // Otherwise rows are missing for good, or a peer has told until when to wait for them.
+            let refused_at = self.refused_at.take();
+            if table == store::Table::Servers
+                && !edge.tables().servers.is_answered(failed_at, clock::now())
+            {
+                begin_grace(edge, refused_at);
             }
         }
     }
@@ -161,6 +173,12 @@
 }
 
 impl FollowError {
+    // Whether the store refused a call, so that it was away at that time.
+    fn is_refused(&self) -> bool {
+        let (FollowError::Unavailable(err) | FollowError::Feed(err)) = self;
+        matches!(err, store::StoreError::Refused(_))
+    }
+
     // Whether a call got no response, so that other connections to the store may be silent too.
     fn is_silent(&self) -> bool {
         let (FollowError::Unavailable(err) | FollowError::Feed(err)) = self;
@@ -193,7 +211,7 @@
 ) -> Result<(), FollowError> {
     let reading = edge.store.read_all(table, READ_TIMEOUT);
     let all = reading.await.map_err(read_error)?;
-    edge.tables().record(table, clock::now());
+    record_answer(edge, table);
     state.record_success(edge, table, all.version);
     let mut version = all.version;
     if table == store::Table::Servers {
@@ -225,7 +243,7 @@
             }
         };
         version = version.max(changes.version);
-        edge.tables().record(table, clock::now());
+        record_answer(edge, table);
         state.record_feed();
         let has_changes = !changes.rows.is_empty();
         apply(edge, table, &changes.rows, directory::Source::Store);
@@ -281,9 +299,29 @@
 // A restored store lacks the newest rows, which live servers write again: they are kept for the
 // grace period.
 fn begin_era(edge: &edge::Edge, version: store::Version) {
+    let known = edge.directory().rows.version();
+    if version.era > known.era {
+        begin_grace(edge, None);
+    }
+}
+
+// Records that the store has answered with all changes of `table`, before they are applied.
+fn record_answer(edge: &edge::Edge, table: store::Table) {
+    let now = clock::now();
+    let may_follow_outage = edge.tables().servers.may_follow_outage(now);
+    if table == store::Table::Servers && may_follow_outage {
+        begin_grace(edge, None);
+    }
+    edge.tables().record(table, now);
+}
+
+// Keeps servers whose rows are missing for the grace period, after an outage of the store in which it
+// last refused a call at `refused_at`.
+fn begin_grace(edge: &edge::Edge, refused_at: Option<time::Instant>) {
     let mut directory = edge.directory();
-    if directory.is_complete() && version.era > directory.rows.version().era {
-        directory.fleet.registry_recovered(clock::now());
+    if directory.is_complete() {
+        directory.fleet.registry_recovered(refused_at, clock::now());
+        let version = directory.rows.version();
         tracing::info!(%version, "edge: missing servers are kept for a grace period");
     }
 }
--- a/crates/wire/src/share.rs
+++ b/crates/wire/src/share.rs
@@ -36,6 +36,9 @@
     pub config_ms: Option<u32>,
     /// The same for the servers' rows.
     pub servers_ms: Option<u32>,
+    /// Rest of the sender's grace period for servers without rows, after an outage of the store, in
+    /// milliseconds.
+    pub grace_ms: u32,
     /// Whether the sender receives the changes of the platform's store.
     pub follows: bool,
     /// Whether the sender is ready for callers.
