Use no connection to a server that has been idle until its probes

Traced again: written at 22.5 s, the connection failed by its unanswered probes at 23.09 s without a reset, the cut healed at 28.7 s. The entry cannot see that probes are unanswered, and what the system gives up by itself may still arrive; what the entry closes does not.

Idle connections were kept for 3 s, or as long as the server advertises; the first probe follows after 1 s. They are kept for 0.9 s now, so that no request is written to a connection whose probes may have gone unanswered, and the entry's own timeouts come before the system's.

--- a/crates/edge/src/connections.rs
+++ b/crates/edge/src/connections.rs
@@ -107,8 +107,10 @@
 const PROBE_INTERVAL: time::Duration = time::Duration::from_secs(1);
 /// Consecutive unanswered probes after which a connection fails.
 const MAX_PROBES: u32 = 2;
-/// Time for which an idle connection is kept if the server advertises no idle timeout.
-const IDLE_TIMEOUT: time::Duration = time::Duration::from_secs(3);
+/// Longest time for which an idle connection is kept. Shorter than the time to the first probe: where
+/// probes stay unanswered, the system may give a connection up just after a request was written to it,
+/// without a reset, and the request may arrive once the network works again.
+const IDLE_TIMEOUT: time::Duration = time::Duration::from_millis(900);
 /// Subtracted from an advertised idle timeout, since a server may close a connection this much
 /// earlier.
 const IDLE_MARGIN: time::Duration = time::Duration::from_millis(900);
@@ -263,8 +265,8 @@
         mut connection: Connection,
         idle_timeout: Option<time::Duration>,
     ) {
-        let timeout =
-            idle_timeout.map_or(IDLE_TIMEOUT, |timeout| timeout.saturating_sub(IDLE_MARGIN));
+        let advertised = idle_timeout.map(|timeout| timeout.saturating_sub(IDLE_MARGIN));
+        let timeout = advertised.unwrap_or(IDLE_TIMEOUT).min(IDLE_TIMEOUT);
         let is_full = connection.exchanges.is_full();
         if connection.sender.is_closed() || timeout.is_zero() || is_full {
             return;
