Check in the soak that each config is in force in time, and silence feeds of one table

The soak checked only that a config is not lost again, so a version 21 s late passed. It now records when the store took each version, and a probe sent more than config_deadline_ms (2 s) later, at an entry that nothing has disturbed for contact_ms (3 s), must find it.

--- a/crates/soak/src/arrival_checks.rs
+++ b/crates/soak/src/arrival_checks.rs
@@ -13,7 +13,7 @@
 /// Time after which a server that leaves gets no more requests, the platform's `drain_ms`.
 const DRAIN: time::Duration = time::Duration::from_millis(2_000);
 /// Time for which a disturbance excuses an entry, the platform's `contact_ms`.
-const CONTACT: time::Duration = time::Duration::from_millis(3_000);
+pub(crate) const CONTACT: time::Duration = time::Duration::from_millis(3_000);
 /// Number of crashes by requests with one part after which the entries must know it, and of such
 /// requests that may still reach servers.
 const KNOWN_AFTER: usize = 5;
@@ -303,8 +303,8 @@
     })
 }
 
-// Whether an entry had any fault in a period.
-fn has_fault(
+/// Whether an entry had any fault in a period.
+pub(crate) fn has_fault(
     history: &record::History,
     edge: usize,
     from: time::Instant,
--- a/crates/soak/src/callers.rs
+++ b/crates/soak/src/callers.rs
@@ -267,11 +267,12 @@
     let headers = [("host", host.as_str()), (caller::KEY, record::customer(&attempt).keys[0])];
     let call = call::Call { path: "/", attempt: &attempt, body: "", headers: &headers };
     shared.note_sent(&attempt, edge);
+    let began = time::Instant::now();
     let reply = call.send(client, Method::GET, shared.edges[edge]).await.ok()?;
     let applied = match reply.status {
         200 => true,
         404 => false,
         _ => return None,
     };
-    Some(record::ConfigProbe { edge, at: time::Instant::now(), version, applied })
+    Some(record::ConfigProbe { edge, began, at: time::Instant::now(), version, applied })
 }
--- a/crates/soak/src/check.rs
+++ b/crates/soak/src/check.rs
@@ -16,6 +16,8 @@
 
 /// Time beyond the timeout of a route, for delays on a busy machine.
 const TIMEOUT_MARGIN: time::Duration = time::Duration::from_millis(1_500);
+/// Time within which a version of the config is in force, the platform's `config_deadline_ms`.
+const CONFIG_DEADLINE: time::Duration = time::Duration::from_millis(2_000);
 /// Statuses of an entry that report that a request did not run.
 const NOT_RUN_STATUSES: [u16; 4] = [408, 421, 429, 503];
 /// Latest time after the signal for a graceful stop at which a request may still be interrupted by
@@ -48,6 +50,7 @@
     }
     violations.extend(check_versions(history));
     violations.extend(check_probes(history));
+    violations.extend(check_in_force(history));
     violations
 }
 
@@ -183,6 +186,27 @@
     is_held.then(|| violation(Invariant::GracefulStop, record, "held and lost in a stop"))
 }
 
+// Checks that each version of the config is in force in time at entries that nothing has disturbed.
+fn check_in_force(history: &record::History) -> Vec<Violation> {
+    let mut violations = Vec::new();
+    for probe in history.probes.iter().filter(|probe| !probe.applied) {
+        let Some(taken_at) = history.configs.get(&probe.version) else { continue };
+        let from = probe.began - arrival_checks::CONTACT;
+        let places = [record::Place::Store, record::Place::Edge(probe.edge)];
+        let is_disturbed = places.iter().any(|place| history.is_disturbed(place, from, probe.at));
+        if probe.began > *taken_at + CONFIG_DEADLINE
+            && !is_disturbed
+            && !arrival_checks::has_fault(history, probe.edge, from, probe.at)
+        {
+            let late = probe.began - *taken_at;
+            let record::ConfigProbe { edge, version, .. } = probe;
+            let detail = format!("entry {edge}: version {version} is not applied after {late:?}");
+            violations.push(Violation { invariant: Invariant::InForce, detail });
+        }
+    }
+    violations
+}
+
 fn check_probes(history: &record::History) -> Vec<Violation> {
     let mut newest: collections::BTreeMap<usize, (time::Instant, u64)> =
         collections::BTreeMap::new();
--- a/crates/soak/src/injector.rs
+++ b/crates/soak/src/injector.rs
@@ -97,6 +97,10 @@
                 self.site.store_relays.iter().for_each(relay::Relay::blackhole);
                 self.disturb(Place::Store);
             }
+            plan::Change::SilenceFeeds(table) => {
+                self.site.store.silence_feeds(table);
+                self.disturb(Place::Store);
+            }
             plan::Change::CutStore(edge, is_cut) => {
                 let mode = if is_cut { relay::Mode::Buffer } else { relay::Mode::Forward };
                 self.site.store_relays[edge].set_modes(mode, mode);
@@ -330,6 +334,7 @@
         let version = self.shared.version.fetch_add(1, atomic::Ordering::Relaxed) + 1;
         let config = self.site.config_with_customers(version, &record::CUSTOMERS);
         self.site.store.put("op", "config", config.to_string());
+        self.shared.history().configs.insert(version, time::Instant::now());
     }
 
     // Sends a signal to an entry that runs, and records the fault unless it has it already.
--- a/crates/soak/src/invariant.rs
+++ b/crates/soak/src/invariant.rs
@@ -37,6 +37,8 @@
     Limited,
     /// No server gets the key of a customer, or the name of another than the caller's.
     Customer,
+    /// A version of the config is in force within its deadline.
+    InForce,
     /// An entry never goes back to an older config.
     NoRollback,
     /// Each entry serves all kinds of requests again soon after the last fault.
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -26,6 +26,8 @@
     Store(store::Mode),
     /// Makes the open connections of all entries to the store forward nothing more; new ones work.
     SilenceStore,
+    /// Makes the open feeds of a table of the store deliver nothing more; new ones work.
+    SilenceFeeds(&'static str),
     /// Cuts an entry off from the store, or connects it again.
     CutStore(usize, bool),
     /// Discards the change history of the store.
@@ -151,6 +153,11 @@
     backend::Fault::Resets,
     backend::Fault::Fails,
 ];
+/// The same for feeds of one table that fall silent, with entries killed or frozen around it and a change
+/// of the config or a departure soon after.
+const FEED_FAULTS: u64 = 0x94d0_49bb_1331_11eb;
+const FEED_TABLES: [&str; 2] = ["op", "servers"];
+const FEED_INTERVAL_MS: std::ops::Range<u64> = 1_000..6_000;
 /// Time from a copy of the store to the restore from it.
 const COPY_AGE_MS: std::ops::Range<u64> = 500..5_000;
 /// Time after a restore of the store within which the operator and the servers write again.
@@ -263,6 +270,8 @@
         generator.draw_outage(length, sizes);
         generator.random = rngs::StdRng::seed_from_u64(seed ^ ANSWER_FAULTS);
         generator.draw_answers(length);
+        generator.random = rngs::StdRng::seed_from_u64(seed ^ FEED_FAULTS);
+        generator.draw_feeds(length);
         generator.steps.sort_by_key(|step| step.at);
         Plan { seed, length, sizes, callers, steps: generator.steps }
     }
@@ -456,6 +465,35 @@
     }
 
     // Faults of servers, one after another, in half of the plans.
+    fn draw_feeds(&mut self, length: time::Duration) {
+        if self.random.random_bool(0.5) {
+            return;
+        }
+        let mut at = self.millis(FEED_INTERVAL_MS);
+        while at < length {
+            for table in FEED_TABLES {
+                if self.random.random_bool(0.7) {
+                    self.push(at, Change::SilenceFeeds(table));
+                }
+            }
+            // The entries with the lowest addresses check the feeds.
+            let checker = self.random.random_range(0..self.edges.min(2));
+            let span = [at, at + self.millis(FAULT_DURATION_MS)];
+            match self.random.random_range(0..3) {
+                0 => self.push_pair(span, Change::Kill(checker), Change::Start(checker)),
+                1 => self.push_pair(span, Change::Freeze(checker), Change::Resume(checker)),
+                _ => {}
+            }
+            let changed_at = at + self.millis(SERIES_INTERVAL_MS);
+            let server = self.random.random_range(0..self.servers);
+            self.push(changed_at, Change::Config);
+            let until = changed_at + self.millis(DEPARTURE_MS);
+            let departure = self.pick(&[Change::Drain(server), Change::Expire(server)]);
+            self.push_pair([changed_at, until], departure, Change::Announce(server));
+            at += self.millis(FEED_INTERVAL_MS);
+        }
+    }
+
     fn draw_answers(&mut self, length: time::Duration) {
         if self.random.random_bool(0.5) {
             return;
--- a/crates/soak/src/record.rs
+++ b/crates/soak/src/record.rs
@@ -176,6 +176,8 @@
 pub struct ConfigProbe {
     /// Index of the entry.
     pub edge: usize,
+    /// When the request was sent.
+    pub began: time::Instant,
     /// When the response arrived.
     pub at: time::Instant,
     /// Version that was probed.
@@ -289,6 +291,8 @@
     pub sent: collections::BTreeMap<String, Sent>,
     /// Probes of the applied config.
     pub probes: Vec<ConfigProbe>,
+    /// When the store took each version of the config.
+    pub configs: collections::BTreeMap<u64, time::Instant>,
     /// Faults of entries.
     pub windows: Vec<FaultWindow>,
     /// Disturbances of the store and of connections.
--- a/crates/soak/tests/checks.rs
+++ b/crates/soak/tests/checks.rs
@@ -194,6 +194,7 @@
     let at = |millis| start + time::Duration::from_millis(millis);
     let probe = |millis, version, applied| record::ConfigProbe {
         edge: 0,
+        began: at(millis),
         at: at(millis),
         version,
         applied,
@@ -211,3 +212,39 @@
     assert_eq!(rollbacks(&falling, &[window(EntryFault::Killed)]), 0, "restarted process");
     assert_eq!(rollbacks(&falling, &[window(EntryFault::Frozen)]), 1, "same process");
 }
+
+// Guards against a soak that passes while a version comes into force late.
+#[test]
+fn config_late() {
+    let start = time::Instant::now() + time::Duration::from_secs(60);
+    let at = |millis| start + time::Duration::from_millis(millis);
+    let late = |asked_ms, windows: &[record::FaultWindow], disturbed: Option<record::Place>| {
+        let probe = record::ConfigProbe {
+            edge: 0,
+            began: at(asked_ms),
+            at: at(asked_ms),
+            version: 4,
+            applied: false,
+        };
+        let disturbance =
+            |place| record::Disturbance { place, from: at(1_500), until: Some(at(1_600)) };
+        let history = record::History {
+            probes: vec![probe],
+            configs: [(4, at(0))].into(),
+            windows: windows.to_vec(),
+            disturbances: disturbed.into_iter().map(disturbance).collect(),
+            ..record::History::default()
+        };
+        let violations = check::check(&history, &check::Runs::new());
+        violations.iter().filter(|found| found.invariant == Invariant::InForce).count()
+    };
+    assert_eq!(late(1_900, &[], None), 0);
+    assert_eq!(late(2_100, &[], None), 1);
+    let window =
+        record::FaultWindow { edge: 0, fault: EntryFault::Frozen, from: at(0), until: Some(at(9)) };
+    assert_eq!(late(2_100, &[window], None), 0, "disturbed within contact_ms");
+    assert_eq!(late(3_100, &[window], None), 1);
+    for (place, expected) in [(record::Place::Store, 0), (record::Place::Edge(1), 1)] {
+        assert_eq!(late(2_100, &[], Some(place)), expected);
+    }
+}
