Tell only what the store itself has answered, over a bounded number of entries

Two entries could so confirm each other for ever what nobody had asked, the more so the slower datagrams are read, and nobody would have noticed silent feeds under load.

A confirmation now counts the entries through which it came: one in a fleet of one cell, where all hear those that ask, three between cells. The delays of so many datagrams are the most by which an age is too low.

--- a/crates/core/src/freshness.rs
+++ b/crates/core/src/freshness.rs
@@ -14,18 +14,39 @@
 /// Longest delay of that question, so that one of several entries asks first and tells the others.
 const MAX_DELAY: time::Duration = time::Duration::from_millis(600);
 
+/// Longest way of what the store has answered, in entries. Each adds the delay of its datagram to the
+/// time, so that without a bound entries would confirm one another what nobody has asked.
+const MAX_HOPS: usize = 3;
+
+/// Number of entries through which a confirmation came; 0 for an answer of the store itself.
+pub type Hops = u8;
+
 /// Time as of which an entry knows all changes of a table.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Freshness {
     current_at: Option<time::Instant>,
+    // Newest times to tell others, by the number of entries through which they came.
+    tellable: [Option<time::Instant>; MAX_HOPS],
     // When the store last answered another entry, as far as this one was told.
     told_at: Option<time::Instant>,
 }
 
 impl Freshness {
-    /// Records that all changes up to `at` are known.
-    pub fn record(&mut self, at: time::Instant) {
+    /// Records that all changes up to `at` are known, as was confirmed through `hops` entries.
+    pub fn record(&mut self, at: time::Instant, hops: Hops) {
         self.current_at = self.current_at.max(Some(at));
+        if let Some(told) = self.tellable.get_mut(usize::from(hops)) {
+            *told = (*told).max(Some(at));
+        }
+    }
+
+    /// What to tell another entry: time since all changes were known, and through how many entries that
+    /// was confirmed. In a fleet of one cell everyone hears those that ask, and nothing is passed on.
+    pub fn told(&self, is_single_cell: bool, now: time::Instant) -> Option<(time::Duration, Hops)> {
+        let ways = if is_single_cell { 1 } else { MAX_HOPS };
+        let known = (0..).zip(&self.tellable[..ways]);
+        let newest = known.filter_map(|(hops, at)| Some(((*at)?, hops))).max_by_key(|(at, _)| *at);
+        newest.map(|(at, hops)| (now.saturating_duration_since(at), hops))
     }
 
     /// Records that the store has answered another entry at `at`.
--- a/crates/edge/src/peers.rs
+++ b/crates/edge/src/peers.rs
@@ -8,7 +8,7 @@
 use rhubarb_node::clock;
 use rhubarb_wire::{origins as wire_origins, share};
 
-use crate::{directory, edge, lag, misdirected, origins, quotas, suspects as watch, tables};
+use crate::{directory, edge, lag, misdirected, origins, quotas, suspects as watch};
 
 /// Interval between datagrams to the peers without changes; they are also the heartbeats.
 const HEARTBEAT_PERIOD: time::Duration = time::Duration::from_millis(300);
@@ -157,8 +157,7 @@
     let (config, servers) = (directory.versions().config, directory.rows.newest_change());
     let grace = directory.fleet.grace_left(clock::now());
     drop(directory);
-    let ages = edge.tables().ages(clock::now());
-    let millis = |age: u64| u32::try_from(age).ok();
+    let is_single = edge.members().partition().is_single();
     share::Share {
         format: share::FORMAT,
         name: edge.settings().name.clone(),
@@ -167,8 +166,7 @@
         zone: ids::zone_tag(&edge.settings().zone),
         config,
         servers,
-        config_ms: ages.config.and_then(millis),
-        servers_ms: ages.servers.and_then(millis),
+        confirmed: edge.tables().told(is_single, clock::now()),
         grace_ms: grace.as_millis() as u32,
         follows: edge.follows_store() && !edge.is_disconnected(),
         is_ready: edge.is_ready(),
@@ -337,16 +335,12 @@
     }
     let own = edge.directory().versions();
     let versions = lag::Versions { config: share.config, servers: share.servers };
-    let told = tables::Ages {
-        config: share.config_ms.map(u64::from),
-        servers: share.servers_ms.map(u64::from),
-    };
     let grace = time::Duration::from_millis(share.grace_ms.into());
     let misses_store = edge.is_disconnected() || edge.tables().servers.may_follow_outage(now);
     if misses_store && !grace.is_zero() {
         edge.directory().fleet.adopt_grace(grace, now);
     }
-    edge.tables().record_told(&told, &own.knows(&versions), now);
+    edge.tables().record_told(&share.confirmed, &own.knows(&versions), now);
     if own.lags_behind(&versions) {
         edge.lag().record(from, versions);
         edge.lag_detected.notify_one();
--- a/crates/edge/src/tables.rs
+++ b/crates/edge/src/tables.rs
@@ -4,6 +4,7 @@
 
 use rhubarb_core::freshness;
 use rhubarb_platform::store;
+use rhubarb_wire::share;
 
 /// Freshness of the two tables that an entry follows.
 #[derive(Clone, Copy, Debug, Default)]
@@ -19,7 +20,7 @@
     pub(crate) servers: bool,
 }
 
-/// Ages of the two tables, in milliseconds; `None` for one that is not known yet.
+/// Ages of the two tables, in milliseconds, for logs; `None` for one that is not known yet.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Ages {
     pub(crate) config: Option<u64>,
@@ -27,10 +28,10 @@
 }
 
 impl Tables {
-    /// Records that all changes of `table` up to `at` are known.
+    /// Records that the store has told all changes of `table` up to `at`.
     pub(crate) fn record(&mut self, table: store::Table, at: time::Instant) {
         if let Some(table) = self.get_mut(table) {
-            table.record(at);
+            table.record(at, 0);
         }
     }
 
@@ -48,16 +49,33 @@
         }
     }
 
+    /// What to tell a peer.
+    pub(crate) fn told(&self, is_single_cell: bool, now: time::Instant) -> share::Confirmed {
+        let confirm = |table: &freshness::Freshness| {
+            let (age, hops) = table.told(is_single_cell, now)?;
+            Some(share::Confirmation { age_ms: u32::try_from(age.as_millis()).ok()?, hops })
+        };
+        share::Confirmed { config: confirm(&self.config), servers: confirm(&self.servers) }
+    }
+
     /// Records what a peer has told, whose versions are known here if `known` says so.
-    pub(crate) fn record_told(&mut self, told: &Ages, known: &Known, now: time::Instant) {
-        let at = |age: Option<u64>| now.checked_sub(time::Duration::from_millis(age?));
-        if let Some(at) = at(told.config).filter(|_| known.config) {
-            self.config.record(at);
+    pub(crate) fn record_told(
+        &mut self,
+        told: &share::Confirmed,
+        known: &Known,
+        now: time::Instant,
+    ) {
+        let place = |told: &share::Confirmation| {
+            let age = time::Duration::from_millis(told.age_ms.into());
+            now.checked_sub(age).map(|at| (at, told.hops.saturating_add(1)))
+        };
+        if let Some((at, hops)) = told.config.as_ref().and_then(place).filter(|_| known.config) {
+            self.config.record(at, hops);
         }
-        let Some(at) = at(told.servers) else { return };
+        let Some((at, hops)) = told.servers.as_ref().and_then(place) else { return };
         self.servers.record_told(at);
         if known.servers {
-            self.servers.record(at);
+            self.servers.record(at, hops);
         }
     }
 
