Wait in lease_lost for an order before the store is restored

It now begins when an order was sent, which also shows that the lease is held; what is asserted stays the same.

--- a/crates/e2e/tests/platform_eras.rs
+++ b/crates/e2e/tests/platform_eras.rs
@@ -424,9 +424,10 @@
 async fn lease_lost() -> anyhow::Result<()> {
     let site = start_unbalanced().await?;
     let copy = copy_before_writes(&site);
-    // Begins with the streams, so that a change of stages is due when the store is restored.
+    // Begins with the streams, so that a change of stages is due when the store is restored. An order
+    // shows that the lease is held; no later one of this lease is sent.
     let restored = async {
-        wait_log(&site, 0, "lease for changing stages acquired").await?;
+        wait_log(&site, 0, "edge: order sent").await?;
         let fence = site.store.put("leases", "stages", "another/1");
         let lost_at = time::Instant::now();
         site.store.restore(copy);
