Log the process and number of each row of a server, earlier rows, and timers that fire late

Adds earlier_rows{order}, timer_delay_seconds, and born and sequence to the lines. No decision changes.

--- a/crates/core/src/fleet.rs
+++ b/crates/core/src/fleet.rs
@@ -40,10 +40,24 @@
     pub leaving: bool,
     /// Start of its process in Unix milliseconds, if registered.
     pub started_ms: Option<u64>,
+    /// Number of this registration among those that its process has written.
+    pub sequence: u64,
     /// Version of its software.
     pub software: ids::SoftwareName,
 }
 
+/// Order of a registration and the one that is known of the same server, as the server itself tells it.
+/// The registry carries out a write that was not answered up to seconds later, after newer ones.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Order {
+    /// None is known, or this one was written later, as far as can be told.
+    Later,
+    /// An earlier process wrote it.
+    EarlierProcess,
+    /// The same process wrote it before the one that is known.
+    EarlierReport,
+}
+
 /// Effect of a change of the registry on the set of servers.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Change {
@@ -99,6 +113,17 @@
         self.instances.get(id)
     }
 
+    /// Order of a registration of a server and the one that is known.
+    pub fn order(&self, id: &str, instance: &Instance) -> Order {
+        let Some(known) = self.instances.get(id) else { return Order::Later };
+        if known.started_ms == instance.started_ms {
+            let is_later = instance.sequence >= known.sequence;
+            return if is_later { Order::Later } else { Order::EarlierReport };
+        }
+        let is_earlier = instance.started_ms.zip(known.started_ms).is_some_and(|(a, b)| a < b);
+        if is_earlier { Order::EarlierProcess } else { Order::Later }
+    }
+
     /// Records that the registry answers again after an outage, and when it last refused a call, if it
     /// did: it may have been back since.
     pub fn registry_recovered(&mut self, refused_at: Option<time::Instant>, now: time::Instant) {
@@ -140,7 +165,8 @@
         if instance.leaving {
             return (!old.leaving).then_some(Change::Leaving(id));
         }
-        (old != instance || was_missing).then_some(Change::Updated(id))
+        let unchanged = Instance { sequence: instance.sequence, ..old };
+        (unchanged != instance || was_missing).then_some(Change::Updated(id))
     }
 
     /// Records that a server has announced that it is leaving, other than by its registration, which
--- a/crates/core/tests/beginnings.rs
+++ b/crates/core/tests/beginnings.rs
@@ -30,6 +30,7 @@
         leaving: false,
         software: "v1".into(),
         started_ms: Some(started_ms),
+        sequence: 1,
     }
 }
 
--- a/crates/core/tests/burst.rs
+++ b/crates/core/tests/burst.rs
@@ -53,6 +53,7 @@
         leaving: false,
         software: "v1".into(),
         started_ms: None,
+        sequence: 1,
     };
     (0..ENGINES).for_each(|number| engines.set(&format!("d-{number}"), &instance, SLOTS, MEMORY));
     Entry { engines, waiting: collections::VecDeque::new(), send_at: now, granted: 0 }
--- a/crates/core/tests/cells.rs
+++ b/crates/core/tests/cells.rs
@@ -155,6 +155,7 @@
             leaving: false,
             software: "v1".into(),
             started_ms: None,
+            sequence: 1,
         };
         engines.set(id, &instance, 16, 36_000);
     }
--- a/crates/core/tests/datagram_loss.rs
+++ b/crates/core/tests/datagram_loss.rs
@@ -23,6 +23,7 @@
         leaving: false,
         software: "v1".into(),
         started_ms: None,
+        sequence: 1,
     };
     for id in ["d-0", "d-1"] {
         engines.set(id, &instance, 16, 40_000);
--- a/crates/core/tests/engine_speeds.rs
+++ b/crates/core/tests/engine_speeds.rs
@@ -31,6 +31,7 @@
         leaving: false,
         software: "v1".into(),
         started_ms: None,
+        sequence: 1,
     }
 }
 
--- a/crates/core/tests/fleet.rs
+++ b/crates/core/tests/fleet.rs
@@ -18,6 +18,7 @@
         leaving,
         software: "v1".into(),
         started_ms: Some(started_ms),
+        sequence: 1,
     }
 }
 
--- a/crates/core/tests/pauses.rs
+++ b/crates/core/tests/pauses.rs
@@ -154,6 +154,7 @@
             leaving: false,
             software: "v1".into(),
             started_ms: None,
+            sequence: 1,
         };
         engines.set(id, &instance, 6, 20_000);
     }
--- a/crates/core/tests/queue_parts.rs
+++ b/crates/core/tests/queue_parts.rs
@@ -59,6 +59,7 @@
         leaving: false,
         software: "v1".into(),
         started_ms: None,
+        sequence: 1,
     }
 }
 
--- a/crates/core/tests/uneven_load.rs
+++ b/crates/core/tests/uneven_load.rs
@@ -28,6 +28,7 @@
             leaving: false,
             software: "v1".into(),
             started_ms: None,
+            sequence: 1,
         };
         engines.set(&id(number), &instance, 32, 30_000);
     }
--- a/crates/core/tests/urgency.rs
+++ b/crates/core/tests/urgency.rs
@@ -27,6 +27,7 @@
         leaving: false,
         software: "v1".into(),
         started_ms: None,
+        sequence: 1,
     };
     (0..count).for_each(|number| engines.set(&format!("d-{number}"), &instance, SLOTS, MEMORY));
     engines
--- a/crates/edge/src/directory.rs
+++ b/crates/edge/src/directory.rs
@@ -282,25 +282,27 @@
             self.leaving.get_or_create(&labels).inc();
         }
         let open = self.open_requests(change);
-        let software = self.changed_software(change);
+        let known = self.changed_instance(change);
         tracing::info!(
             ?change,
             %version,
             source = source.name(),
             open,
-            software,
+            software = known.map(|known| known.software.as_str()),
+            born = known.and_then(|known| known.started_ms),
+            sequence = known.map(|known| known.sequence),
             "edge: servers changed"
         );
         self.apply(change);
     }
 
-    // Software version of the server that a change is about.
-    fn changed_software(&self, change: &fleet::Change) -> Option<&str> {
+    // Registration of the server that a change is about.
+    fn changed_instance(&self, change: &fleet::Change) -> Option<&fleet::Instance> {
         let (fleet::Change::Joined(id)
         | fleet::Change::Updated(id)
         | fleet::Change::Leaving(id)
         | fleet::Change::Gone(id)) = change;
-        self.fleet.get(id).map(|instance| instance.software.as_str())
+        self.fleet.get(id)
     }
 
     // Requests of this entry in flight at the plain server that a change is about.
--- a/crates/edge/src/metrics.rs
+++ b/crates/edge/src/metrics.rs
@@ -25,6 +25,16 @@
 /// Counter with one series per rank.
 pub(crate) type RankFamily = family::Family<RankLabels, counter::Counter>;
 
+/// Label set of a counter by the order of a registration and the one known before.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub(crate) struct OrderLabels {
+    /// Name of the order.
+    pub(crate) order: String,
+}
+
+/// Counter with one series per order.
+pub(crate) type OrderFamily = family::Family<OrderLabels, counter::Counter>;
+
 /// Registry and the metrics in it.
 #[derive(Debug)]
 pub(crate) struct Counters {
@@ -41,6 +51,7 @@
     pub(crate) stream_records: counter::Counter,
     pub(crate) refused_ranks: RankFamily,
     pub(crate) leaving: SourceFamily,
+    pub(crate) earlier_rows: OrderFamily,
     pub(crate) pauses: counter::Counter,
     pub(crate) withheld: counter::Counter,
     pub(crate) limits: counter::Counter,
@@ -52,6 +63,7 @@
     pub(crate) first_event: histogram::Histogram,
     pub(crate) config_age: histogram::Histogram,
     pub(crate) servers_age: histogram::Histogram,
+    pub(crate) timer_delay: histogram::Histogram,
 }
 
 impl Counters {
@@ -78,6 +90,10 @@
             refused_ranks: registry.family("refused_ranks", "Requests refused, by rank"),
             leaving: registry
                 .family("leaving_servers", "Servers found to be leaving, by how it was learned"),
+            earlier_rows: registry.family(
+                "earlier_rows",
+                "Rows of servers that were written before the ones known, by who wrote them",
+            ),
             pauses: registry
                 .counter("server_pauses", "Pauses that servers have asked for, and longer ones"),
             withheld: registry.counter(
@@ -111,6 +127,10 @@
                 "servers_age_seconds",
                 "Time since all changes of the servers were known, at each request",
             ),
+            timer_delay: registry.seconds_histogram(
+                "timer_delay_seconds",
+                "Time by which a timer fires late, as each step of a request then waits",
+            ),
             registry,
         }
     }
--- a/crates/edge/src/watch.rs
+++ b/crates/edge/src/watch.rs
@@ -7,7 +7,7 @@
 use rhubarb_platform::{config, registration, store};
 use rhubarb_wire::share;
 
-use crate::{boot, directory, edge, eras, misdirected, origins};
+use crate::{boot, directory, edge, eras, metrics, misdirected, origins};
 
 /// Time that the store holds a feed request open without changes. A feed that stalls is detected
 /// earlier, by the newer versions of the peers, or as nobody tells that the table is current.
@@ -28,6 +28,8 @@
 /// Longest delay before an entry follows the store in place of others: a cell has up to forty
 /// entries, of which the first begins after a fraction of it.
 const MAX_TAKEOVER_DELAY: time::Duration = time::Duration::from_millis(2_000);
+/// Shortest delay of a timer that is logged.
+const LOGGED_DELAY: time::Duration = time::Duration::from_millis(200);
 /// Shortest stall of the process that is logged.
 const LOGGED_STALL: time::Duration = time::Duration::from_millis(500);
 
@@ -476,6 +478,7 @@
     let mut restarted = None;
     let change = match parsed {
         Some(Ok(instance)) => {
+            log_order(edge, &directory, row, &instance);
             let is_other = known.is_some_and(|software| software != instance.software);
             restarted = is_other.then_some(instance.started_ms);
             directory.fleet.set(&row.key, instance)
@@ -496,6 +499,35 @@
     }
 }
 
+// Counts and logs a row that its server wrote before the one that is known.
+fn log_order(
+    edge: &edge::Edge,
+    directory: &directory::Directory,
+    row: &store::Row,
+    instance: &fleet::Instance,
+) {
+    let order = match directory.fleet.order(&row.key, instance) {
+        fleet::Order::Later => return,
+        fleet::Order::EarlierProcess => "process",
+        fleet::Order::EarlierReport => "report",
+    };
+    let labels = metrics::OrderLabels { order: order.to_string() };
+    edge.counters.earlier_rows.get_or_create(&labels).inc();
+    let known = directory.fleet.get(&row.key);
+    tracing::warn!(
+        server = row.key,
+        version = %row.version,
+        order,
+        born = instance.started_ms,
+        sequence = instance.sequence,
+        leaving = instance.leaving,
+        known_born = known.and_then(|known| known.started_ms),
+        known_sequence = known.map(|known| known.sequence),
+        known_leaving = known.map(|known| known.leaving),
+        "edge: earlier row of a server"
+    );
+}
+
 fn apply_change(
     directory: &mut directory::Directory,
     change: Option<fleet::Change>,
@@ -558,7 +590,15 @@
 pub(crate) async fn sweep(edge: sync::Arc<edge::Edge>) {
     let mut suspension = suspension::Suspension::new(clock::now(), boot::time());
     loop {
+        let due_at = clock::now() + stalls::PERIOD;
         tokio::time::sleep(stalls::PERIOD).await;
+        let delay = clock::now().saturating_duration_since(due_at);
+        edge.counters.timer_delay.observe(delay.as_secs_f64());
+        if delay >= LOGGED_DELAY {
+            let (millis, open) =
+                (delay.as_millis() as u64, edge.open_requests.load(atomic::Ordering::Relaxed));
+            tracing::warn!(millis, open, "edge: timers fire late");
+        }
         if let Some(duration) = edge.record_running().filter(|duration| *duration >= LOGGED_STALL) {
             let millis = duration.as_millis() as u64;
             tracing::warn!(millis, "edge: process did not run");
