--- /dev/null
+++ b/crates/core/tests/server_order.rs
@@ -0,0 +1,75 @@
+//! Registrations of a server that are read in another order than its processes wrote them.
+
+use std::time;
+
+use rhubarb_core::fleet;
+
+use fleet::{Change, Order};
+
+const FIRST: u64 = 1_000;
+const SECOND: u64 = 2_000;
+
+fn row(started_ms: u64, sequence: u64, leaving: bool) -> fleet::Instance {
+    fleet::Instance {
+        service: "models".into(),
+        address: ([10, 0, 0, 1], 80).into(),
+        zone: "hall-a".into(),
+        slots: 16,
+        stage: Some(fleet::Stage::Decode),
+        leaving,
+        software: "v1".into(),
+        started_ms: Some(started_ms),
+        sequence,
+    }
+}
+
+fn is_used(fleet: &fleet::Fleet) -> bool {
+    fleet.get("i-1").is_some_and(|known| !known.leaving)
+}
+
+// Guards against work for a server that leaves, after a late write of its process before.
+#[test]
+fn earlier_process() {
+    let mut fleet = fleet::Fleet::default();
+    fleet.set("i-1", row(FIRST, 3, false));
+    fleet.set("i-1", row(SECOND, 1, false));
+    fleet.set("i-1", row(SECOND, 2, true));
+    assert_eq!(fleet.order("i-1", &row(FIRST, 4, false)), Order::EarlierProcess);
+    assert_eq!(fleet.set("i-1", row(FIRST, 4, false)), None);
+    assert!(!is_used(&fleet));
+    assert_eq!(fleet.next_expired(time::Instant::now()), None);
+    assert!(!is_used(&fleet));
+}
+
+// Guards against a notice that is forgotten with the row of another process of the server.
+#[test]
+fn notice_kept() {
+    let mut fleet = fleet::Fleet::default();
+    fleet.set("i-1", row(SECOND, 2, true));
+    fleet.set("i-1", row(FIRST, 4, false));
+    fleet.set("i-1", row(SECOND, 1, false));
+    assert!(!is_used(&fleet), "it was written before the notice");
+    fleet.set("i-1", row(SECOND, 3, false));
+    assert!(!is_used(&fleet), "a notice is final");
+}
+
+// Guards against the address or stage of a report that its process has replaced.
+#[test]
+fn earlier_report() {
+    let mut fleet = fleet::Fleet::default();
+    fleet.set("i-1", row(FIRST, 3, false));
+    let moved = fleet::Instance { stage: Some(fleet::Stage::Prefill), ..row(FIRST, 5, false) };
+    assert_eq!(fleet.set("i-1", moved.clone()), Some(Change::Updated("i-1".into())));
+    assert_eq!(fleet.order("i-1", &row(FIRST, 4, false)), Order::EarlierReport);
+    assert_eq!(fleet.set("i-1", row(FIRST, 4, false)), None);
+    assert_eq!(fleet.get("i-1"), Some(&moved));
+}
+
+// A count that has grown alone is no change.
+#[test]
+fn counted_only() {
+    let mut fleet = fleet::Fleet::default();
+    fleet.set("i-1", row(FIRST, 3, false));
+    assert_eq!(fleet.set("i-1", row(FIRST, 4, false)), None);
+    assert_eq!(fleet.order("i-1", &row(FIRST, 4, false)), Order::Later);
+}
