Order the rows of a server by its processes and their counts, and keep each process's notice

Cause: only the store's version ordered rows. Those of one process replaced those of its successor, and the notice of one process was forgotten with the row of another.

Now a row that its own process wrote before the one in use is ignored. One of an earlier process is used only after the lifetime of a row (three heartbeats of silence and the age that knowledge may have): if nobody renews it, it is removed by then; if it stays, the clock of the server was set back. Notices are kept by process. One in an answer counts for the process that was asked; a process that may have answered in its place waits as long, instead of being refused for good.

The fake servers now tell the time of their last start as born, as the protocol says; restarted_after_leaving had a start of 2 ms after 1970.

--- a/crates/core/src/fleet.rs
+++ b/crates/core/src/fleet.rs
@@ -2,7 +2,7 @@
 
 use std::{collections, net, time};
 
-use crate::ids;
+use crate::{departures, ids};
 
 /// Stage of a model engine.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -80,17 +80,19 @@
     missing: collections::BTreeMap<ids::ServerName, time::Instant>,
     // End of the grace period after the registry's last recovery.
     grace_until: Option<time::Instant>,
-    // Processes of servers that have announced that they are leaving, or were removed.
-    departing: collections::BTreeMap<ids::ServerName, Departure>,
+    departures: collections::BTreeMap<ids::ServerName, departures::Departures>,
+    // Registrations that may be older than what is known.
+    held: collections::BTreeMap<ids::ServerName, Held>,
+    // Time after which a registration has been renewed by a process that runs, or is removed.
+    row_lifetime: time::Duration,
 }
 
-// What a process of a server, registered or not, has announced; it does not take it back.
-#[derive(Clone, Copy, Debug)]
-struct Departure {
-    started_ms: Option<u64>,
-    is_announced: bool,
-    // When the server was found to be removed.
-    gone_at: Option<time::Instant>,
+// A registration that is used once it has outlived the process that is known.
+#[derive(Clone, Debug)]
+struct Held {
+    instance: Instance,
+    // Set when the time is first known.
+    until: Option<time::Instant>,
 }
 
 /// Time after the registry has recovered within which live servers renew expired registrations.
@@ -98,10 +100,6 @@
 /// Longest time that the registry counts as away after a refused call. With the grace period it is
 /// less than the 3 s after which a server without a registration must not be used.
 const MAX_UNNOTICED: time::Duration = time::Duration::from_millis(1_000);
-/// Time for which the announcement of a removed server is kept. Its registration may return after an
-/// outage of the registry, while the process still serves the last requests.
-const DEPARTURE_TTL: time::Duration = time::Duration::from_secs(3_600);
-
 impl Fleet {
     /// All servers by id.
     pub fn instances(&self) -> &collections::BTreeMap<ids::ServerName, Instance> {
@@ -113,14 +111,25 @@
         self.instances.get(id)
     }
 
-    /// Order of a registration of a server and the one that is known.
+    /// Sets the time after which a registration that its process does not renew has been removed, and
+    /// the removal is known.
+    pub fn set_row_lifetime(&mut self, lifetime: time::Duration) {
+        self.row_lifetime = lifetime;
+    }
+
+    /// Order of a registration of a server and what is known of its processes.
     pub fn order(&self, id: &str, instance: &Instance) -> Order {
-        let Some(known) = self.instances.get(id) else { return Order::Later };
-        if known.started_ms == instance.started_ms {
-            let is_later = instance.sequence >= known.sequence;
-            return if is_later { Order::Later } else { Order::EarlierReport };
+        let known = self.instances.get(id);
+        if let Some(known) = known.filter(|known| known.started_ms == instance.started_ms) {
+            // The server of a missing registration may be known by the older one alone.
+            let is_earlier = instance.sequence < known.sequence && !self.missing.contains_key(id);
+            return if is_earlier { Order::EarlierReport } else { Order::Later };
         }
-        let is_earlier = instance.started_ms.zip(known.started_ms).is_some_and(|(a, b)| a < b);
+        let started_ms = known.map_or_else(
+            || self.departures.get(id).and_then(departures::Departures::last_start),
+            |known| known.started_ms,
+        );
+        let is_earlier = instance.started_ms.zip(started_ms).is_some_and(|(own, last)| own < last);
         if is_earlier { Order::EarlierProcess } else { Order::Later }
     }
 
@@ -144,22 +153,51 @@
         self.grace_until.map_or(time::Duration::ZERO, |until| until.saturating_duration_since(now))
     }
 
-    /// Sets the newest registration of a server.
+    /// Sets the registration of a server that the registry has.
     ///
-    /// A process that has announced that it is leaving stays so, whatever its registration says.
-    pub fn set(&mut self, id: &str, mut instance: Instance) -> Option<Change> {
-        let started_ms = instance.started_ms;
-        let known = self.departing.remove(id);
-        let known = known.filter(|departure| departure.started_ms == started_ms);
-        instance.leaving |= known.is_some_and(|departure| departure.is_announced);
+    /// One that its process wrote before the one that is known is ignored. One of another process that
+    /// may have been written before what is known is used only after the lifetime of a row: it is
+    /// removed by then if its process does not run. A process that has announced that it is leaving
+    /// stays so, whatever its registration says.
+    pub fn set(&mut self, id: &str, instance: Instance) -> Option<Change> {
         if instance.leaving {
-            self.departing.insert(id.to_string(), Departure::announced(started_ms));
+            self.departures.entry(id.to_string()).or_default().announce(instance.started_ms);
+        }
+        let order = self.order(id, &instance);
+        if order == Order::EarlierReport {
+            return None;
         }
+        let held = self.held.remove(id);
+        let held = held.filter(|held| held.instance.started_ms == instance.started_ms);
+        let is_doubted = held.is_some() || self.may_have_left(id, &instance);
+        if order == Order::EarlierProcess || (is_doubted && !instance.leaving) {
+            let until = held.and_then(|held| held.until);
+            self.held.insert(id.to_string(), Held { instance, until });
+            return None;
+        }
+        self.accept(id, instance)
+    }
+
+    // Whether a process of which nothing is known was running when the server announced in an answer
+    // that it is leaving.
+    fn may_have_left(&self, id: &str, instance: &Instance) -> bool {
+        let is_known =
+            self.instances.get(id).is_some_and(|known| known.started_ms == instance.started_ms);
+        let departures = self.departures.get(id).filter(|_| !is_known);
+        departures.is_some_and(|departures| departures.may_include(instance.started_ms))
+    }
+
+    // Uses a registration.
+    fn accept(&mut self, id: &str, mut instance: Instance) -> Option<Change> {
+        let departures = self.departures.entry(id.to_string()).or_default();
+        departures.set_registered(instance.started_ms);
+        instance.leaving |= departures.is_announced(instance.started_ms);
         let was_missing = self.missing.remove(id).is_some();
         let old = self.instances.insert(id.to_string(), instance.clone());
         let id = id.to_string();
         let Some(old) = old else { return Some(Change::Joined(id)) };
-        if old.started_ms != instance.started_ms || old.service != instance.service {
+        let is_other = old.started_ms != instance.started_ms || old.service != instance.service;
+        if is_other || (old.leaving && !instance.leaving) {
             return Some(Change::Joined(id));
         }
         if instance.leaving {
@@ -170,26 +208,39 @@
     }
 
     /// Records that a server has announced that it is leaving, other than by its registration, which
-    /// may be missing by then.
-    pub fn set_leaving(&mut self, id: &str) -> Option<Change> {
-        if let Some(departure) = self.departing.get_mut(id) {
-            departure.is_announced = true;
-        }
+    /// may be missing by then: in an answer that was received at `now_ms`, in Unix milliseconds, to a
+    /// request to its process that started at `started_ms`.
+    ///
+    /// A later process that is registered by then may have answered as well. It gets no work for the
+    /// lifetime of a row, within which its own registration or another answer tells.
+    pub fn set_leaving(
+        &mut self,
+        id: &str,
+        started_ms: Option<u64>,
+        now_ms: u64,
+    ) -> Option<Change> {
+        let departures = self.departures.entry(id.to_string()).or_default();
+        departures.announce(started_ms);
+        departures.note_answer(now_ms);
         let instance = self.instances.get_mut(id).filter(|instance| !instance.leaving)?;
+        if instance.started_ms != started_ms {
+            let held = Held { instance: instance.clone(), until: None };
+            self.held.entry(id.to_string()).or_insert(held);
+        }
         instance.leaving = true;
-        let departure = Departure::announced(instance.started_ms);
-        self.departing.insert(id.to_string(), departure);
         Some(Change::Leaving(id.to_string()))
     }
 
     /// Removes a server whose registration is invalid.
     pub fn set_invalid(&mut self, id: &str) -> Option<Change> {
+        self.held.remove(id);
         self.drop(id)
     }
 
     /// Removes a server that has no registration, after a grace period if the registry has just
     /// recovered.
     pub fn remove(&mut self, id: &str, now: time::Instant) -> Option<Change> {
+        self.held.remove(id);
         if !self.instances.contains_key(id) {
             return None;
         }
@@ -215,34 +266,34 @@
         self.missing.iter().map(move |(id, until)| (id, until.saturating_duration_since(now)))
     }
 
-    /// Removes the next server whose grace period has expired.
+    /// Removes the next server whose grace period has expired, or uses the next registration that has
+    /// outlived what was known of its server.
     pub fn next_expired(&mut self, now: time::Instant) -> Option<Change> {
-        let instances = &self.instances;
-        self.departing.retain(|id, departure| {
-            if instances.contains_key(id) {
-                return true;
-            }
-            now < *departure.gone_at.get_or_insert(now) + DEPARTURE_TTL
+        self.departures.retain(|id, departures| {
+            departures.expire(self.instances.get(id).map(|known| known.started_ms), now)
         });
         let due = self.missing.iter().find(|(_, until)| **until <= now);
-        let id = due.map(|(id, _)| id.clone())?;
-        self.drop(&id)
+        if let Some(id) = due.map(|(id, _)| id.clone()) {
+            return self.drop(&id);
+        }
+        let lifetime = self.row_lifetime;
+        let is_due = |held: &mut Held| *held.until.get_or_insert(now + lifetime) <= now;
+        // All of them get their times.
+        let due: Vec<_> = self
+            .held
+            .iter_mut()
+            .filter_map(|(id, held)| is_due(held).then(|| id.clone()))
+            .collect();
+        due.iter().find_map(|id| {
+            let held = self.held.remove(id)?;
+            self.accept(id, held.instance)
+        })
     }
 
     fn drop(&mut self, id: &str) -> Option<Change> {
         self.missing.remove(id);
         let instance = self.instances.remove(id)?;
-        self.departing.entry(id.to_string()).or_insert(Departure {
-            started_ms: instance.started_ms,
-            is_announced: false,
-            gone_at: None,
-        });
+        self.departures.entry(id.to_string()).or_default().note_gone(instance.started_ms);
         Some(Change::Gone(id.to_string()))
     }
 }
-
-impl Departure {
-    fn announced(started_ms: Option<u64>) -> Departure {
-        Departure { started_ms, is_announced: true, gone_at: None }
-    }
-}
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -25,6 +25,7 @@
 pub mod change;
 pub mod customers;
 pub mod demand;
+pub mod departures;
 pub mod engine;
 pub mod engines;
 pub mod event_order;
--- a/crates/core/tests/fleet.rs
+++ b/crates/core/tests/fleet.rs
@@ -44,8 +44,8 @@
 fn leaving_kept() {
     let mut fleet = fleet::Fleet::default();
     fleet.set("i-1", instance(1, false));
-    assert_eq!(fleet.set_leaving("i-1"), Some(Change::Leaving("i-1".into())));
-    assert_eq!(fleet.set_leaving("i-1"), None);
+    assert_eq!(fleet.set_leaving("i-1", Some(1), 0), Some(Change::Leaving("i-1".into())));
+    assert_eq!(fleet.set_leaving("i-1", Some(1), 0), None);
     assert_eq!(fleet.set("i-1", instance(1, false)), None);
     assert!(fleet.get("i-1").unwrap().leaving);
     let now = time::Instant::now();
@@ -61,7 +61,7 @@
     fleet.set("i-1", instance(1, true));
     assert_eq!(fleet.set("i-1", instance(2, false)), Some(Change::Joined("i-1".into())));
     assert!(!fleet.get("i-1").unwrap().leaving, "another process has its id");
-    assert_eq!(fleet.set_leaving("i-2"), None, "it is not registered");
+    assert_eq!(fleet.set_leaving("i-2", Some(1), 0), None, "it is not registered");
 }
 
 // Guards against work for a process that announced that it is leaving in an answer while its
@@ -71,7 +71,7 @@
     let mut fleet = fleet::Fleet::default();
     fleet.set("i-1", instance(1, false));
     fleet.remove("i-1", time::Instant::now());
-    assert_eq!(fleet.set_leaving("i-1"), None);
+    assert_eq!(fleet.set_leaving("i-1", Some(1), 0), None);
     fleet.set("i-1", instance(1, false));
     assert!(fleet.get("i-1").unwrap().leaving);
 }
--- a/crates/core/tests/server_order.rs
+++ b/crates/core/tests/server_order.rs
@@ -23,6 +23,15 @@
     }
 }
 
+/// Time after which a row has been removed that its process no longer writes.
+const LIFETIME: time::Duration = time::Duration::from_secs(5);
+
+fn fleet() -> fleet::Fleet {
+    let mut fleet = fleet::Fleet::default();
+    fleet.set_row_lifetime(LIFETIME);
+    fleet
+}
+
 fn is_used(fleet: &fleet::Fleet) -> bool {
     fleet.get("i-1").is_some_and(|known| !known.leaving)
 }
@@ -30,7 +39,7 @@
 // Guards against work for a server that leaves, after a late write of its process before.
 #[test]
 fn earlier_process() {
-    let mut fleet = fleet::Fleet::default();
+    let mut fleet = fleet();
     fleet.set("i-1", row(FIRST, 3, false));
     fleet.set("i-1", row(SECOND, 1, false));
     fleet.set("i-1", row(SECOND, 2, true));
@@ -44,7 +53,7 @@
 // Guards against a notice that is forgotten with the row of another process of the server.
 #[test]
 fn notice_kept() {
-    let mut fleet = fleet::Fleet::default();
+    let mut fleet = fleet();
     fleet.set("i-1", row(SECOND, 2, true));
     fleet.set("i-1", row(FIRST, 4, false));
     fleet.set("i-1", row(SECOND, 1, false));
@@ -56,7 +65,7 @@
 // Guards against the address or stage of a report that its process has replaced.
 #[test]
 fn earlier_report() {
-    let mut fleet = fleet::Fleet::default();
+    let mut fleet = fleet();
     fleet.set("i-1", row(FIRST, 3, false));
     let moved = fleet::Instance { stage: Some(fleet::Stage::Prefill), ..row(FIRST, 5, false) };
     assert_eq!(fleet.set("i-1", moved.clone()), Some(Change::Updated("i-1".into())));
@@ -68,8 +77,72 @@
 // A count that has grown alone is no change.
 #[test]
 fn counted_only() {
-    let mut fleet = fleet::Fleet::default();
+    let mut fleet = fleet();
     fleet.set("i-1", row(FIRST, 3, false));
     assert_eq!(fleet.set("i-1", row(FIRST, 4, false)), None);
     assert_eq!(fleet.order("i-1", &row(FIRST, 4, false)), Order::Later);
 }
+
+// A row that outlives the process that is known is of a process that runs: the clock of its server was
+// set back.
+#[test]
+fn clock_set_back() {
+    let mut fleet = fleet();
+    let now = time::Instant::now();
+    fleet.set("i-1", row(SECOND, 2, false));
+    assert_eq!(fleet.set("i-1", row(FIRST, 1, false)), None);
+    assert_eq!(fleet.next_expired(now), None);
+    assert_eq!(fleet.set("i-1", row(FIRST, 2, false)), None, "written again meanwhile");
+    assert_eq!(fleet.next_expired(now + LIFETIME / 2), None);
+    assert_eq!(fleet.get("i-1"), Some(&row(SECOND, 2, false)));
+    assert_eq!(fleet.next_expired(now + LIFETIME), Some(Change::Joined("i-1".into())));
+    assert_eq!(fleet.get("i-1"), Some(&row(FIRST, 2, false)));
+    assert_eq!(fleet.next_expired(now + 2 * LIFETIME), None);
+}
+
+// Guards against work for a server that is gone, after a late write of its process before.
+#[test]
+fn earlier_after_removal() {
+    let mut fleet = fleet();
+    let now = time::Instant::now();
+    fleet.set("i-1", row(SECOND, 1, false));
+    assert_eq!(fleet.remove("i-1", now), Some(Change::Gone("i-1".into())));
+    assert_eq!(fleet.set("i-1", row(FIRST, 4, false)), None);
+    assert_eq!(fleet.next_expired(now), None);
+    assert_eq!(fleet.remove("i-1", now), None);
+    assert_eq!(fleet.next_expired(now + LIFETIME), None, "its row was removed");
+    assert!(!is_used(&fleet));
+}
+
+// Guards against work for a server that has said in an answer that it leaves, before its first row was
+// read.
+#[test]
+fn answered_before_row() {
+    let mut fleet = fleet();
+    let now = time::Instant::now();
+    fleet.set("i-1", row(FIRST, 3, false));
+    fleet.set_leaving("i-1", Some(FIRST), SECOND + 500);
+    assert_eq!(fleet.set("i-1", row(SECOND, 1, false)), None);
+    assert!(!is_used(&fleet));
+    assert_eq!(fleet.next_expired(now), None);
+    fleet.set("i-1", row(SECOND, 2, true));
+    assert_eq!(fleet.next_expired(now + LIFETIME), None);
+    assert!(!is_used(&fleet));
+}
+
+// Guards against a server that is not used for good, since the process before it has said in an answer
+// that it leaves.
+#[test]
+fn successor_used() {
+    let mut fleet = fleet();
+    let now = time::Instant::now();
+    fleet.set("i-1", row(FIRST, 3, false));
+    fleet.set_leaving("i-1", Some(FIRST), FIRST + 500);
+    assert_eq!(fleet.set("i-1", row(SECOND, 1, false)), Some(Change::Joined("i-1".into())));
+    assert!(is_used(&fleet), "it started after the answer");
+    let late = fleet.set_leaving("i-1", Some(FIRST), SECOND + 500);
+    assert_eq!(late, Some(Change::Leaving("i-1".into())), "it may have answered");
+    assert_eq!(fleet.next_expired(now), None);
+    assert_eq!(fleet.next_expired(now + LIFETIME), Some(Change::Joined("i-1".into())));
+    assert!(is_used(&fleet), "nothing but that answer said so");
+}
--- a/crates/e2e/tests/platform_prompts.rs
+++ b/crates/e2e/tests/platform_prompts.rs
@@ -38,7 +38,7 @@
 }
 
 fn crashes(site: &site::Site) -> u64 {
-    site.decode.iter().map(|engine| engine.born() - 1).sum()
+    site.decode.iter().map(backend::Backend::restarts).sum()
 }
 
 // Number of requests whose attempt ids start with `prefix` that reached servers.
--- a/crates/edge/src/directory.rs
+++ b/crates/edge/src/directory.rs
@@ -263,10 +263,12 @@
         }
     }
 
-    /// Records that a server has announced that it is leaving.
-    pub(crate) fn record_leaving(&mut self, id: &str, source: Source) {
-        if let Some(change) = self.fleet.set_leaving(id) {
-            self.record_change(&change, self.rows.version(), source);
+    /// Records that a server has announced that it is leaving, in an answer that was received at
+    /// `now_ms`, in Unix milliseconds, to a request to `process`.
+    pub(crate) fn record_leaving(&mut self, process: &pauses::Process, now_ms: u64) {
+        let (id, started_ms) = process;
+        if let Some(change) = self.fleet.set_leaving(id, *started_ms, now_ms) {
+            self.record_change(&change, self.rows.version(), Source::Answer);
         }
     }
 
--- a/crates/edge/src/edge.rs
+++ b/crates/edge/src/edge.rs
@@ -90,8 +90,9 @@
         let releases = releases::Releases::new(settings.is_first, clock::now());
         let (zone, retry_limits) = (&settings.zone, settings.retry_limits);
         let started_at = (!settings.is_first).then(clock::now);
-        let directory =
+        let mut directory =
             directory::Directory::new(zone, retry_limits, started_at, leaving, releases);
+        directory.fleet.set_row_lifetime(settings.row_lifetime);
         let store = store::Store::new(client::Client::new(), settings.store_addr);
         let (incarnation, dates) = (rand::random(), dates::Dates::new());
         let members =
@@ -164,6 +165,7 @@
     /// Applies reloaded settings.
     pub(crate) fn set_settings(&self, settings: settings::Settings) {
         self.directory().set_retry_limits(settings.retry_limits);
+        self.directory().fleet.set_row_lifetime(settings.row_lifetime);
         self.allowances().set_tolerance(settings.tolerance);
         *locks::lock(&self.settings) = sync::Arc::new(settings);
     }
--- a/crates/edge/src/exchange.rs
+++ b/crates/edge/src/exchange.rs
@@ -220,7 +220,8 @@
         tracing::warn!(server, value, "edge: invalid announcement of a server");
     }
     if notice.is_leaving {
-        edge.directory().record_leaving(server, directory::Source::Answer);
+        let now_ms = edge.dates.now_ms();
+        edge.directory().record_leaving(&target.process, now_ms);
     }
 }
 
--- a/crates/edge/src/watch.rs
+++ b/crates/edge/src/watch.rs
@@ -480,8 +480,10 @@
         Some(Ok(instance)) => {
             log_order(edge, &directory, row, &instance);
             let is_other = known.is_some_and(|software| software != instance.software);
-            restarted = is_other.then_some(instance.started_ms);
-            directory.fleet.set(&row.key, instance)
+            let started_ms = instance.started_ms;
+            let change = directory.fleet.set(&row.key, instance);
+            restarted = (is_other && change.is_some()).then_some(started_ms);
+            change
         }
         Some(Err(err)) => {
             tracing::warn!(server = row.key, %err, "edge: invalid row of server not used");
@@ -614,10 +616,24 @@
         edge.limits().quotas.expire(clock::now());
         let window = edge.directory().stream_window(clock::now());
         edge.origins().expire(window, clock::now());
-        let mut directory = edge.directory();
-        while let Some(change) = directory.fleet.next_expired(clock::now()) {
-            let version = directory.rows.version();
-            apply_change(&mut directory, Some(change), version, directory::Source::Grace);
+        expire_servers(&edge);
+    }
+}
+
+// Removes servers, and uses registrations, whose times have passed.
+fn expire_servers(edge: &edge::Edge) {
+    let mut directory = edge.directory();
+    let mut joined = Vec::new();
+    while let Some(change) = directory.fleet.next_expired(clock::now()) {
+        let version = directory.rows.version();
+        if let fleet::Change::Joined(id) = &change {
+            let started_ms = directory.fleet.get(id).and_then(|known| known.started_ms);
+            joined.push((id.clone(), started_ms));
         }
+        apply_change(&mut directory, Some(change), version, directory::Source::Grace);
+    }
+    drop(directory);
+    for (id, started_ms) in joined {
+        origins::retract(edge, &id, started_ms);
     }
 }
--- a/crates/fakes/src/backend.rs
+++ b/crates/fakes/src/backend.rs
@@ -45,8 +45,8 @@
     holds_taken: u64,
     // Number of restarts.
     restarts: u64,
-    // What the first start is published as, if it is not 1.
-    first_born: Option<u64>,
+    // Time of the last start, in Unix milliseconds; `None` before the first restart.
+    born: Option<u64>,
     // Number of requests received while a fault was set.
     fault_hits: u64,
     arrivals: Vec<arrivals::Arrival>,
@@ -76,6 +76,8 @@
 pub const FIRST_SOFTWARE: &str = "v1";
 
 /// Maximum size of a request body in bytes; a longer body is read as empty.
+/// When a server started, in Unix milliseconds, unless it is set.
+const FIRST_BORN: u64 = 1;
 const MAX_BODY_BYTES: usize = 8 << 20;
 
 impl Backend {
@@ -193,22 +195,26 @@
         state.holds.clear();
         state.stage.restart();
         state.restarts += 1;
+        state.born = Some(clock::unix_ms().max(state.born.unwrap_or(FIRST_BORN) + 1));
         state.is_leaving = false;
         state.limit = None;
         state.pause = pause::Pause::default();
         state.clock.restart();
     }
 
-    /// Number of starts including the current one, published in the server's row as `born`, or the
-    /// time of the first one and that of the restarts.
+    /// Time of its last start in Unix milliseconds, published in the server's row as `born`.
     pub fn born(&self) -> u64 {
-        let state = self.state();
-        state.first_born.unwrap_or(1) + state.restarts
+        self.state().born.unwrap_or(FIRST_BORN)
     }
 
     /// Sets the time of its first start, in Unix milliseconds.
     pub fn set_born(&self, first: u64) {
-        self.state().first_born = Some(first);
+        self.state().born = Some(first);
+    }
+
+    /// Number of times that it has started again.
+    pub fn restarts(&self) -> u64 {
+        self.state().restarts
     }
 
     /// Sets its speed; when it is set first, the process has just started. From now on its work takes
