--- a/crates/e2e/tests/platform_removals.rs
+++ b/crates/e2e/tests/platform_removals.rs
@@ -14,6 +14,10 @@
 const LATE_READ: time::Duration = time::Duration::from_millis(1_200);
 /// Time after the last refused call for which a server without a row is kept at most, and a margin.
 const KEPT_TIME: time::Duration = time::Duration::from_millis(2_850);
+/// Time for which all calls are refused, and after which a removed server gets nothing (`drain_ms`), where
+/// that is shorter.
+const REFUSED: time::Duration = time::Duration::from_millis(600);
+const SHORT_DRAIN: time::Duration = time::Duration::from_millis(2_000);
 /// Time after which an outage of the store has been noticed.
 const OUTAGE: time::Duration = time::Duration::from_millis(4_000);
 
@@ -98,3 +102,20 @@
     tokio::time::sleep_until(back_at + KEPT_TIME).await;
     check_removed(&site, 0).await
 }
+
+// Guards against a removed server that an entry keeps for a grace period, since a few of its calls were
+// refused: no row expires in so short a time.
+#[tokio::test]
+async fn refused_briefly() -> anyhow::Result<()> {
+    let mut site = site::Site::start(site::Sizes::default()).await?;
+    site.edges[0].edit_settings("drain_ms=3000", "drain_ms=2000")?;
+    site.restart_edge(0)?;
+    site.wait_ready().await?;
+    tokio::time::sleep(time::Duration::from_millis(1_500)).await;
+    site.store.set_mode(store::Mode::Busy);
+    tokio::time::sleep(REFUSED).await;
+    site.store.set_mode(store::Mode::Up);
+    site.store.remove("servers", "i-plain-1");
+    tokio::time::sleep(SHORT_DRAIN).await;
+    check_removed(&site, 0).await
+}
