Begin a grace period only if the store has answered nobody for as long as rows take to expire

Cause: any refused or lost call of an entry, followed by an answer, counted as an outage of the store and kept removed servers for up to 1.8 s, 2.8 s after a refused call. That added to the age of what the entry knew, and the sum was over the deadline. A row expires after three heartbeats without a write, so no outage shorter than two of them can have removed that of a live server.

--- a/crates/core/src/freshness.rs
+++ b/crates/core/src/freshness.rs
@@ -31,7 +31,9 @@
 const TIMEOUT: f64 = 0.175;
 /// Age that shows that nobody was answered, as somebody asks before it and tells the others.
 const OUTAGE_AGE: f64 = 0.85;
-/// Shortest outage of the store that an entry concludes from an age. In less time no row expires.
+/// Shortest time without an answer of the store from which an entry concludes an outage. In less time no
+/// row expires: it is removed after three heartbeats without a write, of which the first may have passed
+/// before.
 const MIN_OUTAGE: time::Duration = time::Duration::from_millis(2_500);
 /// Answers to others this soon after the first failed call may have come before the outage.
 const TOLD_MARGIN: time::Duration = time::Duration::from_millis(500);
@@ -135,6 +137,14 @@
         self.told_at.is_some_and(is_recent)
     }
 
+    /// Whether the store may have been away for so long that rows of live servers have expired, as it has
+    /// answered neither this entry nor, as far as that was told, another one. Refused calls alone do not
+    /// show that.
+    pub fn may_have_expired(&self, now: time::Instant) -> bool {
+        let answered_at = self.answered_at.max(self.told_at);
+        answered_at.is_none_or(|at| now.saturating_duration_since(at) >= MIN_OUTAGE)
+    }
+
     /// Whether the store may have been away since all changes were known: nobody was answered.
     pub fn may_follow_outage(&self, terms: &Terms, now: time::Instant) -> bool {
         self.age(now).is_some_and(|age| age > terms.outage_age())
--- a/crates/core/tests/freshness.rs
+++ b/crates/core/tests/freshness.rs
@@ -101,6 +101,22 @@
     assert!(!is_answered(&known, now + SECOND), "the store may be away by then");
 }
 
+// Guards against a removed server that is kept for a grace period, as a call was refused: the store was
+// not away for long enough that rows expire.
+#[test]
+fn refused_briefly() {
+    let now = time::Instant::now();
+    let mut known = freshness::Freshness::default();
+    assert!(known.may_have_expired(now), "nothing is known");
+    known.record_answer(now);
+    assert!(!known.may_have_expired(now + 2 * SECOND));
+    assert!(known.may_have_expired(now + 3 * SECOND));
+    known.record_told(now + 2 * SECOND, false);
+    assert!(!known.may_have_expired(now + 3 * SECOND), "another entry was answered");
+    known.record_suspension(SECOND);
+    assert!(known.may_have_expired(now + 4 * SECOND), "suspended time counts");
+}
+
 // Guards against live servers that are dropped after an outage which an open feed has outlasted.
 #[test]
 fn outage_outlasted() {
--- a/crates/edge/src/watch.rs
+++ b/crates/edge/src/watch.rs
@@ -155,9 +155,10 @@
             edge.unavailable_tables.fetch_sub(1, atomic::Ordering::Relaxed);
             tracing::info!(?table, %version, "edge: store available");
             // Otherwise rows are missing for good, or a peer has told until when to wait for them.
-            let (terms, now) = (edge.terms(), clock::now());
+            let (terms, now, known) = (edge.terms(), clock::now(), edge.tables().servers);
             if table == store::Table::Servers
-                && !edge.tables().servers.is_answered(&terms, failed_at, now)
+                && known.may_have_expired(now)
+                && !known.is_answered(&terms, failed_at, now)
             {
                 begin_grace(edge, refused_at);
             }
