Decide a request by the config that is in force at the end of its body

Cause: route, customer and service were chosen when the head was read, and the body may take as long as the timeout of the route, up to 14 s where the config is due within 3 s.

--- a/crates/edge/src/ingress.rs
+++ b/crates/edge/src/ingress.rs
@@ -4,7 +4,7 @@
 
 use hyper::{Request, Response, StatusCode, body, header};
 
-use rhubarb_core::{outcome, routing, urgency};
+use rhubarb_core::{ids, outcome, routing, urgency};
 use rhubarb_node::{clock, responder, response, server};
 use rhubarb_platform::request;
 
@@ -39,70 +39,68 @@
     let caller = parts.extensions.get().map(|server::Peer(address)| address.ip());
     let attempt_id = head.attempt_id.clone();
     let refuse = |refusal| refuse::ingress_response(edge, attempt_id.as_ref(), refusal);
-    let Some(config) = edge.directory().config() else {
-        return refuse(Refusal::not_run(Reason::NoList, CONFIG_RETRY));
-    };
-    let Some(route) = config.route(&head.host, &head.path).cloned() else {
-        return refuse(Refusal::permanent(Reason::NoService));
-    };
-    let customer = if route.is_public || config.customers.is_empty() {
-        None
-    } else {
-        match config.customers.identify(head.key) {
-            Ok(customer) => Some(customer),
-            Err(refusal) => return refuse(refusal),
-        }
-    };
-    head.customer = customer.as_ref().map(|customer| customer.name.clone());
-    let Some(service) = route.service(rand::random()).cloned() else {
-        return refuse(Refusal::not_run(Reason::NoServer, CONFIG_RETRY));
+    let mut decision = match Decision::make(edge, &mut head, arrived) {
+        Ok(decision) => decision,
+        Err(refusal) => return refuse(refusal),
     };
-    let ttl = edge.settings().keys_ttl.filter(|_| customer.is_some());
-    if ttl.is_some_and(|ttl| edge.touch_age(arrived) > ttl) {
-        return refuse(Refusal::not_run(Reason::NoList, CONFIG_RETRY));
-    }
-    let limit = config.limits.body_bytes;
+    let limit = decision.config.limits.body_bytes;
     if body::Body::size_hint(&body).lower() > limit as u64 {
         return refuse(Refusal::permanent(Reason::TooLarge));
     }
     if edge.open_requests.load(atomic::Ordering::Relaxed) >= edge.capacity().calls {
         return refuse(Refusal::not_run(Reason::NoRoom, outcome::RETRY_SOON));
     }
-    let charge = match charge::Charge::take(edge, &head) {
+    let mut charge = match charge::Charge::take(edge, &head) {
         Ok(charge) => charge,
         Err(refusal) => return refuse(refusal),
     };
-    let refuse_charged = |refusal| {
+    let refund = |charge: &Option<charge::Charge>| {
         charge.iter().for_each(|charge| charge.refund(edge));
-        refuse(refusal)
     };
     let body = match response::read_body(body, limit).await {
         Ok(body) => body,
-        Err(response::BodyError::TooLarge(_)) => {
-            return refuse_charged(Refusal::permanent(Reason::TooLarge));
-        }
-        Err(response::BodyError::Interrupted(_)) => {
-            return refuse_charged(Refusal::permanent(Reason::BadRequest));
+        Err(err) => {
+            refund(&charge);
+            return refuse(Refusal::permanent(match err {
+                response::BodyError::TooLarge(_) => Reason::TooLarge,
+                response::BodyError::Interrupted(_) => Reason::BadRequest,
+            }));
         }
     };
+    // A body may take long, and its request goes by the config that is in force at its end.
+    if !decision.is_current(edge) {
+        let customer = head.customer.clone();
+        decision = match Decision::make(edge, &mut head, arrived) {
+            Ok(decision) => decision,
+            Err(refusal) => {
+                refund(&charge);
+                return refuse(refusal);
+            }
+        };
+        if head.customer != customer {
+            refund(&charge);
+            charge = match charge::Charge::take(edge, &head) {
+                Ok(charge) => charge,
+                Err(refusal) => return refuse(refusal),
+            };
+        }
+    }
+    let Decision { config, route, service, customer_rank } = decision;
     let timeout = head.timeout.unwrap_or(route.timeout).min(route.timeout);
     let deadline = arrived + timeout;
     let (stop, now) = (edge.stopping(), clock::now());
-    let refuse_late = || {
-        let retry = stop.map(|stop| stop.retry_delay(edge.members().has_ready_peer(now), now));
-        refuse_charged(match retry {
-            Some(retry) => Refusal::not_run(Reason::Leaving, retry),
-            None => Refusal::not_run(Reason::TooLate, outcome::RETRY_SOON),
-        })
-    };
     let is_admitted = stop.is_none_or(|stop| {
         now < stop.answered_by() && stop.admits(route.kind, route.target, deadline, now)
     });
     if !is_admitted || now >= deadline {
-        return refuse_late();
+        let retry = stop.map(|stop| stop.retry_delay(edge.members().has_ready_peer(now), now));
+        refund(&charge);
+        return refuse(match retry {
+            Some(retry) => Refusal::not_run(Reason::Leaving, retry),
+            None => Refusal::not_run(Reason::TooLate, outcome::RETRY_SOON),
+        });
     }
-    let rank = customer.and_then(|customer| customer.rank).unwrap_or(route.rank);
-    let urgency = urgency::Urgency { rank, route: route.rank };
+    let urgency = urgency::Urgency { rank: customer_rank.unwrap_or(route.rank), route: route.rank };
     let is_retry = edge.directory().record_request(&service, &route.name, timeout);
     observe_ages(edge);
     start(call::Call {
@@ -125,6 +123,52 @@
     .await
 }
 
+// What a config says of a request.
+struct Decision {
+    config: sync::Arc<routing::Config>,
+    route: routing::Route,
+    service: ids::ServiceName,
+    // Rank of the customer, if it has one.
+    customer_rank: Option<u8>,
+}
+
+impl Decision {
+    // Decides by the config in use, and names the customer in `head`.
+    fn make(
+        edge: &edge::Edge,
+        head: &mut request::Head,
+        arrived: time::Instant,
+    ) -> Result<Decision, Refusal> {
+        let Some(config) = edge.directory().config() else {
+            return Err(Refusal::not_run(Reason::NoList, CONFIG_RETRY));
+        };
+        let Some(route) = config.route(&head.host, &head.path).cloned() else {
+            return Err(Refusal::permanent(Reason::NoService));
+        };
+        let customer = if route.is_public || config.customers.is_empty() {
+            None
+        } else {
+            Some(config.customers.identify(head.key)?)
+        };
+        head.customer = customer.as_ref().map(|customer| customer.name.clone());
+        let Some(service) = route.service(rand::random()).cloned() else {
+            return Err(Refusal::not_run(Reason::NoServer, CONFIG_RETRY));
+        };
+        let ttl = edge.settings().keys_ttl.filter(|_| customer.is_some());
+        if ttl.is_some_and(|ttl| edge.touch_age(arrived) > ttl) {
+            return Err(Refusal::not_run(Reason::NoList, CONFIG_RETRY));
+        }
+        let customer_rank = customer.and_then(|customer| customer.rank);
+        Ok(Decision { config, route, service, customer_rank })
+    }
+
+    // Whether its config is still the one in use.
+    fn is_current(&self, edge: &edge::Edge) -> bool {
+        let config = edge.directory().config();
+        config.is_some_and(|config| sync::Arc::ptr_eq(&config, &self.config))
+    }
+}
+
 fn observe_ages(edge: &edge::Edge) {
     let tables = *edge.tables();
     let now = clock::now();
