Ignore rows that are not used in what they tell of doubts and addresses, and counts without starts

A row that is not used also ended the doubt about an engine's process, and cleared a misdirected address. And where servers do not tell their starts, one that starts again under its id counts its rows anew: its row would have been taken for an earlier one for good (by reading; without_start failed before).

--- a/crates/core/src/fleet.rs
+++ b/crates/core/src/fleet.rs
@@ -121,8 +121,11 @@
     pub fn order(&self, id: &str, instance: &Instance) -> Order {
         let known = self.instances.get(id);
         if let Some(known) = known.filter(|known| known.started_ms == instance.started_ms) {
-            // The server of a missing registration may be known by the older one alone.
-            let is_earlier = instance.sequence < known.sequence && !self.missing.contains_key(id);
+            // Without their starts, two processes are not told apart. The server of a missing
+            // registration may be known by the earlier one alone.
+            let is_earlier = instance.started_ms.is_some()
+                && instance.sequence < known.sequence
+                && !self.missing.contains_key(id);
             return if is_earlier { Order::EarlierReport } else { Order::Later };
         }
         let started_ms = known.map_or_else(
--- a/crates/core/tests/server_order.rs
+++ b/crates/core/tests/server_order.rs
@@ -146,3 +146,33 @@
     assert_eq!(fleet.next_expired(now + LIFETIME), Some(Change::Joined("i-1".into())));
     assert!(is_used(&fleet), "nothing but that answer said so");
 }
+
+// Guards against a server that is ignored for good after it has started again, where servers do not tell
+// their starts: its count begins anew.
+#[test]
+fn without_start() {
+    let mut fleet = fleet();
+    let unknown = |row: fleet::Instance| fleet::Instance { started_ms: None, ..row };
+    fleet.set("i-1", unknown(row(FIRST, 7, false)));
+    let moved =
+        fleet::Instance { address: ([10, 0, 0, 2], 80).into(), ..unknown(row(SECOND, 1, false)) };
+    assert_eq!(fleet.set("i-1", moved.clone()), Some(Change::Updated("i-1".into())));
+    assert_eq!(fleet.get("i-1"), Some(&moved));
+    fleet.set("i-1", unknown(row(SECOND, 2, true)));
+    fleet.set("i-1", unknown(row(SECOND, 3, false)));
+    assert!(!is_used(&fleet), "a notice is final");
+}
+
+// Guards against a server that is dropped after an outage, though its row is there: the copy from which
+// the registry was restored has an earlier report of it.
+#[test]
+fn earlier_after_outage() {
+    let mut fleet = fleet();
+    let now = time::Instant::now();
+    fleet.set("i-1", row(FIRST, 7, false));
+    fleet.registry_recovered(None, now);
+    assert_eq!(fleet.remove("i-1", now), None);
+    assert_eq!(fleet.set("i-1", row(FIRST, 4, false)), Some(Change::Updated("i-1".into())));
+    assert_eq!(fleet.next_expired(now + 2 * LIFETIME), None);
+    assert!(is_used(&fleet));
+}
--- a/crates/edge/src/watch.rs
+++ b/crates/edge/src/watch.rs
@@ -474,16 +474,18 @@
     let parsed = row.value.as_ref().map(|value| registration::read(value));
     let mut known_places = edge.misdirected();
     let mut directory = edge.directory();
-    directory.record_row(&row.key);
-    let known = directory.fleet.get(&row.key).map(|known| known.software.clone());
+    let mut is_used = true;
     let mut restarted = None;
     let change = match parsed {
         Some(Ok(instance)) => {
             log_order(edge, &directory, row, &instance);
-            let is_other = known.is_some_and(|software| software != instance.software);
-            let started_ms = instance.started_ms;
+            let known = directory.fleet.get(&row.key);
+            let is_other = known.is_some_and(|known| known.software != instance.software);
+            let written = (instance.started_ms, instance.sequence);
             let change = directory.fleet.set(&row.key, instance);
-            restarted = (is_other && change.is_some()).then_some(started_ms);
+            let known = directory.fleet.get(&row.key);
+            is_used = known.is_some_and(|known| (known.started_ms, known.sequence) == written);
+            restarted = (is_other && is_used).then_some(written.0);
             change
         }
         Some(Err(err)) => {
@@ -492,8 +494,14 @@
         }
         None => directory.fleet.remove(&row.key, clock::now()),
     };
+    if is_used {
+        directory.record_row(&row.key);
+    } else {
+        tracing::info!(server = row.key, version = %row.version, "edge: row of a server not used");
+    }
     apply_change(&mut directory, change, row.version, source);
-    if let Some(target) = directory.target(&row.key).filter(|_| row.value.is_some()) {
+    let target = directory.target(&row.key).filter(|_| is_used && row.value.is_some());
+    if let Some(target) = target {
         misdirected::register(&mut known_places, &mut directory, target.place());
     }
     drop((directory, known_places));
