Count the notice of an earlier report of a server

By reading: a report that is ignored, since a later one of its process is known, may still say that the server leaves; a notice is final whenever it was written. earlier_notice fails without the change to the server's registration (it would return nothing), and passes with it.

--- a/crates/core/src/fleet.rs
+++ b/crates/core/src/fleet.rs
@@ -100,6 +100,7 @@
 /// Longest time that the registry counts as away after a refused call. With the grace period it is
 /// less than the 3 s after which a server without a registration must not be used.
 const MAX_UNNOTICED: time::Duration = time::Duration::from_millis(1_000);
+
 impl Fleet {
     /// All servers by id.
     pub fn instances(&self) -> &collections::BTreeMap<ids::ServerName, Instance> {
@@ -168,7 +169,7 @@
         }
         let order = self.order(id, &instance);
         if order == Order::EarlierReport {
-            return None;
+            return self.note_departure(id);
         }
         let held = self.held.remove(id);
         let held = held.filter(|held| held.instance.started_ms == instance.started_ms);
@@ -181,6 +182,13 @@
         self.accept(id, instance)
     }
 
+    // Gives a registered server no more work if its process has announced that it is leaving.
+    fn note_departure(&mut self, id: &str) -> Option<Change> {
+        let instance = self.instances.get_mut(id).filter(|instance| !instance.leaving)?;
+        instance.leaving = self.departures.get(id)?.is_announced(instance.started_ms);
+        instance.leaving.then(|| Change::Leaving(id.to_string()))
+    }
+
     // Whether a process of which nothing is known was running when the server announced in an answer
     // that it is leaving.
     fn may_have_left(&self, id: &str, instance: &Instance) -> bool {
--- a/crates/core/tests/server_order.rs
+++ b/crates/core/tests/server_order.rs
@@ -176,3 +176,12 @@
     assert_eq!(fleet.next_expired(now + 2 * LIFETIME), None);
     assert!(is_used(&fleet));
 }
+
+// Guards against a notice that is missed, as a report that was written later is known.
+#[test]
+fn earlier_notice() {
+    let mut fleet = fleet();
+    fleet.set("i-1", row(FIRST, 7, false));
+    assert_eq!(fleet.set("i-1", row(FIRST, 6, true)), Some(Change::Leaving("i-1".into())));
+    assert!(!is_used(&fleet));
+}
