--- a/crates/core/tests/server_order.rs
+++ b/crates/core/tests/server_order.rs
@@ -4,8 +4,6 @@
 
 use rhubarb_core::fleet;
 
-use fleet::{Change, Order};
-
 const FIRST: u64 = 1_000;
 const SECOND: u64 = 2_000;
 
@@ -43,7 +41,7 @@
     fleet.set("i-1", row(FIRST, 3, false));
     fleet.set("i-1", row(SECOND, 1, false));
     fleet.set("i-1", row(SECOND, 2, true));
-    assert_eq!(fleet.order("i-1", &row(FIRST, 4, false)), Order::EarlierProcess);
+    assert_eq!(fleet.order("i-1", &row(FIRST, 4, false)), fleet::Order::EarlierProcess);
     assert_eq!(fleet.set("i-1", row(FIRST, 4, false)), None);
     assert!(!is_used(&fleet));
     assert_eq!(fleet.next_expired(time::Instant::now()), None);
@@ -68,8 +66,8 @@
     let mut fleet = fleet();
     fleet.set("i-1", row(FIRST, 3, false));
     let moved = fleet::Instance { stage: Some(fleet::Stage::Prefill), ..row(FIRST, 5, false) };
-    assert_eq!(fleet.set("i-1", moved.clone()), Some(Change::Updated("i-1".into())));
-    assert_eq!(fleet.order("i-1", &row(FIRST, 4, false)), Order::EarlierReport);
+    assert_eq!(fleet.set("i-1", moved.clone()), Some(fleet::Change::Updated("i-1".into())));
+    assert_eq!(fleet.order("i-1", &row(FIRST, 4, false)), fleet::Order::EarlierReport);
     assert_eq!(fleet.set("i-1", row(FIRST, 4, false)), None);
     assert_eq!(fleet.get("i-1"), Some(&moved));
 }
@@ -80,7 +78,7 @@
     let mut fleet = fleet();
     fleet.set("i-1", row(FIRST, 3, false));
     assert_eq!(fleet.set("i-1", row(FIRST, 4, false)), None);
-    assert_eq!(fleet.order("i-1", &row(FIRST, 4, false)), Order::Later);
+    assert_eq!(fleet.order("i-1", &row(FIRST, 4, false)), fleet::Order::Later);
 }
 
 // A row that outlives the process that is known is of a process that runs: the clock of its server was
@@ -95,7 +93,7 @@
     assert_eq!(fleet.set("i-1", row(FIRST, 2, false)), None, "written again meanwhile");
     assert_eq!(fleet.next_expired(now + LIFETIME / 2), None);
     assert_eq!(fleet.get("i-1"), Some(&row(SECOND, 2, false)));
-    assert_eq!(fleet.next_expired(now + LIFETIME), Some(Change::Joined("i-1".into())));
+    assert_eq!(fleet.next_expired(now + LIFETIME), Some(fleet::Change::Joined("i-1".into())));
     assert_eq!(fleet.get("i-1"), Some(&row(FIRST, 2, false)));
     assert_eq!(fleet.next_expired(now + 2 * LIFETIME), None);
 }
@@ -106,7 +104,7 @@
     let mut fleet = fleet();
     let now = time::Instant::now();
     fleet.set("i-1", row(SECOND, 1, false));
-    assert_eq!(fleet.remove("i-1", now), Some(Change::Gone("i-1".into())));
+    assert_eq!(fleet.remove("i-1", now), Some(fleet::Change::Gone("i-1".into())));
     assert_eq!(fleet.set("i-1", row(FIRST, 4, false)), None);
     assert_eq!(fleet.next_expired(now), None);
     assert_eq!(fleet.remove("i-1", now), None);
@@ -138,12 +136,12 @@
     let now = time::Instant::now();
     fleet.set("i-1", row(FIRST, 3, false));
     fleet.set_leaving("i-1", Some(FIRST), FIRST + 500);
-    assert_eq!(fleet.set("i-1", row(SECOND, 1, false)), Some(Change::Joined("i-1".into())));
+    assert_eq!(fleet.set("i-1", row(SECOND, 1, false)), Some(fleet::Change::Joined("i-1".into())));
     assert!(is_used(&fleet), "it started after the answer");
     let late = fleet.set_leaving("i-1", Some(FIRST), SECOND + 500);
-    assert_eq!(late, Some(Change::Leaving("i-1".into())), "it may have answered");
+    assert_eq!(late, Some(fleet::Change::Leaving("i-1".into())), "it may have answered");
     assert_eq!(fleet.next_expired(now), None);
-    assert_eq!(fleet.next_expired(now + LIFETIME), Some(Change::Joined("i-1".into())));
+    assert_eq!(fleet.next_expired(now + LIFETIME), Some(fleet::Change::Joined("i-1".into())));
     assert!(is_used(&fleet), "nothing but that answer said so");
 }
 
@@ -156,7 +154,7 @@
     fleet.set("i-1", unknown(row(FIRST, 7, false)));
     let moved =
         fleet::Instance { address: ([10, 0, 0, 2], 80).into(), ..unknown(row(SECOND, 1, false)) };
-    assert_eq!(fleet.set("i-1", moved.clone()), Some(Change::Updated("i-1".into())));
+    assert_eq!(fleet.set("i-1", moved.clone()), Some(fleet::Change::Updated("i-1".into())));
     assert_eq!(fleet.get("i-1"), Some(&moved));
     fleet.set("i-1", unknown(row(SECOND, 2, true)));
     fleet.set("i-1", unknown(row(SECOND, 3, false)));
@@ -172,7 +170,7 @@
     fleet.set("i-1", row(FIRST, 7, false));
     fleet.registry_recovered(None, now);
     assert_eq!(fleet.remove("i-1", now), None);
-    assert_eq!(fleet.set("i-1", row(FIRST, 4, false)), Some(Change::Updated("i-1".into())));
+    assert_eq!(fleet.set("i-1", row(FIRST, 4, false)), Some(fleet::Change::Updated("i-1".into())));
     assert_eq!(fleet.next_expired(now + 2 * LIFETIME), None);
     assert!(is_used(&fleet));
 }
@@ -182,6 +180,6 @@
 fn earlier_notice() {
     let mut fleet = fleet();
     fleet.set("i-1", row(FIRST, 7, false));
-    assert_eq!(fleet.set("i-1", row(FIRST, 6, true)), Some(Change::Leaving("i-1".into())));
+    assert_eq!(fleet.set("i-1", row(FIRST, 6, true)), Some(fleet::Change::Leaving("i-1".into())));
     assert!(!is_used(&fleet));
 }
