--- a/crates/edge/src/metrics.rs
+++ b/crates/edge/src/metrics.rs
@@ -64,6 +64,8 @@
     pub(crate) config_age: histogram::Histogram,
     pub(crate) servers_age: histogram::Histogram,
     pub(crate) timer_delay: histogram::Histogram,
+    pub(crate) config_read: histogram::Histogram,
+    pub(crate) config_apply: histogram::Histogram,
 }
 
 impl Counters {
@@ -131,6 +133,14 @@
                 "timer_delay_seconds",
                 "Time by which a timer fires late, as each step of a request then waits",
             ),
+            config_read: registry.seconds_histogram(
+                "config_read_seconds",
+                "Time to read a config from the bytes of its row",
+            ),
+            config_apply: registry.seconds_histogram(
+                "config_apply_seconds",
+                "Time to put a config that was read in force",
+            ),
             registry,
         }
     }
--- a/crates/edge/src/watch.rs
+++ b/crates/edge/src/watch.rs
@@ -265,8 +265,8 @@
         let has_changes = !changes.rows.is_empty();
         if has_changes {
             let waited_ms = (clock::now() - question.sent_at).as_millis() as u64;
-            let rows = changes.rows.len();
-            tracing::info!(?table, %version, rows, waited_ms, "edge: changes read from the store");
+            let (rows, bytes) = (changes.rows.len(), changes.bytes());
+            tracing::info!(?table, %version, rows, bytes, waited_ms, "edge: changes read from the store");
         }
         apply(edge, table, &changes.rows, directory::Source::Store);
         if table == store::Table::Servers {
@@ -448,9 +448,11 @@
 
 fn set_config(edge: &edge::Edge, row: &store::Row) {
     let Some(value) = &row.value else { return };
+    let started = clock::now();
     match config::read(value) {
         Ok(config) => {
-            let (version, routes) = (config.version, config.routes.len());
+            let read_time = clock::now() - started;
+            let (version, routes, bytes) = (config.version, config.routes.len(), value.len());
             let mut directory = edge.directory();
             if directory.set_config(config) {
                 let (key, value) = (row.key.clone(), value.clone());
@@ -463,7 +465,18 @@
                 for config in config.iter() {
                     edge.allowances().set_limits(&config.customers, clock::now());
                 }
-                tracing::info!(version, routes, "edge: config applied");
+                let apply_time = clock::now() - started - read_time;
+                edge.counters.config_read.observe(read_time.as_secs_f64());
+                edge.counters.config_apply.observe(apply_time.as_secs_f64());
+                tracing::info!(
+                    version,
+                    routes,
+                    bytes,
+                    read_ms = read_time.as_millis() as u64,
+                    apply_ms = apply_time.as_millis() as u64,
+                    config_age_ms = edge.tables().ages(clock::now()).config,
+                    "edge: config applied"
+                );
             }
         }
         Err(err) => tracing::error!(%err, "edge: invalid config ignored"),
