--- a/crates/e2e/src/relay.rs
+++ b/crates/e2e/src/relay.rs
@@ -3,7 +3,7 @@
 
 use std::{
     collections::{self, btree_map},
-    net, sync,
+    net, sync, time,
 };
 
 use tokio::{
@@ -39,6 +39,8 @@
     disconnects: u64,
     // Number of requests after which a response is sent a second time; 0 for never.
     double_after: usize,
+    // Bytes a second that all connections together bring to the entry; 0 for any number.
+    rate: u32,
 }
 
 // Bytes sent to the entry on one connection since its last request, which are its last response.
@@ -54,6 +56,9 @@
     modes: sync::Arc<watch::Sender<Modes>>,
 }
 
+// Locked while bytes are on their way to the entry, where they take time.
+type Link = sync::Arc<tokio::sync::Mutex<()>>;
+
 const BUFFER_BYTES: usize = 16 * 1024;
 
 impl Relay {
@@ -68,10 +73,11 @@
         let (modes, _) = watch::channel(Modes::default());
         let modes = sync::Arc::new(modes);
         let shared = modes.clone();
+        let link = Link::default();
         tokio::spawn(async move {
             while let Ok((entry, _)) = listener.accept().await {
                 let Ok(upstream) = tcp::TcpStream::connect(target).await else { continue };
-                relay_connection(entry, upstream, &shared);
+                relay_connection(entry, upstream, &shared, &link);
             }
         });
         tokio::spawn(forward_datagrams(udp, target, modes.subscribe()));
@@ -108,6 +114,11 @@
         self.modes.send_modify(|modes| modes.double_after = requests);
     }
 
+    /// Limits the bytes a second that all connections together bring to the entry; 0 for any number.
+    pub fn set_rate(&self, rate: u32) {
+        self.modes.send_modify(|modes| modes.rate = rate);
+    }
+
     /// Closes all open connections.
     pub fn disconnect(&self) {
         self.modes.send_modify(|modes| modes.disconnects += 1);
@@ -156,6 +167,7 @@
     entry: tcp::TcpStream,
     upstream: tcp::TcpStream,
     modes: &sync::Arc<watch::Sender<Modes>>,
+    link: &Link,
 ) {
     let _ = entry.set_nodelay(true);
     let _ = upstream.set_nodelay(true);
@@ -184,8 +196,9 @@
         }
     };
     let at_response = move |bytes: &[u8]| locks::lock(&last).extend_from_slice(bytes);
-    let to_target = Direction { mode_of: |modes| modes.to_target, inserted: nothing };
-    let to_entry = Direction { mode_of: |modes| modes.to_entry, inserted: doubled };
+    let to_target = Direction { mode_of: |modes| modes.to_target, inserted: nothing, link: None };
+    let link = Some(link.clone());
+    let to_entry = Direction { mode_of: |modes| modes.to_entry, inserted: doubled, link };
     let (modes, other) = (modes.subscribe(), modes.subscribe());
     tokio::spawn(forward_stream(entry_in, upstream_out, modes, to_target, at_request));
     tokio::spawn(forward_stream(upstream_in, entry_out, other, to_entry, at_response));
@@ -196,6 +209,19 @@
     mode_of: fn(&Modes) -> Mode,
     // Bytes to send besides those received.
     inserted: mpsc::UnboundedReceiver<Vec<u8>>,
+    // Where the rate of the relay holds.
+    link: Option<Link>,
+}
+
+impl Direction {
+    // Waits for the time that `bytes` take at `rate` bytes a second.
+    async fn pass(&self, bytes: usize, rate: u32) {
+        if let Some(link) = self.link.as_ref().filter(|_| rate > 0) {
+            let _held = link.lock().await;
+            let seconds = bytes as f64 / f64::from(rate);
+            tokio::time::sleep(time::Duration::from_secs_f64(seconds)).await;
+        }
+    }
 }
 
 async fn forward_stream(
@@ -215,8 +241,11 @@
         }
         let is_blackholed = now.blackholes > start.blackholes;
         let may_forward = (direction.mode_of)(&now) == Mode::Forward && !is_blackholed;
-        if may_forward && to.write_all(&std::mem::take(&mut buffered)).await.is_err() {
-            return;
+        if may_forward && !buffered.is_empty() {
+            direction.pass(buffered.len(), now.rate).await;
+            if to.write_all(&std::mem::take(&mut buffered)).await.is_err() {
+                return;
+            }
         }
         tokio::select! {
             biased;
