--- a/crates/core/src/customers.rs
+++ b/crates/core/src/customers.rs
@@ -14,6 +14,8 @@
 pub struct Customers {
     customers: collections::BTreeMap<ids::CustomerName, sync::Arc<Customer>>,
     keys: collections::BTreeMap<KeyTag, sync::Arc<Customer>>,
+    // Ranks that customers have; `None` for those without one.
+    ranks: collections::BTreeSet<Option<urgency::Rank>>,
 }
 
 /// One customer.
@@ -109,7 +111,16 @@
                 }
             }
         }
-        self.customers.insert(customer.name.clone(), customer);
+        self.ranks.insert(customer.rank);
+        if self.customers.insert(customer.name.clone(), customer).is_some() {
+            // Nobody may have the rank of the one that was replaced.
+            self.ranks = self.customers.values().map(|customer| customer.rank).collect();
+        }
+    }
+
+    /// Ranks that customers have; `None` for those without one.
+    pub fn ranks(&self) -> impl Iterator<Item = Option<urgency::Rank>> {
+        self.ranks.iter().copied()
     }
 
     /// Whether requests need no key, because there are no customers.
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -67,6 +67,8 @@
 pub mod retry_detector;
 pub mod revision;
 pub mod revisions;
+pub mod route;
+pub mod routes;
 pub mod routing;
 pub mod row_stamps;
 pub mod section;
--- a/crates/core/src/routing.rs
+++ b/crates/core/src/routing.rs
@@ -1,91 +1,10 @@
-//! Routes and services in force, and the choice of a route.
+//! Configuration of routes and services.
 
 use std::{collections, time};
 
-use crate::{customers, ids, urgency};
+use crate::{customers, ids, routes, urgency};
 
-/// Name of a route.
-pub type RouteName = String;
-/// Host of a request, without a port.
-pub type Host = String;
-
-/// Which of a route's requests may be repeated.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Kind {
-    /// Idempotent: may run more than once.
-    Safe,
-    /// Runs at most once.
-    Unsafe,
-    /// A stream of events; may run more than once only if it is `resumable`.
-    Stream {
-        /// Whether another server can continue after the last event that was delivered.
-        resumable: bool,
-    },
-}
-
-impl Kind {
-    /// Whether a request that may have run can be sent again.
-    pub fn is_repeatable(self) -> bool {
-        matches!(self, Kind::Safe | Kind::Stream { resumable: true })
-    }
-}
-
-/// Share of a route's requests that goes to one service.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Split {
-    /// Service that gets the requests.
-    pub service: ids::ServiceName,
-    /// Weight, relative to the sum of the route's weights.
-    pub weight: u32,
-}
-
-/// One route.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Route {
-    /// Name.
-    pub name: RouteName,
-    /// Host of its requests.
-    pub host: Host,
-    /// Prefix of the path; begins and ends with a slash.
-    pub prefix: String,
-    /// Which requests may be repeated.
-    pub kind: Kind,
-    /// Longest time until the final answer.
-    pub timeout: time::Duration,
-    /// Latency target of an answer, or of a stream's first event.
-    pub target: time::Duration,
-    /// Longest gap between the events of a stream that meets its target, where the route sets one.
-    pub max_gap: Option<time::Duration>,
-    /// Rank of its requests, unless their customer has one.
-    pub rank: urgency::Rank,
-    /// Whether its requests need no key of a customer.
-    pub is_public: bool,
-    /// Services of the route, with their weights.
-    pub splits: Vec<Split>,
-    /// Maximum number of servers at which one request may run.
-    pub attempts: u32,
-}
-
-impl Route {
-    /// Services to which requests of the route may go.
-    pub fn services(&self) -> impl Iterator<Item = &ids::ServiceName> {
-        self.splits.iter().filter(|split| split.weight > 0).map(|split| &split.service)
-    }
-
-    /// Chooses the service for a request; `draw` is random, uniform over `u64`.
-    pub fn service(&self, draw: u64) -> Option<&ids::ServiceName> {
-        let total: u64 = self.splits.iter().map(|split| u64::from(split.weight)).sum();
-        let mut rest = draw % total.max(1);
-        for split in &self.splits {
-            let weight = u64::from(split.weight);
-            if rest < weight {
-                return Some(&split.service);
-            }
-            rest -= weight;
-        }
-        None
-    }
-}
+pub use crate::route::{Host, Kind, Route, RouteName, Split};
 
 /// Engines of a model service.
 #[derive(Clone, Debug, PartialEq)]
@@ -133,7 +52,7 @@
     /// Version; a higher one replaces a lower one.
     pub version: ids::ListVersion,
     /// Routes.
-    pub routes: Vec<Route>,
+    pub routes: routes::Routes,
     /// Services by name.
     pub services: collections::BTreeMap<ids::ServiceName, Service>,
     /// Customers; without any, all requests are served.
@@ -150,26 +69,16 @@
             route.services().cloned().collect()
         };
         let is_stream = |route: &Route| matches!(route.kind, Kind::Stream { .. });
-        // A route that was added or removed takes requests from another one, or leaves them to it.
-        let added = self
-            .routes
-            .iter()
-            .filter_map(|route| Some((before.route(&route.host, &route.prefix)?, route)));
-        let removed = before
-            .routes
-            .iter()
-            .filter_map(|route| Some((route, self.route(&route.host, &route.prefix)?)));
-        let pairs = added.chain(removed).filter(|(old, new)| is_stream(old) && is_stream(new));
-        let changed = pairs.map(|(old, new)| (services(old), services(new)));
-        changed.filter(|(old, new)| old != new).flat_map(|(_, new)| new).collect()
+        let pairs = self.routes.pairs(&before.routes).into_iter();
+        let streams = pairs.filter(|(old, new)| is_stream(old) && is_stream(new));
+        let moved = streams.filter(|(old, new)| old.splits != new.splits);
+        let moved = moved.map(|(old, new)| (services(old), services(new)));
+        moved.filter(|(old, new)| old != new).flat_map(|(_, new)| new).collect()
     }
 
     /// Route of a request: the longest prefix among those of `host`.
     pub fn route(&self, host: &str, path: &str) -> Option<&Route> {
-        let matches = |route: &&Route| {
-            route.host.eq_ignore_ascii_case(host) && path.starts_with(&route.prefix)
-        };
-        self.routes.iter().filter(matches).max_by_key(|route| route.prefix.len())
+        self.routes.find(host, path)
     }
 
     /// Whether requests to a service differ in urgency.
@@ -180,15 +89,15 @@
     /// Place of `urgency` among those of the requests to `service`, 0 for the most urgent ones; none
     /// if all are equally urgent.
     pub fn priority(&self, service: &str, urgency: urgency::Urgency) -> Option<u8> {
-        let serves = |route: &&Route| route.splits.iter().any(|split| split.service == service);
+        let of_rank = |rank, route| urgency::Urgency { rank, route };
         let mut all = collections::BTreeSet::new();
-        for route in self.routes.iter().filter(serves) {
-            let of_rank = |rank| urgency::Urgency { rank, route: route.rank };
-            if route.is_public || self.customers.is_empty() {
-                all.insert(of_rank(route.rank));
+        all.extend(self.routes.public_ranks(service).map(|rank| of_rank(rank, rank)));
+        for route in self.routes.ranks(service) {
+            if self.customers.is_empty() {
+                all.insert(of_rank(route, route));
             } else {
-                let ranks = self.customers.iter().map(|one| one.rank.unwrap_or(route.rank));
-                all.extend(ranks.map(of_rank));
+                let ranks = self.customers.ranks().map(|rank| rank.unwrap_or(route));
+                all.extend(ranks.map(|rank| of_rank(rank, route)));
             }
         }
         (all.len() > 1).then(|| all.range(..urgency).count().min(MAX_PRIORITY) as u8)
--- a/crates/core/tests/config_sizes.rs
+++ b/crates/core/tests/config_sizes.rs
@@ -36,7 +36,7 @@
         splits: vec![routing::Split { service: format!("s{}", number % 2), weight: 1 }],
         attempts: 2,
     };
-    let routes: Vec<_> = (0..routes).map(route).collect();
+    let routes = (0..routes).map(route).collect();
     routing::Config {
         version,
         routes,
--- a/crates/core/tests/routing.rs
+++ b/crates/core/tests/routing.rs
@@ -2,7 +2,9 @@
 
 use std::{collections, time};
 
-use rhubarb_core::{customers, routing};
+use proptest::prelude::*;
+
+use rhubarb_core::{customers, ids, routes, routing};
 
 fn route(name: &str, host: &str, prefix: &str) -> routing::Route {
     routing::Route {
@@ -23,11 +25,11 @@
 fn config() -> routing::Config {
     routing::Config {
         version: 1,
-        routes: vec![
+        routes: routes::Routes::from(vec![
             route("short", "a.example", "/x/"),
             route("long", "a.example", "/x/y/"),
             route("other", "b.example", "/x/y/z/"),
-        ],
+        ]),
         customers: customers::Customers::default(),
         services: collections::BTreeMap::new(),
         limits: routing::Limits { header_bytes: 1, body_bytes: 1 },
@@ -106,3 +108,59 @@
     check(&[], &[&a], &[]);
     check(&[&route("/x/", "a.example", "/x/")], &[&a], &[]);
 }
+
+// Route that a look through all of them finds.
+fn scan<'a>(config: &'a routing::Config, host: &str, path: &str) -> Option<&'a routing::Route> {
+    let matches = |route: &&routing::Route| {
+        route.host.eq_ignore_ascii_case(host) && path.starts_with(&route.prefix)
+    };
+    config.routes.iter().filter(matches).max_by_key(|route| route.prefix.len())
+}
+
+// Services that a look at all pairs of routes finds.
+fn scan_mingled(
+    new: &routing::Config,
+    old: &routing::Config,
+) -> collections::BTreeSet<ids::ServiceName> {
+    let services = |route: &routing::Route| -> collections::BTreeSet<_> {
+        route.services().cloned().collect()
+    };
+    let added =
+        new.routes.iter().filter_map(|route| Some((scan(old, &route.host, &route.prefix)?, route)));
+    let removed =
+        old.routes.iter().filter_map(|route| Some((route, scan(new, &route.host, &route.prefix)?)));
+    let pairs = added.chain(removed).map(|(old, new)| (services(old), services(new)));
+    pairs.filter(|(old, new)| old != new).flat_map(|(_, new)| new).collect()
+}
+
+// Routes of one or two hosts with short prefixes, so that many of them nest, each once.
+fn routes() -> impl Strategy<Value = Vec<routing::Route>> {
+    let one = ("[aA]\\.example|b\\.example", "(/[xyé]{0,2}){0,4}/", 0..4_usize);
+    prop::collection::vec(one, 0..12).prop_map(|all| {
+        let mut seen = collections::BTreeSet::new();
+        let is_new = |(host, prefix, _): &(String, String, usize)| {
+            seen.insert((host.to_ascii_lowercase(), prefix.clone()))
+        };
+        let all = all.into_iter().filter(is_new);
+        let convert = |(host, prefix, service): (String, String, usize)| routing::Route {
+            kind: routing::Kind::Stream { resumable: true },
+            splits: vec![routing::Split { service: format!("s{service}"), weight: 1 }],
+            ..route(&prefix, &host, &prefix)
+        };
+        all.map(convert).collect()
+    })
+}
+
+proptest! {
+    // The index finds what a look through all routes finds.
+    #[test]
+    fn found_by_index(old in routes(), new in routes(), path in "(/[xyzé]{0,2}){0,5}") {
+        let with = |routes: Vec<_>| routing::Config { routes: routes.into(), ..config() };
+        let (old, new) = (with(old), with(new));
+        for host in ["a.example", "A.Example", "b.example", "c.example"] {
+            let name = |route: &routing::Route| (route.host.clone(), route.prefix.clone());
+            prop_assert_eq!(new.route(host, &path).map(name), scan(&new, host, &path).map(name));
+        }
+        prop_assert_eq!(new.mingled(&old), scan_mingled(&new, &old));
+    }
+}
--- a/crates/core/tests/urgency.rs
+++ b/crates/core/tests/urgency.rs
@@ -306,7 +306,7 @@
     }
     routing::Config {
         version: 1,
-        routes,
+        routes: routes.into(),
         services: collections::BTreeMap::new(),
         customers: all,
         limits: routing::Limits { header_bytes: 8_192, body_bytes: 8_192 },
--- a/crates/edge/src/directory.rs
+++ b/crates/edge/src/directory.rs
@@ -216,9 +216,7 @@
             return false;
         }
         for service in self.services.values_mut() {
-            service
-                .retry_detectors
-                .retain(|name, _| config.routes.iter().any(|route| route.name == *name));
+            service.retry_detectors.retain(|name, _| config.routes.has_name(name));
         }
         let streams =
             config.routes.iter().filter(|route| matches!(route.kind, routing::Kind::Stream { .. }));
@@ -590,14 +588,9 @@
     /// Whether others need to know which versions begin streams of a service: it has several, or its
     /// streams have another service beside it on a route, or had lately.
     pub(crate) fn needs_origins(&self, service: &str, now: time::Instant) -> bool {
-        let is_split = |route: &routing::Route| {
-            let mut others = route.services().filter(|other| *other != service);
-            matches!(route.kind, routing::Kind::Stream { .. })
-                && others.next().is_some()
-                && route.services().any(|own| own == service)
-        };
-        let mut routes = self.config.iter().flat_map(|config| &config.routes);
-        self.only_software(service, now).is_none() || routes.any(is_split)
+        let config = self.config.as_ref();
+        let is_split = config.is_some_and(|config| config.routes.is_split(service));
+        is_split || self.only_software(service, now).is_none()
     }
 
     /// The service among `services` that has servers with a version.
