--- a/crates/core/src/fleet.rs
+++ b/crates/core/src/fleet.rs
@@ -81,6 +81,8 @@
     // End of the grace period after the registry's last recovery.
     grace_until: Option<time::Instant>,
     departures: collections::BTreeMap<ids::ServerName, departures::Departures>,
+    // When departures last expired.
+    expired_at: Option<time::Instant>,
     // Registrations that may be older than what is known.
     held: collections::BTreeMap<ids::ServerName, Held>,
     // Time after which a registration has been renewed by a process that runs, or is removed.
@@ -101,6 +103,9 @@
 /// less than the 3 s after which a server without a registration must not be used.
 const MAX_UNNOTICED: time::Duration = time::Duration::from_millis(1_000);
 
+/// Shortest time after which departures expire again; they are kept for much longer.
+const EXPIRY_INTERVAL: time::Duration = time::Duration::from_secs(10);
+
 impl Fleet {
     /// All servers by id.
     pub fn instances(&self) -> &collections::BTreeMap<ids::ServerName, Instance> {
@@ -280,9 +285,7 @@
     /// Removes the next server whose grace period has expired, or uses the next registration that has
     /// outlived what was known of its server.
     pub fn next_expired(&mut self, now: time::Instant) -> Option<Change> {
-        self.departures.retain(|id, departures| {
-            departures.expire(self.instances.get(id).map(|known| known.started_ms), now)
-        });
+        self.expire_departures(now);
         let due = self.missing.iter().find(|(_, until)| **until <= now);
         if let Some(id) = due.map(|(id, _)| id.clone()) {
             return self.drop(&id);
@@ -301,6 +304,17 @@
         })
     }
 
+    // Forgets processes that were removed long ago, at most once in a while: it goes through all servers.
+    fn expire_departures(&mut self, now: time::Instant) {
+        if self.expired_at.is_some_and(|at| now < at + EXPIRY_INTERVAL) {
+            return;
+        }
+        self.expired_at = Some(now);
+        self.departures.retain(|id, departures| {
+            departures.expire(self.instances.get(id).map(|known| known.started_ms), now)
+        });
+    }
+
     fn drop(&mut self, id: &str) -> Option<Change> {
         self.missing.remove(id);
         let instance = self.instances.remove(id)?;
--- a/crates/edge/src/directory.rs
+++ b/crates/edge/src/directory.rs
@@ -8,7 +8,7 @@
 };
 use rhubarb_wire::share;
 
-use crate::{lag, metrics, rows};
+use crate::{lag, metrics, process_names, rows};
 
 /// State of one service.
 #[derive(Debug)]
@@ -70,8 +70,7 @@
     pub(crate) rows: rows::Rows,
     pub(crate) fleet: fleet::Fleet,
     fleet_known: bool,
-    // Servers by the tags of their processes.
-    processes: collections::BTreeMap<ids::ProcessTag, ids::ServerName>,
+    processes: process_names::ProcessNames,
     services: collections::BTreeMap<ids::ServiceName, Service>,
     /// Number of entries that share the retry budget, this one included, if it is known.
     pub(crate) entry_count: Option<u32>,
@@ -165,7 +164,7 @@
             rows: rows::Rows::default(),
             fleet: fleet::Fleet::default(),
             fleet_known: false,
-            processes: collections::BTreeMap::new(),
+            processes: process_names::ProcessNames::default(),
             services: collections::BTreeMap::new(),
             entry_count: None,
             place: Place::default(),
@@ -228,14 +227,28 @@
             tracing::info!(?mingled, "edge: streams of other services may be taken up");
         }
         self.mingled.extend(mingled.into_iter().map(|service| (service, now)));
+        let changed = self.with_other_engines(&config);
         self.config = Some(sync::Arc::new(config));
-        let ids: Vec<_> = self.fleet.instances().keys().cloned().collect();
-        for id in ids {
+        for id in changed {
             self.update_server(&id);
         }
         true
     }
 
+    // Servers of the services whose engines a config has otherwise than the one in use.
+    fn with_other_engines(&self, config: &routing::Config) -> Vec<ids::ServerName> {
+        fn engine<'a>(config: &'a routing::Config, service: &str) -> Option<&'a routing::Engine> {
+            config.services.get(service)?.engine.as_ref()
+        }
+        let in_use = |service: &str| self.config.as_ref().and_then(|old| engine(old, service));
+        let is_other = |service: &str| engine(config, service) != in_use(service);
+        let services: collections::BTreeSet<_> =
+            self.services.keys().filter(|service| is_other(service)).collect();
+        let servers = self.fleet.instances().iter();
+        let servers = servers.filter(|(_, known)| services.contains(&known.service));
+        servers.map(|(id, _)| id.clone()).collect()
+    }
+
     /// Records that the servers are known.
     pub(crate) fn set_fleet_known(&mut self) {
         if !std::mem::replace(&mut self.fleet_known, true) {
@@ -319,7 +332,7 @@
         self.releases.remove(id, rhubarb_node::clock::now());
         self.unverified.remove(id);
         self.held.remove(id);
-        self.processes.retain(|_, known| known != id);
+        self.processes.remove(id);
         for service in self.services.values_mut() {
             service.pool.remove(id);
             service.engines.remove(id);
@@ -330,10 +343,7 @@
     fn update_server(&mut self, id: &str) {
         let Some(instance) = self.fleet.get(id).cloned() else { return };
         let process = ids::process_tag(id, instance.started_ms);
-        if self.processes.get(&process).is_none_or(|known| known != id) {
-            self.processes.retain(|_, known| known != id);
-            self.processes.insert(process, id.to_string());
-        }
+        self.processes.set(id, process);
         let software = ids::software_tag(&instance.service, &instance.software);
         if let Some(start) = instance.started_ms {
             let first = self.starts.entry(software).or_insert(start);
@@ -408,16 +418,19 @@
     /// The service `name`, created on first use.
     pub(crate) fn service(&mut self, name: &str) -> &mut Service {
         let (zone, retry_limits, started_at) = (&self.zone, self.retry_limits, self.started_at);
-        let mut engines = engines::Engines::default();
-        engines.set_cells(&self.partition, self.own_cell);
-        let new_service = || Service {
-            pool: new_pool(zone),
-            engines,
-            beginnings: beginnings::Beginnings::default(),
-            retry_budget: retry::SharedBudget::new(retry_limits, started_at),
-            demand: demand::Demand::default(),
-            queue_limit: queue_limit::QueueLimit::default(),
-            retry_detectors: collections::BTreeMap::new(),
+        let (partition, own_cell) = (&self.partition, self.own_cell);
+        let new_service = || {
+            let mut engines = engines::Engines::default();
+            engines.set_cells(partition, own_cell);
+            Service {
+                pool: new_pool(zone),
+                engines,
+                beginnings: beginnings::Beginnings::default(),
+                retry_budget: retry::SharedBudget::new(retry_limits, started_at),
+                demand: demand::Demand::default(),
+                queue_limit: queue_limit::QueueLimit::default(),
+                retry_detectors: collections::BTreeMap::new(),
+            }
         };
         self.services.entry(name.to_string()).or_insert_with(new_service)
     }
@@ -625,7 +638,7 @@
 
     /// The registered server whose process has this tag.
     pub(crate) fn target_of(&self, process: ids::ProcessTag) -> Option<Target> {
-        let target = self.target(self.processes.get(&process)?);
+        let target = self.target(self.processes.server(process)?);
         target.filter(|target| target.process_tag() == process)
     }
 
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -40,6 +40,7 @@
 mod places;
 mod plain;
 mod prefill;
+mod process_names;
 mod processes;
 mod quotas;
 mod reader;
