--- a/crates/agent/src/engine.rs
+++ b/crates/agent/src/engine.rs
@@ -58,6 +58,8 @@
     match err {
         client::CallError::Unreachable(_) => Refusal::not_run(Reason::EngineFailed, retry),
         client::CallError::Interrupted(_) => Refusal::unknown(Reason::EngineFailed, retry),
-        client::CallError::TimedOut(_) => Refusal::unknown(Reason::EngineSilent, retry),
+        client::CallError::TimedOut(_) | client::CallError::Stalled { .. } => {
+            Refusal::unknown(Reason::EngineSilent, retry)
+        }
     }
 }
--- a/crates/edge/src/edge.rs
+++ b/crates/edge/src/edge.rs
@@ -51,6 +51,8 @@
     pub(crate) feed_stalled: tokio_sync::Notify,
     /// Number of responses of the store's feeds that had changes.
     pub(crate) feed_changes: atomic::AtomicU64,
+    // Number of responses of the store with rows that are being read.
+    receiving: atomic::AtomicU64,
     /// Number of tables that cannot be read from the store.
     pub(crate) unavailable_tables: atomic::AtomicU64,
     /// Whether this entry follows the store itself; otherwise a peer passes the changes on.
@@ -120,6 +122,7 @@
             lag_detected: tokio_sync::Notify::new(),
             feed_stalled: tokio_sync::Notify::new(),
             feed_changes: atomic::AtomicU64::new(0),
+            receiving: atomic::AtomicU64::new(0),
             unavailable_tables: atomic::AtomicU64::new(0),
             following: atomic::AtomicBool::new(true),
             open_requests: atomic::AtomicU64::new(0),
@@ -286,6 +289,17 @@
         self.unavailable_tables.load(atomic::Ordering::Relaxed) > 0
     }
 
+    /// Counts a response of the store with rows as being read, as long as the result lives.
+    pub(crate) fn receive(&self) -> Receiving<'_> {
+        self.receiving.fetch_add(1, atomic::Ordering::Relaxed);
+        Receiving(self)
+    }
+
+    /// Whether the store is sending rows to this entry.
+    pub(crate) fn is_receiving(&self) -> bool {
+        self.receiving.load(atomic::Ordering::Relaxed) > 0
+    }
+
     /// Whether this entry follows the store itself; otherwise a peer passes the changes on.
     pub(crate) fn follows_store(&self) -> bool {
         self.following.load(atomic::Ordering::Relaxed)
@@ -349,3 +363,13 @@
         locks::lock(&self.stalls).record(clock::now())
     }
 }
+
+/// A response of the store that is being read.
+#[derive(Debug)]
+pub(crate) struct Receiving<'a>(&'a Edge);
+
+impl Drop for Receiving<'_> {
+    fn drop(&mut self) {
+        self.0.receiving.fetch_sub(1, atomic::Ordering::Relaxed);
+    }
+}
--- a/crates/edge/src/snapshots.rs
+++ b/crates/edge/src/snapshots.rs
@@ -18,8 +18,12 @@
 /// Time after the fetch of a snapshot within which the store's own feed delivers the change as well,
 /// unless it is stalled.
 const STALL_MARGIN: time::Duration = time::Duration::from_millis(150);
-/// Timeout of the transfer of a snapshot.
+/// Time within which a peer answers, and without any bytes of a snapshot.
 const FETCH_TIMEOUT: time::Duration = time::Duration::from_secs(1);
+/// Timeout of the whole transfer of a snapshot.
+const TRANSFER_TIMEOUT: time::Duration = time::Duration::from_secs(10);
+/// Bytes of a snapshot that are sent within [`FETCH_TIMEOUT`].
+const CHUNK: usize = 16 * 1024;
 /// Maximum number of snapshots that are sent at once.
 const MAX_SNAPSHOTS: usize = 8;
 
@@ -40,7 +44,7 @@
         tokio::spawn(async move {
             let _permit = permit;
             let transfer = send_snapshot(&edge, &mut stream);
-            match tokio::time::timeout(FETCH_TIMEOUT, transfer).await {
+            match tokio::time::timeout(TRANSFER_TIMEOUT, transfer).await {
                 Ok(Ok(())) => {}
                 Ok(Err(err)) => tracing::info!(%from, %err, "edge: sending a snapshot failed"),
                 Err(_) => tracing::info!(%from, "edge: sending a snapshot timed out"),
@@ -52,10 +56,14 @@
 async fn send_snapshot(edge: &edge::Edge, stream: &mut tokio_net::TcpStream) -> anyhow::Result<()> {
     connections::set_options(stream)?;
     let mut request = [0; share::SnapshotRequest::BYTES];
-    io::AsyncReadExt::read_exact(stream, &mut request).await?;
+    let reading = io::AsyncReadExt::read_exact(stream, &mut request);
+    tokio::time::timeout(FETCH_TIMEOUT, reading).await??;
     let known = share::SnapshotRequest::decode(request);
     let snapshot = edge.directory().snapshot(known, clock::now());
-    io::AsyncWriteExt::write_all(stream, &snapshot.encode()?).await?;
+    for chunk in snapshot.encode()?.chunks(CHUNK) {
+        let writing = io::AsyncWriteExt::write_all(stream, chunk);
+        tokio::time::timeout(FETCH_TIMEOUT, writing).await??;
+    }
     io::AsyncWriteExt::shutdown(stream).await?;
     Ok(())
 }
@@ -71,10 +79,14 @@
         let has_feed = !relies_on_peers && !edge.is_disconnected();
         let delay = if has_feed { FETCH_INTERVAL } else { RELAY_DELAY };
         tokio::time::sleep(delay).await;
+        // What the store is sending need not come over the same link twice.
+        while has_feed && edge.is_receiving() {
+            tokio::time::sleep(RELAY_DELAY).await;
+        }
         let (own, known) = known_versions(&edge);
         let Some(ip) = edge.lag().address(&own) else { continue };
         let transfer = fetch(edge.peer_address(ip), known);
-        match tokio::time::timeout(FETCH_TIMEOUT, transfer).await {
+        match tokio::time::timeout(TRANSFER_TIMEOUT, transfer).await {
             Ok(Ok(snapshot)) => watch::apply_snapshot(&edge, ip, snapshot),
             Ok(Err(err)) => {
                 tracing::info!(%ip, %err, "edge: fetching a snapshot from a peer failed")
@@ -84,6 +96,7 @@
         if has_feed && !edge.is_disconnected() {
             tokio::time::sleep(STALL_MARGIN).await;
             if edge.feed_changes.load(atomic::Ordering::Relaxed) == delivered
+                && !edge.is_receiving()
                 && edge.lag().check_reread(clock::now())
             {
                 edge.feed_stalled.notify_waiters();
@@ -105,11 +118,18 @@
     from: net::SocketAddr,
     known: share::SnapshotRequest,
 ) -> anyhow::Result<share::Snapshot> {
-    let mut stream = tokio_net::TcpStream::connect(from).await?;
+    let connecting = tokio_net::TcpStream::connect(from);
+    let mut stream = tokio::time::timeout(FETCH_TIMEOUT, connecting).await??;
     connections::set_options(&stream)?;
     io::AsyncWriteExt::write_all(&mut stream, &known.encode()).await?;
     let mut bytes = Vec::new();
     let mut limited = io::AsyncReadExt::take(stream, share::MAX_SNAPSHOT_BYTES as u64);
-    io::AsyncReadExt::read_to_end(&mut limited, &mut bytes).await?;
+    loop {
+        bytes.reserve(CHUNK);
+        let reading = io::AsyncReadExt::read_buf(&mut limited, &mut bytes);
+        if tokio::time::timeout(FETCH_TIMEOUT, reading).await?? == 0 {
+            break;
+        }
+    }
     Ok(share::Snapshot::decode(&bytes)?)
 }
--- a/crates/edge/src/watch.rs
+++ b/crates/edge/src/watch.rs
@@ -17,7 +17,7 @@
 /// Pause after changes were read, so that one call returns the changes of that time together. A
 /// config is due within 2 s, and a server that leaves stops after 2 s.
 const FEED_PAUSE: time::Duration = time::Duration::from_millis(300);
-/// Timeout of a read.
+/// Time within which the response to a read begins, and without any of its bytes.
 const READ_TIMEOUT: time::Duration = time::Duration::from_millis(1_500);
 /// Base of the delay after failed calls, which doubles with each of them, before jitter.
 const RETRY_DELAY: time::Duration = time::Duration::from_millis(250);
@@ -220,8 +220,9 @@
     state: &mut TableState,
 ) -> Result<(), FollowError> {
     let question = freshness::Question { sent_at: clock::now(), wait: time::Duration::ZERO };
-    let reading = edge.store.read_all(table, READ_TIMEOUT);
-    let all = reading.await.map_err(read_error)?;
+    let receiving = edge.receive();
+    let all = edge.store.read_all(table, READ_TIMEOUT).await.map_err(read_error)?;
+    drop(receiving);
     notice_outage(edge, table);
     let refused_at = state.refused_at.take();
     state.record_success(edge, table, all.version, refused_at);
@@ -239,7 +240,7 @@
         let question = next_question(edge, table, is_checker);
         let (question, changes) = tokio::select! {
             changes = edge.store.feed(table, version, question.wait, FEED_SLACK), if follows => {
-                (question, changes.map_err(feed_error)?)
+                (question, receive(edge, changes.map_err(feed_error)?).await?)
             }
             () = wait_until_checker(edge), if follows && !is_checker => continue,
             () = wait_until_stale(edge, table, state), if !(follows && is_checker) => {
@@ -326,6 +327,16 @@
     }
 }
 
+// Reads changes that have begun to arrive. Nothing else ends that: however long a config takes on a slow link,
+// to ask again for it would take longer.
+async fn receive(
+    edge: &edge::Edge,
+    changes: store::IncomingRows,
+) -> Result<store::Rows, FollowError> {
+    let _receiving = edge.receive();
+    changes.read().await.map_err(feed_error)
+}
+
 // Asks the store on a new connection for the changes after `version`, and has the others told.
 async fn check(
     edge: &edge::Edge,
@@ -337,7 +348,11 @@
     let asking = edge.store.feed(table, version, question.wait, edge.terms().timeout());
     let tables = *edge.tables();
     let (ages, told_by) = (tables.ages(clock::now()), tables.told_by());
-    let changes = asking.await.inspect_err(|err| {
+    let changes = match asking.await {
+        Ok(changes) => receive(edge, changes).await,
+        Err(err) => Err(feed_error(err)),
+    };
+    let changes = changes.inspect_err(|err| {
         tracing::info!(
             ?table,
             %version,
@@ -348,7 +363,7 @@
             "edge: feed not checked"
         );
     });
-    let changes = changes.map_err(feed_error)?;
+    let changes = changes?;
     tracing::info!(
         ?table,
         %version,
--- a/crates/node/src/client.rs
+++ b/crates/node/src/client.rs
@@ -1,9 +1,9 @@
 //! HTTP client for the platform and for backend servers.
 
-use std::{fmt, time};
+use std::{fmt, pin, time};
 
-use bytes::Bytes;
-use http_body_util::Full;
+use bytes::{Bytes, BytesMut};
+use http_body_util::{BodyExt, Full};
 use hyper::{Method, Request, Response, StatusCode, body, header};
 use hyper_util::{client::legacy, rt};
 
@@ -18,6 +18,13 @@
     Interrupted(String),
     /// The request was sent, and the response did not complete within the timeout.
     TimedOut(time::Duration),
+    /// The response began, and no more of it arrived for a while.
+    Stalled {
+        /// Time without any bytes.
+        pause: time::Duration,
+        /// Bytes of the body that had arrived.
+        received: usize,
+    },
 }
 
 impl fmt::Display for CallError {
@@ -32,6 +39,9 @@
             CallError::TimedOut(timeout) => {
                 write!(f, "no response within {timeout:?}; check whether the server is overloaded")
             }
+            CallError::Stalled { pause, received } => {
+                write!(f, "nothing within {pause:?} after {received} bytes; check the link")
+            }
         }
     }
 }
@@ -74,6 +84,8 @@
 /// shortly before the last unanswered probe of an idle connection would fail it.
 const UNACKED_TIMEOUT: time::Duration = time::Duration::from_millis(2_500);
 const MAX_RESPONSE_BYTES: usize = 64 * 1024 * 1024;
+/// Time after which a response is given up although more of it arrives.
+const TRANSFER_TIMEOUT: time::Duration = time::Duration::from_secs(20);
 
 impl Default for Client {
     fn default() -> Client {
@@ -123,11 +135,11 @@
             let close = header::HeaderValue::from_static("close");
             request.headers_mut().insert(header::CONNECTION, close);
         }
-        match tokio::time::timeout(timeout, self.inner.request(request)).await {
-            Err(_) => Err(CallError::TimedOut(timeout)),
-            Ok(Err(err)) if err.is_connect() => Err(CallError::Unreachable(describe(&err))),
-            Ok(Err(err)) => Err(CallError::Interrupted(describe(&err))),
-            Ok(Ok(response)) => Ok(response),
+        match within(timeout, self.inner.request(request)).await {
+            None => Err(CallError::TimedOut(timeout)),
+            Some(Err(err)) if err.is_connect() => Err(CallError::Unreachable(describe(&err))),
+            Some(Err(err)) => Err(CallError::Interrupted(describe(&err))),
+            Some(Ok(response)) => Ok(response),
         }
     }
 
@@ -172,6 +184,47 @@
     }
 }
 
+/// Reads the body of a response that has begun. Any number of bytes may take their time on a slow link:
+/// the response is given up when none have arrived for `pause`.
+///
+/// # Errors
+/// Returns an error if the body ends early, stalls or is too long.
+pub async fn receive(
+    response: Response<body::Incoming>,
+    pause: time::Duration,
+) -> Result<FullResponse, CallError> {
+    let (head, mut body) = response.into_parts();
+    let mut received = BytesMut::new();
+    let whole = async {
+        loop {
+            let frame = within(pause, body.frame()).await;
+            let stalled = CallError::Stalled { pause, received: received.len() };
+            let Some(frame) = frame.ok_or(stalled)? else { return Ok(()) };
+            let frame = frame.map_err(|err| CallError::Interrupted(describe(&err)))?;
+            received.extend_from_slice(frame.data_ref().unwrap_or(&Bytes::new()));
+            if received.len() > MAX_RESPONSE_BYTES {
+                let err = response::BodyError::TooLarge(MAX_RESPONSE_BYTES);
+                return Err(CallError::Interrupted(err.to_string()));
+            }
+        }
+    };
+    let whole = tokio::time::timeout(TRANSFER_TIMEOUT, whole).await;
+    whole.unwrap_or(Err(CallError::TimedOut(TRANSFER_TIMEOUT)))?;
+    Ok(FullResponse { status: head.status, headers: head.headers, body: received.freeze() })
+}
+
+// Waits for a result for `limit` at most. After a time in which this process did not run, the result may be
+// there and not read yet, so that the second half begins only when the first one is over.
+async fn within<F: Future>(limit: time::Duration, result: F) -> Option<F::Output> {
+    let mut result = pin::pin!(result);
+    for _ in 0..2 {
+        if let Ok(result) = tokio::time::timeout(limit / 2, result.as_mut()).await {
+            return Some(result);
+        }
+    }
+    None
+}
+
 fn connector() -> legacy::connect::HttpConnector {
     let mut connector = legacy::connect::HttpConnector::new();
     connector.set_nodelay(true);
