--- a/crates/core/src/freshness.rs
+++ b/crates/core/src/freshness.rs
@@ -94,12 +94,14 @@
     answered_at: Option<time::Instant>,
     // When the store last answered another entry, as far as this one was told.
     told_at: Option<time::Instant>,
+    // When this was first found to be older than the limit, since it was last learned.
+    old_since: Option<time::Instant>,
 }
 
 impl Freshness {
     /// Records that the store has told this entry all changes up to `at`.
     pub fn record_answer(&mut self, at: time::Instant) {
-        self.current_at = self.current_at.max(Some(at));
+        self.advance(at);
         self.answered_at = self.answered_at.max(Some(at));
     }
 
@@ -108,10 +110,31 @@
     pub fn record_told(&mut self, at: time::Instant, is_known: bool) {
         self.told_at = self.told_at.max(Some(at));
         if is_known {
-            self.current_at = self.current_at.max(Some(at));
+            self.advance(at);
         }
     }
 
+    fn advance(&mut self, at: time::Instant) {
+        if self.current_at.is_none_or(|known| known < at) {
+            (self.current_at, self.old_since) = (Some(at), None);
+        }
+    }
+
+    /// Whether a change may be in force by now that this entry does not know.
+    pub fn is_old(&self, terms: &Terms, now: time::Instant) -> bool {
+        self.age(now).is_some_and(|age| age > terms.limit)
+    }
+
+    /// Until when decisions by what is known wait, if it is old: as long as a question to the store may
+    /// take, once. It gets old where the entry did not run, and then asks at once.
+    pub fn awaited_until(&mut self, terms: &Terms, now: time::Instant) -> Option<time::Instant> {
+        if !self.is_old(terms, now) {
+            return None;
+        }
+        let until = *self.old_since.get_or_insert(now) + terms.timeout();
+        (now < until).then_some(until)
+    }
+
     /// Records that the clock stood still for `time`.
     pub fn record_suspension(&mut self, time: time::Duration) {
         for at in [&mut self.current_at, &mut self.answered_at, &mut self.told_at] {
--- a/crates/edge/src/edge.rs
+++ b/crates/edge/src/edge.rs
@@ -45,6 +45,8 @@
     pub(crate) stream_read: tokio_sync::Mutex<Option<time::Instant>>,
     /// When the last read of the histories of versions for a stream began; locked during a read.
     pub(crate) history_read: tokio_sync::Mutex<Option<time::Instant>>,
+    /// Notifies decisions that the store or a peer has told how current a table is.
+    pub(crate) table_learned: tokio_sync::Notify,
     /// Notifies the fetcher of snapshots that a peer has newer rows of the store.
     pub(crate) lag_detected: tokio_sync::Notify,
     /// Notifies the followers of the store that its feed does not deliver changes.
@@ -119,6 +121,7 @@
             origin_learned: tokio_sync::Notify::new(),
             stream_read: tokio_sync::Mutex::default(),
             history_read: tokio_sync::Mutex::default(),
+            table_learned: tokio_sync::Notify::new(),
             lag_detected: tokio_sync::Notify::new(),
             feed_stalled: tokio_sync::Notify::new(),
             feed_changes: atomic::AtomicU64::new(0),
@@ -289,6 +292,29 @@
         self.unavailable_tables.load(atomic::Ordering::Relaxed) > 0
     }
 
+    /// Waits for the answer of the store if this entry's knowledge may be outdated, as after a time in
+    /// which the process did not run; not if the store is known to be away, and not for long.
+    pub(crate) async fn until_current(&self) {
+        let (terms, mut started_at) = (self.terms(), None);
+        while !self.is_disconnected() {
+            let (learned, now) = (self.table_learned.notified(), clock::now());
+            let Some(until) = self.tables().awaited_until(&terms, now) else { break };
+            started_at.get_or_insert(now);
+            // The next round looks at what was learned.
+            let _ = tokio::time::timeout_at(until.into(), learned).await;
+        }
+        if let Some(at) = started_at {
+            let waited = clock::now() - at;
+            self.counters.knowledge_waits.observe(waited.as_secs_f64());
+        }
+    }
+
+    /// Whether the config may have changed without this entry knowing, though the store is not known to be
+    /// away.
+    pub(crate) fn may_lack_config(&self) -> bool {
+        !self.is_disconnected() && self.tables().config.is_old(&self.terms(), clock::now())
+    }
+
     /// Counts a response of the store with rows as being read, as long as the result lives.
     pub(crate) fn receive(&self) -> Receiving<'_> {
         self.receiving.fetch_add(1, atomic::Ordering::Relaxed);
--- a/crates/edge/src/exchange.rs
+++ b/crates/edge/src/exchange.rs
@@ -148,6 +148,7 @@
         is_permitted()?;
         permit_send(edge, target, cost)
     };
+    edge.until_current().await;
     let sending = edge.connections.send(target.address, request, permit).await;
     if let Err(connections::SendError::Unsent(_)) = sending {
         suspects::check_abandoned(edge, target).await;
--- a/crates/edge/src/ingress.rs
+++ b/crates/edge/src/ingress.rs
@@ -40,6 +40,7 @@
     let caller = parts.extensions.get().map(|server::Peer(address)| address.ip());
     let attempt_id = head.attempt_id.clone();
     let refuse = |refusal| refuse::ingress_response(edge, attempt_id.as_ref(), refusal);
+    edge.until_current().await;
     let mut decision = match Decision::make(edge, &mut head, arrived) {
         Ok(decision) => decision,
         Err(refusal) => return refuse(refusal),
@@ -143,13 +144,16 @@
         let Some(config) = edge.directory().config() else {
             return Err(Refusal::not_run(Reason::NoList, CONFIG_RETRY));
         };
+        let outdated =
+            || edge.may_lack_config().then_some(Refusal::not_run(Reason::NoList, CONFIG_RETRY));
         let Some(route) = config.route(&head.host, &head.path).cloned() else {
-            return Err(Refusal::permanent(Reason::NoService));
+            return Err(outdated().unwrap_or(Refusal::permanent(Reason::NoService)));
         };
         let customer = if route.is_public || config.customers.is_empty() {
             None
         } else {
-            Some(config.customers.identify(head.key)?)
+            let customer = config.customers.identify(head.key);
+            Some(customer.map_err(|refusal| outdated().unwrap_or(refusal))?)
         };
         head.customer = customer.as_ref().map(|customer| customer.name.clone());
         let Some(service) = route.service(rand::random()).cloned() else {
--- a/crates/edge/src/metrics.rs
+++ b/crates/edge/src/metrics.rs
@@ -64,6 +64,7 @@
     pub(crate) config_age: histogram::Histogram,
     pub(crate) servers_age: histogram::Histogram,
     pub(crate) timer_delay: histogram::Histogram,
+    pub(crate) knowledge_waits: histogram::Histogram,
     pub(crate) config_read: histogram::Histogram,
     pub(crate) config_apply: histogram::Histogram,
 }
@@ -133,6 +134,10 @@
                 "timer_delay_seconds",
                 "Time by which a timer fires late, as each step of a request then waits",
             ),
+            knowledge_waits: registry.seconds_histogram(
+                "knowledge_wait_seconds",
+                "Time for which decisions waited, since what the entry knew may have been outdated",
+            ),
             config_read: registry.seconds_histogram(
                 "config_read_seconds",
                 "Time to read a config from the bytes of its row",
--- a/crates/edge/src/peers.rs
+++ b/crates/edge/src/peers.rs
@@ -364,6 +364,7 @@
         edge.directory().fleet.adopt_grace(grace, now);
     }
     edge.tables().record_told(from, &share.answered, &own.knows(&versions), arrived_at);
+    edge.table_learned.notify_waiters();
     if own.lags_behind(&versions) {
         edge.lag().record(from, versions);
         edge.lag_detected.notify_one();
--- a/crates/edge/src/tables.rs
+++ b/crates/edge/src/tables.rs
@@ -49,6 +49,16 @@
         self.config.is_heard(terms, now) && self.servers.is_heard(terms, now)
     }
 
+    /// Until when decisions wait for what the store tells next, if what is known may be outdated.
+    pub(crate) fn awaited_until(
+        &mut self,
+        terms: &freshness::Terms,
+        now: time::Instant,
+    ) -> Option<time::Instant> {
+        let config = self.config.awaited_until(terms, now);
+        config.max(self.servers.awaited_until(terms, now))
+    }
+
     /// Freshness of `table`; `None` for one that is not followed.
     pub(crate) fn get_mut(&mut self, table: store::Table) -> Option<&mut freshness::Freshness> {
         match table {
--- a/crates/edge/src/watch.rs
+++ b/crates/edge/src/watch.rs
@@ -235,6 +235,7 @@
         remove_missing(edge, &all.rows, all.version, &[], directory::Source::Store);
     }
     edge.tables().record_answer(table, question.answered_at(true, clock::now()));
+    edge.table_learned.notify_waiters();
     loop {
         let (follows, is_checker) = (edge.follows_store(), is_checker(edge));
         let question = next_question(edge, table, is_checker);
@@ -248,6 +249,10 @@
                 version = version.max(edge.directory().rows.known_version(table));
                 check(edge, table, version).await?
             }
+            // Its question was sent before a time in which the process did not run.
+            () = wait_until_old(edge, table), if follows && is_checker => {
+                check(edge, table, version).await?
+            }
             () = wait_for_source_loss(edge), if !follows => {
                 version = version.max(edge.directory().rows.known_version(table));
                 continue;
@@ -275,6 +280,7 @@
         }
         let answered_at = question.answered_at(has_changes, clock::now());
         edge.tables().record_answer(table, answered_at);
+        edge.table_learned.notify_waiters();
         if has_changes {
             edge.feed_changes.fetch_add(1, atomic::Ordering::Relaxed);
             tokio::time::sleep(FEED_PAUSE).await;
@@ -327,6 +333,18 @@
     }
 }
 
+// Waits until changes of a table may be in force that this entry does not know.
+async fn wait_until_old(edge: &edge::Edge, table: store::Table) {
+    loop {
+        let (terms, now) = (edge.terms(), clock::now());
+        let freshness = edge.tables().get_mut(table).copied();
+        match freshness.and_then(|freshness| freshness.age(now)) {
+            Some(age) if age > terms.limit() => return,
+            age => tokio::time::sleep(terms.limit() - age.unwrap_or_default()).await,
+        }
+    }
+}
+
 // Reads changes that have begun to arrive. Nothing else ends that: however long a config takes on a slow link,
 // to ask again for it would take longer.
 async fn receive(
