--- a/crates/edge/src/edge.rs
+++ b/crates/edge/src/edge.rs
@@ -53,7 +53,7 @@
     pub(crate) feed_stalled: tokio_sync::Notify,
     /// Number of responses of the store's feeds that had changes.
     pub(crate) feed_changes: atomic::AtomicU64,
-    // Number of responses of the store with rows that are being read.
+    // Number of responses of the store with rows that are being read and applied.
     receiving: atomic::AtomicU64,
     /// Number of tables that cannot be read from the store.
     pub(crate) unavailable_tables: atomic::AtomicU64,
@@ -315,13 +315,13 @@
         !self.is_disconnected() && self.tables().config.is_old(&self.terms(), clock::now())
     }
 
-    /// Counts a response of the store with rows as being read, as long as the result lives.
+    /// Counts rows of the store as being received and applied, as long as the result lives.
     pub(crate) fn receive(&self) -> Receiving<'_> {
         self.receiving.fetch_add(1, atomic::Ordering::Relaxed);
         Receiving(self)
     }
 
-    /// Whether the store is sending rows to this entry.
+    /// Whether rows of the store are being received or applied.
     pub(crate) fn is_receiving(&self) -> bool {
         self.receiving.load(atomic::Ordering::Relaxed) > 0
     }
@@ -390,7 +390,7 @@
     }
 }
 
-/// A response of the store that is being read.
+/// Rows of the store that are being received and applied.
 #[derive(Debug)]
 pub(crate) struct Receiving<'a>(&'a Edge);
 
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -17,6 +17,7 @@
 mod capacity;
 mod charge;
 mod cleanup;
+mod config_update;
 mod connections;
 mod dates;
 mod directory;
--- a/crates/edge/src/watch.rs
+++ b/crates/edge/src/watch.rs
@@ -4,10 +4,10 @@
 
 use rhubarb_core::{backoff, fleet, freshness, ids, stalls, suspension};
 use rhubarb_node::clock;
-use rhubarb_platform::{config, registration, store};
+use rhubarb_platform::{registration, store};
 use rhubarb_wire::share;
 
-use crate::{boot, directory, edge, eras, metrics, misdirected, origins};
+use crate::{boot, config_update, directory, edge, eras, metrics, misdirected, origins};
 
 /// Time that the store holds a feed request open without changes. A feed that stalls is detected
 /// earlier, by the newer versions of the peers, or as nobody tells that the table is current.
@@ -222,7 +222,6 @@
     let question = freshness::Question { sent_at: clock::now(), wait: time::Duration::ZERO };
     let receiving = edge.receive();
     let all = edge.store.read_all(table, READ_TIMEOUT).await.map_err(read_error)?;
-    drop(receiving);
     notice_outage(edge, table);
     let refused_at = state.refused_at.take();
     state.record_success(edge, table, all.version, refused_at);
@@ -230,18 +229,19 @@
     if table == store::Table::Servers {
         begin_era(edge, version, refused_at);
     }
-    apply(edge, table, &all.rows, directory::Source::Store);
+    apply(edge, table, &all.rows, directory::Source::Store).await;
     if table == store::Table::Servers {
         remove_missing(edge, &all.rows, all.version, &[], directory::Source::Store);
     }
     edge.tables().record_answer(table, question.answered_at(true, clock::now()));
     edge.table_learned.notify_waiters();
+    drop(receiving);
     loop {
         let (follows, is_checker) = (edge.follows_store(), is_checker(edge));
         let question = next_question(edge, table, is_checker);
         let (question, changes) = tokio::select! {
             changes = edge.store.feed(table, version, question.wait, FEED_SLACK), if follows => {
-                (question, receive(edge, changes.map_err(feed_error)?).await?)
+                (question, Incoming::read(edge, changes.map_err(feed_error)?).await?)
             }
             () = wait_until_checker(edge), if follows && !is_checker => continue,
             () = wait_until_stale(edge, table, state), if !(follows && is_checker) => {
@@ -265,6 +265,7 @@
                 return Ok(());
             }
         };
+        let Incoming { rows: changes, receiving } = changes;
         version = version.max(changes.version);
         notice_outage(edge, table);
         state.record_feed();
@@ -274,7 +275,7 @@
             let (rows, bytes) = (changes.rows.len(), changes.bytes());
             tracing::info!(?table, %version, rows, bytes, waited_ms, "edge: changes read from the store");
         }
-        apply(edge, table, &changes.rows, directory::Source::Store);
+        apply(edge, table, &changes.rows, directory::Source::Store).await;
         if table == store::Table::Servers {
             edge.directory().rows.set_version(version);
         }
@@ -283,6 +284,7 @@
         edge.table_learned.notify_waiters();
         if has_changes {
             edge.feed_changes.fetch_add(1, atomic::Ordering::Relaxed);
+            drop(receiving);
             tokio::time::sleep(FEED_PAUSE).await;
         }
     }
@@ -345,29 +347,38 @@
     }
 }
 
-// Reads changes that have begun to arrive. Nothing else ends that: however long a config takes on a slow link,
-// to ask again for it would take longer.
-async fn receive(
-    edge: &edge::Edge,
-    changes: store::IncomingRows,
-) -> Result<store::Rows, FollowError> {
-    let _receiving = edge.receive();
-    changes.read().await.map_err(feed_error)
+// Changes of the store, which count as being received until they are applied.
+struct Incoming<'a> {
+    rows: store::Rows,
+    receiving: edge::Receiving<'a>,
+}
+
+impl<'a> Incoming<'a> {
+    // Reads changes that have begun to arrive. Nothing else ends that: however long a config takes on a slow
+    // link, to ask again for it would take longer.
+    async fn read(
+        edge: &'a edge::Edge,
+        changes: store::IncomingRows,
+    ) -> Result<Incoming<'a>, FollowError> {
+        let receiving = edge.receive();
+        let rows = changes.read().await.map_err(feed_error)?;
+        Ok(Incoming { rows, receiving })
+    }
 }
 
 // Asks the store on a new connection for the changes after `version`, and has the others told.
-async fn check(
-    edge: &edge::Edge,
+async fn check<'a>(
+    edge: &'a edge::Edge,
     table: store::Table,
     version: store::Version,
-) -> Result<(freshness::Question, store::Rows), FollowError> {
+) -> Result<(freshness::Question, Incoming<'a>), FollowError> {
     edge.store.reconnect();
     let question = freshness::Question { sent_at: clock::now(), wait: time::Duration::ZERO };
     let asking = edge.store.feed(table, version, question.wait, edge.terms().timeout());
     let tables = *edge.tables();
     let (ages, told_by) = (tables.ages(clock::now()), tables.told_by());
     let changes = match asking.await {
-        Ok(changes) => receive(edge, changes).await,
+        Ok(changes) => Incoming::read(edge, changes).await,
         Err(err) => Err(feed_error(err)),
     };
     let changes = changes.inspect_err(|err| {
@@ -385,7 +396,7 @@
     tracing::info!(
         ?table,
         %version,
-        changes = changes.rows.len(),
+        changes = changes.rows.rows.len(),
         config_age_ms = ages.config,
         servers_age_ms = ages.servers,
         ?told_by,
@@ -426,7 +437,11 @@
 
 /// Applies the snapshot of a peer. Of an era that is over only the config is used, which has a
 /// version of its own.
-pub(crate) fn apply_snapshot(edge: &edge::Edge, from: net::IpAddr, snapshot: share::Snapshot) {
+pub(crate) async fn apply_snapshot(
+    edge: &edge::Edge,
+    from: net::IpAddr,
+    snapshot: share::Snapshot,
+) {
     let version = snapshot.version;
     let tables = *edge.tables();
     let ages = tables.ages(clock::now());
@@ -444,7 +459,7 @@
     if let Some(row) = snapshot.config {
         let row = to_row(row);
         edge.directory().rows.record_config(&row);
-        set_config(edge, &row);
+        set_config(edge, &row).await;
     }
     let own = edge.directory().rows.version();
     let is_whole = snapshot.after == store::Version::default() && !snapshot.servers.is_empty();
@@ -454,7 +469,7 @@
     edge.store.record_era(version.era);
     begin_era(edge, version, None);
     let servers: Vec<_> = snapshot.servers.into_iter().map(to_row).collect();
-    apply(edge, store::Table::Servers, &servers, directory::Source::Peer);
+    apply(edge, store::Table::Servers, &servers, directory::Source::Peer).await;
     if is_whole {
         return remove_missing(edge, &servers, version, &snapshot.awaited, directory::Source::Peer);
     }
@@ -464,11 +479,16 @@
     edge.directory().rows.set_version(version);
 }
 
-fn apply(edge: &edge::Edge, table: store::Table, rows: &[store::Row], source: directory::Source) {
+async fn apply(
+    edge: &edge::Edge,
+    table: store::Table,
+    rows: &[store::Row],
+    source: directory::Source,
+) {
     for row in rows {
         match table {
             store::Table::Operator if edge.directory().rows.record_config(row) => {
-                set_config(edge, row);
+                set_config(edge, row).await;
             }
             store::Table::Servers if edge.directory().rows.update_server(row) => {
                 set_server(edge, row, source);
@@ -479,41 +499,41 @@
     edge.slot_freed.notify_waiters();
 }
 
-fn set_config(edge: &edge::Edge, row: &store::Row) {
+async fn set_config(edge: &edge::Edge, row: &store::Row) {
     let Some(value) = &row.value else { return };
-    let started = clock::now();
-    match config::read(value) {
-        Ok(config) => {
-            let read_time = clock::now() - started;
-            let (version, routes, bytes) = (config.version, config.routes.len(), value.len());
-            let mut directory = edge.directory();
-            if directory.set_config(config) {
-                let (key, value) = (row.key.clone(), value.clone());
-                directory.rows.set_config(version, share::Row { key, version: row.version, value });
-                edge.counters.config_version.set(version as i64);
-                let config = directory.config();
-                drop(directory);
-                // Others may need to know of streams that have begun.
-                edge.origin_begun.notify_one();
-                for config in config.iter() {
-                    edge.allowances().set_limits(&config.customers, clock::now());
-                }
-                let apply_time = clock::now() - started - read_time;
-                edge.counters.config_read.observe(read_time.as_secs_f64());
-                edge.counters.config_apply.observe(apply_time.as_secs_f64());
-                tracing::info!(
-                    version,
-                    routes,
-                    bytes,
-                    read_ms = read_time.as_millis() as u64,
-                    apply_ms = apply_time.as_millis() as u64,
-                    config_age_ms = edge.tables().ages(clock::now()).config,
-                    "edge: config applied"
-                );
-            }
-        }
-        Err(err) => tracing::error!(%err, "edge: invalid config ignored"),
+    let old = edge.directory().config();
+    let update = match config_update::ConfigUpdate::read(value.clone(), old).await {
+        Ok(update) => update,
+        Err(err) => return tracing::error!(%err, "edge: invalid config ignored"),
+    };
+    let (version, routes) = (update.config().version, update.config().routes.len());
+    let (read_time, bytes, read_at) = (update.read_time, value.len(), clock::now());
+    let mut directory = edge.directory();
+    if !directory.set_config(update) {
+        return;
     }
+    let (key, value) = (row.key.clone(), value.clone());
+    directory.rows.set_config(version, share::Row { key, version: row.version, value });
+    let config = directory.config();
+    drop(directory);
+    edge.counters.config_version.set(version as i64);
+    // Others may need to know of streams that have begun.
+    edge.origin_begun.notify_one();
+    for config in config.iter() {
+        edge.allowances().set_limits(&config.customers, clock::now());
+    }
+    let apply_time = clock::now() - read_at;
+    edge.counters.config_read.observe(read_time.as_secs_f64());
+    edge.counters.config_apply.observe(apply_time.as_secs_f64());
+    tracing::info!(
+        version,
+        routes,
+        bytes,
+        read_ms = read_time.as_millis() as u64,
+        apply_ms = apply_time.as_millis() as u64,
+        config_age_ms = edge.tables().ages(clock::now()).config,
+        "edge: config applied"
+    );
 }
 
 fn set_server(edge: &edge::Edge, row: &store::Row, source: directory::Source) {
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -12,6 +12,7 @@
 //! file.finish().unwrap();
 //! ```
 
+pub mod background;
 pub mod client;
 pub mod clock;
 pub mod command;
