--- a/crates/edge/src/snapshots.rs
+++ b/crates/edge/src/snapshots.rs
@@ -59,8 +59,8 @@
     let reading = io::AsyncReadExt::read_exact(stream, &mut request);
     tokio::time::timeout(FETCH_TIMEOUT, reading).await??;
     let known = share::SnapshotRequest::decode(request);
-    let snapshot = edge.directory().snapshot(known, clock::now());
-    for chunk in snapshot.encode()?.chunks(CHUNK) {
+    let snapshot = edge.directory().snapshot(known, clock::now()).encode()?;
+    for chunk in snapshot.chunks(CHUNK) {
         let writing = io::AsyncWriteExt::write_all(stream, chunk);
         tokio::time::timeout(FETCH_TIMEOUT, writing).await??;
     }
--- a/crates/slopes/src/main.rs
+++ b/crates/slopes/src/main.rs
@@ -6,6 +6,7 @@
 mod data;
 mod lists;
 mod meter;
+mod routes;
 
 use bpaf::Parser;
 
@@ -26,5 +27,6 @@
     control::measure(&mut meter);
     data::measure(&mut meter);
     lists::measure(&mut meter);
+    routes::measure(&mut meter);
     print!("{}", meter.table());
 }
--- a/crates/slopes/src/meter.rs
+++ b/crates/slopes/src/meter.rs
@@ -12,7 +12,7 @@
 
 #[derive(Debug)]
 struct Measurement {
-    label: &'static str,
+    label: String,
     amount: f64,
     unit: &'static str,
 }
@@ -28,7 +28,7 @@
     /// Records the median time of one call of `work`, which is called `count` times in each run.
     pub(crate) fn time<T>(
         &mut self,
-        label: &'static str,
+        label: impl Into<String>,
         count: u32,
         mut work: impl FnMut(u32) -> T,
     ) {
@@ -45,7 +45,12 @@
     }
 
     /// Records the resident memory of one of the `count` items that `make` creates.
-    pub(crate) fn memory<T>(&mut self, label: &'static str, count: u32, make: impl FnOnce() -> T) {
+    pub(crate) fn memory<T>(
+        &mut self,
+        label: impl Into<String>,
+        count: u32,
+        make: impl FnOnce() -> T,
+    ) {
         let before = resident_bytes();
         let items = make();
         let growth = resident_bytes() - before;
@@ -55,11 +60,12 @@
     }
 
     /// Records a size in bytes.
-    pub(crate) fn size(&mut self, label: &'static str, bytes: usize) {
+    pub(crate) fn size(&mut self, label: impl Into<String>, bytes: usize) {
         self.record(label, bytes as f64, "bytes");
     }
 
-    fn record(&mut self, label: &'static str, amount: f64, unit: &'static str) {
+    fn record(&mut self, label: impl Into<String>, amount: f64, unit: &'static str) {
+        let label = label.into();
         self.measurements.push(Measurement { label, amount, unit });
     }
 
