--- a/crates/e2e/src/site.rs
+++ b/crates/e2e/src/site.rs
@@ -297,6 +297,19 @@
         })
     }
 
+    /// Adds `routes` routes of one other host to a config.
+    pub fn add_routes(config: &mut serde_json::Value, routes: usize) {
+        let first = config["routes"][0].clone();
+        let added = (0..routes).map(|number| {
+            let mut route = first.clone();
+            route["name"] = json!(format!("added-{number}"));
+            route["host"] = json!("added.example");
+            route["prefix"] = json!(format!("/added/{number}/"));
+            route
+        });
+        config["routes"].as_array_mut().expect("routes are a list").extend(added);
+    }
+
     /// The same with customers, and a route for [`PUBLIC`] whose requests need no key.
     pub fn config_with_customers(
         &self,
--- a/crates/e2e/tests/platform_sizes.rs
+++ b/crates/e2e/tests/platform_sizes.rs
@@ -23,19 +23,11 @@
 // A config with `routes` routes of one host more than usual, and one for [`path`].
 fn big_config(site: &site::Site, version: u64, routes: usize) -> String {
     let mut config = site.config(version);
-    let first = config["routes"][0].clone();
-    let all = config["routes"].as_array_mut().expect("routes are a list");
-    all.extend((0..routes).map(|number| {
-        let mut route = first.clone();
-        route["name"] = json!(format!("added-{number}"));
-        route["host"] = json!("added.example");
-        route["prefix"] = json!(format!("/added/{number}/"));
-        route
-    }));
-    let mut own = first;
+    site::Site::add_routes(&mut config, routes);
+    let mut own = config["routes"][0].clone();
     own["name"] = json!(format!("only-{version}"));
     own["prefix"] = json!(format!("/only-{version}/"));
-    all.push(own);
+    config["routes"].as_array_mut().expect("routes are a list").push(own);
     config.to_string()
 }
 
--- a/crates/soak/src/injector.rs
+++ b/crates/soak/src/injector.rs
@@ -17,6 +17,8 @@
 pub(crate) struct Injector {
     pub(crate) site: site::Site,
     pub(crate) shared: sync::Arc<callers::Shared>,
+    // Routes of each config besides those that are called.
+    routes: usize,
     pub(crate) violations: Vec<check::Violation>,
     // Entries to start as soon as their process has ended.
     starting: collections::BTreeSet<usize>,
@@ -41,11 +43,16 @@
 const RESUME_DURATION: time::Duration = time::Duration::from_millis(500);
 
 impl Injector {
-    pub(crate) fn new(site: site::Site, shared: sync::Arc<callers::Shared>) -> Injector {
+    pub(crate) fn new(
+        site: site::Site,
+        shared: sync::Arc<callers::Shared>,
+        routes: usize,
+    ) -> Injector {
         let copy = site.store.copy();
         Injector {
             site,
             shared,
+            routes,
             violations: Vec::new(),
             starting: collections::BTreeSet::new(),
             ended: collections::BTreeSet::new(),
@@ -332,7 +339,8 @@
 
     fn update_config(&self) {
         let version = self.shared.version.fetch_add(1, atomic::Ordering::Relaxed) + 1;
-        let config = self.site.config_with_customers(version, &record::CUSTOMERS);
+        let mut config = self.site.config_with_customers(version, &record::CUSTOMERS);
+        site::Site::add_routes(&mut config, self.routes);
         self.site.store.put("op", "config", config.to_string());
         self.shared.history().configs.insert(version, time::Instant::now());
     }
--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -11,6 +11,7 @@
     seeds: u64,
     seconds: u64,
     large: bool,
+    routes: usize,
     keep: path::PathBuf,
 }
 
@@ -28,11 +29,15 @@
         .argument::<u64>("SECONDS")
         .fallback(8);
     let large = bpaf::long("large").help("Start 100 to 150 entries").switch();
+    let routes = bpaf::long("routes")
+        .help("Routes of each config besides those that are called")
+        .argument::<usize>("COUNT")
+        .fallback(0);
     let keep = bpaf::long("keep")
         .help("Directory for the logs of seeds that fail")
         .argument::<path::PathBuf>("DIR")
         .fallback("soak-logs".into());
-    bpaf::construct!(Options { seed, seeds, seconds, large, keep })
+    bpaf::construct!(Options { seed, seeds, seconds, large, routes, keep })
         .to_options()
         .descr("Plays drawn faults against real entries and checks what they promise")
         .version(env!("CARGO_PKG_VERSION"))
@@ -49,6 +54,7 @@
             true => plan::Plan::draw_large(seed, length),
             false => plan::Plan::draw(seed, length),
         };
+        let plan = plan::Plan { routes: options.routes, ..plan };
         let report = soak::run(&plan).await?;
         println!("seed {seed}: {report}");
         if !report.violations.is_empty() {
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -102,6 +102,8 @@
     pub sizes: site::Sizes,
     /// Number of concurrent callers.
     pub callers: usize,
+    /// Routes that each version of the config has besides those that are called.
+    pub routes: usize,
     /// Changes in order of time.
     pub steps: Vec<Step>,
 }
@@ -273,7 +275,7 @@
         generator.random = rngs::StdRng::seed_from_u64(seed ^ FEED_FAULTS);
         generator.draw_feeds(length);
         generator.steps.sort_by_key(|step| step.at);
-        Plan { seed, length, sizes, callers, steps: generator.steps }
+        Plan { seed, length, sizes, callers, routes: 0, steps: generator.steps }
     }
 }
 
--- a/crates/soak/src/soak.rs
+++ b/crates/soak/src/soak.rs
@@ -91,7 +91,7 @@
         tokio::spawn(callers::probe_loop(shared, edge))
     }));
     shared.history().edges = plan.sizes.edges;
-    let mut injector = injector::Injector::new(site, shared.clone());
+    let mut injector = injector::Injector::new(site, shared.clone(), plan.routes);
     let start = tokio::time::Instant::now();
     for step in &plan.steps {
         injector.wait_until(start + step.at).await?;
--- a/crates/soak/tests/short.rs
+++ b/crates/soak/tests/short.rs
@@ -9,13 +9,24 @@
 const SEEDS: std::ops::Range<u64> = 1..5;
 
 async fn run(seed: u64) -> anyhow::Result<()> {
-    let plan = plan::Plan::draw(seed, LENGTH);
+    run_with(seed, 0).await
+}
+
+// Runs a seed with `routes` more routes in each config.
+async fn run_with(seed: u64, routes: usize) -> anyhow::Result<()> {
+    let plan = plan::Plan { routes, ..plan::Plan::draw(seed, LENGTH) };
     let report = soak::run(&plan).await?;
     assert!(report.violations.is_empty(), "seed {seed}: {report}\n{}", report.logs.join("\n---\n"));
     assert!(report.answered > 0, "seed {seed}: {report}");
     Ok(())
 }
 
+// Each version of the config has thousands of routes.
+#[tokio::test(flavor = "multi_thread")]
+async fn many_routes() -> anyhow::Result<()> {
+    run_with(2, 3_000).await
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn first_seed() -> anyhow::Result<()> {
     run(1).await
