--- a/crates/e2e/src/edge.rs
+++ b/crates/e2e/src/edge.rs
@@ -1,6 +1,6 @@
 //! An entry process of a platform deployment.
 
-use std::{fs, net, path, process, time};
+use std::{fs, net, os::unix::process::ExitStatusExt, path, process, time};
 
 use hyper::Method;
 use rustix::process as signals;
@@ -115,9 +115,11 @@
         let _ = self.child.wait();
     }
 
-    /// Exit code, once the process has ended; -1 if a signal ended it.
+    /// Exit code, once the process has ended; the negative number of the signal if one ended it.
     pub fn exit_code(&mut self) -> Option<i32> {
-        self.child.try_wait().ok().flatten().map(|status| status.code().unwrap_or(-1))
+        let status = self.child.try_wait().ok().flatten()?;
+        let signal = || status.signal().map(|signal| -signal);
+        status.code().or_else(signal)
     }
 
     /// Sends a request with the attempt id `attempt`.
