--- a/crates/edge/src/directory.rs
+++ b/crates/edge/src/directory.rs
@@ -8,7 +8,7 @@
 };
 use rhubarb_wire::share;
 
-use crate::{config_update, lag, metrics, process_names, rows};
+use crate::{lag, metrics, process_names, rows};
 
 /// State of one service.
 #[derive(Debug)]
@@ -210,12 +210,10 @@
     }
 
     /// Applies a config; false if the one in use is at least as new.
-    pub(crate) fn set_config(&mut self, update: config_update::ConfigUpdate) -> bool {
-        let version = update.config().version;
-        if self.config.as_ref().is_some_and(|old| old.version >= version) {
+    pub(crate) fn set_config(&mut self, config: routing::Config) -> bool {
+        if self.config.as_ref().is_some_and(|old| old.version >= config.version) {
             return false;
         }
-        let (mingled, config) = update.finish(self.config.as_ref());
         for service in self.services.values_mut() {
             service.retry_detectors.retain(|name, _| config.routes.has_name(name));
         }
@@ -224,6 +222,7 @@
         let longest = streams.map(|route| route.timeout).max().unwrap_or_default();
         let now = rhubarb_node::clock::now();
         self.releases.set_window(longest.mul_f64(STREAM_WINDOW), now);
+        let mingled = self.config.as_ref().map(|old| config.mingled(old)).unwrap_or_default();
         if !mingled.is_empty() {
             tracing::info!(?mingled, "edge: streams of other services may be taken up");
         }
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -17,7 +17,6 @@
 mod capacity;
 mod charge;
 mod cleanup;
-mod config_update;
 mod connections;
 mod dates;
 mod directory;
--- a/crates/edge/src/snapshots.rs
+++ b/crates/edge/src/snapshots.rs
@@ -87,7 +87,7 @@
         let Some(ip) = edge.lag().address(&own) else { continue };
         let transfer = fetch(edge.peer_address(ip), known);
         match tokio::time::timeout(TRANSFER_TIMEOUT, transfer).await {
-            Ok(Ok(snapshot)) => watch::apply_snapshot(&edge, ip, snapshot).await,
+            Ok(Ok(snapshot)) => watch::apply_snapshot(&edge, ip, snapshot),
             Ok(Err(err)) => {
                 tracing::info!(%ip, %err, "edge: fetching a snapshot from a peer failed")
             }
--- a/crates/edge/src/watch.rs
+++ b/crates/edge/src/watch.rs
@@ -4,10 +4,10 @@
 
 use rhubarb_core::{backoff, fleet, freshness, ids, stalls, suspension};
 use rhubarb_node::clock;
-use rhubarb_platform::{registration, store};
+use rhubarb_platform::{config, registration, store};
 use rhubarb_wire::share;
 
-use crate::{boot, config_update, directory, edge, eras, metrics, misdirected, origins};
+use crate::{boot, directory, edge, eras, metrics, misdirected, origins};
 
 /// Time that the store holds a feed request open without changes. A feed that stalls is detected
 /// earlier, by the newer versions of the peers, or as nobody tells that the table is current.
@@ -229,7 +229,7 @@
     if table == store::Table::Servers {
         begin_era(edge, version, refused_at);
     }
-    apply(edge, table, &all.rows, directory::Source::Store).await;
+    apply(edge, table, &all.rows, directory::Source::Store);
     if table == store::Table::Servers {
         remove_missing(edge, &all.rows, all.version, &[], directory::Source::Store);
     }
@@ -275,7 +275,7 @@
             let (rows, bytes) = (changes.rows.len(), changes.bytes());
             tracing::info!(?table, %version, rows, bytes, waited_ms, "edge: changes read from the store");
         }
-        apply(edge, table, &changes.rows, directory::Source::Store).await;
+        apply(edge, table, &changes.rows, directory::Source::Store);
         if table == store::Table::Servers {
             edge.directory().rows.set_version(version);
         }
@@ -437,11 +437,7 @@
 
 /// Applies the snapshot of a peer. Of an era that is over only the config is used, which has a
 /// version of its own.
-pub(crate) async fn apply_snapshot(
-    edge: &edge::Edge,
-    from: net::IpAddr,
-    snapshot: share::Snapshot,
-) {
+pub(crate) fn apply_snapshot(edge: &edge::Edge, from: net::IpAddr, snapshot: share::Snapshot) {
     let version = snapshot.version;
     let tables = *edge.tables();
     let ages = tables.ages(clock::now());
@@ -459,7 +455,7 @@
     if let Some(row) = snapshot.config {
         let row = to_row(row);
         edge.directory().rows.record_config(&row);
-        set_config(edge, &row).await;
+        set_config(edge, &row);
     }
     let own = edge.directory().rows.version();
     let is_whole = snapshot.after == store::Version::default() && !snapshot.servers.is_empty();
@@ -469,7 +465,7 @@
     edge.store.record_era(version.era);
     begin_era(edge, version, None);
     let servers: Vec<_> = snapshot.servers.into_iter().map(to_row).collect();
-    apply(edge, store::Table::Servers, &servers, directory::Source::Peer).await;
+    apply(edge, store::Table::Servers, &servers, directory::Source::Peer);
     if is_whole {
         return remove_missing(edge, &servers, version, &snapshot.awaited, directory::Source::Peer);
     }
@@ -479,16 +475,11 @@
     edge.directory().rows.set_version(version);
 }
 
-async fn apply(
-    edge: &edge::Edge,
-    table: store::Table,
-    rows: &[store::Row],
-    source: directory::Source,
-) {
+fn apply(edge: &edge::Edge, table: store::Table, rows: &[store::Row], source: directory::Source) {
     for row in rows {
         match table {
             store::Table::Operator if edge.directory().rows.record_config(row) => {
-                set_config(edge, row).await;
+                set_config(edge, row);
             }
             store::Table::Servers if edge.directory().rows.update_server(row) => {
                 set_server(edge, row, source);
@@ -499,17 +490,17 @@
     edge.slot_freed.notify_waiters();
 }
 
-async fn set_config(edge: &edge::Edge, row: &store::Row) {
+fn set_config(edge: &edge::Edge, row: &store::Row) {
     let Some(value) = &row.value else { return };
-    let old = edge.directory().config();
-    let update = match config_update::ConfigUpdate::read(value.clone(), old).await {
-        Ok(update) => update,
+    let started = clock::now();
+    let config = match config::read(value) {
+        Ok(config) => config,
         Err(err) => return tracing::error!(%err, "edge: invalid config ignored"),
     };
-    let (version, routes) = (update.config().version, update.config().routes.len());
-    let (read_time, bytes, read_at) = (update.read_time, value.len(), clock::now());
+    let read_at = clock::now();
+    let (version, routes, bytes) = (config.version, config.routes.len(), value.len());
     let mut directory = edge.directory();
-    if !directory.set_config(update) {
+    if !directory.set_config(config) {
         return;
     }
     let (key, value) = (row.key.clone(), value.clone());
@@ -522,7 +513,7 @@
     for config in config.iter() {
         edge.allowances().set_limits(&config.customers, clock::now());
     }
-    let apply_time = clock::now() - read_at;
+    let (read_time, apply_time) = (read_at - started, clock::now() - read_at);
     edge.counters.config_read.observe(read_time.as_secs_f64());
     edge.counters.config_apply.observe(apply_time.as_secs_f64());
     tracing::info!(
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -12,7 +12,6 @@
 //! file.finish().unwrap();
 //! ```
 
-pub mod background;
 pub mod client;
 pub mod clock;
 pub mod command;
