--- a/review/stand-2/bodies.rs
+++ b/review/stand-2/bodies.rs
@@ -1,4 +1,4 @@
-//! Case 6: requests with bodies as long as the config allows, to servers that read slowly.
+//! Requests with bodies as long as the config allows, to servers that read slowly.
 
 use std::collections::BTreeMap;
 use std::fs;
--- a/review/stand-2/engine.rs
+++ b/review/stand-2/engine.rs
@@ -1,14 +1,23 @@
 //! Stand-in for a model server that generates tokens, with holds, reports and streams of events.
 
 use std::io::{BufReader, Write};
-use std::net::{SocketAddr, TcpListener, TcpStream};
-use std::sync::Arc;
-use std::sync::atomic::{AtomicU32, AtomicU64, Ordering};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::sync::atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard};
 use std::thread;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use crate::http;
 
+/// How an engine streams.
+#[derive(Clone, Copy)]
+pub struct Pace {
+    pub events: u64,
+    /// Time before the first event, and before each other one.
+    pub first: Duration,
+    pub pause: Duration,
+}
+
 #[derive(Clone)]
 pub struct Engine {
     inner: Arc<Inner>,
@@ -18,8 +27,10 @@
     id: String,
     version: String,
     born: u64,
-    events: u64,
-    pause: Duration,
+    address: SocketAddr,
+    pace: Pace,
+    has_ended: AtomicBool,
+    connections: Mutex<Vec<TcpStream>>,
     running: AtomicU32,
     holds: AtomicU64,
 }
@@ -29,20 +40,16 @@
 }
 
 impl Engine {
-    /// Starts an engine whose streams have `events` events, with `pause` before each.
-    pub fn start(
-        id: &str,
-        version: &str,
-        address: SocketAddr,
-        events: u64,
-        pause: Duration,
-    ) -> Engine {
+    /// Starts an engine, which may have run before under the same id at the same address.
+    pub fn start(id: &str, version: &str, address: SocketAddr, pace: Pace) -> Engine {
         let inner = Inner {
             id: id.to_string(),
             version: version.to_string(),
             born: now_ms(),
-            events,
-            pause,
+            address,
+            pace,
+            has_ended: AtomicBool::new(false),
+            connections: Mutex::default(),
             running: AtomicU32::new(0),
             holds: AtomicU64::new(0),
         };
@@ -51,6 +58,10 @@
         let shared = engine.clone();
         thread::spawn(move || {
             for stream in listener.incoming().flatten() {
+                if shared.has_ended() {
+                    return;
+                }
+                shared.connections().extend(stream.try_clone());
                 let engine = shared.clone();
                 thread::spawn(move || engine.serve(stream));
             }
@@ -58,6 +69,24 @@
         engine
     }
 
+    /// Ends it as a crash does: nothing more is sent, and its port is closed.
+    pub fn crash(&self) {
+        self.inner.has_ended.store(true, Ordering::Relaxed);
+        for connection in self.connections().drain(..) {
+            let _ = connection.shutdown(Shutdown::Both);
+        }
+        // The thread that accepts looks at the flag.
+        let _ = TcpStream::connect(self.inner.address);
+    }
+
+    fn has_ended(&self) -> bool {
+        self.inner.has_ended.load(Ordering::Relaxed)
+    }
+
+    fn connections(&self) -> MutexGuard<'_, Vec<TcpStream>> {
+        self.inner.connections.lock().unwrap_or_else(|err| err.into_inner())
+    }
+
     /// Entry of the engine in the list of servers.
     pub fn row(&self, service: &str, zone: &str, address: SocketAddr, slots: u32) -> String {
         let Inner { version, born, .. } = &*self.inner;
@@ -138,8 +167,12 @@
             inner.id
         );
         writer.write_all(head.as_bytes())?;
-        for id in last.map_or(0, |last| last + 1)..inner.events {
-            thread::sleep(inner.pause);
+        let from = last.map_or(0, |last| last + 1);
+        for id in from..inner.pace.events {
+            thread::sleep(if id == from { inner.pace.first } else { inner.pace.pause });
+            if self.has_ended() {
+                return Err(std::io::Error::other("the engine has ended"));
+            }
             let event = format!("id: {id}\ndata: {} {id}\n\n", inner.version);
             writer.write_all(format!("{:x}\r\n{event}\r\n", event.len()).as_bytes())?;
         }
--- a/review/stand-2/main.rs
+++ b/review/stand-2/main.rs
@@ -7,9 +7,12 @@
 mod entry;
 mod http;
 mod json;
+mod loss;
 mod server;
 mod store;
+mod streams;
 mod takeups;
+mod upgrade;
 
 fn main() {
     let mut args = std::env::args().skip(1);
@@ -19,9 +22,11 @@
     let code = match case.as_str() {
         "bodies" => bodies::run(folder.as_ref(), has_trouble),
         "crowd" => crowd::run(folder.as_ref(), has_trouble),
+        "loss" => loss::run(folder.as_ref(), has_trouble),
+        "upgrade" => upgrade::run(folder.as_ref(), has_trouble),
         "takeups" => takeups::run(folder.as_ref(), has_trouble),
         _ => {
-            eprintln!("usage: stand-2 CASE FOLDER; cases: bodies, crowd, takeups");
+            eprintln!("usage: stand-2 CASE FOLDER; cases: bodies, crowd, loss, takeups, upgrade");
             2
         }
     };
