Start a server after the millisecond of its last answer in restarted_after_leaving

Cause: the stand-in started again in the millisecond in which its process before had said that it leaves. Starts are told in whole milliseconds, so that the new process may have given the answer, and its row waits for the lifetime of a row, as it should.

Change: the line «row of a server not used» names both times.

--- a/crates/core/src/departures.rs
+++ b/crates/core/src/departures.rs
@@ -44,6 +44,11 @@
         self.answered_ms = self.answered_ms.max(Some(now_ms));
     }
 
+    /// When an answer last said that the server is leaving, in Unix milliseconds.
+    pub fn answered_ms(&self) -> Option<u64> {
+        self.answered_ms
+    }
+
     /// Whether the process that started at `started_ms` may be the one that said so in an answer.
     pub fn may_include(&self, started_ms: Option<u64>) -> bool {
         let is_unknown = !self.processes.contains_key(&started_ms);
--- a/crates/core/src/fleet.rs
+++ b/crates/core/src/fleet.rs
@@ -247,6 +247,11 @@
         Some(Change::Leaving(id.to_string()))
     }
 
+    /// When an answer of a server last said that it is leaving, in Unix milliseconds.
+    pub fn left_ms(&self, id: &str) -> Option<u64> {
+        self.departures.get(id)?.answered_ms()
+    }
+
     /// Removes a server whose registration is invalid.
     pub fn set_invalid(&mut self, id: &str) -> Option<Change> {
         self.held.remove(id);
--- a/crates/e2e/tests/platform_leaving.rs
+++ b/crates/e2e/tests/platform_leaving.rs
@@ -16,6 +16,8 @@
 const CALLS: usize = 40;
 /// Requests of each kind where several kinds are sent.
 const MIXED_CALLS: usize = 8;
+/// Time from the last answer of a process to the start of the next: starts are told in milliseconds.
+const START_TIME: time::Duration = time::Duration::from_millis(3);
 
 // Makes the feeds of all entries go silent without a reset, lets `leave` announce that a plain
 // server leaves, and checks that requests sent after the bounds do not reach it.
@@ -215,6 +217,8 @@
     server.set_leaving(true);
     hear_from(&site, server).await?;
     server.set_leaving(false);
+    // One that starts in the millisecond of the answer may have given it, and waits for a row's lifetime.
+    tokio::time::sleep(START_TIME).await;
     server.restart();
     site.announce(server, "ready");
     tokio::time::sleep(time::Duration::from_millis(500)).await;
--- a/crates/edge/src/watch.rs
+++ b/crates/edge/src/watch.rs
@@ -533,8 +533,10 @@
     let mut directory = edge.directory();
     let mut is_used = true;
     let mut restarted = None;
+    let mut born = None;
     let change = match parsed {
         Some(Ok(instance)) => {
+            born = instance.started_ms;
             log_order(edge, &directory, row, &instance);
             let known = directory.fleet.get(&row.key);
             let is_other = known.is_some_and(|known| known.software != instance.software);
@@ -554,7 +556,9 @@
     if is_used {
         directory.record_row(&row.key);
     } else {
-        tracing::info!(server = row.key, version = %row.version, "edge: row of a server not used");
+        let (version, answered_ms) = (row.version, directory.fleet.left_ms(&row.key));
+        let server = &row.key;
+        tracing::info!(server, %version, born, answered_ms, "edge: row of a server not used");
     }
     apply_change(&mut directory, change, row.version, source);
     let target = directory.target(&row.key).filter(|_| is_used && row.value.is_some());
