Catch stop signals before an entry can be reached

Cause: an entry bound its listeners, logged its start and began to serve before it installed the handlers.

Change: signals::Stop is created first, in the entries, the agent and the stand-ins, and waited for later; SIGHUP likewise.

--- a/crates/agent/src/run.rs
+++ b/crates/agent/src/run.rs
@@ -13,6 +13,7 @@
 /// # Errors
 /// Returns an error if an address cannot be bound or signals cannot be caught.
 pub async fn run(settings: settings::Settings) -> anyhow::Result<()> {
+    let mut stopped = signals::Stop::catch()?;
     let (listener, udp) = server::bind_tcp_and_udp(settings.listen).await?;
     let http_listener = server::bind(settings.http).await?;
     println!("listening http={} peer={}", http_listener.local_addr()?, listener.local_addr()?);
@@ -28,7 +29,7 @@
     tokio::spawn(server::serve(http_listener, server::Limits::default(), move |request| {
         http::handle(shared.clone(), request)
     }));
-    signals::wait_for_stop().await?;
+    stopped.received().await;
     drain(&agent).await;
     Ok(())
 }
--- a/crates/e2e/tests/platform_stops.rs
+++ b/crates/e2e/tests/platform_stops.rs
@@ -1,6 +1,6 @@
 //! Graceful stops and settings reloads on the platform.
 
-use std::time;
+use std::{net, time};
 
 use hyper::Method;
 use rustix::process::Signal;
@@ -42,6 +42,30 @@
     Ok(())
 }
 
+// Guards against an entry that a stop signal ends at once, since it is reached before it catches signals (soak
+// seed 18038): what it has taken is cut off.
+#[tokio::test]
+async fn stopped_at_start() -> anyhow::Result<()> {
+    let mut site = site::Site::start(site::Sizes::default()).await?;
+    for start in 0..20 {
+        site.restart_edge(0)?;
+        let edge = &site.edges[0];
+        while net::TcpStream::connect(edge.frontend).is_err() {}
+        for signal in [Signal::TERM, Signal::INT, Signal::HUP] {
+            assert!(edge.catches(signal), "{signal:?} in start {start}");
+        }
+    }
+    site.edges[0].signal(Signal::TERM);
+    let exited = async {
+        while site.edges[0].exit_code().is_none() {
+            tokio::time::sleep(time::Duration::from_millis(20)).await;
+        }
+    };
+    tokio::time::timeout(time::Duration::from_secs(8), exited).await?;
+    assert_eq!(site.edges[0].exit_code(), Some(0), "{}", site.edges[0].log());
+    Ok(())
+}
+
 // Guards against a request that arrives while the drained entry writes its last usage record: it
 // ran, and its connection was closed without a response. Seen in a soak run (brokerage, mix, seed
 // 107079775830).
--- a/crates/edge/src/run.rs
+++ b/crates/edge/src/run.rs
@@ -27,6 +27,7 @@
 /// # Errors
 /// Returns an error if an address cannot be bound or signals cannot be caught.
 pub async fn run(settings: settings::Settings, dropped: logs::DroppedLines) -> anyhow::Result<()> {
+    let (mut stopped, hangups) = (signals::Stop::catch()?, signals::hangups()?);
     let callers = server::bind(settings.frontend_addr).await?;
     let ready = server::bind(settings.ready_addr).await?;
     let scrapes = server::bind((settings.ip, metrics::PLATFORM_PORT).into()).await?;
@@ -52,7 +53,7 @@
     tokio::spawn(stream_records::write(edge.clone()));
     tokio::spawn(stream_records::clean(edge.clone()));
     tokio::spawn(leader::run(edge.clone()));
-    tokio::spawn(reload::run(edge.clone(), signals::hangups()?));
+    tokio::spawn(reload::run(edge.clone(), hangups));
     let (snapshots, shares) =
         server::bind_tcp_and_udp(edge.peer_address(edge.settings().ip)).await?;
     let shares = sync::Arc::new(shares);
@@ -87,7 +88,7 @@
             respond(shared.clone(), request)
         }));
     }
-    signals::wait_for_stop().await?;
+    stopped.received().await;
     let stop = edge.stop();
     drain(&edge, stop, &close, serving).await;
     // A write in progress must not replace the last record.
--- a/crates/entry/src/run.rs
+++ b/crates/entry/src/run.rs
@@ -17,6 +17,7 @@
 /// # Errors
 /// Returns an error if an address cannot be bound or signals cannot be caught.
 pub async fn run(settings: settings::Settings) -> anyhow::Result<()> {
+    let mut stopped = signals::Stop::catch()?;
     let listener = server::bind(settings.listen).await?;
     let udp = net::UdpSocket::bind((settings.listen.ip(), 0)).await?;
     println!("listening http={}", listener.local_addr()?);
@@ -30,7 +31,7 @@
     tokio::spawn(server::serve(listener, limits, move |request| {
         ingress::handle(shared.clone(), request)
     }));
-    signals::wait_for_stop().await?;
+    stopped.received().await;
     entry.begin_shutdown();
     drain(&entry).await;
     flush_task.abort();
--- a/crates/fakes/src/main.rs
+++ b/crates/fakes/src/main.rs
@@ -42,11 +42,13 @@
 #[tokio::main]
 async fn main() -> anyhow::Result<()> {
     let options = options().run();
+    let mut stopped = signals::Stop::catch()?;
     if let Some(count) = options.events {
         let server =
             raw::Raw::start_at(options.listen, raw::Answer::Events { count, interval: INTERVAL });
         println!("listening http={}", server.await?.address);
-        return signals::wait_for_stop().await;
+        stopped.received().await;
+        return Ok(());
     }
     let listener = server::bind(options.listen).await?;
     let address = listener.local_addr()?;
@@ -60,7 +62,8 @@
         fakes.clone().handle(request)
     });
     tokio::select! {
-        () = serve => Ok(()),
-        stopped = signals::wait_for_stop() => stopped,
+        () = serve => {}
+        () = stopped.received() => {}
     }
+    Ok(())
 }
--- a/crates/node/src/signals.rs
+++ b/crates/node/src/signals.rs
@@ -2,18 +2,31 @@
 
 use tokio::signal::unix;
 
-/// Waits for SIGTERM or SIGINT.
-///
-/// # Errors
-/// Returns an error if the signal handlers cannot be installed.
-pub async fn wait_for_stop() -> anyhow::Result<()> {
-    let mut terminate = unix::signal(unix::SignalKind::terminate())?;
-    let mut interrupt = unix::signal(unix::SignalKind::interrupt())?;
-    tokio::select! {
-        _ = terminate.recv() => {}
-        _ = interrupt.recv() => {}
+/// SIGTERM and SIGINT, which stop a process. They are caught from its creation on.
+#[derive(Debug)]
+pub struct Stop {
+    terminate: unix::Signal,
+    interrupt: unix::Signal,
+}
+
+impl Stop {
+    /// Catches the signals. A process does so before others can reach it: they may stop it from then on.
+    ///
+    /// # Errors
+    /// Returns an error if the signal handlers cannot be installed.
+    pub fn catch() -> anyhow::Result<Stop> {
+        let terminate = unix::signal(unix::SignalKind::terminate())?;
+        let interrupt = unix::signal(unix::SignalKind::interrupt())?;
+        Ok(Stop { terminate, interrupt })
+    }
+
+    /// Waits for one of them, which may have come before.
+    pub async fn received(&mut self) {
+        tokio::select! {
+            _ = self.terminate.recv() => {}
+            _ = self.interrupt.recv() => {}
+        }
     }
-    Ok(())
 }
 
 /// Returns the stream of SIGHUP signals, which ask for a reload of the settings.
