Measure and log the questions which process of an engine answers

The reason for which an engine has not said which process it is was dropped. It is logged with the engine and the number of requests on the connection, and the histogram process_question_seconds has the time of each question; its count is their number. Of idle connections whose process is not known one is asked, not one after the other: where all have gone silent each would take the whole timeout.

--- a/crates/edge/src/connections.rs
+++ b/crates/edge/src/connections.rs
@@ -6,7 +6,7 @@
 use http_body_util::Full;
 use hyper::{HeaderMap, Request, Response, body, client::conn::http1, header};
 use hyper_util::rt;
-use prometheus_client::metrics::counter;
+use prometheus_client::metrics::{counter, histogram};
 use tokio::net as tokio_net;
 
 use rhubarb_core::{exchanges, identity};
@@ -22,6 +22,8 @@
     pub(crate) buffers: buffer::Buffers,
     // Counts responses that belong to another request than the one they were received for.
     strays: counter::Counter,
+    // Times of the questions which process answers.
+    questions: histogram::Histogram,
     idle: sync::Mutex<collections::BTreeMap<net::SocketAddr, Vec<Connection>>>,
     // Servers that answered twice, and until when no connection to them is used again.
     stuttering: sync::Mutex<collections::BTreeMap<net::SocketAddr, time::Instant>>,
@@ -135,12 +137,14 @@
 const MAX_IDLE: usize = 16;
 
 impl ConnectionPool {
-    /// Creates an empty pool, which counts responses to other requests with `strays`.
-    pub(crate) fn new(strays: counter::Counter) -> ConnectionPool {
+    /// Creates an empty pool, which counts responses to other requests with `strays`, and measures the time
+    /// of `questions` which process answers.
+    pub(crate) fn new(strays: counter::Counter, questions: histogram::Histogram) -> ConnectionPool {
         let (idle, stuttering) = (sync::Mutex::default(), sync::Mutex::default());
         ConnectionPool {
             buffers: buffer::Buffers::new(buffer::LARGE_BYTES),
             strays,
+            questions,
             idle,
             stuttering,
         }
@@ -232,11 +236,12 @@
         let is_unknown = |connection: &Connection| {
             connection.exchanges.admits(proof) && connection.peer == identity::Peer::Unknown
         };
-        while let Some(mut connection) = self.checkout_if(target.address, is_unknown) {
-            if let Some(peer) = self.ask(&mut connection, target, &observe).await {
-                connection.peer = peer;
-                return Ok(connection);
-            }
+        // One that has gone silent is replaced by a new one, as the others may have.
+        if let Some(mut connection) = self.checkout_if(target.address, is_unknown)
+            && let Some(peer) = self.ask(&mut connection, target, &observe).await
+        {
+            connection.peer = peer;
+            return Ok(connection);
         }
         let connecting = async || {
             let connecting = connect(target.address, &self.buffers).await;
@@ -263,19 +268,31 @@
     ) -> Option<identity::Peer> {
         let mut probe = engine::identity_request(&target.id);
         set_host(&mut probe, target.address);
+        let asked_at = clock::now();
         let asking = async {
             let proof = request::response_proof(&probe);
-            let response = connection.send(probe, proof).await.ok()?;
+            let response = connection.send(probe, proof).await.map_err(SendFailure::into_text)?;
             observe(&response);
-            let is_success = response.status().is_success();
+            let status = response.status();
             let body = self.buffers.read(&mut response.into_body(), MAX_PROBE_BYTES).await;
-            body.ok().filter(|_| is_success)
+            let body = body.map_err(|err| err.to_string())?;
+            match status.is_success() {
+                true => engine::read_report(&body).map_err(|err| err.to_string()),
+                false => Err(status.to_string()),
+            }
         };
-        let body = tokio::time::timeout(PROBE_TIMEOUT, asking).await.ok().flatten()?;
-        match engine::read_report(&body) {
+        let answer = tokio::time::timeout(PROBE_TIMEOUT, asking).await;
+        self.questions.observe((clock::now() - asked_at).as_secs_f64());
+        match answer.unwrap_or_else(|_| Err("no answer in time".to_string())) {
             Ok(state) => Some(identity::Peer::Said(state.started_ms)),
             Err(err) => {
-                tracing::warn!(server = target.id, %err, "edge: state of engine cannot be parsed");
+                let requests = connection.requests;
+                tracing::info!(
+                    server = target.id,
+                    err,
+                    requests,
+                    "edge: engine has not said which process it is"
+                );
                 None
             }
         }
@@ -412,6 +429,15 @@
     Stray,
 }
 
+impl SendFailure {
+    fn into_text(self) -> String {
+        match self {
+            SendFailure::Unsent(_, err) | SendFailure::Sent(err) => err,
+            SendFailure::Stray => "the response belongs to another request".to_string(),
+        }
+    }
+}
+
 impl Connection {
     // Sends a request and returns its response, which is shown to belong to it: it echoes the
     // request's id, or both have none.
--- a/crates/edge/src/edge.rs
+++ b/crates/edge/src/edge.rs
@@ -116,7 +116,10 @@
             dates,
             ledger: sync::Mutex::new(ledger),
             store,
-            connections: connections::ConnectionPool::new(counters.stray_responses.clone()),
+            connections: connections::ConnectionPool::new(
+                counters.stray_responses.clone(),
+                counters.process_questions.clone(),
+            ),
             bodies: buffer::Buffers::new(capacity.call_bytes()),
             callers: caller_connections::Connections::new(capacity.connections),
             counters,
--- a/crates/edge/src/metrics.rs
+++ b/crates/edge/src/metrics.rs
@@ -69,6 +69,7 @@
     pub(crate) timer_delay: histogram::Histogram,
     pub(crate) knowledge_waits: histogram::Histogram,
     pub(crate) config_read: histogram::Histogram,
+    pub(crate) process_questions: histogram::Histogram,
     pub(crate) config_apply: histogram::Histogram,
 }
 
@@ -148,6 +149,10 @@
                 "knowledge_wait_seconds",
                 "Time for which decisions waited, since what the entry knew may have been outdated",
             ),
+            process_questions: registry.seconds_histogram(
+                "process_question_seconds",
+                "Time to ask on a connection which process of an engine answers, before a stream",
+            ),
             config_read: registry.seconds_histogram(
                 "config_read_seconds",
                 "Time to read a config from the bytes of its row",
