Name servers whose running process has no row unregistered

Renames alone: the set was called other_process, replaced() and record_other, beside the services in which servers were replaced by others of another version.

--- a/crates/edge/src/directory.rs
+++ b/crates/edge/src/directory.rs
@@ -90,8 +90,8 @@
     initial: Option<(u64, collections::BTreeMap<ids::ServiceName, ids::SoftwareTag>)>,
     // Start of the first known server of each version that tells it, in Unix milliseconds.
     starts: collections::BTreeMap<ids::SoftwareTag, u64>,
-    // Servers of which another process answers than the registered one.
-    other_process: collections::BTreeSet<ids::ServerName>,
+    // Servers whose running processes have no row yet: it still names the one before.
+    unregistered: collections::BTreeSet<ids::ServerName>,
     // Servers that were down since their rows were last written.
     unverified: collections::BTreeSet<ids::ServerName>,
     // Engines that are not used yet, since the store has no record of their versions or of their use here.
@@ -185,7 +185,7 @@
             mingled: collections::BTreeMap::new(),
             initial: None,
             starts: collections::BTreeMap::new(),
-            other_process: collections::BTreeSet::new(),
+            unregistered: collections::BTreeSet::new(),
             unverified: collections::BTreeSet::new(),
             held: collections::BTreeSet::new(),
             uses: uses::Own::default(),
@@ -516,20 +516,20 @@
     /// Records that a row of a server was read, or that its process is the registered one.
     pub(crate) fn record_row(&mut self, id: &str) {
         self.unverified.remove(id);
-        self.other_process.remove(id);
+        self.unregistered.remove(id);
     }
 
-    /// Records that another process of a server answers than this one; returns whether that is new. False
-    /// if this is not the registered one any more.
-    pub(crate) fn record_other(&mut self, target: &Target) -> bool {
+    /// Records that a server runs another process than this one; returns whether that is new. False if this
+    /// is not the registered one any more.
+    pub(crate) fn record_unregistered(&mut self, target: &Target) -> bool {
         let is_registered =
             self.target(&target.id).is_some_and(|known| known.place() == target.place());
-        is_registered && self.other_process.insert(target.id.clone())
+        is_registered && self.unregistered.insert(target.id.clone())
     }
 
-    /// Servers of which another process answers than the registered one.
-    pub(crate) fn replaced(&self) -> &collections::BTreeSet<ids::ServerName> {
-        &self.other_process
+    /// Servers that run other processes than the registered ones.
+    pub(crate) fn unregistered(&self) -> &collections::BTreeSet<ids::ServerName> {
+        &self.unregistered
     }
 
     /// Servers that were down since their rows were last written.
--- a/crates/edge/src/doubts.rs
+++ b/crates/edge/src/doubts.rs
@@ -6,10 +6,10 @@
 
 use crate::{directory, edge};
 
-/// Records that another process of an engine answers than the registered one, which it is until a newer row
-/// names it.
-pub(crate) fn record_replaced(edge: &edge::Edge, target: &directory::Target) {
-    if edge.directory().record_other(target) {
+/// Records that an engine runs another process than the registered one. It is not used until its row names
+/// that process.
+pub(crate) fn record_unregistered(edge: &edge::Edge, target: &directory::Target) {
+    if edge.directory().record_unregistered(target) {
         tracing::info!(
             server = target.id,
             born = target.process.1,
--- a/crates/edge/src/exchange.rs
+++ b/crates/edge/src/exchange.rs
@@ -139,7 +139,7 @@
         doubts::record(&call.edge, target);
     }
     if let Err(connections::SendError::Replaced) = sending {
-        doubts::record_replaced(&call.edge, target);
+        doubts::record_unregistered(&call.edge, target);
     }
 }
 
--- a/crates/edge/src/prefill.rs
+++ b/crates/edge/src/prefill.rs
@@ -252,12 +252,12 @@
     let mut directory = call.edge.directory();
     let kept = directory.kept(&call.service, &call.head.beginnings, now);
     let kept = |id: &str| kept.get(id).copied().unwrap_or_default();
-    let replaced = directory.replaced().clone();
+    let unregistered = directory.unregistered().clone();
     let service = directory.service(&call.service);
     let engines = &service.engines;
     let is_prefill = |id: &str| {
         engines.stage(id) == Some(fleet::Stage::Prefill)
-            && !replaced.contains(id)
+            && !unregistered.contains(id)
             && software.is_none_or(|software| engines.software(id) == Some(software))
     };
     let candidates = service.pool.candidates(tried, is_prefill, now);
--- a/crates/edge/src/processes.rs
+++ b/crates/edge/src/processes.rs
@@ -67,7 +67,7 @@
                 edge.directory().record_row(&target.id);
                 edge.slot_freed.notify_waiters();
             } else {
-                doubts::record_replaced(&edge, &target);
+                doubts::record_unregistered(&edge, &target);
             }
             return;
         }
--- a/crates/edge/src/quotas.rs
+++ b/crates/edge/src/quotas.rs
@@ -37,6 +37,7 @@
         }
     }
 
+    /// Number of requests that count.
     pub(crate) fn requests(self) -> u32 {
         match self {
             Cost::Paid => 0,
--- a/crates/edge/src/reservation.rs
+++ b/crates/edge/src/reservation.rs
@@ -373,8 +373,8 @@
     let mut directory = call.edge.directory();
     // A begun stream does not go on where the version may have changed.
     let unverified = software.map(|_| directory.unverified().clone()).unwrap_or_default();
-    // Another one would not be reached there either.
-    let replaced = directory.replaced().clone();
+    // Nothing is sent to a process that no row names.
+    let unregistered = directory.unregistered().clone();
     let service = directory.service(&call.service);
     let engines = &mut service.engines;
     if software.is_none() && !engines.is_next(position) {
@@ -386,7 +386,7 @@
         engines.stage(id) == Some(fleet::Stage::Decode)
             && software.is_none_or(|software| engines.software(id) == Some(software))
             && !unverified.contains(id)
-            && !replaced.contains(id)
+            && !unregistered.contains(id)
     };
     // In order of their names.
     let candidates: Vec<_> = service.pool.candidates(tried, is_decode, now);
