Write the rows of servers that start again while the soak waits for recovery

The one engine crashed with the last faults, by a request that crashes it, and started again.

Cause: in the soak. Servers write their rows at least each heartbeat; the stand-in did so while faults were played, and no more while recovery was checked. Entries do not use a process that no row names, for good then.

--- a/crates/soak/src/injector.rs
+++ b/crates/soak/src/injector.rs
@@ -278,8 +278,8 @@
         });
     }
 
-    // Writes the rows of engines that have crashed and started again.
-    fn follow_servers(&mut self) {
+    /// Writes the rows of servers that have crashed and started again.
+    pub(crate) fn follow_servers(&mut self) {
         for number in 0..self.site.servers().len() {
             let server = self.server(number);
             let known = self.starts.insert(server.id.clone(), server.born());
--- a/crates/soak/src/soak.rs
+++ b/crates/soak/src/soak.rs
@@ -117,13 +117,17 @@
         let (shared, turns) = (injector.shared.clone(), turns.clone());
         waiting.spawn(async move { wait_serving(&shared, &turns, edge, deadline).await });
     }
-    while let Some(result) = waiting.join_next().await {
+    loop {
+        // A server that has crashed with the last faults is used again once it has written its row.
+        injector.follow_servers();
+        let joining = tokio::time::timeout(POLL_INTERVAL, waiting.join_next());
+        let Ok(joined) = joining.await else { continue };
+        let Some(result) = joined else { return Ok(()) };
         if let Err(detail) = result? {
             let invariant = check::Invariant::Recovered;
             injector.violations.push(check::Violation { invariant, detail });
         }
     }
-    Ok(())
 }
 
 async fn wait_serving(
