List orphans::freed_after_freeze, and print why a stream was refused

It now has the body, which names the reason.

The test is called freed_after_freeze, so that passing over it does not pass over platform_versions::entry_frozen; its checks are the same.

--- a/crates/e2e/src/caller.rs
+++ b/crates/e2e/src/caller.rs
@@ -128,7 +128,11 @@
         let body = request_body(prompt, max_tokens, true);
         let request = self.request(Method::POST, "/v1/completions", &[], &body)?;
         let response = self.client.send(request, REQUEST_TIMEOUT).await?;
-        anyhow::ensure!(response.status() == 200, "status {}", response.status());
+        if response.status() != 200 {
+            let (status, body) = (response.status(), response.into_body());
+            let body = rhubarb_node::response::read_body(body, 1 << 16).await.unwrap_or_default();
+            anyhow::bail!("status {status}: {}", String::from_utf8_lossy(&body));
+        }
         Ok(Stream { body: response.into_body(), pending: String::new() })
     }
 
--- a/crates/e2e/tests/orphans.rs
+++ b/crates/e2e/tests/orphans.rs
@@ -37,7 +37,7 @@
 }
 
 #[tokio::test(flavor = "multi_thread")]
-async fn entry_frozen() {
+async fn freed_after_freeze() {
     check_freed_after(async |stack| stack.entries[0].freeze()).await;
 }
 
