Write a missing row again at a time of its own in expired_at_peer

Cause, by the log of that run: the test wrote the row back once entry 1 had config 9, which its peer passed on 1.204 s after entry 1 had learned of the missing row with 1.253 s left; a row takes 0.3 s to arrive there, and came 0.23 s after the end. What the test guards, a peer's copy that lacks a server, had held.

--- a/crates/e2e/tests/platform_store.rs
+++ b/crates/e2e/tests/platform_store.rs
@@ -312,6 +312,10 @@
     Ok(())
 }
 
+/// Time from the begin of a server's grace period at an entry until its row is written again: a part of
+/// what is left of the period, as the row takes 0.3 s to arrive there.
+const RETURN_TIME: time::Duration = time::Duration::from_millis(500);
+
 // Guards against an entry that copies its state from a peer after an outage of the store and then
 // removes servers that the peer still keeps although their rows have expired. Seen in an incident.
 #[tokio::test]
@@ -332,10 +336,15 @@
     site.store.set_mode(store::Mode::Up);
     wait_log(&site, 0, r#"store available","table":"Servers""#, 2).await?;
     site.store.put("op", "config", site.config(9).to_string());
-    wait_log(&site, 1, r#""version":9"#, 1).await?;
+    wait_log(&site, 1, "missing server kept", 1).await?;
+    // A second snapshot comes while the server is missing, or nearly so: its row is back in time for the grace
+    // period, which the passing of a config may take up.
+    let passed = wait_log(&site, 1, r#""version":9"#, 1);
+    let _ = tokio::time::timeout(RETURN_TIME, passed).await;
 
     let row = String::from_utf8(row)?;
     site.store.put("servers", "i-plain-1", row);
+    wait_log(&site, 1, r#""version":9"#, 1).await?;
     tokio::time::sleep(time::Duration::from_millis(2_500)).await;
     let log = site.edges[1].log();
     assert!(log.contains("missing server kept"), "{log}");
