--- a/crates/edge/src/connections.rs
+++ b/crates/edge/src/connections.rs
@@ -4,16 +4,14 @@
 
 use bytes::Bytes;
 use http_body_util::Full;
-use hyper::{HeaderMap, Request, Response, body, client::conn::http1, header};
-use hyper_util::rt;
+use hyper::{HeaderMap, Request, Response, body, header};
 use prometheus_client::metrics::{counter, histogram};
-use tokio::net as tokio_net;
 
 use rhubarb_core::{exchanges, identity};
 use rhubarb_node::{clock, locks};
 use rhubarb_platform::{engine, request, response};
 
-use crate::{buffer, directory, socket};
+use crate::{buffer, connection, directory};
 
 /// Idle connections by server address.
 #[derive(Debug)]
@@ -24,25 +22,11 @@
     strays: counter::Counter,
     // Times of the questions which process answers.
     questions: histogram::Histogram,
-    idle: sync::Mutex<collections::BTreeMap<net::SocketAddr, Vec<Connection>>>,
+    idle: sync::Mutex<collections::BTreeMap<net::SocketAddr, Vec<connection::Connection>>>,
     // Servers that answered twice, and until when no connection to them is used again.
     stuttering: sync::Mutex<collections::BTreeMap<net::SocketAddr, time::Instant>>,
 }
 
-/// Connection to a server, closed when dropped.
-#[derive(Debug)]
-pub(crate) struct Connection {
-    sender: http1::SendRequest<Full<Bytes>>,
-    bound: socket::ReadBound,
-    pub(crate) address: net::SocketAddr,
-    idle_until: time::Instant,
-    // Number of requests sent on it.
-    requests: u64,
-    exchanges: exchanges::Exchanges,
-    /// Process at its other end.
-    pub(crate) peer: identity::Peer,
-}
-
 /// What is about to be sent to a process that has to be the registered one.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Sending {
@@ -58,7 +42,14 @@
 #[derive(Debug)]
 pub(crate) struct PendingResponse {
     pub(crate) response: Response<body::Incoming>,
-    pub(crate) connection: Connection,
+    pub(crate) connection: connection::Connection,
+}
+
+// Result of sending a request on idle connections.
+enum Idle {
+    Done(Result<PendingResponse, SendError>),
+    // None is fit.
+    None(Request<Full<Bytes>>),
 }
 
 /// Reason why a request got no response.
@@ -99,30 +90,16 @@
     }
 }
 
-/// Maximum size of the buffer for what is received, in bytes; a longer head is invalid.
-const MAX_BUFFER_BYTES: usize = 64 * 1024;
-/// Number of bytes after which no more is read until the head of a response is complete: informational
-/// responses and the head. The last read may go beyond, into the body.
-const MAX_HEAD_BYTES: usize = 16 * 1024;
 /// Maximum size of the response to a probe, in bytes.
 const MAX_PROBE_BYTES: usize = 1 << 20;
 /// Timeout of a probe. A server answers within milliseconds, or later if its machine is slow: then the
 /// request behind the probe would take longer as well.
 const PROBE_TIMEOUT: time::Duration = time::Duration::from_millis(1_000);
-/// Timeout for opening a connection. A reachable server accepts within milliseconds; the rest is
-/// for one retransmission of the first packet.
-const CONNECT_TIMEOUT: time::Duration = time::Duration::from_millis(1_300);
 /// Timeout of the check whether a server's port is closed; a server that is up accepts and one that
 /// has crashed refuses within milliseconds.
 const REFUSAL_TIMEOUT: time::Duration = time::Duration::from_millis(300);
 /// Time from the end of the connections of a process that was killed to that of its port.
 const EXIT_TIME: time::Duration = time::Duration::from_millis(20);
-/// A connection fails when sent data stays unacknowledged for this long.
-const UNACKED_TIMEOUT: time::Duration = time::Duration::from_millis(2_500);
-/// Idle time before the first keepalive probe, and interval between probes.
-const PROBE_INTERVAL: time::Duration = time::Duration::from_secs(1);
-/// Consecutive unanswered probes after which a connection fails.
-const MAX_PROBES: u32 = 2;
 /// Longest time for which an idle connection is kept. Shorter than the time to the first probe: where
 /// probes stay unanswered, the system may give a connection up just after a request was written to it,
 /// without a reset, and the request may arrive once the network works again.
@@ -162,18 +139,12 @@
     ) -> Result<PendingResponse, SendError> {
         set_host(&mut request, address);
         let proof = request::response_proof(&request);
-        while let Some(mut connection) = self.checkout(address, proof) {
-            if let Err(err) = permit() {
-                self.keep_idle(connection);
-                return Err(err);
-            }
-            match connection.send(request, proof).await {
-                Ok(response) => return Ok(PendingResponse { response, connection }),
-                Err(SendFailure::Unsent(unsent, _)) => request = *unsent,
-                Err(failure) => return Err(self.lost(address, failure)),
-            }
+        let is_fit = |_: &connection::Connection| true;
+        match self.send_idle(address, request, is_fit, &permit).await {
+            Idle::Done(result) => return result,
+            Idle::None(unsent) => request = unsent,
         }
-        let mut connection = connect(address, &self.buffers)
+        let mut connection = connection::connect(address, &self.buffers)
             .await
             .map_err(|err| SendError::Unsent(err.to_string()))?;
         permit()?;
@@ -198,20 +169,12 @@
         let (address, registered) = (target.address, target.process.1);
         set_host(&mut request, address);
         let proof = request::response_proof(&request);
-        let passes = |connection: &Connection| {
-            connection.exchanges.admits(proof)
-                && connection.peer.check(registered) == identity::Check::Pass
+        let passes = |connection: &connection::Connection| {
+            connection.peer.check(registered) == identity::Check::Pass
         };
-        while let Some(mut connection) = self.checkout_if(address, passes) {
-            if let Err(err) = permit(Sending::Known) {
-                self.keep_idle(connection);
-                return Err(err);
-            }
-            match connection.send(request, proof).await {
-                Ok(response) => return Ok(PendingResponse { response, connection }),
-                Err(SendFailure::Unsent(unsent, _)) => request = *unsent,
-                Err(failure) => return Err(self.lost(address, failure)),
-            }
+        match self.send_idle(address, request, passes, || permit(Sending::Known)).await {
+            Idle::Done(result) => return result,
+            Idle::None(unsent) => request = unsent,
         }
         permit(Sending::Question)?;
         let mut connection = self.identify(target, proof, observe).await?;
@@ -226,25 +189,47 @@
         }
     }
 
+    // Sends a request on an idle connection that is fit, if there is one.
+    async fn send_idle(
+        &self,
+        address: net::SocketAddr,
+        mut request: Request<Full<Bytes>>,
+        is_fit: impl Fn(&connection::Connection) -> bool,
+        permit: impl Fn() -> Result<(), SendError>,
+    ) -> Idle {
+        let proof = request::response_proof(&request);
+        while let Some(mut connection) = self.checkout(address, proof, &is_fit) {
+            if let Err(err) = permit() {
+                self.keep_idle(connection);
+                return Idle::Done(Err(err));
+            }
+            match connection.send(request, proof).await {
+                Ok(response) => return Idle::Done(Ok(PendingResponse { response, connection })),
+                Err(connection::SendFailure::Unsent(unsent, _)) => request = *unsent,
+                Err(failure) => return Idle::Done(Err(self.lost(address, failure))),
+            }
+        }
+        Idle::None(request)
+    }
+
     // A connection for a request with `proof`, whose process has been asked.
     async fn identify(
         &self,
         target: &directory::Target,
         proof: exchanges::Proof,
         observe: impl Fn(&Response<body::Incoming>),
-    ) -> Result<Connection, SendError> {
-        let is_unknown = |connection: &Connection| {
-            connection.exchanges.admits(proof) && connection.peer == identity::Peer::Unknown
-        };
+    ) -> Result<connection::Connection, SendError> {
+        let is_unknown =
+            |connection: &connection::Connection| connection.peer == identity::Peer::Unknown;
         // One that has gone silent is replaced by a new one, as the others may have.
-        if let Some(mut connection) = self.checkout_if(target.address, is_unknown)
+        if let Some(mut connection) = self.checkout(target.address, proof, is_unknown)
             && let Some(peer) = self.ask(&mut connection, target, &observe).await
         {
             connection.peer = peer;
             return Ok(connection);
         }
         let connecting = async || {
-            let connecting = connect(target.address, &self.buffers).await;
+            let connecting = connection::connect(target.address, &self.buffers).await;
             connecting.map_err(|err| SendError::Unsent(err.to_string()))
         };
         let mut connection = connecting().await?;
@@ -262,7 +247,7 @@
     // Asks an engine on a connection which process it is.
     async fn ask(
         &self,
-        connection: &mut Connection,
+        connection: &mut connection::Connection,
         target: &directory::Target,
         observe: impl Fn(&Response<body::Incoming>),
     ) -> Option<identity::Peer> {
@@ -271,7 +256,8 @@
         let asked_at = clock::now();
         let asking = async {
             let proof = request::response_proof(&probe);
-            let response = connection.send(probe, proof).await.map_err(SendFailure::into_text)?;
+            let response =
+                connection.send(probe, proof).await.map_err(connection::SendFailure::into_text)?;
             observe(&response);
             let status = response.status();
             let body = self.buffers.read(&mut response.into_body(), MAX_PROBE_BYTES).await;
@@ -298,11 +284,11 @@
         }
     }
 
-    fn lost(&self, address: net::SocketAddr, failure: SendFailure) -> SendError {
+    fn lost(&self, address: net::SocketAddr, failure: connection::SendFailure) -> SendError {
         match failure {
-            SendFailure::Unsent(_, err) => SendError::Unsent(err),
-            SendFailure::Sent(err) => SendError::ConnectionLost(err),
-            SendFailure::Stray => {
+            connection::SendFailure::Unsent(_, err) => SendError::Unsent(err),
+            connection::SendFailure::Sent(err) => SendError::ConnectionLost(err),
+            connection::SendFailure::Stray => {
                 self.strays.inc();
                 locks::lock(&self.stuttering).insert(address, clock::now() + STUTTER_TTL);
                 SendError::ConnectionLost("the response belongs to another request".to_string())
@@ -310,17 +296,14 @@
         }
     }
 
-    // Takes a connection on which a response with this proof would be told from all earlier ones.
-    fn checkout(&self, address: net::SocketAddr, proof: exchanges::Proof) -> Option<Connection> {
-        self.checkout_if(address, |connection| connection.exchanges.admits(proof))
-    }
-
-    // Takes the most recently used connection that is fit, so that surplus connections expire.
-    fn checkout_if(
+    // Takes the most recently used connection that is fit, so that surplus connections expire. A response
+    // with this proof would be told from all earlier ones on it.
+    fn checkout(
         &self,
         address: net::SocketAddr,
-        is_fit: impl Fn(&Connection) -> bool,
-    ) -> Option<Connection> {
+        proof: exchanges::Proof,
+        is_fit: impl Fn(&connection::Connection) -> bool,
+    ) -> Option<connection::Connection> {
         if self.is_stuttering(address) {
             return None;
         }
@@ -329,7 +312,8 @@
         let now = clock::now();
         connections
             .retain(|connection| connection.idle_until > now && connection.sender.is_ready());
-        let fit = connections.iter().rposition(is_fit)?;
+        let admits = |connection: &connection::Connection| connection.exchanges.admits(proof);
+        let fit = connections.iter().rposition(|known| admits(known) && is_fit(known))?;
         Some(connections.remove(fit))
     }
 
@@ -368,7 +352,8 @@
     // Connects to a server; the connection goes to the pool.
     async fn try_connect(&self, address: net::SocketAddr) -> io::Result<()> {
         let connection =
-            tokio::time::timeout(REFUSAL_TIMEOUT, connect(address, &self.buffers)).await??;
+            tokio::time::timeout(REFUSAL_TIMEOUT, connection::connect(address, &self.buffers))
+                .await??;
         self.put_back(connection, None);
         Ok(())
     }
@@ -376,7 +361,7 @@
     /// Returns a connection to the pool after its response was read to the end.
     pub(crate) fn put_back(
         &self,
-        mut connection: Connection,
+        mut connection: connection::Connection,
         idle_timeout: Option<time::Duration>,
     ) {
         let advertised = idle_timeout.map(|timeout| timeout.saturating_sub(IDLE_MARGIN));
@@ -392,7 +377,7 @@
         self.keep_idle(connection);
     }
 
-    fn keep_idle(&self, connection: Connection) {
+    fn keep_idle(&self, connection: connection::Connection) {
         let mut idle = locks::lock(&self.idle);
         let connections = idle.entry(connection.address).or_default();
         connections.push(connection);
@@ -419,75 +404,6 @@
     }
 }
 
-// Why a request got no response on a connection.
-enum SendFailure {
-    // No byte was written; the request can be sent on another connection.
-    Unsent(Box<Request<Full<Bytes>>>, String),
-    // The request may have reached the server.
-    Sent(String),
-    // Likewise, and the response to another request was received in its place.
-    Stray,
-}
-
-impl SendFailure {
-    fn into_text(self) -> String {
-        match self {
-            SendFailure::Unsent(_, err) | SendFailure::Sent(err) => err,
-            SendFailure::Stray => "the response belongs to another request".to_string(),
-        }
-    }
-}
-
-impl Connection {
-    // Sends a request and returns its response, which is shown to belong to it: it echoes the
-    // request's id, or both have none.
-    async fn send(
-        &mut self,
-        request: Request<Full<Bytes>>,
-        proof: exchanges::Proof,
-    ) -> Result<Response<body::Incoming>, SendFailure> {
-        if let Err(err) = self.sender.ready().await {
-            return Err(SendFailure::Unsent(Box::new(request), err.to_string()));
-        }
-        self.requests += 1;
-        self.exchanges.record(proof);
-        let attempt_id = request::attempt_id(request.headers()).cloned();
-        self.bound.begin_head(MAX_HEAD_BYTES);
-        let sending = self.sender.try_send_request(request);
-        let response = sending.await.map_err(|mut err| {
-            let unsent = err.take_message();
-            let text = err.into_error().to_string();
-            match unsent {
-                Some(request) => SendFailure::Unsent(Box::new(request), text),
-                None => SendFailure::Sent(text),
-            }
-        })?;
-        self.bound.end_head();
-        self.check(&response, attempt_id)?;
-        Ok(response)
-    }
-
-    fn check(
-        &mut self,
-        response: &Response<body::Incoming>,
-        attempt_id: Option<header::HeaderValue>,
-    ) -> Result<(), SendFailure> {
-        let echoed = request::attempt_id(response.headers());
-        if echoed != attempt_id.as_ref() {
-            tracing::warn!(
-                id = ?attempt_id,
-                echoed = ?echoed,
-                status = response.status().as_u16(),
-                address = %self.address,
-                requests = self.requests,
-                "edge: response does not belong to the request, connection closed"
-            );
-            return Err(SendFailure::Stray);
-        }
-        Ok(())
-    }
-}
-
 // Names the server as the host, unless the request names another.
 fn set_host(request: &mut Request<Full<Bytes>>, address: net::SocketAddr) {
     if !request.headers().contains_key(header::HOST)
@@ -497,47 +413,6 @@
     }
 }
 
-async fn connect(address: net::SocketAddr, buffers: &buffer::Buffers) -> io::Result<Connection> {
-    let connecting = tokio::time::timeout(CONNECT_TIMEOUT, tokio_net::TcpStream::connect(address));
-    let stream =
-        connecting.await.map_err(|_| io::Error::other("connection attempt timed out"))??;
-    set_options(&stream)?;
-    // Closing discards unsent data, so that an abandoned request does not arrive after a network
-    // partition has healed.
-    socket2::SockRef::from(&stream).set_linger(Some(time::Duration::ZERO))?;
-    let bound = socket::ReadBound::unlimited(buffers.head_account());
-    let socket = rt::TokioIo::new(socket::Socket::new(stream, bound.clone()));
-    let mut builder = http1::Builder::new();
-    builder.max_buf_size(MAX_BUFFER_BYTES);
-    let (sender, connection) = builder.handshake(socket).await.map_err(io::Error::other)?;
-    tokio::spawn(async move {
-        if let Err(err) = connection.await {
-            tracing::debug!("edge: connection to {address} ended: {err}");
-        }
-    });
-    Ok(Connection {
-        sender,
-        bound,
-        address,
-        idle_until: clock::now(),
-        requests: 0,
-        exchanges: exchanges::Exchanges::default(),
-        peer: identity::Peer::default(),
-    })
-}
-
-/// Sets options that make a connection to an unresponsive peer fail instead of hang.
-pub(crate) fn set_options(stream: &tokio_net::TcpStream) -> io::Result<()> {
-    stream.set_nodelay(true)?;
-    let socket = socket2::SockRef::from(stream);
-    socket.set_tcp_user_timeout(Some(UNACKED_TIMEOUT))?;
-    let probes = socket2::TcpKeepalive::new()
-        .with_time(PROBE_INTERVAL)
-        .with_interval(PROBE_INTERVAL)
-        .with_retries(MAX_PROBES);
-    socket.set_tcp_keepalive(&probes)
-}
-
 /// Idle timeout that the server advertises for the connection of this response.
 pub(crate) fn idle_timeout(response: &Response<body::Incoming>) -> Option<time::Duration> {
     response::idle_timeout(response.headers())
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -17,6 +17,7 @@
 mod capacity;
 mod charge;
 mod cleanup;
+mod connection;
 mod connections;
 mod dates;
 mod directory;
--- a/crates/edge/src/snapshots.rs
+++ b/crates/edge/src/snapshots.rs
@@ -8,7 +8,7 @@
 use rhubarb_node::clock;
 use rhubarb_wire::share;
 
-use crate::{connections, edge, lag, watch};
+use crate::{connection, edge, lag, watch};
 
 /// Delay before changes are fetched from a peer by an entry without a feed of the store.
 const RELAY_DELAY: time::Duration = time::Duration::from_millis(50);
@@ -54,7 +54,7 @@
 }
 
 async fn send_snapshot(edge: &edge::Edge, stream: &mut tokio_net::TcpStream) -> anyhow::Result<()> {
-    connections::set_options(stream)?;
+    connection::set_options(stream)?;
     let mut request = [0; share::SnapshotRequest::BYTES];
     let reading = io::AsyncReadExt::read_exact(stream, &mut request);
     tokio::time::timeout(FETCH_TIMEOUT, reading).await??;
@@ -120,7 +120,7 @@
 ) -> anyhow::Result<share::Snapshot> {
     let connecting = tokio_net::TcpStream::connect(from);
     let mut stream = tokio::time::timeout(FETCH_TIMEOUT, connecting).await??;
-    connections::set_options(&stream)?;
+    connection::set_options(&stream)?;
     io::AsyncWriteExt::write_all(&mut stream, &known.encode()).await?;
     let mut bytes = Vec::new();
     let mut limited = io::AsyncReadExt::take(stream, share::MAX_SNAPSHOT_BYTES as u64);
