--- a/review/stand-3/common.rs
+++ b/review/stand-3/common.rs
@@ -791,7 +791,10 @@
 
 impl Drop for Folder {
     fn drop(&mut self) {
-        let _ = fs::remove_dir_all(&self.0);
+        // The entries' logs are kept on demand.
+        if env::var("REVIEW_KEEP").is_err() {
+            let _ = fs::remove_dir_all(&self.0);
+        }
     }
 }
 
