Draw the addresses of review cases so that runs do not meet

Cause: two runs that began in the same millisecond drew the same loopback addresses, so that the entries of one did not start. Change: a run takes a port of its addresses as long as it lasts; the stand-in of the store can refuse all calls.

--- a/review/stand-3/common.rs
+++ b/review/stand-3/common.rs
@@ -217,6 +217,8 @@
     // By table and key: the version of the last change and the value, none if the row was removed.
     rows: BTreeMap<(String, String), (u64, Option<Vec<u8>>)>,
     blobs: BTreeMap<String, Vec<u8>>,
+    // Whether all calls are refused.
+    is_busy: bool,
 }
 
 impl Store {
@@ -242,6 +244,12 @@
         version
     }
 
+    /// Sets whether the store refuses all calls of the system with 503.
+    pub fn set_busy(&self, is_busy: bool) {
+        self.0.0.lock().unwrap().is_busy = is_busy;
+        self.0.1.notify_all();
+    }
+
     /// Values of a table by key.
     pub fn table(&self, table: &str) -> BTreeMap<String, Vec<u8>> {
         let rows = self.0.0.lock().unwrap();
@@ -255,6 +263,9 @@
         let text = |name: &str| query.get(name).cloned().unwrap_or_default();
         let number = |name: &str| text(name).parse::<u64>().ok();
         let now_ms = started.elapsed().as_millis() as u64 + 1;
+        if rows.lock().unwrap().is_busy {
+            return (503, Vec::new());
+        }
         match request.path() {
             "/v1/rows-get" => {
                 let rows = rows.lock().unwrap();
@@ -524,8 +535,16 @@
 
 impl Subnet {
     pub fn draw() -> Subnet {
-        let seed = u64::from(process::id()) ^ unix_ms().wrapping_mul(2_654_435_761);
-        Subnet([64 + (seed >> 7 & 127) as u8, (seed >> 17 & 255) as u8])
+        let mut seed = u64::from(process::id()) << 32 ^ unix_ms();
+        loop {
+            seed = seed.wrapping_mul(6_364_136_223_846_793_005).wrapping_add(1_442_695_040_888_963_407);
+            let subnet = Subnet([64 + (seed >> 40 & 127) as u8, (seed >> 50 & 255) as u8]);
+            // The port stays taken as long as this program runs.
+            if let Ok(listener) = TcpListener::bind((subnet.ip(1), 7_000)) {
+                std::mem::forget(listener);
+                return subnet;
+            }
+        }
     }
 
     pub fn ip(&self, host: u8) -> IpAddr {
