--- a/review/stand-3/common.rs
+++ b/review/stand-3/common.rs
@@ -6,7 +6,7 @@
 
 use std::collections::{BTreeMap, HashMap};
 use std::io::{self, BufRead, BufReader, Write};
-use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener, TcpStream};
+use std::net::{IpAddr, Ipv4Addr, Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicU64, Ordering};
@@ -558,6 +558,40 @@
     }
 }
 
+/// Open connections of one process of a server.
+#[derive(Default)]
+pub struct Connections(Mutex<(u64, BTreeMap<u64, TcpStream>)>);
+
+impl Connections {
+    /// Adds a connection and returns its number.
+    pub fn add(&self, stream: &TcpStream) -> u64 {
+        let mut open = self.0.lock().unwrap();
+        open.0 += 1;
+        let number = open.0;
+        if let Ok(clone) = stream.try_clone() {
+            open.1.insert(number, clone);
+        }
+        number
+    }
+
+    pub fn remove(&self, number: u64) {
+        self.0.lock().unwrap().1.remove(&number);
+    }
+
+    /// Ends all of them, as the system does for a process that is killed.
+    pub fn end(&self) {
+        for connection in std::mem::take(&mut self.0.lock().unwrap().1).into_values() {
+            let _ = connection.shutdown(Shutdown::Both);
+        }
+    }
+}
+
+/// Fills the queue of connections that nobody accepts at an address, so that further ones are not answered.
+pub fn fill_queue(address: SocketAddr) -> Vec<TcpStream> {
+    let connect = || TcpStream::connect_timeout(&address, Duration::from_millis(20)).ok();
+    std::iter::from_fn(connect).collect()
+}
+
 /// A running entry, killed on drop.
 pub struct Entry {
     pub child: Child,
--- a/review/stand-3/engine.rs
+++ b/review/stand-3/engine.rs
@@ -18,6 +18,9 @@
 /// Interval between the rows that it writes.
 const HEARTBEAT: Duration = Duration::from_millis(1_200);
 
+/// Whether streams end with their connections, with neither a length nor chunks.
+pub static UNFRAMED: AtomicBool = AtomicBool::new(false);
+
 /// One server; clones share it.
 #[derive(Clone)]
 pub struct Engine(Arc<Inner>);
@@ -36,7 +39,8 @@
     version: String,
     born: u64,
     alive: AtomicBool,
-    connections: Mutex<Vec<TcpStream>>,
+    listener: Mutex<Option<TcpListener>>,
+    connections: Connections,
     holds: Mutex<BTreeSet<String>>,
     handles: Mutex<BTreeSet<String>>,
     running: AtomicU64,
@@ -88,10 +92,32 @@
         let running = process.running.load(Ordering::Relaxed);
         self.0.record.add(format!("server {} ends with {running} streams", self.0.id));
         process.alive.store(false, Ordering::Relaxed);
-        for connection in process.connections.lock().unwrap().drain(..) {
-            let _ = connection.shutdown(Shutdown::Both);
-        }
+        process.listener.lock().unwrap().take();
+        process.connections.end();
         thread::sleep(down);
+        self.start_again(version);
+    }
+
+    /// Ends the process: its connections end as those of any process that is killed. From then on its
+    /// address does not answer, so that connections to it hang, until it starts again after `down`.
+    /// Returns the number of streams that were cut.
+    pub fn go_dark(&self, down: Duration) -> u64 {
+        let process = self.process();
+        let listener = process.listener.lock().unwrap().take();
+        let running = process.running.load(Ordering::Relaxed);
+        process.alive.store(false, Ordering::Relaxed);
+        // Connections are no longer accepted.
+        thread::sleep(Duration::from_millis(3));
+        let queued = fill_queue(self.0.address);
+        self.0.record.say(format!("server {} crashes with {running} streams, and is silent", self.0.id));
+        process.connections.end();
+        thread::sleep(down);
+        drop((listener, queued));
+        self.start_again(&process.version);
+        running
+    }
+
+    fn start_again(&self, version: &str) {
         let listener = loop {
             match TcpListener::bind(self.0.address) {
                 Ok(listener) => break listener,
@@ -107,6 +133,7 @@
     fn run(&self, listener: TcpListener) {
         let (engine, process) = (self.clone(), self.process());
         listener.set_nonblocking(true).expect("the listener is open");
+        *process.listener.lock().unwrap() = listener.try_clone().ok();
         let (own, beating) = (process.clone(), self.clone());
         self.write_row(&process);
         thread::spawn(move || {
@@ -125,11 +152,12 @@
                 };
                 let _ = stream.set_nonblocking(false);
                 let _ = stream.set_nodelay(true);
-                if let Ok(clone) = stream.try_clone() {
-                    process.connections.lock().unwrap().push(clone);
-                }
                 let (engine, process) = (engine.clone(), process.clone());
-                thread::spawn(move || engine.serve(stream, &process));
+                thread::spawn(move || {
+                    let number = process.connections.add(&stream);
+                    engine.serve(stream, &process);
+                    process.connections.remove(number);
+                });
             }
         });
     }
@@ -214,19 +242,23 @@
     ) -> bool {
         let last = request.header("last-event-id").and_then(|text| text.parse::<u64>().ok());
         let first = last.map_or(0, |last| last + 1);
+        let is_framed = !UNFRAMED.load(Ordering::Relaxed);
         self.0.record.add(format!("server {} runs {attempt} from event {first}", self.0.id));
         let head = format!(
             "HTTP/1.1 200 OK\r\nX-Attempt-Id: {attempt}\r\nX-Response-Seal: {}.{}.{attempt}\r\n\
              X-Weight-Versions: 1\r\nX-Server-Load: 1,0,16\r\nContent-Type: text/event-stream\r\n\
-             Transfer-Encoding: chunked\r\n\r\n",
-            self.0.id, process.born
+             {}\r\n\r\n",
+            self.0.id,
+            process.born,
+            if is_framed { "Transfer-Encoding: chunked" } else { "Connection: close" }
         );
         process.running.fetch_add(1, Ordering::Relaxed);
         let mut is_open = stream.write_all(head.as_bytes()).is_ok();
         for number in first..EVENTS {
             thread::sleep(EVENT_INTERVAL);
             let event = format!("id: {number}\ndata: {}\n\n", process.version);
-            let chunk = format!("{:x}\r\n{event}\r\n", event.len());
+            let framed = format!("{:x}\r\n{event}\r\n", event.len());
+            let chunk = if is_framed { framed } else { event };
             is_open = is_open
                 && process.alive.load(Ordering::Relaxed)
                 && stream.write_all(chunk.as_bytes()).is_ok();
@@ -235,7 +267,7 @@
             }
         }
         process.running.fetch_sub(1, Ordering::Relaxed);
-        is_open && stream.write_all(b"0\r\n\r\n").is_ok()
+        is_open && is_framed && stream.write_all(b"0\r\n\r\n").is_ok()
     }
 }
 
@@ -245,7 +277,8 @@
             version: version.to_string(),
             born: unix_ms(),
             alive: AtomicBool::new(true),
-            connections: Mutex::default(),
+            listener: Mutex::default(),
+            connections: Connections::default(),
             holds: Mutex::default(),
             handles: Mutex::default(),
             running: AtomicU64::new(0),
