--- a/review/stand-3/common.rs
+++ b/review/stand-3/common.rs
@@ -272,7 +272,10 @@
                 let (from, to, table) = (text("from"), text("to"), text("table"));
                 let limit = number("limit").unwrap_or(500).min(500) as usize;
                 let all = rows.rows.iter().filter(|((known, key), (_, value))| {
-                    *known == table && *key >= from && (to.is_empty() || *key < to) && value.is_some()
+                    *known == table
+                        && *key >= from
+                        && (to.is_empty() || *key < to)
+                        && value.is_some()
                 });
                 let mut all: Vec<_> = all.map(row_json).collect();
                 let has_more = all.len() > limit;
@@ -288,18 +291,18 @@
                 let until = Instant::now() + Duration::from_millis(number("wait_ms").unwrap_or(0));
                 let mut rows = rows.lock().unwrap();
                 loop {
-                    let news = rows.rows.iter().filter(|((known, _), (version, _))| {
-                        *known == table && *version > after
-                    });
+                    let news = rows
+                        .rows
+                        .iter()
+                        .filter(|((known, _), (version, _))| *known == table && *version > after);
                     let mut news: Vec<_> = news.collect();
                     let left = until.saturating_duration_since(Instant::now());
                     if !news.is_empty() || left.is_zero() {
                         news.sort_by_key(|(_, (version, _))| *version);
                         let list: Vec<_> = news.into_iter().map(row_json).collect();
                         let (list, version) = (list.join(","), rows.version);
-                        let body = format!(
-                            "{{\"rows\":[{list}],\"ver\":{version},\"now_ms\":{now_ms}}}"
-                        );
+                        let body =
+                            format!("{{\"rows\":[{list}],\"ver\":{version},\"now_ms\":{now_ms}}}");
                         return (200, body.into_bytes());
                     }
                     rows = changed.wait_timeout(rows, left).unwrap().0;
@@ -339,7 +342,8 @@
             }
             path => {
                 let mut rows = rows.lock().unwrap();
-                let (call, name) = path.trim_start_matches("/v1/").split_once('/').unwrap_or(("", ""));
+                let (call, name) =
+                    path.trim_start_matches("/v1/").split_once('/').unwrap_or(("", ""));
                 let name = decode_url(name);
                 match call {
                     "blob-put" => {
@@ -354,7 +358,9 @@
                         rows.blobs.remove(&name);
                         (200, Vec::new())
                     }
-                    _ if path == "/v1/blob-list" => (200, b"{\"names\":[],\"has_more\":false}".to_vec()),
+                    _ if path == "/v1/blob-list" => {
+                        (200, b"{\"names\":[],\"has_more\":false}".to_vec())
+                    }
                     _ => (404, Vec::new()),
                 }
             }
@@ -362,7 +368,9 @@
     }
 }
 
-fn row_json(((table, key), (version, value)): (&(String, String), &(u64, Option<Vec<u8>>))) -> String {
+fn row_json(
+    ((table, key), (version, value)): (&(String, String), &(u64, Option<Vec<u8>>)),
+) -> String {
     let content = match value {
         Some(value) => format!("\"value\":\"{}\"", to_base64(value)),
         None => "\"deleted\":true".to_string(),
@@ -376,9 +384,10 @@
 fn to_base64(bytes: &[u8]) -> String {
     let mut out = String::new();
     for part in bytes.chunks(3) {
-        let word = part.iter().enumerate().fold(0u32, |word, (at, byte)| {
-            word | u32::from(*byte) << (16 - 8 * at)
-        });
+        let word = part
+            .iter()
+            .enumerate()
+            .fold(0u32, |word, (at, byte)| word | u32::from(*byte) << (16 - 8 * at));
         for at in 0..4 {
             let index = (word >> (18 - 6 * at) & 63) as usize;
             out.push(if at <= part.len() { char::from(BASE64[index]) } else { '=' });
@@ -537,7 +546,9 @@
     pub fn draw() -> Subnet {
         let mut seed = u64::from(process::id()) << 32 ^ unix_ms();
         loop {
-            seed = seed.wrapping_mul(6_364_136_223_846_793_005).wrapping_add(1_442_695_040_888_963_407);
+            seed = seed
+                .wrapping_mul(6_364_136_223_846_793_005)
+                .wrapping_add(1_442_695_040_888_963_407);
             let subnet = Subnet([64 + (seed >> 40 & 127) as u8, (seed >> 50 & 255) as u8]);
             // The port stays taken as long as this program runs.
             if let Ok(listener) = TcpListener::bind((subnet.ip(1), 7_000)) {
@@ -609,7 +620,13 @@
 }
 
 /// Settings of an entry of a small deployment; `more` replaces or adds lines.
-pub fn settings(subnet: Subnet, number: u8, entries: u8, store: SocketAddr, more: &[(&str, &str)]) -> String {
+pub fn settings(
+    subnet: Subnet,
+    number: u8,
+    entries: u8,
+    store: SocketAddr,
+    more: &[(&str, &str)],
+) -> String {
     let ip = subnet.ip(10 + number);
     let seeds: Vec<_> =
         (0..entries.min(3)).map(|seed| format!("{}:8146", subnet.ip(10 + seed))).collect();
@@ -699,12 +716,14 @@
 
     /// Sends a signal by its name, such as `STOP`, to this process.
     pub fn signal(&self, name: &str) {
-        let _ = Command::new("kill").args([&format!("-{name}"), &self.child.id().to_string()]).status();
+        let _ =
+            Command::new("kill").args([&format!("-{name}"), &self.child.id().to_string()]).status();
     }
 
     pub fn is_ready(&self) -> bool {
         let call = Call::new("GET", "/v1/ready");
-        call.send((self.ip, 8140).into(), Duration::from_secs(1)).is_ok_and(|reply| reply.status == 200)
+        call.send((self.ip, 8140).into(), Duration::from_secs(1))
+            .is_ok_and(|reply| reply.status == 200)
     }
 
     pub fn wait_ready(&self) {
--- a/review/stand-3/engine.rs
+++ b/review/stand-3/engine.rs
@@ -61,14 +61,8 @@
         let (listener, address) = subnet.listen(host);
         let process = Mutex::new(Arc::new(Process::new(version)));
         let (store, record) = (store.clone(), record.clone());
-        let engine = Engine(Arc::new(Inner {
-            id: id.to_string(),
-            address,
-            stage,
-            store,
-            record,
-            process,
-        }));
+        let engine =
+            Engine(Arc::new(Inner { id: id.to_string(), address, stage, store, record, process }));
         engine.run(listener);
         engine
     }
@@ -109,7 +103,9 @@
         // Connections are no longer accepted.
         thread::sleep(Duration::from_millis(3));
         let queued = fill_queue(self.0.address);
-        self.0.record.say(format!("server {} crashes with {running} streams, and is silent", self.0.id));
+        self.0
+            .record
+            .say(format!("server {} crashes with {running} streams, and is silent", self.0.id));
         process.connections.end();
         thread::sleep(down);
         drop((listener, queued));
@@ -179,7 +175,9 @@
         let Ok(mut writer) = stream.try_clone() else { return };
         let mut reader = BufReader::new(stream);
         while let Ok(Some(request)) = read_request(&mut reader) {
-            if !process.alive.load(Ordering::Relaxed) || !self.answer(&request, &mut writer, process) {
+            if !process.alive.load(Ordering::Relaxed)
+                || !self.answer(&request, &mut writer, process)
+            {
                 break;
             }
         }
@@ -200,7 +198,9 @@
             format!("{kind}{:x}{number:04x}", process.born)
         };
         match (request.method.as_str(), request.path()) {
-            ("GET", "/health") => stream.write_all(&answer(200, &[("X-Instance-Id", id)], b"")).is_ok(),
+            ("GET", "/health") => {
+                stream.write_all(&answer(200, &[("X-Instance-Id", id)], b"")).is_ok()
+            }
             ("GET", "/v1/report") => {
                 let (running, born) = (process.running.load(Ordering::Relaxed), process.born);
                 let body = format!(
