Allow parts of the model servers' stand-in that a case leaves unused

Cause: each case compiles the stand-in for itself and warns of what it does not call. Change: the attribute that the common module has. Measured: the build prints no warning.

--- a/review/stand-3/engine.rs
+++ b/review/stand-3/engine.rs
@@ -1,5 +1,7 @@
 //! A model server of the platform that can end and start again under its id.
 
+#![allow(dead_code)]
+
 use std::collections::BTreeSet;
 use std::io::{BufReader, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
