Withhold statuses that say that what may have run did not

Cause: `classify` took every failure without X-Not-Executed for the server's valid answer, and `Plain::finish` and `Streaming::forward_failure` passed its status on. A server says with the header that it did not run a request; callers read the same from the status.

Change: statuses 408, 429 and 503 without the header have a class of their own, and `refuse::may_forward` alone decides whether a failure is passed on. What may run once at most gets 502 without a seal; what may be repeated keeps the server's answer. The server's status is in a log line and a counter. Such answers count as failures of the server, also 408 and 429.

--- a/crates/edge/src/metrics.rs
+++ b/crates/edge/src/metrics.rs
@@ -25,6 +25,16 @@
 /// Counter with one series per rank.
 pub(crate) type RankFamily = family::Family<RankLabels, counter::Counter>;
 
+/// Label set of a counter by the status of a server's response.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub(crate) struct StatusLabels {
+    /// Status.
+    pub(crate) status: u16,
+}
+
+/// Counter with one series per status.
+pub(crate) type StatusFamily = family::Family<StatusLabels, counter::Counter>;
+
 /// Label set of a counter by the order of a registration and the one known before.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
 pub(crate) struct OrderLabels {
@@ -51,6 +61,7 @@
     pub(crate) stream_records: counter::Counter,
     pub(crate) uses_written: counter::Counter,
     pub(crate) refused_ranks: RankFamily,
+    pub(crate) withheld_statuses: StatusFamily,
     pub(crate) leaving: SourceFamily,
     pub(crate) earlier_rows: OrderFamily,
     pub(crate) pauses: counter::Counter,
@@ -97,6 +108,10 @@
             stray_responses: registry
                 .counter("stray_responses", "Answers of servers that belonged to another request"),
             refused_ranks: registry.family("refused_ranks", "Requests refused, by rank"),
+            withheld_statuses: registry.family(
+                "withheld_statuses",
+                "Failures of servers not passed on, since they said that what may have run did not",
+            ),
             leaving: registry
                 .family("leaving_servers", "Servers found to be leaving, by how it was learned"),
             earlier_rows: registry.family(
--- a/crates/edge/src/plain.rs
+++ b/crates/edge/src/plain.rs
@@ -42,6 +42,15 @@
     head: Response<()>,
     body: Bytes,
     server: ids::ServerName,
+    class: platform_response::HeadClass,
+}
+
+impl ServerResponse {
+    // Whether the server says that it failed, or by its status that it did not run what it may have run.
+    fn has_failed(&self) -> bool {
+        self.class == platform_response::HeadClass::Ambiguous
+            || self.head.status().is_server_error()
+    }
 }
 
 enum Attempt {
@@ -129,12 +138,14 @@
         let is_charged = !matches!(attempt, Attempt::Unsent(_));
         let refusal = match attempt {
             Attempt::Disconnected => return flow::Event::CallerGone,
-            Attempt::Completed(response) if !response.head.status().is_server_error() => {
+            Attempt::Completed(response) if !response.has_failed() => {
                 self.answer = Some(response);
                 return flow::Event::Ended;
             }
             Attempt::Completed(response) => {
-                self.failure = Some(response);
+                let (status, class) = (response.head.status(), response.class);
+                self.failure =
+                    refuse::may_forward(&self.call, &target.id, status, class).then_some(response);
                 Refusal::unknown(Reason::EngineFailed, RETRY_SOON)
             }
             Attempt::Failed(refusal) => refusal,
@@ -275,10 +286,12 @@
             platform_response::HeadClass::Unsealed | platform_response::HeadClass::Invalid => {
                 Attempt::Failed(Refusal::unknown(Reason::LostContact, RETRY_SOON))
             }
-            platform_response::HeadClass::Valid => match response.body {
+            class @ (platform_response::HeadClass::Valid
+            | platform_response::HeadClass::Ambiguous) => match response.body {
                 Some(body) => {
                     let head = platform_response::forwarded_head(&response.head);
-                    Attempt::Completed(ServerResponse { head, body, server: target.id.clone() })
+                    let server = target.id.clone();
+                    Attempt::Completed(ServerResponse { head, body, server, class })
                 }
                 None => Attempt::Failed(Refusal::unknown(Reason::LostContact, RETRY_SOON)),
             },
@@ -287,9 +300,7 @@
 
     fn record_outcome(&self, target: &directory::Target, attempt: &Attempt) {
         let outcome = match attempt {
-            Attempt::Completed(response) if response.head.status().is_server_error() => {
-                pool::ServerOutcome::Unknown
-            }
+            Attempt::Completed(response) if response.has_failed() => pool::ServerOutcome::Unknown,
             Attempt::Completed(_) => pool::ServerOutcome::Success,
             Attempt::Failed(refusal) => refuse::failure_outcome(refusal.reason),
             Attempt::Unsent(Reason::Leaving | Reason::CrashingRequest | Reason::TooLate) => {
@@ -304,7 +315,7 @@
         if let Attempt::Completed(response) = attempt
             && !platform_response::asks_pause(&response.head)
         {
-            pool.record_answer(&target.id, response.head.status().is_server_error(), clock::now());
+            pool.record_answer(&target.id, response.has_failed(), clock::now());
         }
     }
 
--- a/crates/edge/src/prefill.rs
+++ b/crates/edge/src/prefill.rs
@@ -286,7 +286,9 @@
         platform_response::HeadClass::Invalid => {
             Err(Refusal::not_run(Reason::LostContact, RETRY_SOON))
         }
-        platform_response::HeadClass::Valid | platform_response::HeadClass::Unsealed => {
+        platform_response::HeadClass::Valid
+        | platform_response::HeadClass::Ambiguous
+        | platform_response::HeadClass::Unsealed => {
             let body = response.body.as_ref().filter(|_| response.is_success());
             match body.map(|body| engine::read_prefilled(body)) {
                 Some(Ok(prefilled)) => Ok(prefilled),
--- a/crates/edge/src/refuse.rs
+++ b/crates/edge/src/refuse.rs
@@ -67,6 +67,32 @@
     );
 }
 
+/// Whether the failure of a server may be passed on to the caller as it is. The only place that decides on
+/// statuses which say that a request did not run: if the server says so only by the status, a request that
+/// may run once at most gets a failure of this entry instead, which leaves open whether it ran.
+pub(crate) fn may_forward(
+    call: &call::Call,
+    server: &str,
+    status: StatusCode,
+    class: platform_response::HeadClass,
+) -> bool {
+    let is_ambiguous = class == platform_response::HeadClass::Ambiguous;
+    if !is_ambiguous || call.route.kind.is_repeatable() {
+        return true;
+    }
+    let status = status.as_u16();
+    let labels = edge_metrics::StatusLabels { status };
+    call.edge.counters.withheld_statuses.get_or_create(&labels).inc();
+    tracing::info!(
+        id = call.id(),
+        server,
+        status,
+        age_ms = call.age_ms(),
+        "edge: status of a server not passed on, as the request may have run"
+    );
+    false
+}
+
 /// Delay before a caller retries that found all servers paused; the first is sent to again after
 /// `closed`.
 pub(crate) fn pause_retry(closed: pauses::Closed) -> time::Duration {
--- a/crates/edge/src/stream.rs
+++ b/crates/edge/src/stream.rs
@@ -479,7 +479,9 @@
         pending: connections::PendingResponse,
     ) -> flow::Event {
         let server = &target.id;
-        match platform_response::classify(&pending.response, self.call.head.attempt_id.as_ref()) {
+        let attempt_id = self.call.head.attempt_id.as_ref();
+        let class = platform_response::classify(&pending.response, attempt_id);
+        match class {
             platform_response::HeadClass::OtherServer => {
                 let refusal = Refusal::not_run(Reason::Leaving, RETRY_SOON);
                 return self.failed(Some(server.clone()), refusal);
@@ -490,7 +492,7 @@
             platform_response::HeadClass::Unsealed | platform_response::HeadClass::Invalid => {
                 return self.interrupted(server, Reason::LostContact);
             }
-            platform_response::HeadClass::Valid => {}
+            platform_response::HeadClass::Valid | platform_response::HeadClass::Ambiguous => {}
         }
         if let Some(reservation) = &mut self.reservation {
             reservation.set_hold_used();
@@ -500,7 +502,7 @@
             self.call.record_outcome(&cache.server, pool::ServerOutcome::Success);
         }
         if !pending.response.status().is_success() {
-            return self.forward_failure(server, pending).await;
+            return self.forward_failure(server, class, pending).await;
         }
         let body_class = platform_response::classify_body(&pending.response);
         if body_class == platform_response::BodyClass::Other {
@@ -544,9 +546,14 @@
     async fn forward_failure(
         &mut self,
         server: &ids::ServerName,
+        class: platform_response::HeadClass,
         pending: connections::PendingResponse,
     ) -> flow::Event {
         let edge = self.call.edge.clone();
+        if !refuse::may_forward(&self.call, server, pending.response.status(), class) {
+            exchange::read_rejection(&edge.connections, pending).await;
+            return self.interrupted(server, Reason::EngineFailed);
+        }
         let reading = exchange::read_all(&edge.connections, pending);
         match self.call.wait(&mut self.responder, reading, self.call.deadline()).await {
             responder::WaitOutcome::Disconnected => flow::Event::CallerGone,
--- a/crates/fakes/src/backend.rs
+++ b/crates/fakes/src/backend.rs
@@ -496,6 +496,7 @@
             }
             Fault::Resets => return replies::reset(),
             Fault::Fails => StatusCode::INTERNAL_SERVER_ERROR,
+            Fault::FailsWith(status) => replies::status(status),
             _ => StatusCode::OK,
         };
         let mut reply = response::text(status, content);
@@ -556,6 +557,9 @@
             Fault::FailsStream => {
                 response::text(StatusCode::INTERNAL_SERVER_ERROR, "out of memory\n\n")
             }
+            Fault::FailsWith(status) => {
+                response::text(replies::status(status), "out of memory\n\n")
+            }
             Fault::SendsPage => response::text(StatusCode::OK, "out of memory\n\n"),
             Fault::SendsNothing => Response::new(response::full("")),
             _ => return self.stream(attempt, headers, fault),
--- a/crates/fakes/src/fault.rs
+++ b/crates/fakes/src/fault.rs
@@ -12,6 +12,9 @@
     Sheds,
     /// Executes the request and replies with status 500. Engines are not affected.
     Fails,
+    /// Executes the request, or the stream, and replies with this status, which may say that it did not
+    /// run. Nothing else in the response does.
+    FailsWith(u16),
     /// Executes the request and sends no response or event.
     Hangs,
     /// Executes the request and aborts the connection before the response is complete.
--- a/crates/fakes/src/replies.rs
+++ b/crates/fakes/src/replies.rs
@@ -49,6 +49,11 @@
     headers.insert("x-server-load", header_value(load));
 }
 
+/// Status with this number; 500 if it is none.
+pub(crate) fn status(number: u16) -> StatusCode {
+    StatusCode::from_u16(number).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR)
+}
+
 /// Text of a header; empty if it is missing.
 pub(crate) fn header_text(headers: &HeaderMap, name: &str) -> String {
     let value = headers.get(name).and_then(|value| value.to_str().ok());
