Have streams on record before their first events are sent

Cause: the version of a stream was in the memory of its entry and its keepers until the next write, up to 500 ms later; they ended together.

Change: the first event is sent once the store has the version. A row for each stream and process, in four parts of the table, is read by its keys; what begins while a write is on its way is written with the next one. An event waits for 300 ms at most, then it goes out with a line and a counter. Each process removes its rows with its writes. A stream counts as kept once the store has answered, also before a second version is used.

--- a/crates/core/src/origins.rs
+++ b/crates/core/src/origins.rs
@@ -33,8 +33,20 @@
     pub at: time::Instant,
     /// Whether others have been told of it.
     pub is_told: bool,
-    /// Whether it has been written to the store.
-    pub is_stored: bool,
+    /// Whether it is on record in the store.
+    pub stored: Stored,
+}
+
+/// Whether a stream is on record in the store.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Stored {
+    /// It is to be written.
+    #[default]
+    No,
+    /// It has been given to the store, which has not answered.
+    Sent,
+    /// The store has it.
+    Yes,
 }
 
 /// Maximum number of streams in each of two generations.
@@ -58,7 +70,7 @@
         let attempts: Vec<_> = streams
             .filter(is_later)
             .map(|stream| {
-                (stream.is_told, stream.is_stored) = (false, false);
+                (stream.is_told, stream.stored) = (false, Stored::No);
                 stream.attempt
             })
             .collect();
@@ -111,45 +123,71 @@
         count: usize,
         is_needed: impl Fn(&str) -> bool,
     ) -> Vec<(ids::AttemptTag, Origin)> {
-        self.take(count, is_needed, |stream| &mut stream.is_told)
+        let is_due = |stream: &Own| !stream.is_told && is_needed(&stream.service);
+        self.take(count, is_due, |stream| stream.is_told = true)
     }
 
-    /// The same for streams that have not been written to the store.
+    /// The same for streams that are to be written to the store and that `is_needed` names.
     pub fn take_unstored(
         &mut self,
         count: usize,
-        is_needed: impl Fn(&str) -> bool,
+        is_needed: impl Fn(&Own) -> bool,
     ) -> Vec<(ids::AttemptTag, Origin)> {
-        self.take(count, is_needed, |stream| &mut stream.is_stored)
+        let is_due = |stream: &Own| stream.stored == Stored::No && is_needed(stream);
+        self.take(count, is_due, |stream| stream.stored = Stored::Sent)
     }
 
     fn take(
         &mut self,
         count: usize,
-        is_needed: impl Fn(&str) -> bool,
-        flag: impl Fn(&mut Own) -> &mut bool,
+        is_due: impl Fn(&Own) -> bool,
+        mark: impl Fn(&mut Own),
     ) -> Vec<(ids::AttemptTag, Origin)> {
         let mut attempts = Vec::new();
         for stream in &mut self.own {
-            if attempts.len() < count && !*flag(stream) && is_needed(&stream.service) {
-                *flag(stream) = true;
+            if attempts.len() < count && is_due(stream) {
+                mark(stream);
                 attempts.push(stream.attempt);
             }
         }
         attempts.into_iter().map(|attempt| (attempt, self.get(attempt))).collect()
     }
 
-    /// Whether others have been told of all own streams of a service that began before `at`, and they were
-    /// given to the store.
+    /// Whether own streams are to be written to the store, of those that `is_needed` names.
+    pub fn has_unstored(&self, is_needed: impl Fn(&Own) -> bool) -> bool {
+        self.own.iter().any(|stream| stream.stored == Stored::No && is_needed(stream))
+    }
+
+    /// Whether others have been told of all own streams of a service that began before `at`, and the store
+    /// has them.
     pub fn are_kept(&self, service: &str, at: time::Instant) -> bool {
         let mut streams = self.own.iter().filter(|stream| stream.service == service);
-        streams.all(|stream| stream.at >= at || stream.is_told && stream.is_stored)
+        streams.all(|stream| stream.at >= at || stream.is_told && stream.stored == Stored::Yes)
+    }
+
+    /// Whether the store has an own stream.
+    pub fn is_stored(&self, attempt: ids::AttemptTag) -> bool {
+        let mut streams = self.own.iter().filter(|stream| stream.attempt == attempt);
+        streams.all(|stream| stream.stored == Stored::Yes)
+    }
+
+    /// Records that the store has these own streams, unless their versions have become uncertain since.
+    pub fn set_stored(&mut self, streams: &[(ids::AttemptTag, Origin)]) {
+        let streams: collections::BTreeMap<_, _> = streams.iter().copied().collect();
+        let (current, previous) = (&self.current, &self.previous);
+        let known = |attempt| current.get(&attempt).or_else(|| previous.get(&attempt)).copied();
+        for stream in self.own.iter_mut().filter(|stream| stream.stored == Stored::Sent) {
+            let stored = streams.get(&stream.attempt);
+            if stored.is_some_and(|origin| known(stream.attempt).flatten() == *origin) {
+                stream.stored = Stored::Yes;
+            }
+        }
     }
 
     /// Records that own streams have to be written to the store again; `is_lost` names them.
     pub fn set_unstored(&mut self, is_lost: impl Fn(ids::AttemptTag) -> bool) {
         let lost = self.own.iter_mut().filter(|stream| is_lost(stream.attempt));
-        lost.for_each(|stream| stream.is_stored = false);
+        lost.for_each(|stream| stream.stored = Stored::No);
     }
 
     /// Whether it is known that the version that began a stream is uncertain.
--- a/crates/core/src/stream_records.rs
+++ b/crates/core/src/stream_records.rs
@@ -1,61 +1,79 @@
-//! Rows of the platform's store that name the streams which entries have begun, for a fleet whose
-//! entries all start anew.
+//! Rows of the platform's store that name the versions which began streams, for a fleet whose entries all
+//! start anew.
 //!
-//! Each process writes rows of its own in a ring of slots, and no other process does.
+//! Each process writes rows of its own, one for each stream, before the first event of the stream is sent
+//! to its caller. A row does not change: that a version has become uncertain is told by another row.
 
 use std::time;
 
 use crate::{history, ids};
 
-/// Writes per second of all entries together.
-const WRITES: f64 = 100.0;
-/// Reads per second of all entries together.
-const READS: f64 = 300.0;
-/// Shortest interval between two writes of an entry.
-const MIN_WRITE_INTERVAL: time::Duration = time::Duration::from_millis(500);
-/// Shortest interval between two reads of an entry.
-const MIN_READ_INTERVAL: time::Duration = time::Duration::from_millis(250);
+/// Share of the store's calls that these rows may take.
+const CALL_SHARE: f64 = 0.5;
+/// Calls of an entry that may be made at once.
+const BURST: f64 = 8.0;
 /// Difference of the clocks of instances that is allowed for.
 const CLOCK_MARGIN: time::Duration = time::Duration::from_secs(10);
-/// Maximum number of slots of a process.
-const MAX_SLOTS: u32 = 900;
-/// Streams in one row: at eight bytes each, in base64, less than 64 KiB.
-pub const MAX_STREAMS: usize = 6_000;
+/// Parts of the table. The store applies the transactions of one part one after the other.
+pub const PARTS: [&str; 4] = ["0", "1", "2", "3"];
+/// Streams that are written at once, and rows that are removed with them: together what the store takes.
+pub const MAX_STREAMS: usize = 50;
+/// Mark at the end of the key of a row that says that a version is uncertain.
+const UNCERTAIN: &str = "u";
 
-/// Interval between writes of an entry among `entries`, if that is known. Streams can be taken up
-/// within `window`.
-pub fn write_interval(entries: Option<u32>, window: time::Duration) -> time::Duration {
-    let shared = f64::from(history::fleet_size(entries)) / WRITES;
-    let interval = MIN_WRITE_INTERVAL.max(time::Duration::from_secs_f64(shared));
-    // A slot must not be written again within the window.
-    interval.max((window + CLOCK_MARGIN) / (MAX_SLOTS - 1))
+/// Calls a second of an entry among `entries`, if that is known, where the store takes `calls` of all
+/// instances together.
+pub fn call_rate(calls: f64, entries: Option<u32>) -> f64 {
+    calls * CALL_SHARE / f64::from(history::fleet_size(entries).max(1))
 }
 
-/// Interval between reads of an entry among `entries`, if that is known.
-pub fn read_interval(entries: Option<u32>) -> time::Duration {
-    let shared = f64::from(history::fleet_size(entries)) / READS;
-    MIN_READ_INTERVAL.max(time::Duration::from_secs_f64(shared))
+/// Token bucket for the calls of an entry to the store.
+#[derive(Clone, Copy, Debug)]
+pub struct Calls {
+    // Negative while calls have been taken in advance.
+    tokens: f64,
+    refilled_at: time::Instant,
 }
 
-/// Slot after `slot` in the ring of a process that writes at `interval` or less often.
-pub fn next_slot(slot: u32, interval: time::Duration, window: time::Duration) -> u32 {
-    let count = (window + CLOCK_MARGIN).as_secs_f64() / interval.as_secs_f64();
-    let count = (count.ceil() as u32 + 1).min(MAX_SLOTS);
-    (slot + 1) % count
+impl Calls {
+    /// Creates a full bucket.
+    pub fn new(now: time::Instant) -> Calls {
+        Calls { tokens: BURST, refilled_at: now }
+    }
+
+    /// Takes one of `rate` calls a second; returns the time to wait before it is made.
+    pub fn take(&mut self, rate: f64, now: time::Instant) -> time::Duration {
+        let elapsed = now.saturating_duration_since(self.refilled_at).as_secs_f64();
+        self.tokens = (self.tokens + elapsed * rate).min(BURST) - 1.0;
+        self.refilled_at = now;
+        let wait = -self.tokens.min(0.0) / rate;
+        time::Duration::try_from_secs_f64(wait).unwrap_or(time::Duration::MAX)
+    }
+}
+
+/// Part with the rows of a stream.
+pub fn part(attempt: ids::AttemptTag) -> &'static str {
+    PARTS[(attempt % PARTS.len() as u64) as usize]
+}
+
+/// Key of the row in which a process tells of a stream.
+pub fn key(attempt: ids::AttemptTag, incarnation: ids::Incarnation, is_certain: bool) -> String {
+    let mark = if is_certain { "" } else { UNCERTAIN };
+    format!("{attempt:016x}.{incarnation:016x}{mark}")
 }
 
-/// Key of the row of a slot.
-pub fn key(incarnation: ids::Incarnation, slot: u32) -> String {
-    format!("{incarnation:016x}.{slot:03}")
+/// First key of a stream, and the first one after its keys.
+pub fn key_range(attempt: ids::AttemptTag) -> (String, String) {
+    (format!("{attempt:016x}."), format!("{attempt:016x}/"))
 }
 
-/// Part of a key that names the process.
-pub fn process(key: &str) -> &str {
-    key.split_once('.').map_or(key, |(process, _)| process)
+/// Time after which a row may be removed, where streams can be taken up within `window`.
+pub fn lifetime(window: time::Duration) -> time::Duration {
+    window + CLOCK_MARGIN
 }
 
-/// Whether the streams of a row can no longer be taken up. It was written at `at_ms`; times are Unix
+/// Whether the stream of a row can no longer be taken up. The row was written at `at_ms`; times are Unix
 /// milliseconds.
 pub fn is_over(at_ms: u64, now_ms: u64, window: time::Duration) -> bool {
-    time::Duration::from_millis(now_ms.saturating_sub(at_ms)) > window + CLOCK_MARGIN
+    time::Duration::from_millis(now_ms.saturating_sub(at_ms)) > lifetime(window)
 }
--- a/crates/core/src/uses.rs
+++ b/crates/core/src/uses.rs
@@ -66,6 +66,17 @@
     pub window: time::Duration,
 }
 
+/// Reads per second of all entries together.
+const READS: f64 = 300.0;
+/// Shortest interval between two reads of an entry.
+const MIN_READ_INTERVAL: time::Duration = time::Duration::from_millis(250);
+
+/// Interval between reads of an entry among `entries`, if that is known.
+pub fn read_interval(entries: Option<u32>) -> time::Duration {
+    let shared = f64::from(history::fleet_size(entries)) / READS;
+    MIN_READ_INTERVAL.max(time::Duration::from_secs_f64(shared))
+}
+
 /// Maximum number of processes of a row; of earlier ones what they used is kept together.
 pub const MAX_PROCESSES: usize = 8;
 
--- a/crates/core/tests/origins.rs
+++ b/crates/core/tests/origins.rs
@@ -18,7 +18,7 @@
         server: 9,
         at,
         is_told: false,
-        is_stored: false,
+        stored: origins::Stored::No,
     }
 }
 
@@ -70,11 +70,13 @@
     known.record_own(own(1, "models", now), Some(7));
     known.record_own(own(2, "models", now + SECOND * 2), Some(7));
     known.record_own(own(3, "other", now), Some(8));
-    let is_models = |service: &str| service == "models";
+    let is_models = |stream: &origins::Own| stream.service == "models";
     assert_eq!(known.take_unstored(1, is_models), [(1, Some(7))]);
     assert_eq!(known.take_unstored(9, is_models), [(2, Some(7))]);
     assert_eq!(known.take_unstored(9, is_models), []);
-    assert_eq!(known.take_untold(9, is_models).len(), 2, "told apart from that");
+    assert!(!known.has_unstored(is_models) && known.has_unstored(|_| true));
+    let told = known.take_untold(9, |service| service == "models");
+    assert_eq!(told.len(), 2, "told apart from that");
     known.set_unstored(|attempt| attempt == 1);
     assert_eq!(known.take_unstored(9, is_models), [(1, Some(7))]);
     assert_eq!(known.retract(9, Some(now + SECOND)), 1);
@@ -82,6 +84,29 @@
     assert!(known.is_uncertain(2) && !known.is_uncertain(1) && !known.is_uncertain(4));
 }
 
+// Guards against a stream that counts as on record before the store has it, or with a version that has become
+// uncertain since it was written (review case 15).
+#[test]
+fn stored_when_answered() {
+    let (mut known, now) = (origins::Origins::default(), time::Instant::now());
+    for attempt in [1, 2] {
+        known.record_own(own(attempt, "models", now), Some(7));
+    }
+    known.take_untold(9, |_| true);
+    let batch = known.take_unstored(9, |_| true);
+    assert!(!known.is_stored(1) && !known.are_kept("models", now + SECOND), "not answered");
+    known.set_stored(&batch);
+    assert!(known.is_stored(1) && known.is_stored(2) && known.are_kept("models", now + SECOND));
+    known.retract(9, None);
+    known.take_untold(9, |_| true);
+    assert!(!known.is_stored(1) && !known.are_kept("models", now + SECOND), "uncertain since");
+    let later = known.take_unstored(9, |_| true);
+    known.set_stored(&batch);
+    assert!(!known.is_stored(1), "an answer to the write before");
+    known.set_stored(&later);
+    assert!(known.is_stored(1) && known.is_stored(3), "others are none of this entry");
+}
+
 // Bounded under floods and over time.
 #[test]
 fn streams_forgotten() {
--- a/crates/e2e/tests/platform_versions.rs
+++ b/crates/e2e/tests/platform_versions.rs
@@ -324,7 +324,7 @@
 }
 
 // Guards against streams that nobody can take up after all entries were killed while the service had
-// several versions (issue 41, LOST). One that began just before may be refused.
+// several versions (issue 41, LOST), also those that began just before (review case 15).
 #[tokio::test]
 async fn all_killed_mixed() -> anyhow::Result<()> {
     let mut site = start(3).await?;
@@ -333,7 +333,7 @@
     let names: collections::BTreeSet<_> = begun.values().collect();
     assert_eq!(names.len(), 2, "{begun:?}");
     tokio::time::sleep(STORE_TIME).await;
-    let late = takeups::begin(&site, 2, 4).await?;
+    begun.extend(takeups::begin(&site, 2, 4).await?);
     for _ in 0..2 {
         restart_all(&mut site, async |_| Ok(())).await?;
         for edge in [0, 1, 2] {
@@ -342,7 +342,6 @@
                 begun.len(),
                 "at entry {edge}"
             );
-            takeups::resume_all(&site, edge, &late).await?;
         }
     }
     Ok(())
--- a/crates/edge/src/call.rs
+++ b/crates/edge/src/call.rs
@@ -69,6 +69,12 @@
         })
     }
 
+    /// Tags of the attempts by which callers may name its stream: the one that it takes up, and its own.
+    pub(crate) fn stream_tags(&self) -> impl Iterator<Item = ids::AttemptTag> {
+        let attempts = self.head.resumes.iter().chain(&self.head.attempt_id);
+        attempts.map(|attempt| ids::attempt_tag(attempt.as_bytes()))
+    }
+
     /// Time until which the answer must have begun, and no request is sent to a server afterwards: the
     /// deadline, or what a planned stop leaves.
     pub(crate) fn deadline(&self) -> time::Instant {
--- a/crates/edge/src/edge.rs
+++ b/crates/edge/src/edge.rs
@@ -13,7 +13,7 @@
 
 use crate::{
     answers, buffer, capacity, connections, dates, directory, lag, limits, metrics, orders,
-    rejected, tables, uses_table,
+    records, rejected, tables, uses_table,
 };
 
 /// State of one entry.
@@ -45,8 +45,8 @@
     pub(crate) origin_begun: tokio_sync::Notify,
     /// Notifies requests that look the version of a stream up that another entry has told something.
     pub(crate) origin_learned: tokio_sync::Notify,
-    /// When the last read of the versions of streams in the store began; locked during a read.
-    pub(crate) stream_read: tokio_sync::Mutex<Option<time::Instant>>,
+    /// Notifies the writer of records that there may be streams to be written to the store.
+    pub(crate) origin_unstored: tokio_sync::Notify,
     /// The last read of what entry processes have used; locked during a read.
     pub(crate) uses_read: tokio_sync::Mutex<uses_table::LastRead>,
     /// When the last read of the histories of versions for a stream began; locked during a read.
@@ -85,6 +85,7 @@
     rejected: sync::Mutex<rejected::Rejected>,
     origins: sync::Mutex<origins::Origins>,
     answers: sync::Mutex<answers::Answers>,
+    records: sync::Mutex<records::Records>,
     socket: sync::OnceLock<sync::Arc<tokio_net::UdpSocket>>,
     log_limit: sync::Mutex<log_limit::LogLimit>,
     holds: sync::Mutex<recent::RecentNames>,
@@ -131,7 +132,7 @@
             process_doubted: tokio_sync::Notify::new(),
             origin_begun: tokio_sync::Notify::new(),
             origin_learned: tokio_sync::Notify::new(),
-            stream_read: tokio_sync::Mutex::default(),
+            origin_unstored: tokio_sync::Notify::new(),
             uses_read: tokio_sync::Mutex::default(),
             history_read: tokio_sync::Mutex::default(),
             table_learned: tokio_sync::Notify::new(),
@@ -156,6 +157,7 @@
             rejected: sync::Mutex::default(),
             origins: sync::Mutex::default(),
             answers: sync::Mutex::default(),
+            records: sync::Mutex::default(),
             socket: sync::OnceLock::new(),
             log_limit: sync::Mutex::default(),
             holds: sync::Mutex::default(),
@@ -274,6 +276,17 @@
         locks::lock(&self.answers)
     }
 
+    /// State of the records of streams in the store; locked without another lock.
+    pub(crate) fn records(&self) -> sync::MutexGuard<'_, records::Records> {
+        locks::lock(&self.records)
+    }
+
+    /// Notifies those who pass on which versions have begun streams.
+    pub(crate) fn note_origins(&self) {
+        self.origin_begun.notify_one();
+        self.origin_unstored.notify_one();
+    }
+
     /// Sets the socket for datagrams to other entries.
     pub(crate) fn set_socket(&self, socket: sync::Arc<tokio_net::UdpSocket>) {
         self.socket.get_or_init(|| socket);
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -45,6 +45,7 @@
 mod processes;
 mod quotas;
 mod reader;
+mod records;
 mod refuse;
 mod rejected;
 mod reload;
--- a/crates/edge/src/metrics.rs
+++ b/crates/edge/src/metrics.rs
@@ -59,6 +59,8 @@
     pub(crate) stray_responses: counter::Counter,
     pub(crate) histories_written: counter::Counter,
     pub(crate) stream_records: counter::Counter,
+    pub(crate) unrecorded_streams: counter::Counter,
+    pub(crate) record_waits: histogram::Histogram,
     pub(crate) uses_written: counter::Counter,
     pub(crate) refused_ranks: RankFamily,
     pub(crate) withheld_statuses: StatusFamily,
@@ -103,6 +105,14 @@
                 .counter("histories_written", "Rows of the versions of a service written"),
             stream_records: registry
                 .counter("stream_records_written", "Rows of the versions of streams written"),
+            unrecorded_streams: registry.counter(
+                "unrecorded_streams",
+                "Streams whose first events were sent before the store had their versions",
+            ),
+            record_waits: registry.seconds_histogram(
+                "record_wait_seconds",
+                "Time that first events waited for the store to have the versions of their streams",
+            ),
             uses_written: registry
                 .counter("uses_written", "Writes of the versions at which streams begin here"),
             stray_responses: registry
--- a/crates/edge/src/origins.rs
+++ b/crates/edge/src/origins.rs
@@ -26,25 +26,18 @@
 /// entries of its zone, so that one of them had the stream.
 const FIRST_ASKED: usize = 120;
 
-/// Tags of the attempts by which callers may name the stream of a call: the one that it takes up, and its
-/// own.
-fn stream_tags(call: &call::Call) -> impl Iterator<Item = ids::AttemptTag> {
-    let attempts = call.head.resumes.iter().chain(&call.head.attempt_id);
-    attempts.map(|attempt| ids::attempt_tag(attempt.as_bytes()))
-}
-
 /// Records the version that began the stream of a call at a server; none if it is uncertain.
 pub(crate) fn record(call: &call::Call, server: &str, origin: Option<ids::SoftwareTag>) {
     let edge = &call.edge;
-    for attempt in stream_tags(call) {
+    for attempt in call.stream_tags() {
         let (service, server) = (call.service.clone(), ids::server_tag(server));
         let at = clock::now();
-        let (is_told, is_stored) = (false, false);
-        let stream = core_origins::Own { attempt, service, server, at, is_told, is_stored };
+        let (is_told, stored) = (false, core_origins::Stored::No);
+        let stream = core_origins::Own { attempt, service, server, at, is_told, stored };
         edge.origins().record_own(stream, origin);
     }
     if edge.directory().needs_origins(&call.service, clock::now()) {
-        edge.origin_begun.notify_one();
+        edge.note_origins();
     }
 }
 
@@ -183,7 +176,7 @@
     let streams = edge.origins().retract(ids::server_tag(server), since);
     tracing::info!(server, ?age, streams, "edge: version of a server changed");
     edge.directory().record_replaced(server, clock::now());
-    edge.origin_begun.notify_one();
+    edge.note_origins();
 }
 
 /// Tells the keepers which version has begun streams of this entry; does not return.
--- a/crates/edge/src/peers.rs
+++ b/crates/edge/src/peers.rs
@@ -113,7 +113,7 @@
     directory.set_cells(&partition, own);
     // A second version may have been registered since some streams began.
     if !directory.mixed_services(now).is_empty() {
-        edge.origin_begun.notify_one();
+        edge.note_origins();
     }
 }
 
--- a/crates/edge/src/stream.rs
+++ b/crates/edge/src/stream.rs
@@ -15,7 +15,7 @@
 
 use crate::{
     call, connections, directory, doubts, exchange, origins, prefill, processes, quotas, reader,
-    refuse, reservation, suspects,
+    refuse, reservation, stream_records, suspects,
 };
 
 /// Model request in progress.
@@ -732,7 +732,7 @@
         head: &Response<()>,
         event: sse::Event,
     ) -> Option<flow::Event> {
-        let (server, software) = (&target.id, Some(target.software));
+        let server = &target.id;
         let bytes = match self.call.edge.connections.buffers.keep_event(event.bytes) {
             Ok(bytes) => bytes,
             Err(err) => {
@@ -741,13 +741,11 @@
             }
         };
         if !self.responder.has_started() {
+            if let Some(ended) = self.keep_origin(target, peer).await {
+                return Some(ended);
+            }
             self.first_at = Some(clock::now());
             self.responder.start_stream(head.clone());
-            self.is_uncertain = !peer.is_proven(target.process.1)
-                && self.call.edge.directory().may_be_replaced(target);
-            self.software = self.software.or(software);
-            let is_certain = !self.is_uncertain;
-            origins::record(&self.call, server, self.software.filter(|_| is_certain));
         }
         self.flow.handle(&flow::Event::Streamed);
         match self.responder.send(bytes, self.call.stream_deadline()).await {
@@ -768,6 +766,26 @@
         None
     }
 
+    // Has the version that begins the stream on record before the first event is sent: the caller may take
+    // the stream up as soon as it has that.
+    async fn keep_origin(
+        &mut self,
+        target: &directory::Target,
+        peer: identity::Peer,
+    ) -> Option<flow::Event> {
+        self.is_uncertain =
+            !peer.is_proven(target.process.1) && self.call.edge.directory().may_be_replaced(target);
+        self.software = self.software.or(Some(target.software));
+        let is_certain = !self.is_uncertain;
+        origins::record(&self.call, &target.id, self.software.filter(|_| is_certain));
+        let (call, end) = (&self.call, self.stream_end());
+        match call.wait(&mut self.responder, stream_records::keep(call), end).await {
+            responder::WaitOutcome::Event(()) => None,
+            responder::WaitOutcome::Disconnected => Some(flow::Event::CallerGone),
+            responder::WaitOutcome::Expired => Some(flow::Event::Expired),
+        }
+    }
+
     fn finish(&mut self) {
         self.responder.finish();
         let call = &self.call;
--- a/crates/edge/src/uses.rs
+++ b/crates/edge/src/uses.rs
@@ -3,7 +3,7 @@
 
 use std::{collections, sync, time};
 
-use rhubarb_core::{backoff, history, ids, stale_rows, stream_records as records, uses};
+use rhubarb_core::{backoff, history, ids, stale_rows, uses};
 use rhubarb_node::clock;
 use rhubarb_platform::store;
 
@@ -25,8 +25,6 @@
 const WRITES: f64 = 1_000.0;
 /// Longest time for which a further version waits until the streams that have begun are kept elsewhere.
 const MAX_KEEP_TIME: time::Duration = time::Duration::from_secs(1);
-/// Interval between checks for that.
-const KEEP_POLL: time::Duration = time::Duration::from_millis(20);
 /// Timeout of a read that a request waits for, and the longest time of the wait.
 const READ_TIMEOUT: time::Duration = time::Duration::from_millis(300);
 const MAX_WAIT: time::Duration = time::Duration::from_secs(1);
@@ -92,11 +90,7 @@
     if services.is_empty() {
         return;
     }
-    let are_kept = || services.iter().all(|service| edge.origins().are_kept(service, now));
-    edge.origin_begun.notify_one();
-    while !are_kept() && clock::now() < now + MAX_KEEP_TIME {
-        tokio::time::sleep(KEEP_POLL).await;
-    }
+    stream_records::until_kept(edge, &services, now, MAX_KEEP_TIME).await;
 }
 
 // Waits so that the entries of a large fleet do not write at once.
@@ -260,7 +254,7 @@
         return table.clone();
     }
     if let Some((at, _)) = *last {
-        let interval = records::read_interval(edge.directory().entry_count);
+        let interval = uses::read_interval(edge.directory().entry_count);
         tokio::time::sleep_until((at + interval).into()).await;
     }
     let at = clock::now();
--- a/crates/edge/src/watch.rs
+++ b/crates/edge/src/watch.rs
@@ -509,7 +509,7 @@
     drop(directory);
     edge.counters.config_version.set(version as i64);
     // Others may need to know of streams that have begun.
-    edge.origin_begun.notify_one();
+    edge.note_origins();
     for config in config.iter() {
         edge.allowances().set_limits(&config.customers, clock::now());
     }
--- a/crates/fakes/src/store.rs
+++ b/crates/fakes/src/store.rs
@@ -294,8 +294,10 @@
     fn read_rows(&self, query: &str) -> Response<response::Body> {
         let state = self.state();
         let table = parameter(query, "table");
-        let from = parameter(query, "from");
-        let in_range = |key: &copy::Key| key.0 == table && key.1 >= from;
+        let (from, to) = (parameter(query, "from"), parameter(query, "to"));
+        let name = part_name(&table, &parameter(query, "part"));
+        let in_range =
+            |key: &copy::Key| key.0 == name && key.1 >= from && (to.is_empty() || key.1 < to);
         let content = &state.content;
         let rows = content.rows.iter().filter(|(key, row)| in_range(key) && row.value.is_some());
         let rows: Vec<_> = rows.map(|(key, row)| row_json(key, row)).collect();
@@ -363,15 +365,17 @@
             let Some(value) = decode_value(&write.value) else {
                 return response::text(StatusCode::BAD_REQUEST, "the value is not base64");
             };
-            writes.push(((write.table, write.key), Some(value)));
+            writes.push(((part_name(&write.table, &write.part), write.key), Some(value)));
         }
-        let removed = transaction.remove.into_iter().map(|row| ((row.table, row.key), None));
+        let name = |row: &transaction::Removal| part_name(&row.table, &row.part);
+        let removed = transaction.remove.into_iter().map(|row| ((name(&row), row.key), None));
         writes.extend(removed);
         // The conditions are checked and the writes applied under one lock.
         let mut state = self.state();
         let content = &mut state.content;
         let is_met = |expected: &transaction::Expected| {
-            content.version_of(&(expected.table.clone(), expected.key.clone())) == expected.ver
+            let table = part_name(&expected.table, &expected.part);
+            content.version_of(&(table, expected.key.clone())) == expected.ver
         };
         if !transaction.expected.iter().all(is_met) {
             let reply = json!({"rows": [], "ver": content.version});
@@ -385,6 +389,11 @@
     }
 }
 
+// Name under which the rows of a part of a table are kept: the table's own for those without a part.
+fn part_name(table: &str, part: &str) -> String {
+    if part.is_empty() { table.to_string() } else { format!("{table}/{part}") }
+}
+
 // Response with rows, to which texts are added as they are.
 fn rows_response(reply: &serde_json::Value, odd: &[String]) -> Response<response::Body> {
     let mut text = reply.to_string();
@@ -402,8 +411,9 @@
     use base64::Engine;
     let value =
         row.value.as_ref().map(|value| base64::engine::general_purpose::STANDARD.encode(value));
+    let (table, part) = key.0.split_once('/').unwrap_or((&key.0, ""));
     json!({
-        "table": key.0, "part": "", "key": key.1, "ver": row.version,
+        "table": table, "part": part, "key": key.1, "ver": row.version,
         "value": value, "deleted": row.value.is_none(),
     })
 }
--- a/crates/fakes/src/transaction.rs
+++ b/crates/fakes/src/transaction.rs
@@ -15,12 +15,16 @@
 #[derive(Deserialize)]
 pub(crate) struct Removal {
     pub(crate) table: String,
+    #[serde(default)]
+    pub(crate) part: String,
     pub(crate) key: String,
 }
 
 #[derive(Deserialize)]
 pub(crate) struct Expected {
     pub(crate) table: String,
+    #[serde(default)]
+    pub(crate) part: String,
     pub(crate) key: String,
     pub(crate) ver: u64,
 }
@@ -28,6 +32,8 @@
 #[derive(Deserialize)]
 pub(crate) struct Write {
     pub(crate) table: String,
+    #[serde(default)]
+    pub(crate) part: String,
     pub(crate) key: String,
     pub(crate) value: String,
 }
