Keep the versions of streams whose process was known

Cause: a row with another version made all streams uncertain that the server had begun since 3 s before the start of its new process, also those whose process had been shown to be the registered one before they began. Streaming::has_changed did the same to streams in progress.

Change: a stream remembers the start of the process that began it, if it was shown to be the registered one. A row of another process takes nothing back from it; another version for the same process still does.

Failed try: a stream that knew only that its process was proven went on though the row named another version for that process (platform_versions version_changed).

--- a/crates/core/src/origins.rs
+++ b/crates/core/src/origins.rs
@@ -29,6 +29,8 @@
     pub service: ids::ServiceName,
     /// Server that began it.
     pub server: ids::ServerTag,
+    /// Start of the process that began it, in Unix milliseconds, if that was shown to be the registered one.
+    pub started_ms: Option<u64>,
     /// When it began.
     pub at: time::Instant,
     /// Whether others have been told of it.
@@ -62,11 +64,22 @@
         self.own.push_back(stream);
     }
 
-    /// Makes the versions of own streams uncertain that a server has begun at or after `since`; returns
-    /// how many there are. Its process had been replaced by then.
-    pub fn retract(&mut self, server: ids::ServerTag, since: Option<time::Instant>) -> usize {
+    /// Makes the versions of own streams uncertain that a server has begun at or after `since`; returns how
+    /// many there are. Its registration names another version by now, for the process that started at
+    /// `started_ms`; streams of another process that is known stay certain.
+    pub fn retract(
+        &mut self,
+        server: ids::ServerTag,
+        started_ms: Option<u64>,
+        since: Option<time::Instant>,
+    ) -> usize {
         let is_later = |stream: &&mut Own| since.is_none_or(|since| stream.at >= since);
-        let streams = self.own.iter_mut().filter(|stream| stream.server == server);
+        let is_other = |stream: &Own| {
+            let starts = stream.started_ms.zip(started_ms);
+            starts.is_some_and(|(began, registered)| began != registered)
+        };
+        let may_differ = |stream: &&mut Own| stream.server == server && !is_other(stream);
+        let streams = self.own.iter_mut().filter(may_differ);
         let attempts: Vec<_> = streams
             .filter(is_later)
             .map(|stream| {
--- a/crates/core/tests/origins.rs
+++ b/crates/core/tests/origins.rs
@@ -16,6 +16,7 @@
         attempt,
         service: service.into(),
         server: 9,
+        started_ms: None,
         at,
         is_told: false,
         stored: origins::Stored::No,
@@ -56,11 +57,26 @@
     known.record_own(own(1, "models", now), Some(7));
     known.record_own(own(2, "models", now + SECOND * 2), Some(7));
     known.take_untold(9, |_| true);
-    assert_eq!(known.retract(8, None), 0);
-    assert_eq!(known.retract(9, Some(now + SECOND)), 1);
+    assert_eq!(known.retract(8, None, None), 0);
+    assert_eq!(known.retract(9, None, Some(now + SECOND)), 1);
     assert_eq!((known.get(1), known.get(2)), (Some(7), None));
     assert_eq!(known.take_untold(9, |_| true), [(2, None)], "told again");
-    assert_eq!(known.retract(9, None), 2);
+    assert_eq!(known.retract(9, None, None), 2);
+}
+
+// Guards against streams that nobody can take up, since their server started again in place with another
+// version, though the process that began them was known (review case 14, LOST).
+#[test]
+fn proven_process() {
+    let (mut known, now) = (origins::Origins::default(), time::Instant::now());
+    known.record_own(origins::Own { started_ms: Some(5), ..own(1, "models", now) }, Some(7));
+    known.record_own(own(2, "models", now), Some(7));
+    assert_eq!(known.retract(9, Some(6), None), 1);
+    assert_eq!((known.get(1), known.get(2)), (Some(7), None));
+    assert!(known.is_uncertain(2) && !known.is_uncertain(1));
+    // The same process under another version: the registration was wrong before, or is now.
+    assert_eq!(known.retract(9, Some(5), None), 2);
+    assert!(known.is_uncertain(1));
 }
 
 // Streams are written to the store once, and again if the write was lost or they have become uncertain.
@@ -79,7 +95,7 @@
     assert_eq!(told.len(), 2, "told apart from that");
     known.set_unstored(|attempt| attempt == 1);
     assert_eq!(known.take_unstored(9, is_models), [(1, Some(7))]);
-    assert_eq!(known.retract(9, Some(now + SECOND)), 1);
+    assert_eq!(known.retract(9, None, Some(now + SECOND)), 1);
     assert_eq!(known.take_unstored(9, is_models), [(2, None)]);
     assert!(known.is_uncertain(2) && !known.is_uncertain(1) && !known.is_uncertain(4));
 }
@@ -97,7 +113,7 @@
     assert!(!known.is_stored(1) && !known.are_kept("models", now + SECOND), "not answered");
     known.set_stored(&batch);
     assert!(known.is_stored(1) && known.is_stored(2) && known.are_kept("models", now + SECOND));
-    known.retract(9, None);
+    known.retract(9, None, None);
     known.take_untold(9, |_| true);
     assert!(!known.is_stored(1) && !known.are_kept("models", now + SECOND), "uncertain since");
     let later = known.take_unstored(9, |_| true);
--- a/crates/core/tests/recorded_streams.rs
+++ b/crates/core/tests/recorded_streams.rs
@@ -107,7 +107,7 @@
                 }
             }
             Event::Replace { server } => {
-                self.known.retract(server, None);
+                self.known.retract(server, None, None);
                 let begun = self.truth.iter().filter(|(attempt, (_, known))| {
                     *known == server && !self.known.is_empty() && self.known.is_uncertain(**attempt)
                 });
@@ -134,6 +134,7 @@
             attempt,
             service: "models".into(),
             server,
+            started_ms: None,
             at: time::Instant::now(),
             is_told: true,
             stored: origins::Stored::No,
--- a/crates/e2e/tests/platform_replaced.rs
+++ b/crates/e2e/tests/platform_replaced.rs
@@ -87,6 +87,27 @@
     killed_in_doubt(true).await
 }
 
+// Guards against streams that nobody can take up, since the engine that began them has started again in place
+// with another version: the process that began them was known (review case 14, LOST).
+#[tokio::test]
+async fn begun_before() -> anyhow::Result<()> {
+    let site = start(3, 3).await?;
+    let mut begun = collections::BTreeMap::new();
+    for edge in 0..3 {
+        begun.extend(takeups::begin(&site, edge, COUNT).await?);
+    }
+    let engine = &site.decode[2];
+    assert!(!engine.requests().is_empty(), "no stream began at the engine that is replaced");
+    replace(engine).await;
+    site.announce(engine, "ready");
+    tokio::time::sleep(LEARN_TIME).await;
+    for edge in 0..3 {
+        let resumed = takeups::resume_all(&site, edge, &begun).await?;
+        assert_eq!(resumed, begun.len(), "at entry {edge}\n{}", site.edges[edge].log());
+    }
+    Ok(())
+}
+
 // The same for two replacements before one row: the second process has the version of the first again.
 #[tokio::test]
 async fn replaced_twice() -> anyhow::Result<()> {
--- a/crates/edge/src/origins.rs
+++ b/crates/edge/src/origins.rs
@@ -26,14 +26,21 @@
 /// entries of its zone, so that one of them had the stream.
 const FIRST_ASKED: usize = 120;
 
-/// Records the version that began the stream of a call at a server; none if it is uncertain.
-pub(crate) fn record(call: &call::Call, server: &str, origin: Option<ids::SoftwareTag>) {
+/// Records the version that began the stream of a call at a server; none if it is uncertain. Its process
+/// started at `started_ms`, if it was shown to be the registered one.
+pub(crate) fn record(
+    call: &call::Call,
+    server: &str,
+    origin: Option<ids::SoftwareTag>,
+    started_ms: Option<u64>,
+) {
     let edge = &call.edge;
     for attempt in call.stream_tags() {
         let (service, server) = (call.service.clone(), ids::server_tag(server));
         let at = clock::now();
         let (is_told, stored) = (false, core_origins::Stored::No);
-        let stream = core_origins::Own { attempt, service, server, at, is_told, stored };
+        let stream =
+            core_origins::Own { attempt, service, server, started_ms, at, is_told, stored };
         edge.origins().record_own(stream, origin);
     }
     if edge.directory().needs_origins(&call.service, clock::now()) {
@@ -173,7 +180,7 @@
         time::Duration::from_millis(edge.dates.now_ms().saturating_sub(started_ms))
     });
     let since = age.and_then(|age| clock::now().checked_sub(age + CLOCK_MARGIN));
-    let streams = edge.origins().retract(ids::server_tag(server), since);
+    let streams = edge.origins().retract(ids::server_tag(server), started_ms, since);
     tracing::info!(server, ?age, streams, "edge: version of a server changed");
     edge.directory().record_replaced(server, clock::now());
     edge.note_origins();
--- a/crates/edge/src/stream.rs
+++ b/crates/edge/src/stream.rs
@@ -5,9 +5,7 @@
 
 use hyper::{HeaderMap, Response, header};
 
-use rhubarb_core::{
-    engine, engines, event_order, flow, identity, ids, outcome, pool, routing, sse,
-};
+use rhubarb_core::{engine, engines, event_order, flow, ids, outcome, pool, routing, sse};
 use rhubarb_node::{clock, responder, response};
 use rhubarb_platform::{request, response as platform_response};
 
@@ -34,6 +32,8 @@
     software: Option<ids::SoftwareTag>,
     // Whether that version may be another one.
     is_uncertain: bool,
+    // Start of the process of the current run, if it was shown to be the registered one.
+    started_ms: Option<u64>,
     events: u64,
     // Events received from the current server.
     run_events: u64,
@@ -78,6 +78,7 @@
             order: event_order::EventOrder::new(last, platform_response::EVENT_FIELDS),
             software: None,
             is_uncertain: false,
+            started_ms: None,
             events: 0,
             run_events: 0,
             first_at: None,
@@ -119,7 +120,7 @@
                 server,
                 "edge: version of a begun stream uncertain"
             );
-            origins::record(&self.call, server.as_deref().unwrap_or_default(), None);
+            origins::record(&self.call, server.as_deref().unwrap_or_default(), None, None);
             let refusal = Refusal::unknown(Reason::UnknownVersion, RETRY_SOON);
             return flow::Event::Failed { server, refusal, retry: false };
         }
@@ -138,7 +139,12 @@
         let Some(software) = self.software.filter(|_| self.events > 0) else { return false };
         let directory = self.call.edge.directory();
         let target = server.and_then(|server| directory.target(server));
-        self.is_uncertain || target.is_some_and(|target| target.software != software)
+        let has_changed = |target: directory::Target| {
+            let starts = self.started_ms.zip(target.process.1);
+            let is_other = starts.is_some_and(|(began, registered)| began != registered);
+            target.software != software && !is_other
+        };
+        self.is_uncertain || target.is_some_and(has_changed)
     }
 
     // Number of requests that a retry sends: the prefill is repeated as well, if there was one.
@@ -583,6 +589,8 @@
         let is_stream = body_class == platform_response::BodyClass::Stream;
         let (parts, body) = pending.response.into_parts();
         let mut reader = reader::Reader::new(body, self.call.edge.connections.buffers.account());
+        let is_proven = pending.connection.peer.is_proven(target.process.1);
+        self.started_ms = target.process.1.filter(|_| is_proven);
         loop {
             let until = self.stall_deadline();
             let event = match self.call.wait(&mut self.responder, reader.next(), until).await {
@@ -664,8 +672,7 @@
             if placement == event_order::Placement::Repeated {
                 continue;
             }
-            let peer = pending.connection.peer;
-            if let Some(ended) = self.forward_event(target, peer, &head, event).await {
+            if let Some(ended) = self.forward_event(target, &head, event).await {
                 return ended;
             }
         }
@@ -728,7 +735,6 @@
     async fn forward_event(
         &mut self,
         target: &directory::Target,
-        peer: identity::Peer,
         head: &Response<()>,
         event: sse::Event,
     ) -> Option<flow::Event> {
@@ -741,7 +747,7 @@
             }
         };
         if !self.responder.has_started() {
-            if let Some(ended) = self.keep_origin(target, peer).await {
+            if let Some(ended) = self.keep_origin(target).await {
                 return Some(ended);
             }
             self.first_at = Some(clock::now());
@@ -768,16 +774,13 @@
 
     // Has the version that begins the stream on record before the first event is sent: the caller may take
     // the stream up as soon as it has that.
-    async fn keep_origin(
-        &mut self,
-        target: &directory::Target,
-        peer: identity::Peer,
-    ) -> Option<flow::Event> {
+    async fn keep_origin(&mut self, target: &directory::Target) -> Option<flow::Event> {
         self.is_uncertain =
-            !peer.is_proven(target.process.1) && self.call.edge.directory().may_be_replaced(target);
+            self.started_ms.is_none() && self.call.edge.directory().may_be_replaced(target);
         self.software = self.software.or(Some(target.software));
         let is_certain = !self.is_uncertain;
-        origins::record(&self.call, &target.id, self.software.filter(|_| is_certain));
+        let origin = self.software.filter(|_| is_certain);
+        origins::record(&self.call, &target.id, origin, self.started_ms);
         let (call, end) = (&self.call, self.stream_end());
         match call.wait(&mut self.responder, stream_records::keep(call), end).await {
             responder::WaitOutcome::Event(()) => None,
