Name expired rows and the process of a run for what they are

Cause: read as a newcomer, `take_over` sounded like a handover, a closure in has_changed had its function's name, and the model test imported items. Change: names and layout, no behaviour.

--- a/crates/core/tests/recorded_streams.rs
+++ b/crates/core/tests/recorded_streams.rs
@@ -3,7 +3,7 @@
 
 use std::{collections, time};
 
-use proptest::prelude::*;
+use proptest::prelude;
 
 use rhubarb_core::{ids, origins, stream_records};
 
@@ -26,17 +26,18 @@
     Kill,
 }
 
-fn events() -> impl Strategy<Value = Vec<Event>> {
-    let event = prop_oneof![
+fn events() -> impl prelude::Strategy<Value = Vec<Event>> {
+    use prelude::Strategy;
+    let event = proptest::prop_oneof![
         4 => (1..3_u32, 0..3_u32).prop_map(|(software, server)| Event::Begin { software, server }),
-        4 => Just(Event::Write),
+        4 => prelude::Just(Event::Write),
         4 => (0..8_usize).prop_map(|pick| Event::Apply { pick }),
         4 => (0..8_usize).prop_map(|pick| Event::Answer { pick }),
         1 => (0..8_usize).prop_map(|pick| Event::GiveUp { pick }),
         1 => (0..3_u32).prop_map(|server| Event::Replace { server }),
-        1 => Just(Event::Kill),
+        1 => prelude::Just(Event::Kill),
     ];
-    prop::collection::vec(event, 1..60)
+    proptest::collection::vec(event, 1..60)
 }
 
 type Streams = Vec<(ids::AttemptTag, origins::Origin)>;
@@ -153,7 +154,7 @@
     }
 }
 
-proptest! {
+proptest::proptest! {
     // An event that a caller has seen implies a record that a new process finds, of the right version unless
     // that had become uncertain (review case 15: LOST; ORDER).
     #[test]
@@ -163,15 +164,15 @@
             model.apply(event);
             for attempt in &model.sent {
                 let found = model.find(*attempt);
-                prop_assert!(!found.is_empty(), "stream {attempt} is on no record");
+                proptest::prop_assert!(!found.is_empty(), "stream {attempt} is on no record");
                 let software = model.truth[attempt].0;
                 let is_right = found.get(*attempt) == Some(software);
-                prop_assert!(is_right || model.uncertain.contains(attempt), "stream {attempt}");
+                proptest::prop_assert!(is_right || model.uncertain.contains(attempt), "stream {attempt}");
             }
             // Nothing else is ever concluded.
             for (attempt, (software, _)) in &model.truth {
                 let found = model.find(*attempt).get(*attempt);
-                prop_assert!(found.is_none_or(|found| found == *software));
+                proptest::prop_assert!(found.is_none_or(|found| found == *software));
             }
         }
     }
--- a/crates/edge/src/records.rs
+++ b/crates/edge/src/records.rs
@@ -23,7 +23,7 @@
 }
 
 impl Records {
-    /// Returns what tells that the store has a stream.
+    /// Receiver that is notified once the store has a stream.
     pub(crate) fn wait(&mut self, attempt: ids::AttemptTag) -> tokio_sync::oneshot::Receiver<()> {
         let (sender, receiver) = tokio_sync::oneshot::channel();
         self.waiting.entry(attempt).or_default().push(sender);
@@ -59,10 +59,10 @@
         });
     }
 
-    /// Takes rows that may be removed.
-    pub(crate) fn take_over(&mut self, now: time::Instant) -> Vec<store::PartKey> {
-        let over = self.rows.iter().take_while(|(until, _)| *until <= now);
-        let count = over.take(stream_records::MAX_STREAMS).count();
+    /// Takes rows whose streams can no longer be taken up, as many as one call removes.
+    pub(crate) fn take_expired(&mut self, now: time::Instant) -> Vec<store::PartKey> {
+        let expired = self.rows.iter().take_while(|(until, _)| *until <= now);
+        let count = expired.take(stream_records::MAX_STREAMS).count();
         self.rows.drain(..count).map(|(_, key)| key).collect()
     }
 }
--- a/crates/edge/src/stream.rs
+++ b/crates/edge/src/stream.rs
@@ -133,18 +133,18 @@
         flow::Event::Failed { server, refusal, retry }
     }
 
-    // Whether a server that failed has another version by now than the one that began the stream: it may
-    // have begun after its restart, which was not registered yet.
+    // Whether a server that failed has another version by now than the one that began the stream, and the
+    // process of the run may be the one of that version: it may have begun after its restart, which was not
+    // registered yet.
     fn has_changed(&self, server: Option<&ids::ServerName>) -> bool {
         let Some(software) = self.software.filter(|_| self.events > 0) else { return false };
         let directory = self.call.edge.directory();
-        let target = server.and_then(|server| directory.target(server));
-        let has_changed = |target: directory::Target| {
-            let starts = self.started_ms.zip(target.process.1);
-            let is_other = starts.is_some_and(|(began, registered)| began != registered);
-            target.software != software && !is_other
+        let Some(target) = server.and_then(|server| directory.target(server)) else {
+            return self.is_uncertain;
         };
-        self.is_uncertain || target.is_some_and(has_changed)
+        let starts = self.started_ms.zip(target.process.1);
+        let is_other_process = starts.is_some_and(|(ran, registered)| ran != registered);
+        self.is_uncertain || target.software != software && !is_other_process
     }
 
     // Number of requests that a retry sends: the prefill is repeated as well, if there was one.
--- a/crates/edge/src/stream_records.rs
+++ b/crates/edge/src/stream_records.rs
@@ -166,7 +166,7 @@
         Ok(writes) => writes,
         Err(err) => return tracing::error!(%err, "edge: versions of streams not encoded"),
     };
-    let removed = edge.records().take_over(now);
+    let removed = edge.records().take_expired(now);
     let batch = store::Batch { table: store::Table::Streams, writes: &writes, removed: &removed };
     let mut outcome = edge.store.write_batch(batch, WRITE_TIMEOUT).await;
     if outcome.is_err() {
