--- a/crates/e2e/tests/store_client.rs
+++ b/crates/e2e/tests/store_client.rs
@@ -121,6 +121,22 @@
     Ok(())
 }
 
+// Guards against rows of one stream that count for another: a store may return more than was asked for.
+#[tokio::test]
+async fn rows_beyond_range() -> anyhow::Result<()> {
+    let (fake, _, client) = start().await?;
+    for key in ["a", "b.1", "b.2", "b/", "c"] {
+        fake.put("streams/0", key, "value");
+    }
+    for _ in 0..2 {
+        let rows = client.read_range(store::Table::Streams, "0", "b.".."b/", TIMEOUT).await?;
+        let keys: Vec<_> = rows.rows.iter().map(|row| row.key.as_str()).collect();
+        assert_eq!(keys, ["b.1", "b.2"]);
+        fake.ignore_ranges();
+    }
+    Ok(())
+}
+
 // A transaction over several rows is in a copy as a whole or not at all.
 #[tokio::test(flavor = "multi_thread")]
 async fn copy_atomic() -> anyhow::Result<()> {
--- a/crates/fakes/src/store.rs
+++ b/crates/fakes/src/store.rs
@@ -35,6 +35,8 @@
     // Number of calls of `Store::silence_feeds` by table; a feed compares it with the number at its
     // start.
     silences: collections::BTreeMap<String, u64>,
+    // Whether reads return all rows of a part, also those outside of the range that is asked for.
+    ignores_ranges: bool,
 }
 
 impl State {
@@ -202,6 +204,11 @@
         self.inner.changed.notify_waiters();
     }
 
+    /// Answers reads with all rows of a part from now on, whatever range they ask for.
+    pub fn ignore_ranges(&self) {
+        self.state().ignores_ranges = true;
+    }
+
     /// Number of calls received.
     pub fn calls(&self) -> u64 {
         self.state().calls
@@ -304,10 +311,12 @@
         let table = parameter(query, "table");
         let (from, to) = (parameter(query, "from"), parameter(query, "to"));
         let name = part_name(&table, &parameter(query, "part"));
-        let in_range =
-            |key: &copy::Key| key.0 == name && key.1 >= from && (to.is_empty() || key.1 < to);
+        let is_asked = |key: &copy::Key| {
+            let in_range = key.1 >= from && (to.is_empty() || key.1 < to);
+            key.0 == name && (in_range || state.ignores_ranges)
+        };
         let content = &state.content;
-        let rows = content.rows.iter().filter(|(key, row)| in_range(key) && row.value.is_some());
+        let rows = content.rows.iter().filter(|(key, row)| is_asked(key) && row.value.is_some());
         let rows: Vec<_> = rows.map(|(key, row)| row_json(key, row)).collect();
         let reply = json!({"rows": rows, "has_more": false, "ver": content.version, "now_ms": clock::unix_ms()});
         state.mark(rows_response(&reply, state.odd_texts(&table)))
