Count silent entries for as much as this one in limits of customers

Two of five entries were cut off as the demand rose.

Cause: what an entry told of its demand counted for 3 s. An entry that is cut off while all others have told that they have no demand takes the whole limit for itself, and the others do so without it.

Change: an entry that told nothing for 1 s counts for at least as much demand as this one.

--- a/crates/core/src/account.rs
+++ b/crates/core/src/account.rs
@@ -183,13 +183,16 @@
         u64::from(self.demand) + self.demands(voices, now).requests
     }
 
-    // Demand of the other entries.
+    // Demand of the other entries. One that is silent may have more by now, and counts for at least as much
+    // as this entry.
     fn demands(&self, voices: &voices::Voices, now: time::Instant) -> demand::Demands {
         let entries = voices.idle_count(self.created_at, now);
         let mut demands = demand::Demands { entries, requests: 0 };
         for (entry, told) in self.told.iter().filter(|(_, told)| now < told.at + voices::TTL) {
+            let requests = told.asked.saturating_add(told.debt);
+            let least = if voices.is_silent(*entry) { self.demand } else { 0 };
             demands.entries += u32::from(!voices.is_idle(*entry, self.created_at, now));
-            demands.requests += u64::from(told.asked.saturating_add(told.debt));
+            demands.requests += u64::from(requests.max(least));
         }
         demands
     }
--- a/crates/core/src/allowance.rs
+++ b/crates/core/src/allowance.rs
@@ -60,8 +60,6 @@
     salt: u64,
 }
 
-/// Age from which an entry counts as silent: more than three heartbeats, of which two may be lost.
-const FRESH_TIME: time::Duration = time::Duration::from_secs(1);
 /// Part of what can be lent that is not lent while little is lent.
 const CALM_SHARE: f64 = 0.5;
 /// Time after its start in which an entry may not have heard all others of its cell.
@@ -139,7 +137,7 @@
         now: time::Instant,
     ) -> Option<Verdict> {
         let (tolerance, sizes) = (self.tolerance, self.sizes);
-        let silent = sizes.peers.saturating_sub(self.voices.count(FRESH_TIME, now));
+        let silent = sizes.peers.saturating_sub(self.voices.count(voices::FRESH_TIME, now));
         let age = self.voices.oldest().map(|at| now.saturating_duration_since(at));
         let account = self.accounts.get_mut(&customer)?;
         self.voices.tick(now);
--- a/crates/core/src/voices.rs
+++ b/crates/core/src/voices.rs
@@ -9,6 +9,8 @@
 
 /// Time for which what an entry told counts, as for its demand.
 pub const TTL: time::Duration = time::Duration::from_secs(3);
+/// Age from which an entry counts as silent: more than three heartbeats, of which two may be lost.
+pub const FRESH_TIME: time::Duration = time::Duration::from_secs(1);
 
 /// The other entries of the cell, as far as they tell something.
 #[derive(Clone, Debug, Default)]
@@ -16,7 +18,9 @@
     entries: collections::BTreeMap<EntryTag, Voice>,
     // Entries that told all that there is to tell, as of the last tick.
     idle: collections::BTreeSet<EntryTag>,
-    // Until then none of them becomes too old.
+    // Entries that are silent, as of the last tick.
+    silent: collections::BTreeSet<EntryTag>,
+    // Until then none of them becomes silent or too old.
     fresh_until: Option<time::Instant>,
 }
 
@@ -48,7 +52,9 @@
         let new = Voice { at: now, complete_at: None, named: collections::BTreeSet::new() };
         let voice = self.entries.entry(entry).or_insert(new);
         voice.at = now;
-        self.fresh_until.get_or_insert(now + TTL);
+        self.silent.remove(&entry);
+        let end = now + FRESH_TIME;
+        self.fresh_until = Some(self.fresh_until.map_or(end, |until| until.min(end)));
         if !is_complete {
             voice.named.extend(named);
             return Vec::new();
@@ -71,20 +77,34 @@
         }
         let idle = self.entries.iter().filter(|(_, voice)| voice.complete_at.is_some());
         self.idle = idle.map(|(entry, _)| *entry).collect();
-        let oldest = self.entries.values().map(|voice| voice.complete_at.unwrap_or(voice.at)).min();
-        self.fresh_until = oldest.map(|at| at + TTL);
+        let silent = self.entries.iter().filter(|(_, voice)| voice.at + FRESH_TIME <= now);
+        self.silent = silent.map(|(entry, _)| *entry).collect();
+        let ends = self.entries.iter().map(|(entry, voice)| {
+            let is_silent = self.silent.contains(entry);
+            let end = voice.complete_at.unwrap_or(voice.at) + TTL;
+            if is_silent { end } else { end.min(voice.at + FRESH_TIME) }
+        });
+        self.fresh_until = ends.min();
     }
 
-    /// Number of entries that told all that there is to tell, after `from`.
+    /// Whether an entry told nothing lately, as of the last tick.
+    pub fn is_silent(&self, entry: EntryTag) -> bool {
+        self.silent.contains(&entry)
+    }
+
+    /// Number of entries that told all that there is to tell, after `from`, and are not silent.
     pub fn idle_count(&self, from: time::Instant, now: time::Instant) -> u32 {
-        if from + TTL <= now {
+        if from + TTL <= now && self.silent.is_empty() {
             return self.idle.len() as u32;
         }
         self.idle.iter().filter(|entry| self.is_idle(**entry, from, now)).count() as u32
     }
 
-    /// Whether an entry told all that there is to tell, after `from`.
+    /// Whether an entry told all that there is to tell, after `from`, and is not silent.
     pub fn is_idle(&self, entry: EntryTag, from: time::Instant, now: time::Instant) -> bool {
+        if self.is_silent(entry) {
+            return false;
+        }
         let known = self.entries.get(&entry).and_then(|voice| voice.complete_at);
         known.is_some_and(|at| from <= at && now < at + TTL)
     }
--- a/crates/core/tests/allowance_sums.rs
+++ b/crates/core/tests/allowance_sums.rs
@@ -75,8 +75,13 @@
     fn fraction(&self, customer: u32, now: time::Instant) -> f64 {
         let told =
             self.told.iter().filter(|((of, _), (.., at))| *of == customer && now < *at + TTL);
-        let weights: Vec<_> = told.map(|(_, (weight, ..))| f64::from(*weight) + 1.0).collect();
         let own = f64::from(self.own[customer as usize]) + 1.0;
+        let weights = told.map(|((_, peer), (weight, ..))| {
+            let weight = f64::from(*weight) + 1.0;
+            let is_silent = self.heard[peer] + FRESH_TIME <= now;
+            if is_silent { weight.max(own) } else { weight }
+        });
+        let weights: Vec<_> = weights.collect();
         let silent = f64::from(self.peers) - weights.len() as f64;
         let sum = own * (1.0 + silent) + weights.iter().sum::<f64>();
         own / sum * f64::from(self.peers + 1) / f64::from(self.fleet)
--- a/crates/core/tests/allowances.rs
+++ b/crates/core/tests/allowances.rs
@@ -89,6 +89,27 @@
     }
 }
 
+// Guards against entries that are cut off as the demand rises, and that go on with what the others told
+// when they had none: each uses the whole limit then.
+#[test]
+fn cut_as_demand_rises() {
+    let rate = 90_000.0;
+    for size in [3, 5, 24] {
+        for seed in 0..20 {
+            let mut fleet = Fleet::new(size, rate, 190_000.0, seed);
+            fleet.run(0.0, SIZE, 5 * SECOND);
+            fleet.entries[0].is_cut = true;
+            fleet.run(5.0 * rate, SIZE, 2 * SECOND);
+            fleet.entries[1].is_cut = true;
+            fleet.run(5.0 * rate, SIZE, 2 * SECOND);
+            fleet.loss = 0.3;
+            fleet.run(4.0 * rate, SIZE, 4 * SECOND);
+            let most = fleet.most(fleet.now - 120 * SECOND);
+            assert!(most <= 1.0, "{size} entries, seed {seed}: {most:.3}");
+        }
+    }
+}
+
 // A lowered limit holds in each window that begins after it is known.
 #[test]
 fn limit_lowered() {
