--- a/crates/core/tests/quotas.rs
+++ b/crates/core/tests/quotas.rs
@@ -26,6 +26,8 @@
     rate: f64,
     requests: collections::VecDeque<time::Instant>,
     sent: usize,
+    // Neither sends nor receives what entries tell each other.
+    is_cut: bool,
 }
 
 // Entries before one server with a limit of `rate` requests a second.
@@ -45,6 +47,7 @@
             rate: *rate,
             requests: collections::VecDeque::new(),
             sent: 0,
+            is_cut: false,
         };
         Fleet {
             entries: rates.iter().map(entry).collect(),
@@ -117,6 +120,9 @@
             let cell = number / CELL * CELL;
             self.entries[number].demand.record_own(told[number]);
             for other in (cell..(cell + CELL).min(told.len())).filter(|other| *other != number) {
+                if self.entries[number].is_cut || self.entries[other].is_cut {
+                    continue;
+                }
                 let peer = format!("edge-{other}");
                 self.entries[number].demand.record(&peer, told[other], self.now);
             }
@@ -216,6 +222,23 @@
     }
 }
 
+// Guards against entries that are cut off as the demand rises, and that go on with what the others told
+// when they had none: each sends at the whole limit then.
+#[test]
+fn parts_when_cut() {
+    for size in [5, 103, 950] {
+        let mut fleet = Fleet::new(&vec![0.0; size], 20.0, 8);
+        fleet.name_limit();
+        fleet.run(11 * SECOND);
+        fleet.entries.iter_mut().for_each(|entry| entry.rate = 50.0);
+        fleet.entries[1..4].iter_mut().for_each(|entry| entry.is_cut = true);
+        let from = fleet.now;
+        fleet.run(3 * SPAN);
+        let (most, allowed) = (fleet.most(from), fleet.allowed());
+        assert!(most <= allowed, "{size} entries: {most} in 4 s, {allowed} are allowed");
+    }
+}
+
 fn part() -> quotas::Part {
     quotas::Part { fraction: 1.0, phase: 1.0 }
 }
